--- /dev/null
+++ b/include/pomelowind/base/Random.h
@@ -0,0 +1,32 @@
+// Seeded random numbers; the same seed gives the same sequence on every machine.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace pomelowind::base {
+
+// Thread safety: confined to one thread.
+class Random {
+public:
+    explicit Random(uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    uint64_t next() { return m_engine(); }
+    // Uniform integer in [0, n). Precondition: n > 0.
+    uint64_t below(uint64_t n) { return m_engine() % n; }
+    // Uniform real in [0, 1).
+    double unit() { return static_cast<double>(m_engine() >> 11) * 0x1.0p-53; }
+    // True with probability `p`.
+    bool chance(double p) { return unit() < p; }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+// A seed taken from the platform, for jitter in production.
+uint64_t platformSeed();
+
+} // namespace pomelowind::base
--- /dev/null
+++ b/include/pomelowind/base/Time.h
@@ -0,0 +1,36 @@
+// Clocks. Decision classes take `now` as an argument; only the threads around them read a Clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace pomelowind::base {
+
+using Millis = std::chrono::milliseconds;
+using Micros = std::chrono::microseconds;
+using Instant = std::chrono::steady_clock::time_point;
+
+// Source of time. Thread safety: all methods may be called from any thread.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    // Monotonic time; never goes back.
+    virtual Instant now() const = 0;
+    // Wall time in milliseconds since the Unix epoch; may be stepped by the platform.
+    virtual int64_t wallMs() const = 0;
+};
+
+// The platform's clocks.
+class SystemClock final : public Clock {
+public:
+    Instant now() const override { return std::chrono::steady_clock::now(); }
+    int64_t wallMs() const override
+    {
+        using namespace std::chrono;
+        return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    }
+};
+
+inline int64_t toMillis(Instant::duration d) { return std::chrono::duration_cast<Millis>(d).count(); }
+
+} // namespace pomelowind::base
--- /dev/null
+++ b/include/pomelowind/control/ControlSettings.h
@@ -0,0 +1,40 @@
+// Settings of pomelowind-control.
+#pragma once
+
+#include "pomelowind/base/Settings.h"
+#include "pomelowind/operators/Roles.h"
+
+#include <string>
+#include <vector>
+
+namespace pomelowind::control {
+
+// Another control host.
+struct MemberAddress {
+    std::string id;
+    base::Address address;
+    bool operator==(const MemberAddress&) const = default;
+};
+
+struct ControlSettings {
+    std::string mesh;
+    std::string meshKey;
+    std::string id;
+    std::string dataCentre;
+    base::Address meshAddress;
+    base::Address operatorAddress;
+    base::Address metricsAddress;
+    std::string dataFolder;
+    std::string logLevel;
+    std::vector<MemberAddress> members; // all voters at bootstrap, this host included
+    base::Millis electionTimeout { 400 };
+    base::Millis heartbeat { 80 };
+    base::Millis claimLead { 25000 };
+    int64_t snapshotEvery { 1000 };
+    operators::Roles roles;
+};
+
+// Throws UserError(Settings) that lists every problem.
+ControlSettings readControlSettings(const std::string& file);
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/include/pomelowind/links/LinkServer.h
@@ -0,0 +1,32 @@
+// Accepts links from peers on one address.
+#pragma once
+
+#include "pomelowind/links/Link.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <unordered_set>
+
+namespace pomelowind::links {
+
+// Thread safety: confined to the duty of `io`.
+class LinkServer {
+public:
+    // Listens at once. Throws UserError(Settings) when the address cannot be bound.
+    LinkServer(boost::asio::io_context& io, const base::Address& address, Identity self, LinkListener& listener,
+        Traffic& traffic);
+    // Stops accepting and closes every accepted link.
+    void close();
+    size_t linkCount() const { return m_links.size(); }
+
+private:
+    void accept();
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retryTimer;
+    Identity m_self;
+    LinkListener& m_listener;
+    Traffic& m_traffic;
+    std::unordered_set<std::shared_ptr<Link>> m_links;
+};
+
+} // namespace pomelowind::links
--- /dev/null
+++ b/include/pomelowind/node/NodeSettings.h
@@ -0,0 +1,50 @@
+// Settings of pomelowind-node.
+#pragma once
+
+#include "pomelowind/base/Settings.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pomelowind::node {
+
+// A control host that may feed this node.
+struct ControlAddress {
+    std::string id;
+    std::string dataCentre;
+    base::Address address;
+    bool operator==(const ControlAddress&) const = default;
+};
+
+struct NodeSettings {
+    std::string mesh;
+    std::string meshKey;
+    std::string id;
+    std::string dataCentre;
+    base::Address callerAddress; // callers' HTTP
+    base::Address meshAddress; // configuration and presence
+    base::Address callAddress; // calls between nodes
+    base::Address announceAddress; // targets of this host
+    base::Address metricsAddress;
+    base::Address meshAdvertised; // as peers reach it; the same as meshAddress unless set
+    base::Address callAdvertised;
+    std::string logLevel;
+    std::vector<ControlAddress> control;
+    std::vector<base::Address> seeds; // mesh addresses of nodes of the same data centre, for a start while cut off
+    std::set<std::string> services; // services that callers of this node use; empty means all
+    base::Millis targetLease { 3000 };
+    base::Millis coldStart { 2000 };
+    int64_t targetConnections { 120 };
+    int64_t maxBodyBytes { 1024 * 1024 };
+    base::Millis callerTimeout { 10000 };
+    base::Millis drainGrace { 2500 };
+    int64_t claimMemoryBytes { 8 * 1024 * 1024 };
+    double retryShare { 0.1 };
+    bool limitsEnabled { true }; // false only in benchmarks that show what the limits are for
+};
+
+// Throws UserError(Settings) that lists every problem.
+NodeSettings readNodeSettings(const std::string& file);
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/include/pomelowind/targets/Balancer.h
@@ -0,0 +1,69 @@
+// Chooses the target of a call from this node's own observations: calls in flight, recent latency, refusals, and the
+// load that answers carry. Announced health is a hint only. A decision class without I/O.
+#pragma once
+
+#include "pomelowind/base/Random.h"
+#include "pomelowind/base/Time.h"
+#include "pomelowind/nodes/Directory.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pomelowind::targets {
+
+// How one attempt ended, as far as the balancer cares.
+struct Observation {
+    std::string target;
+    bool fault { false }; // the target or its host failed
+    bool refused { false }; // its gate had no room
+    base::Micros latency { 0 };
+    int inFlight { 0 }; // calls at the target's gate, as the answer says
+    int queued { 0 };
+};
+
+// Thread safety: confined to the calls duty.
+class Balancer {
+public:
+    Balancer(std::string dataCentre, uint64_t seed);
+
+    // A target of the service version that can take work, or nothing. `avoid` holds targets that were tried already.
+    std::optional<wire::Presence> choose(const nodes::Targets& targets, const std::string& service,
+        const std::string& version, const std::set<std::string>& avoid, base::Instant now);
+    // True when some target of the version may be chosen.
+    bool hasTarget(const nodes::Targets& targets, const std::string& service, const std::string& version) const;
+    void started(const std::string& target);
+    void ended(const Observation& observation, base::Instant now);
+    // Forgets targets that are no longer there.
+    void retain(const nodes::Targets& targets);
+
+    bool isEjected(const std::string& target, base::Instant now) const;
+
+private:
+    struct Stats {
+        int inFlight { 0 };
+        double latencyMs { 1 };
+        double reported { 0 };
+        base::Instant reportedAt;
+        int faultsInRow { 0 };
+        int ejections { 0 };
+        base::Instant ejectedUntil;
+        base::Instant refusedUntil;
+    };
+
+    std::vector<const wire::Presence*> candidates(const nodes::Targets& targets, const std::string& service,
+        const std::string& version, const std::set<std::string>& avoid) const;
+    std::vector<const wire::Presence*> withoutEjected(
+        const std::vector<const wire::Presence*>& all, base::Instant now) const;
+    const wire::Presence* pickOfTwo(const std::vector<const wire::Presence*>& some, base::Instant now);
+    double loadOf(const wire::Presence& target, base::Instant now) const;
+    const Stats* find(const std::string& target) const;
+
+    std::string m_dataCentre;
+    base::Random m_random;
+    std::map<std::string, Stats> m_stats;
+};
+
+} // namespace pomelowind::targets
--- /dev/null
+++ b/programs/pomelowind-control.cpp
@@ -0,0 +1,40 @@
+// pomelowind-control: one control host. It keeps the configuration log with its peers and feeds the nodes.
+
+#include "pomelowind/base/Log.h"
+#include "pomelowind/control/ControlHost.h"
+#include "pomelowind/platform/Program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this control host");
+ABSL_FLAG(bool, check_settings, false, "check the settings, print every problem, and exit");
+ABSL_FLAG(bool, bootstrap, false,
+    "first start of a new mesh: an empty data folder may vote at once. Never use it after a disk was lost");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
+        "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings or damaged storage");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        auto settings = control::readControlSettings(absl::GetFlag(FLAGS_settings));
+        if (absl::GetFlag(FLAGS_check_settings)) {
+            std::cout << "settings are valid" << std::endl;
+            return platform::EXIT_OK;
+        }
+        base::startLogging("control/" + settings.id, settings.logLevel);
+        platform::blockStopSignals();
+        auto emptyStart
+            = absl::GetFlag(FLAGS_bootstrap) ? members::EmptyStart::Bootstrap : members::EmptyStart::Recover;
+        control::ControlHost host(std::move(settings), emptyStart);
+        platform::waitForStopSignal();
+        host.stop();
+        return platform::EXIT_OK;
+    });
+}
--- /dev/null
+++ b/programs/pomelowind-fault-proxy.cpp
@@ -0,0 +1,49 @@
+// pomelowind-fault-proxy: TCP proxy that cuts, holds and delays connections, for tests.
+
+#include "pomelowind/base/Duty.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/platform/Metrics.h"
+#include "pomelowind/platform/Program.h"
+#include "standins/FaultProxy.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this proxy");
+ABSL_FLAG(bool, check_settings, false, "check the settings, print every problem, and exit");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
+                                 "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        auto reader = base::SettingsReader::fromFile(absl::GetFlag(FLAGS_settings));
+        auto admin = reader.address("admin_address");
+        auto metricsAddress = reader.address("metrics_address");
+        std::vector<standins::ProxyLink> links;
+        for (auto& it : reader.items("links")) {
+            links.push_back({ it.text("name"), it.address("listen"), it.address("forward") });
+            it.checkUnknownKeys();
+        }
+        reader.finish();
+        if (absl::GetFlag(FLAGS_check_settings)) {
+            std::cout << "settings are valid" << std::endl;
+            return platform::EXIT_OK;
+        }
+        base::startLogging("fault-proxy", "info");
+        platform::blockStopSignals();
+        auto metrics = platform::serveMetrics(metricsAddress);
+        base::Duty duty("proxy");
+        standins::FaultProxy proxy(duty.context(), links);
+        auto server = http::makeHttpServer(duty.context(), admin, {}, proxy);
+        duty.start();
+        platform::waitForStopSignal();
+        duty.stop();
+        return platform::EXIT_OK;
+    });
+}
--- /dev/null
+++ b/programs/pomelowind-load.cpp
@@ -0,0 +1,65 @@
+// pomelowind-load: open-loop callers for tests, benchmarks and the quickstart. The last line is a JSON summary.
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/platform/Metrics.h"
+#include "pomelowind/platform/Program.h"
+#include "standins/Load.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/io_context.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+ABSL_FLAG(std::vector<std::string>, addresses, {}, "addresses to send calls to, IP:PORT, separated by commas");
+ABSL_FLAG(std::vector<std::string>, hosts, { "localhost" }, "Host headers to choose from");
+ABSL_FLAG(std::vector<std::string>, paths, { "/" }, "paths to choose from");
+ABSL_FLAG(std::string, method, "GET", "HTTP method");
+ABSL_FLAG(double, rate, 100, "calls per second, from 0.1 to 100000");
+ABSL_FLAG(double, seconds, 5, "duration, up to 3600");
+ABSL_FLAG(bool, keyed, false, "send an Idempotency-Key with each call");
+ABSL_FLAG(int, resends, 0, "how often a keyed call of unknown outcome is sent again");
+ABSL_FLAG(std::string, log, "", "file for a line of each call");
+ABSL_FLAG(std::string, metrics_address, "", "serve metrics here while running");
+ABSL_FLAG(uint64_t, seed, 1, "seed of the choices");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("pomelowind-load --addresses=IP:PORT,... [--rate=N] [--seconds=S]\n"
+                                 "exit codes: 0 measured, 1 internal fault, 2 wrong arguments");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        standins::LoadOptions options;
+        for (const auto& it : absl::GetFlag(FLAGS_addresses))
+            options.addresses.push_back(base::parseAddress(it));
+        options.hosts = absl::GetFlag(FLAGS_hosts);
+        options.paths = absl::GetFlag(FLAGS_paths);
+        options.method = absl::GetFlag(FLAGS_method);
+        options.ratePerSecond = absl::GetFlag(FLAGS_rate);
+        options.seconds = absl::GetFlag(FLAGS_seconds);
+        options.keyed = absl::GetFlag(FLAGS_keyed);
+        options.resends = absl::GetFlag(FLAGS_resends);
+        options.log = absl::GetFlag(FLAGS_log);
+        if (options.addresses.empty() || options.ratePerSecond < 0.1 || options.ratePerSecond > 100000
+            || options.seconds > 3600)
+            throw base::UserError(
+                base::ErrorKind::InvalidInput, "no address, or rate or duration out of range", "see --help");
+        std::unique_ptr<platform::Metrics> metrics;
+        if (!absl::GetFlag(FLAGS_metrics_address).empty())
+            metrics = platform::serveMetrics(base::parseAddress(absl::GetFlag(FLAGS_metrics_address)));
+        boost::asio::io_context io;
+        standins::Load load(io, options, absl::GetFlag(FLAGS_seed));
+        load.run([&] { io.stop(); });
+        io.run();
+        const auto& it = load.summary();
+        nlohmann::json out { { "sent", it.sent }, { "ok", it.ok }, { "failed", it.failed }, { "not_run", it.notRun },
+            { "unknown", it.unknown }, { "lost", it.lost }, { "limited", it.limited },
+            { "wrong_bodies", it.wrongBodies }, { "resends", it.resends }, { "p50", it.quantile(0.5) },
+            { "p99", it.quantile(0.99) }, { "p999", it.quantile(0.999) }, { "by_version", it.byVersion } };
+        std::cout << out.dump() << std::endl;
+        return platform::EXIT_OK;
+    });
+}
--- /dev/null
+++ b/programs/pomelowind-node.cpp
@@ -0,0 +1,35 @@
+// pomelowind-node: the proxy beside a target. It takes callers' calls, guards its targets, and relays configuration.
+
+#include "pomelowind/base/Log.h"
+#include "pomelowind/node/NodeHost.h"
+#include "pomelowind/platform/Program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this node");
+ABSL_FLAG(bool, check_settings, false, "check the settings, print every problem, and exit");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("pomelowind-node --settings=FILE [--check_settings]\n"
+                                 "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        auto settings = node::readNodeSettings(absl::GetFlag(FLAGS_settings));
+        if (absl::GetFlag(FLAGS_check_settings)) {
+            std::cout << "settings are valid" << std::endl;
+            return platform::EXIT_OK;
+        }
+        base::startLogging("node/" + settings.id, settings.logLevel);
+        platform::blockStopSignals();
+        node::NodeHost host(std::move(settings));
+        platform::waitForStopSignal();
+        host.stop();
+        return platform::EXIT_OK;
+    });
+}
--- /dev/null
+++ b/programs/pomelowind-target.cpp
@@ -0,0 +1,48 @@
+// pomelowind-target: a stand-in target for tests, benchmarks and the quickstart.
+
+#include "pomelowind/base/Duty.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/platform/Metrics.h"
+#include "pomelowind/platform/Program.h"
+#include "standins/Target.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this target");
+ABSL_FLAG(bool, check_settings, false, "check the settings, print every problem, and exit");
+ABSL_FLAG(uint64_t, seed, 1, "seed of service times and failures");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
+        "exit codes: 0 stopped by signal, 1 internal fault or crash on purpose, 2 wrong settings");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        auto settings = standins::readTargetSettings(absl::GetFlag(FLAGS_settings));
+        if (absl::GetFlag(FLAGS_check_settings)) {
+            std::cout << "settings are valid" << std::endl;
+            return platform::EXIT_OK;
+        }
+        base::startLogging("target/" + settings.id, settings.logLevel);
+        platform::blockStopSignals();
+        auto metrics = platform::serveMetrics(settings.metricsAddress);
+        base::Duty duty("target");
+        standins::Target target(duty.context(), std::move(settings), absl::GetFlag(FLAGS_seed));
+        target.announceNow();
+        duty.start();
+        platform::waitForStopSignal();
+        std::promise<void> left;
+        boost::asio::post(duty.context(), [&] { target.leave([&] { left.set_value(); }); });
+        left.get_future().wait_for(std::chrono::seconds(30));
+        duty.stop();
+        return platform::EXIT_OK;
+    });
+}
--- /dev/null
+++ b/programs/pomelowindctl.cpp
@@ -0,0 +1,58 @@
+// pomelowindctl: the operators' command line.
+
+#include "pomelowind/operators/CommandLine.h"
+#include "pomelowind/platform/Program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <cstdlib>
+
+ABSL_FLAG(
+    std::vector<std::string>, control, {}, "operator addresses of the control hosts, IP:PORT, separated by commas");
+ABSL_FLAG(std::string, token, "", "bearer token of the operator; POMELOWIND_TOKEN is used when absent");
+ABSL_FLAG(std::string, format, "text", "output: text or json");
+ABSL_FLAG(std::string, request_id, "", "request id; made and printed when absent. Use the same one to send again");
+ABSL_FLAG(
+    int64_t, base_version, -1, "version that the submission is based on; read from the control hosts when absent");
+ABSL_FLAG(std::vector<std::string>, param, {}, "parameters of a client account, NAME=VALUE, separated by commas");
+ABSL_FLAG(std::string, template_name, "", "template of a client account");
+ABSL_FLAG(std::string, file, "", "YAML file of a template");
+ABSL_FLAG(std::string, to_version, "", "target version of a move or service");
+ABSL_FLAG(int64_t, within_seconds, 0, "deadline of a move, from now");
+ABSL_FLAG(int64_t, watch_seconds, 5, "how long a move is watched after its last step");
+ABSL_FLAG(std::string, move_id, "", "id of a move; made when absent");
+ABSL_FLAG(int64_t, limit, 50, "most lines of history and audit");
+ABSL_FLAG(int64_t, timeout_ms, 8000, "how long to try");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(operators::COMMAND_LINE_HELP);
+    auto words = absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([&] {
+        operators::CommandLineOptions options;
+        for (size_t i = 1; i < words.size(); ++i)
+            options.words.emplace_back(words[i]);
+        for (const auto& it : absl::GetFlag(FLAGS_control))
+            options.control.push_back(base::parseAddress(it));
+        options.token = absl::GetFlag(FLAGS_token);
+        const char* environment = std::getenv("POMELOWIND_TOKEN");
+        if (options.token.empty() && environment)
+            options.token = environment;
+        options.json = absl::GetFlag(FLAGS_format) == "json";
+        options.requestId = absl::GetFlag(FLAGS_request_id);
+        options.baseVersion = absl::GetFlag(FLAGS_base_version);
+        options.parameters = absl::GetFlag(FLAGS_param);
+        options.templateName = absl::GetFlag(FLAGS_template_name);
+        options.file = absl::GetFlag(FLAGS_file);
+        options.toVersion = absl::GetFlag(FLAGS_to_version);
+        options.within = std::chrono::seconds(absl::GetFlag(FLAGS_within_seconds));
+        options.watch = std::chrono::seconds(absl::GetFlag(FLAGS_watch_seconds));
+        options.moveId = absl::GetFlag(FLAGS_move_id);
+        options.limit = absl::GetFlag(FLAGS_limit);
+        options.timeout = base::Millis(absl::GetFlag(FLAGS_timeout_ms));
+        return operators::runCommandLine(options);
+    });
+}
--- /dev/null
+++ b/src/base/Duty.cpp
@@ -0,0 +1,44 @@
+#include "pomelowind/base/Duty.h"
+
+#include "pomelowind/base/Log.h"
+
+#include <cstdlib>
+#include <pthread.h>
+
+namespace pomelowind::base {
+
+namespace {
+
+    constexpr size_t MAX_THREAD_NAME = 15;
+
+}
+
+Duty::Duty(std::string name)
+    : m_name(std::move(name))
+    , m_guard(m_context.get_executor())
+{
+}
+
+Duty::~Duty() { stop(); }
+
+void Duty::start()
+{
+    m_thread = std::thread([this] {
+        pthread_setname_np(pthread_self(), m_name.substr(0, MAX_THREAD_NAME).c_str());
+        try {
+            m_context.run();
+        } catch (const std::exception& e) {
+            logError("duty.failed", { { "duty", m_name }, { "error", e.what() } });
+            std::_Exit(EXIT_FAILURE);
+        }
+    });
+}
+
+void Duty::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace pomelowind::base
--- /dev/null
+++ b/src/base/Settings.cpp
@@ -0,0 +1,232 @@
+#include "pomelowind/base/Settings.h"
+
+#include "pomelowind/base/Errors.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <sstream>
+
+namespace pomelowind::base {
+
+namespace {
+
+    constexpr int MAX_PORT = 65535;
+
+    template <class T> std::string rangeText(T least, T most)
+    {
+        std::ostringstream out;
+        out << "give a value from " << least << " to " << most;
+        return out.str();
+    }
+
+}
+
+Address parseAddress(const std::string& text)
+{
+    auto colon = text.rfind(':');
+    boost::system::error_code ec;
+    int port = 0;
+    if (colon != std::string::npos) {
+        boost::asio::ip::make_address(text.substr(0, colon), ec);
+        port = std::atoi(text.c_str() + colon + 1);
+    }
+    if (colon == std::string::npos || ec || port < 1 || port > MAX_PORT)
+        throw UserError(ErrorKind::InvalidInput, "'" + text + "' is not an address",
+            "write an IP number, a colon and a port from 1 to 65535, as in 127.0.0.1:7000");
+    return { text.substr(0, colon), static_cast<uint16_t>(port) };
+}
+
+SettingsReader::SettingsReader(YAML::Node node, std::shared_ptr<Shared> shared)
+    : m_node(std::move(node))
+    , m_shared(std::move(shared))
+{
+    if (!m_node.IsMap())
+        addProblem(m_node.Mark().line + 1, "expected a mapping", "write key: value pairs");
+}
+
+SettingsReader SettingsReader::fromFile(const std::string& file)
+{
+    try {
+        auto shared = std::make_shared<Shared>();
+        shared->file = file;
+        return { YAML::LoadFile(file), shared };
+    } catch (const YAML::BadFile&) {
+        throw UserError(ErrorKind::Settings, file + ": cannot be read", "check the path and its permissions");
+    } catch (const YAML::Exception& e) {
+        throw UserError(ErrorKind::Settings, file + ": " + e.what(), "correct the YAML at that line");
+    }
+}
+
+SettingsReader SettingsReader::fromText(const std::string& text, const std::string& name)
+{
+    try {
+        auto shared = std::make_shared<Shared>();
+        shared->file = name;
+        return { YAML::Load(text), shared };
+    } catch (const YAML::Exception& e) {
+        throw UserError(ErrorKind::Settings, name + ": " + e.what(), "correct the YAML at that line");
+    }
+}
+
+YAML::Node SettingsReader::find(const std::string& key)
+{
+    m_known.insert(key);
+    if (!m_node.IsMap())
+        return YAML::Node(YAML::NodeType::Undefined);
+    const YAML::Node& map = m_node;
+    return map[key];
+}
+
+void SettingsReader::addProblem(int line, const std::string& what, const std::string& remedy)
+{
+    m_shared->problems.push_back(m_shared->file + ":" + std::to_string(line) + ": " + what + "; remedy: " + remedy);
+}
+
+void SettingsReader::problem(const std::string& key, const std::string& what, const std::string& remedy)
+{
+    auto node = find(key);
+    int line = (node.IsDefined() ? node.Mark().line : m_node.Mark().line) + 1;
+    addProblem(line, "'" + key + "' " + what, remedy);
+}
+
+void SettingsReader::missing(const std::string& key, const std::string& kind)
+{
+    problem(key, "is missing or not " + kind, "set '" + key + "' to " + kind);
+}
+
+bool SettingsReader::has(const std::string& key)
+{
+    auto node = find(key);
+    return node.IsDefined() && !node.IsNull();
+}
+
+std::string SettingsReader::text(const std::string& key)
+{
+    if (has(key) && find(key).IsScalar())
+        return find(key).Scalar();
+    missing(key, "a text");
+    return {};
+}
+
+std::string SettingsReader::text(const std::string& key, const std::string& fallback)
+{
+    return has(key) ? text(key) : fallback;
+}
+
+Address SettingsReader::address(const std::string& key)
+{
+    std::string value = text(key);
+    if (value.empty())
+        return {};
+    try {
+        return parseAddress(value);
+    } catch (const UserError& e) {
+        problem(key, "is not an address", e.remedy());
+        return {};
+    }
+}
+
+std::vector<std::string> SettingsReader::texts(const std::string& key)
+{
+    auto node = find(key);
+    if (!node.IsDefined() || !node.IsSequence()) {
+        missing(key, "a list of texts");
+        return {};
+    }
+    std::vector<std::string> out;
+    for (const auto& it : node) {
+        if (it.IsScalar())
+            out.push_back(it.Scalar());
+        else
+            addProblem(it.Mark().line + 1, "an item of '" + key + "' is not a text", "write one text for each item");
+    }
+    return out;
+}
+
+std::vector<std::string> SettingsReader::textsOr(const std::string& key, std::vector<std::string> fallback)
+{
+    return has(key) ? texts(key) : std::move(fallback);
+}
+
+std::vector<SettingsReader> SettingsReader::items(const std::string& key)
+{
+    auto node = find(key);
+    if (!node.IsDefined() || !node.IsSequence()) {
+        missing(key, "a list of mappings");
+        return {};
+    }
+    std::vector<SettingsReader> out;
+    for (const auto& it : node)
+        out.push_back(SettingsReader(it, m_shared));
+    return out;
+}
+
+int64_t SettingsReader::integer(const std::string& key, int64_t fallback, int64_t least, int64_t most)
+{
+    if (!has(key))
+        return fallback;
+    try {
+        auto value = find(key).as<int64_t>();
+        if (value >= least && value <= most)
+            return value;
+        problem(key, "is out of range", rangeText(least, most));
+    } catch (const YAML::Exception&) {
+        problem(key, "is not a whole number", rangeText(least, most));
+    }
+    return fallback;
+}
+
+double SettingsReader::real(const std::string& key, double fallback, double least, double most)
+{
+    if (!has(key))
+        return fallback;
+    try {
+        auto value = find(key).as<double>();
+        if (value >= least && value <= most)
+            return value;
+        problem(key, "is out of range", rangeText(least, most));
+    } catch (const YAML::Exception&) {
+        problem(key, "is not a number", rangeText(least, most));
+    }
+    return fallback;
+}
+
+Millis SettingsReader::millis(const std::string& key, Millis fallback, Millis least, Millis most)
+{
+    return Millis(integer(key, fallback.count(), least.count(), most.count()));
+}
+
+bool SettingsReader::flag(const std::string& key, bool fallback)
+{
+    if (!has(key))
+        return fallback;
+    try {
+        return find(key).as<bool>();
+    } catch (const YAML::Exception&) {
+        problem(key, "is not true or false", "write true or false");
+    }
+    return fallback;
+}
+
+void SettingsReader::checkUnknownKeys()
+{
+    if (!m_node.IsMap())
+        return;
+    for (const auto& it : m_node) {
+        std::string key = it.first.Scalar();
+        if (!m_known.count(key))
+            addProblem(it.first.Mark().line + 1, "unknown key '" + key + "'", "remove it or correct its spelling");
+    }
+}
+
+void SettingsReader::finish()
+{
+    checkUnknownKeys();
+    if (m_shared->problems.empty())
+        return;
+    std::string all;
+    for (const auto& it : m_shared->problems)
+        all += (all.empty() ? "" : "\n") + it;
+    throw UserError(ErrorKind::Settings, all, "correct these lines and start again");
+}
+
+} // namespace pomelowind::base
--- /dev/null
+++ b/src/base/TimerService.cpp
@@ -0,0 +1,93 @@
+#include "pomelowind/base/TimerService.h"
+
+#include "pomelowind/base/Duty.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace pomelowind::base {
+
+namespace {
+
+    // One subscription. The ticker lives on the timer duty; `m_busy` keeps at most one callback queued at the receiver.
+    class Ticker : public std::enable_shared_from_this<Ticker> {
+    public:
+        Ticker(boost::asio::io_context& timers, boost::asio::io_context& duty, Millis period, TimerService::Callback fn)
+            : m_timer(timers)
+            , m_duty(duty)
+            , m_period(period)
+            , m_callback(std::move(fn))
+        {
+        }
+
+        void arm()
+        {
+            m_timer.expires_after(m_period);
+            m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+                if (ec || self->m_ended)
+                    return;
+                self->fire();
+                self->arm();
+            });
+        }
+
+        void end() { m_ended = true; }
+
+    private:
+        void fire()
+        {
+            if (m_busy.exchange(true))
+                return;
+            boost::asio::post(m_duty, [self = shared_from_this()] {
+                self->m_busy = false;
+                if (!self->m_ended)
+                    self->m_callback();
+            });
+        }
+
+        boost::asio::steady_timer m_timer;
+        boost::asio::io_context& m_duty;
+        Millis m_period;
+        TimerService::Callback m_callback;
+        std::atomic<bool> m_busy { false };
+        std::atomic<bool> m_ended { false };
+    };
+
+    class TickerSubscription final : public Subscription {
+    public:
+        explicit TickerSubscription(std::shared_ptr<Ticker> ticker)
+            : m_ticker(std::move(ticker))
+        {
+        }
+        ~TickerSubscription() override { m_ticker->end(); }
+
+    private:
+        std::shared_ptr<Ticker> m_ticker;
+    };
+
+    class ThreadTimerService final : public TimerService {
+    public:
+        ThreadTimerService()
+            : m_duty("timers")
+        {
+            m_duty.start();
+        }
+
+        std::unique_ptr<Subscription> subscribe(
+            boost::asio::io_context& duty, Millis period, Callback callback) override
+        {
+            auto ticker = std::make_shared<Ticker>(m_duty.context(), duty, period, std::move(callback));
+            boost::asio::post(m_duty.context(), [ticker] { ticker->arm(); });
+            return std::make_unique<TickerSubscription>(ticker);
+        }
+
+    private:
+        Duty m_duty;
+    };
+
+}
+
+std::unique_ptr<TimerService> makeTimerService() { return std::make_unique<ThreadTimerService>(); }
+
+} // namespace pomelowind::base
--- /dev/null
+++ b/src/callers/AccountLimiter.cpp
@@ -0,0 +1,28 @@
+#include "pomelowind/callers/AccountLimiter.h"
+
+#include <algorithm>
+
+namespace pomelowind::callers {
+
+LimitVerdict AccountLimiter::take(const wire::AccountResource& account, base::Instant now)
+{
+    double rate = account.ratePerSecond;
+    double burst = std::max(1.0, account.burst);
+    auto it = m_limits.find(account.name);
+    bool changed = it != m_limits.end() && (it->second.ratePerSecond != rate || it->second.burst != burst);
+    if (it == m_limits.end() || changed) {
+        // A changed limit keeps what was left, so that a change of configuration gives nobody a second burst.
+        double left = changed ? it->second.bucket.available(now) : burst;
+        Limit limit { rate, burst, base::TokenBucket(rate, burst, now) };
+        limit.bucket.tryTake(now, std::max(0.0, burst - left));
+        it = m_limits.insert_or_assign(account.name, limit).first;
+    }
+    LimitVerdict out;
+    out.allowed = it->second.bucket.tryTake(now);
+    out.limit = static_cast<int64_t>(burst);
+    out.remaining = static_cast<int64_t>(it->second.bucket.available(now));
+    out.retryAfter = it->second.bucket.untilNext(now);
+    return out;
+}
+
+} // namespace pomelowind::callers
--- /dev/null
+++ b/src/claims/ClaimVote.cpp
@@ -0,0 +1,94 @@
+#include "pomelowind/claims/ClaimVote.h"
+
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/claims/ClaimTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pomelowind::claims {
+
+namespace {
+
+    using wire::ClaimVerdict;
+
+    // How far a caller's clock may be ahead; the request waits that long.
+    constexpr int64_t MOST_AHEAD_MS = 1000;
+
+    // Highest scores first, from different data centres as long as there are such.
+    std::vector<wire::ClaimHolder> chooseHolders(const wire::ClaimEpoch& epoch, const std::string& key)
+    {
+        auto ranked = epoch.holders;
+        std::sort(ranked.begin(), ranked.end(), [&](const wire::ClaimHolder& a, const wire::ClaimHolder& b) {
+            return base::rendezvousScore(key, a.node) > base::rendezvousScore(key, b.node);
+        });
+        std::vector<wire::ClaimHolder> out;
+        std::vector<wire::ClaimHolder> rest;
+        std::set<std::string> centres;
+        for (const auto& it : ranked)
+            (centres.insert(it.dataCentre).second ? out : rest).push_back(it);
+        out.insert(out.end(), rest.begin(), rest.end());
+        out.resize(std::min(out.size(), CLAIM_HOLDERS));
+        return out;
+    }
+
+    size_t count(const ClaimAnswers& answers, std::initializer_list<ClaimVerdict::type> verdicts)
+    {
+        return static_cast<size_t>(std::count_if(answers.begin(), answers.end(), [&](const auto& it) {
+            return it && std::find(verdicts.begin(), verdicts.end(), it->verdict) != verdicts.end();
+        }));
+    }
+
+}
+
+ClaimPlace placeClaim(const wire::ClaimRing& ring, const std::string& key, int64_t nowMs, int64_t throughMs)
+{
+    ClaimPlace out;
+    int64_t keyMs = base::uuidV7TimeMs(key);
+    if (keyMs < 0) {
+        out.problem = KeyProblem::NotUuidV7;
+        return out;
+    }
+    if (keyMs > nowMs + MOST_AHEAD_MS) {
+        out.problem = KeyProblem::FromFuture;
+        return out;
+    }
+    if (keyMs < nowMs - CLAIM_WINDOW_MS) {
+        out.problem = KeyProblem::TooOld;
+        return out;
+    }
+    out.waitMs = std::max<int64_t>(0, keyMs - nowMs);
+    auto epoch = std::find_if(
+        ring.epochs.rbegin(), ring.epochs.rend(), [&](const wire::ClaimEpoch& it) { return it.fromMs <= keyMs; });
+    bool isLast = epoch == ring.epochs.rbegin();
+    // The last known epoch may have a successor that this node has not heard of, unless the leader promised otherwise.
+    if (epoch == ring.epochs.rend() || (isLast && keyMs > throughMs)) {
+        out.problem = KeyProblem::NoEpoch;
+        return out;
+    }
+    out.epoch = epoch->epoch;
+    out.holders = chooseHolders(*epoch, key);
+    out.needed = out.holders.size() / 2 + 1;
+    return out;
+}
+
+ClaimDecision decideClaim(const ClaimAnswers& answers, size_t needed, bool final)
+{
+    size_t granted = count(answers, { ClaimVerdict::GRANTED });
+    if (granted >= needed)
+        return ClaimDecision::Run;
+    if (count(answers, { ClaimVerdict::DONE }))
+        return ClaimDecision::Replay;
+    if (count(answers, { ClaimVerdict::CONFLICT }))
+        return ClaimDecision::Conflict;
+    auto answered = static_cast<size_t>(
+        std::count_if(answers.begin(), answers.end(), [](const auto& it) { return it.has_value(); }));
+    if (!final && answered < answers.size())
+        return ClaimDecision::Wait;
+    if (count(answers, { ClaimVerdict::PENDING }))
+        return ClaimDecision::Pending;
+    size_t clean = count(answers, { ClaimVerdict::GRANTED, ClaimVerdict::FULL, ClaimVerdict::ABSENT });
+    return clean >= needed ? ClaimDecision::NotRun : ClaimDecision::Unknown;
+}
+
+} // namespace pomelowind::claims
--- /dev/null
+++ b/src/config/ConfigMachine.cpp
@@ -0,0 +1,639 @@
+#include "pomelowind/config/ConfigMachine.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/moves/MoveMachine.h"
+
+#include <algorithm>
+
+namespace pomelowind::config {
+
+namespace {
+
+    using base::UserError;
+    using wire::CommandKind;
+    using wire::CommandResult;
+    using wire::MoveState;
+    using wire::ResultCode;
+
+    constexpr int64_t REMEMBER_MS = 24LL * 3600 * 1000;
+    constexpr size_t MAX_REMEMBERED = 20000;
+    constexpr size_t MAX_AUDIT = 10000;
+    constexpr size_t MAX_OLD_MOVES = 200;
+    constexpr size_t MAX_CLAIM_EPOCHS = 64;
+    constexpr int64_t CLAIM_WINDOW_MS = 15LL * 60 * 1000;
+    constexpr int64_t GRANT_MS = 30000;
+    constexpr int64_t SHORTEST_WATCH_MS = 1000;
+    constexpr int64_t LONGEST_MOVE_MS = 7LL * 24 * 3600 * 1000;
+
+    CommandResult refuse(ResultCode::type code, const std::string& message, const std::string& remedy)
+    {
+        CommandResult result;
+        result.code = code;
+        result.message = message;
+        result.remedy = remedy;
+        return result;
+    }
+
+    CommandResult refuse(const UserError& e)
+    {
+        auto code = e.kind() == base::ErrorKind::NotFound ? ResultCode::NOT_FOUND : ResultCode::INVALID;
+        return refuse(code, e.what(), e.remedy());
+    }
+
+    // What a command is about, as the audit trail shows it.
+    std::string subjectOf(const wire::Command& command)
+    {
+        switch (command.kind) {
+        case CommandKind::START_MOVE:
+            return command.move.serviceName + "@" + command.move.toVersion;
+        case CommandKind::MOVE_EVENT:
+            return command.moveEvent.moveId;
+        case CommandKind::CLAIM_EPOCH:
+            return CLAIM_RING_KEY;
+        default:
+            return command.name;
+        }
+    }
+
+    const char* moveEventName(wire::MoveEventKind::type kind)
+    {
+        switch (kind) {
+        case wire::MoveEventKind::RAISE:
+            return "move.raise";
+        case wire::MoveEventKind::REACHED_ALL:
+            return "move.reached_all";
+        case wire::MoveEventKind::BAD:
+            return "move.bad";
+        case wire::MoveEventKind::WATCH_ENDED:
+            return "move.watch_ended";
+        case wire::MoveEventKind::LATE:
+            return "move.late";
+        case wire::MoveEventKind::ASKED_BACK:
+            return "move.asked_back";
+        case wire::MoveEventKind::PAUSE:
+            return "move.pause";
+        case wire::MoveEventKind::RESUME:
+            return "move.resume";
+        }
+        return "move.unknown";
+    }
+
+    bool isName(const std::string& text)
+    {
+        constexpr size_t MAX_NAME = 128;
+        return !text.empty() && text.size() <= MAX_NAME && std::all_of(text.begin(), text.end(), [](char c) {
+            return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+        });
+    }
+
+    CommandResult badName(const std::string& what)
+    {
+        return refuse(
+            ResultCode::INVALID, what + " is not a valid name", "use 1 to 128 letters, digits, '-', '_' or '.'");
+    }
+
+}
+
+const char* commandKindName(CommandKind::type kind)
+{
+    switch (kind) {
+    case CommandKind::SET_SERVICE:
+        return "service.set";
+    case CommandKind::REMOVE_SERVICE:
+        return "service.remove";
+    case CommandKind::SUBMIT_TEMPLATE:
+        return "template.submit";
+    case CommandKind::SET_ACCOUNT:
+        return "account.set";
+    case CommandKind::REMOVE_ACCOUNT:
+        return "account.remove";
+    case CommandKind::START_MOVE:
+        return "move.start";
+    case CommandKind::TAKE_BACK_MOVE:
+        return "move.take_back";
+    case CommandKind::MOVE_EVENT:
+        return "move.event";
+    case CommandKind::CLAIM_EPOCH:
+        return "claims.epoch";
+    case CommandKind::DENIED:
+        return "denied";
+    case CommandKind::SOURCE_UPDATE:
+        return "source.update";
+    }
+    return "unknown";
+}
+
+const char* resultCodeName(ResultCode::type code)
+{
+    switch (code) {
+    case ResultCode::ACCEPTED:
+        return "accepted";
+    case ResultCode::CONFLICT:
+        return "conflict";
+    case ResultCode::INVALID:
+        return "invalid_input";
+    case ResultCode::NOT_FOUND:
+        return "not_found";
+    case ResultCode::DENIED:
+        return "denied";
+    case ResultCode::BUSY:
+        return "busy";
+    case ResultCode::UNAVAILABLE:
+        return "unavailable";
+    case ResultCode::UNCHANGED:
+        return "unchanged";
+    }
+    return "unknown";
+}
+
+uint64_t commandFingerprint(const wire::Command& command)
+{
+    wire::Command same = command;
+    same.timeMs = 0;
+    return base::hash64(base::encode(same));
+}
+
+CommandResult ConfigMachine::apply(int64_t index, const wire::Command& command)
+{
+    forgetOld(command.timeMs);
+    auto known = m_remembered.find(command.requestId);
+    if (!command.requestId.empty() && known != m_remembered.end()) {
+        if (static_cast<uint64_t>(known->second.fingerprint) == commandFingerprint(command))
+            return known->second.result;
+        return refuse(ResultCode::CONFLICT, "request id '" + command.requestId + "' was used for another submission",
+            "use a new request id for a new submission");
+    }
+    int64_t fromVersion = m_state.version();
+    CommandResult result = dispatch(command);
+    if (result.code != ResultCode::UNCHANGED) {
+        remember(command, result);
+        record(index, command, fromVersion, result);
+    }
+    return result;
+}
+
+int64_t ConfigMachine::baseVersion(const wire::Command& command) const
+{
+    switch (command.kind) {
+    case CommandKind::SUBMIT_TEMPLATE: {
+        auto it = m_templates.find(command.name);
+        return it == m_templates.end() ? 0 : it->second.version;
+    }
+    case CommandKind::SET_ACCOUNT:
+    case CommandKind::REMOVE_ACCOUNT: {
+        auto it = m_accounts.find(command.name);
+        return it == m_accounts.end() ? m_state.versionOf(accountKey(command.name)) : it->second.version;
+    }
+    case CommandKind::START_MOVE:
+        return m_state.versionOf(serviceKey(command.move.serviceName));
+    case CommandKind::SET_SERVICE:
+    case CommandKind::REMOVE_SERVICE:
+        return m_state.versionOf(serviceKey(command.name));
+    default:
+        return command.baseVersion;
+    }
+}
+
+CommandResult ConfigMachine::dispatch(const wire::Command& command)
+{
+    int64_t base = baseVersion(command);
+    if (command.baseVersion != base)
+        return refuse(ResultCode::CONFLICT,
+            "'" + subjectOf(command) + "' is at version " + std::to_string(base) + ", not "
+                + std::to_string(command.baseVersion),
+            "read it again, check the other change, and submit with the new base version");
+    try {
+        switch (command.kind) {
+        case CommandKind::SET_SERVICE:
+            return setService(command);
+        case CommandKind::REMOVE_SERVICE:
+            return removeService(command);
+        case CommandKind::SUBMIT_TEMPLATE:
+            return submitTemplate(command);
+        case CommandKind::SET_ACCOUNT:
+            return setAccount(command);
+        case CommandKind::REMOVE_ACCOUNT:
+            return removeAccount(command);
+        case CommandKind::START_MOVE:
+            return startMove(command);
+        case CommandKind::TAKE_BACK_MOVE:
+            return takeBackMove(command);
+        case CommandKind::MOVE_EVENT:
+            return moveEvent(command);
+        case CommandKind::CLAIM_EPOCH:
+            return claimEpoch(command);
+        case CommandKind::SOURCE_UPDATE:
+            return sourceUpdate(command);
+        case CommandKind::DENIED:
+            return refuse(ResultCode::DENIED, command.body, "ask the team that owns it, or change this team's role");
+        }
+    } catch (const UserError& e) {
+        return refuse(e);
+    }
+    return refuse(ResultCode::INVALID, "unknown command", "run the same release on all hosts");
+}
+
+CommandResult ConfigMachine::accepted() const
+{
+    CommandResult result;
+    result.code = ResultCode::ACCEPTED;
+    result.version = m_state.version();
+    return result;
+}
+
+// ---- services ----
+
+void ConfigMachine::putService(const wire::ServiceResource& service)
+{
+    wire::Resource resource;
+    resource.key = serviceKey(service.name);
+    resource.__set_serviceResource(service);
+    m_state = m_state.withResource(std::move(resource));
+}
+
+CommandResult ConfigMachine::setService(const wire::Command& command)
+{
+    if (!isName(command.name) || !isName(command.body))
+        return badName("service or version");
+    if (const auto* move = activeMove(command.name))
+        return refuse(ResultCode::CONFLICT, "move '" + move->id + "' of this service is running",
+            "wait for it, or take it back first");
+    wire::ServiceResource service;
+    service.name = command.name;
+    service.stable = command.body;
+    putService(service);
+    renderAccounts({});
+    return accepted();
+}
+
+// Routes go before the service, so that no version of the configuration holds a route without its service.
+CommandResult ConfigMachine::removeService(const wire::Command& command)
+{
+    const auto* service = m_state.service(command.name);
+    if (!service)
+        return refuse(ResultCode::NOT_FOUND, "service '" + command.name + "' does not exist",
+            "check its name with 'service list'");
+    if (activeMove(command.name))
+        return refuse(ResultCode::CONFLICT, "a move of this service is running", "take it back first");
+    auto before = m_state;
+    for (const auto* account : before.accounts()) {
+        wire::AccountResource kept = *account;
+        std::erase_if(kept.routes, [&](const wire::Route& it) { return it.serviceName == command.name; });
+        if (kept.routes.size() != account->routes.size())
+            putAccount(kept);
+    }
+    m_state = m_state.withoutResource(serviceKey(command.name));
+    return accepted();
+}
+
+// ---- templates and client accounts ----
+
+void ConfigMachine::putAccount(const wire::AccountResource& account)
+{
+    const auto* present = m_state.find(accountKey(account.name));
+    if (present && present->accountResource == account)
+        return;
+    wire::Resource resource;
+    resource.key = accountKey(account.name);
+    resource.__set_accountResource(account);
+    m_state = m_state.withResource(std::move(resource));
+}
+
+wire::AccountResource ConfigMachine::withoutMissingServices(wire::AccountResource account) const
+{
+    std::erase_if(account.routes, [&](const wire::Route& it) { return !m_state.service(it.serviceName); });
+    return account;
+}
+
+wire::AccountResource ConfigMachine::renderChecked(
+    const Template& source, const std::string& account, const Parameters& parameters) const
+{
+    auto rendered = render(source, account, parameters);
+    for (const auto& route : rendered.routes) {
+        if (!m_state.service(route.serviceName))
+            throw UserError(base::ErrorKind::InvalidInput,
+                "route " + route.path + " of template '" + source.name + "' points at unknown service '"
+                    + route.serviceName + "'",
+                "create the service first with 'service set', or correct the template");
+    }
+    return rendered;
+}
+
+void ConfigMachine::renderAccounts(const std::string& onlyTemplate)
+{
+    for (const auto& [name, account] : m_accounts) {
+        if (!onlyTemplate.empty() && account.templateName != onlyTemplate)
+            continue;
+        auto rendered = render(m_parsed.at(account.templateName), name, account.parameters);
+        putAccount(withoutMissingServices(std::move(rendered)));
+    }
+}
+
+CommandResult ConfigMachine::submitTemplate(const wire::Command& command)
+{
+    auto parsed = parseTemplate(command.body);
+    if (!isName(parsed.name))
+        return badName("template");
+    if (parsed.name != command.name)
+        return refuse(ResultCode::INVALID, "the template's name '" + parsed.name + "' is not '" + command.name + "'",
+            "use the same name in the request and in the YAML");
+    for (const auto& route : parsed.routes) {
+        if (route.serviceName.find("${") == std::string::npos && !m_state.service(route.serviceName))
+            return refuse(ResultCode::INVALID,
+                "route " + route.path + " points at unknown service '" + route.serviceName + "'",
+                "create the service first with 'service set', or correct the template");
+    }
+    // All accounts are rendered before anything changes: one that does not fit refuses the whole submission.
+    for (const auto& [name, account] : m_accounts) {
+        if (account.templateName == parsed.name)
+            renderChecked(parsed, name, account.parameters);
+    }
+    wire::TemplateRecord record;
+    record.name = parsed.name;
+    record.body = command.body;
+    m_parsed[parsed.name] = parsed;
+    int64_t before = m_state.version();
+    renderAccounts(parsed.name);
+    // A template without accounts changes no resource; it still gets a version of its own to be a base.
+    if (m_state.version() == before)
+        m_state = m_state.withoutResource("template/" + parsed.name);
+    record.version = m_state.version();
+    m_templates[parsed.name] = record;
+    return accepted();
+}
+
+CommandResult ConfigMachine::setAccount(const wire::Command& command)
+{
+    if (!isName(command.name))
+        return badName("client account");
+    auto source = m_parsed.find(command.templateName);
+    if (source == m_parsed.end())
+        return refuse(ResultCode::NOT_FOUND, "template '" + command.templateName + "' does not exist",
+            "submit it first, or check its name with 'template list'");
+    auto rendered = renderChecked(source->second, command.name, command.parameters);
+    wire::Resource resource;
+    resource.key = accountKey(command.name);
+    resource.__set_accountResource(rendered);
+    m_state = m_state.withResource(std::move(resource));
+    auto& record = m_accounts[command.name];
+    record.name = command.name;
+    record.templateName = command.templateName;
+    record.parameters = command.parameters;
+    record.version = m_state.version();
+    return accepted();
+}
+
+CommandResult ConfigMachine::removeAccount(const wire::Command& command)
+{
+    if (!m_accounts.erase(command.name))
+        return refuse(ResultCode::NOT_FOUND, "client account '" + command.name + "' does not exist",
+            "check its name with 'account list'");
+    m_state = m_state.withoutResource(accountKey(command.name));
+    return accepted();
+}
+
+// Updates of the outside source may arrive repeated or crossed; only one with a higher sequence number is taken.
+CommandResult ConfigMachine::sourceUpdate(const wire::Command& command)
+{
+    auto known = m_accounts.find(command.name);
+    if (known != m_accounts.end() && known->second.sourceSequence >= command.sourceSequence) {
+        CommandResult result = refuse(ResultCode::UNCHANGED, "the source's update is not newer", "");
+        result.version = m_state.version();
+        return result;
+    }
+    CommandResult result = setAccount(command);
+    if (result.code == ResultCode::ACCEPTED)
+        m_accounts[command.name].sourceSequence = command.sourceSequence;
+    return result;
+}
+
+// ---- moves ----
+
+const wire::MoveRecord* ConfigMachine::findMove(const std::string& id) const
+{
+    auto it = std::find_if(m_moves.begin(), m_moves.end(), [&](const wire::MoveRecord& move) { return move.id == id; });
+    return it == m_moves.end() ? nullptr : &*it;
+}
+
+const wire::MoveRecord* ConfigMachine::activeMove(const std::string& service) const
+{
+    auto it = std::find_if(m_moves.begin(), m_moves.end(),
+        [&](const wire::MoveRecord& move) { return move.serviceName == service && !moves::isOver(move); });
+    return it == m_moves.end() ? nullptr : &*it;
+}
+
+CommandResult ConfigMachine::startMove(const wire::Command& command)
+{
+    const auto& ask = command.move;
+    const auto* service = m_state.service(ask.serviceName);
+    if (!service)
+        return refuse(ResultCode::NOT_FOUND, "service '" + ask.serviceName + "' does not exist",
+            "check its name with 'service list'");
+    if (!isName(ask.id) || !isName(ask.toVersion))
+        return badName("move or version");
+    if (findMove(ask.id))
+        return refuse(ResultCode::CONFLICT, "move '" + ask.id + "' exists already", "use a new move id");
+    if (const auto* other = activeMove(ask.serviceName))
+        return refuse(ResultCode::CONFLICT, "move '" + other->id + "' of this service is running",
+            "wait for it, or take it back first");
+    if (service->stable == ask.toVersion)
+        return refuse(ResultCode::INVALID,
+            "service '" + ask.serviceName + "' runs version '" + ask.toVersion + "' already", "name another version");
+    int64_t shortest = ask.watchMs + SHORTEST_RAMP_MS;
+    int64_t given = ask.deadlineMs - command.timeMs;
+    if (ask.watchMs < SHORTEST_WATCH_MS || given < shortest || given > LONGEST_MOVE_MS)
+        return refuse(ResultCode::INVALID,
+            "the deadline is " + std::to_string(given) + " ms away with a watch of " + std::to_string(ask.watchMs)
+                + " ms",
+            "give a watch of at least 1 s and a deadline from " + std::to_string(shortest) + " ms to 7 days away");
+    wire::MoveRecord move;
+    move.id = ask.id;
+    move.serviceName = ask.serviceName;
+    move.fromVersion = service->stable;
+    move.toVersion = ask.toVersion;
+    move.startedMs = command.timeMs;
+    move.deadlineMs = ask.deadlineMs;
+    move.watchMs = ask.watchMs;
+    move.state = MoveState::PLANNED;
+    move.actor = command.actor;
+    m_moves.push_back(move);
+    trimMoves();
+    applyMove(move);
+    return accepted();
+}
+
+void ConfigMachine::trimMoves()
+{
+    while (m_moves.size() > MAX_OLD_MOVES) {
+        auto it = std::find_if(m_moves.begin(), m_moves.end(), moves::isOver);
+        if (it == m_moves.end())
+            return;
+        m_moves.erase(it);
+    }
+}
+
+// Writes a move's present share into its service's resource, which is what proxies act on.
+void ConfigMachine::applyMove(const wire::MoveRecord& move)
+{
+    const auto* present = m_state.service(move.serviceName);
+    if (!present)
+        return;
+    wire::ServiceResource service = *present;
+    service.stable = move.state == MoveState::DONE ? move.toVersion : move.fromVersion;
+    service.candidate = moves::isOver(move) ? "" : move.toVersion;
+    service.permille = moves::isOver(move) ? 0 : move.permille;
+    service.moveId = moves::isOver(move) ? "" : move.id;
+    service.step = move.step;
+    service.grantMs = GRANT_MS;
+    putService(service);
+}
+
+CommandResult ConfigMachine::takeBackMove(const wire::Command& command)
+{
+    const auto* move = findMove(command.name);
+    if (!move)
+        return refuse(
+            ResultCode::NOT_FOUND, "move '" + command.name + "' does not exist", "check its id with 'move list'");
+    wire::Command event = command;
+    event.moveEvent.moveId = move->id;
+    event.moveEvent.step = move->step + 1;
+    event.moveEvent.kind = wire::MoveEventKind::ASKED_BACK;
+    event.moveEvent.reason = "asked for by " + command.actor;
+    return moveEvent(event);
+}
+
+CommandResult ConfigMachine::moveEvent(const wire::Command& command)
+{
+    const auto& event = command.moveEvent;
+    auto move = std::find_if(
+        m_moves.begin(), m_moves.end(), [&](const wire::MoveRecord& it) { return it.id == event.moveId; });
+    if (move == m_moves.end())
+        return refuse(
+            ResultCode::NOT_FOUND, "move '" + event.moveId + "' does not exist", "check its id with 'move list'");
+    auto transition = moves::advance(*move, event, command.timeMs);
+    if (!transition.accepted)
+        return refuse(
+            ResultCode::CONFLICT, "move '" + event.moveId + "': " + transition.refusal, "read the move's status");
+    bool sameShare
+        = transition.next.permille == move->permille && moves::isOver(transition.next) == moves::isOver(*move);
+    *move = transition.next;
+    if (!sameShare)
+        applyMove(*move);
+    return accepted();
+}
+
+// ---- claim holders ----
+
+CommandResult ConfigMachine::claimEpoch(const wire::Command& command)
+{
+    wire::ClaimRing ring;
+    if (const auto* present = m_state.claimRing())
+        ring = *present;
+    const auto& next = command.claimEpoch;
+    bool follows = ring.epochs.empty()
+        || (next.epoch == ring.epochs.back().epoch + 1 && next.fromMs > ring.epochs.back().fromMs);
+    if (!follows || next.holders.empty())
+        return refuse(ResultCode::CONFLICT, "the claim epoch does not follow the present one", "propose it again");
+    ring.epochs.push_back(next);
+    // An epoch is needed while keys created in it can still be used.
+    while (ring.epochs.size() > 1
+        && (ring.epochs[1].fromMs < command.timeMs - CLAIM_WINDOW_MS || ring.epochs.size() > MAX_CLAIM_EPOCHS))
+        ring.epochs.erase(ring.epochs.begin());
+    wire::Resource resource;
+    resource.key = CLAIM_RING_KEY;
+    resource.__set_claimRing(ring);
+    m_state = m_state.withResource(std::move(resource));
+    return accepted();
+}
+
+// ---- memory of answers, and the audit trail ----
+
+void ConfigMachine::remember(const wire::Command& command, const CommandResult& result)
+{
+    if (command.requestId.empty())
+        return;
+    wire::RememberedResult known;
+    known.requestId = command.requestId;
+    known.timeMs = command.timeMs;
+    known.result = result;
+    known.fingerprint = static_cast<int64_t>(commandFingerprint(command));
+    m_remembered[command.requestId] = known;
+    m_rememberedOrder.push_back(command.requestId);
+}
+
+void ConfigMachine::forgetOld(int64_t timeMs)
+{
+    while (!m_rememberedOrder.empty()) {
+        auto it = m_remembered.find(m_rememberedOrder.front());
+        bool old = it->second.timeMs < timeMs - REMEMBER_MS || m_rememberedOrder.size() > MAX_REMEMBERED;
+        if (!old)
+            return;
+        m_remembered.erase(it);
+        m_rememberedOrder.pop_front();
+    }
+}
+
+void ConfigMachine::record(
+    int64_t index, const wire::Command& command, int64_t fromVersion, const CommandResult& result)
+{
+    wire::AuditRecord audit;
+    audit.index = index;
+    audit.timeMs = command.timeMs;
+    audit.actor = command.actor;
+    audit.team = command.team;
+    audit.action = command.kind == CommandKind::MOVE_EVENT ? moveEventName(command.moveEvent.kind)
+                                                           : commandKindName(command.kind);
+    audit.subject = subjectOf(command);
+    audit.fromVersion = fromVersion;
+    audit.toVersion = m_state.version();
+    audit.code = result.code;
+    audit.message = command.kind == CommandKind::MOVE_EVENT ? command.moveEvent.reason : result.message;
+    audit.requestId = command.requestId;
+    m_audit.push_back(std::move(audit));
+    ++m_auditCount;
+    if (m_audit.size() > MAX_AUDIT)
+        m_audit.pop_front();
+}
+
+// ---- snapshots ----
+
+wire::MachineImage ConfigMachine::image() const
+{
+    wire::MachineImage image;
+    image.version = m_state.version();
+    image.resources = m_state.resources();
+    image.tombstones = m_state.tombstones();
+    image.tombstoneFloor = m_state.tombstoneFloor();
+    for (const auto& [name, record] : m_templates)
+        image.templates.push_back(record);
+    for (const auto& [name, record] : m_accounts)
+        image.accounts.push_back(record);
+    image.moves = m_moves;
+    image.audit.assign(m_audit.begin(), m_audit.end());
+    image.auditCount = m_auditCount;
+    for (const auto& it : m_rememberedOrder)
+        image.remembered.push_back(m_remembered.at(it));
+    return image;
+}
+
+void ConfigMachine::restore(const wire::MachineImage& image)
+{
+    *this = ConfigMachine();
+    m_state = ConfigState::restore(image.version, image.resources, image.tombstones, image.tombstoneFloor);
+    for (const auto& it : image.templates) {
+        m_templates[it.name] = it;
+        m_parsed[it.name] = parseTemplate(it.body);
+    }
+    for (const auto& it : image.accounts)
+        m_accounts[it.name] = it;
+    m_moves = image.moves;
+    m_audit.assign(image.audit.begin(), image.audit.end());
+    m_auditCount = image.auditCount;
+    for (const auto& it : image.remembered) {
+        m_remembered[it.requestId] = it;
+        m_rememberedOrder.push_back(it.requestId);
+    }
+}
+
+} // namespace pomelowind::config
--- /dev/null
+++ b/src/config/Template.cpp
@@ -0,0 +1,207 @@
+#include "pomelowind/config/Template.h"
+
+#include "pomelowind/base/Settings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+namespace pomelowind::config {
+
+namespace {
+
+    using base::ErrorKind;
+    using base::UserError;
+
+    constexpr double MAX_RATE = 1e7;
+    constexpr int64_t MAX_TIMEOUT_MS = 600000;
+    constexpr int64_t MAX_PRIORITY = 9;
+    constexpr size_t MAX_VALUE_BYTES = 1024;
+    constexpr size_t MAX_TEMPLATE_BYTES = 256 * 1024;
+    constexpr char DEFAULT_RATE[] = "1000";
+    constexpr char DEFAULT_BURST[] = "1000";
+    constexpr char DEFAULT_PRIORITY[] = "5";
+    constexpr char DEFAULT_TIMEOUT_MS[] = "5000";
+
+    TemplateRoute readRoute(base::SettingsReader& reader)
+    {
+        TemplateRoute route;
+        route.host = reader.text("host");
+        route.path = reader.text("path");
+        route.methods = reader.textsOr("methods", { "GET" });
+        route.serviceName = reader.text("service");
+        route.timeoutMs = reader.text("timeout_ms", DEFAULT_TIMEOUT_MS);
+        route.idempotent = reader.flag("idempotent", true);
+        if (!route.path.empty() && route.path.front() != '/')
+            reader.problem("path", "does not begin with '/'", "write an absolute path such as /lookup");
+        if (route.methods.empty())
+            reader.problem("methods", "is empty", "list at least one method, such as GET");
+        reader.checkUnknownKeys();
+        return route;
+    }
+
+    TemplateParameter readParameter(base::SettingsReader& reader)
+    {
+        TemplateParameter parameter;
+        parameter.name = reader.text("name");
+        parameter.hasFallback = reader.has("default");
+        parameter.fallback = reader.text("default", "");
+        reader.checkUnknownKeys();
+        return parameter;
+    }
+
+    // Names referenced as ${name} in `text`.
+    std::vector<std::string> references(const std::string& text)
+    {
+        std::vector<std::string> out;
+        size_t at = 0;
+        while ((at = text.find("${", at)) != std::string::npos) {
+            auto end = text.find('}', at);
+            if (end == std::string::npos)
+                break;
+            out.push_back(text.substr(at + 2, end - at - 2));
+            at = end;
+        }
+        return out;
+    }
+
+    std::vector<std::string> allTexts(const Template& source)
+    {
+        std::vector<std::string> out = { source.ratePerSecond, source.burst, source.priority };
+        for (const auto& it : source.routes) {
+            out.insert(out.end(), { it.host, it.path, it.serviceName, it.timeoutMs });
+            out.insert(out.end(), it.methods.begin(), it.methods.end());
+        }
+        return out;
+    }
+
+    bool declares(const Template& source, const std::string& name)
+    {
+        return std::any_of(source.parameters.begin(), source.parameters.end(),
+            [&](const TemplateParameter& it) { return it.name == name; });
+    }
+
+    void checkReferences(const Template& source, base::SettingsReader& reader)
+    {
+        for (const auto& text : allTexts(source)) {
+            for (const auto& name : references(text)) {
+                if (!declares(source, name))
+                    reader.problem("parameters", "does not declare '" + name + "', which the template uses",
+                        "add '- name: " + name + "' to the parameters");
+            }
+        }
+    }
+
+    // Fills in references and converts values of one client account.
+    class Renderer {
+    public:
+        Renderer(const Template& source, const std::string& account, const Parameters& parameters)
+            : m_source(source)
+            , m_account(account)
+        {
+            for (const auto& it : source.parameters) {
+                auto given = parameters.find(it.name);
+                if (given != parameters.end())
+                    m_values[it.name] = checkedValue(it.name, given->second);
+                else if (it.hasFallback)
+                    m_values[it.name] = it.fallback;
+                else
+                    throw UserError(ErrorKind::InvalidInput,
+                        "parameter '" + it.name + "' of template '" + source.name + "' is missing for client account '"
+                            + account + "'",
+                        "give it as --param " + it.name + "=VALUE");
+            }
+            for (const auto& [name, value] : parameters) {
+                if (!declares(source, name))
+                    throw UserError(ErrorKind::InvalidInput,
+                        "template '" + source.name + "' has no parameter '" + name + "'",
+                        "remove it or correct its spelling");
+            }
+        }
+
+        std::string fill(const std::string& text) const
+        {
+            std::string out = text;
+            for (const auto& name : references(text)) {
+                std::string reference = "${" + name + "}";
+                out.replace(out.find(reference), reference.size(), m_values.at(name));
+            }
+            return out;
+        }
+
+        double number(const std::string& text, const std::string& what, double least, double most) const
+        {
+            std::string value = fill(text);
+            char* end = nullptr;
+            double n = std::strtod(value.c_str(), &end);
+            if (value.empty() || *end || !(n >= least && n <= most))
+                throw UserError(ErrorKind::InvalidInput,
+                    what + " '" + value + "' of client account '" + m_account + "' is not valid",
+                    "give a number from " + std::to_string(least) + " to " + std::to_string(most));
+            return n;
+        }
+
+    private:
+        std::string checkedValue(const std::string& name, const std::string& value) const
+        {
+            bool printable = std::all_of(
+                value.begin(), value.end(), [](char c) { return std::isprint(static_cast<unsigned char>(c)); });
+            if (!printable || value.size() > MAX_VALUE_BYTES || value.find("${") != std::string::npos)
+                throw UserError(ErrorKind::InvalidInput,
+                    "value of parameter '" + name + "' for client account '" + m_account + "' is not valid",
+                    "use at most 1024 printable characters without ${");
+            return value;
+        }
+
+        const Template& m_source;
+        std::string m_account;
+        Parameters m_values;
+    };
+
+}
+
+Template parseTemplate(const std::string& yaml)
+{
+    if (yaml.size() > MAX_TEMPLATE_BYTES)
+        throw UserError(ErrorKind::InvalidInput, "template is larger than 256 KiB", "split it into smaller templates");
+    auto reader = base::SettingsReader::fromText(yaml, "template");
+    Template out;
+    out.name = reader.text("name");
+    for (auto& it : reader.items("routes"))
+        out.routes.push_back(readRoute(it));
+    if (reader.has("parameters")) {
+        for (auto& it : reader.items("parameters"))
+            out.parameters.push_back(readParameter(it));
+    }
+    out.ratePerSecond = reader.text("rate_per_second", DEFAULT_RATE);
+    out.burst = reader.text("burst", DEFAULT_BURST);
+    out.priority = reader.text("priority", DEFAULT_PRIORITY);
+    checkReferences(out, reader);
+    reader.finish();
+    return out;
+}
+
+wire::AccountResource render(const Template& source, const std::string& account, const Parameters& parameters)
+{
+    Renderer renderer(source, account, parameters);
+    wire::AccountResource out;
+    out.name = account;
+    out.templateName = source.name;
+    out.ratePerSecond = renderer.number(source.ratePerSecond, "rate_per_second", 0, MAX_RATE);
+    out.burst = renderer.number(source.burst, "burst", 1, MAX_RATE);
+    out.priority = static_cast<int32_t>(renderer.number(source.priority, "priority", 0, MAX_PRIORITY));
+    for (const auto& it : source.routes) {
+        wire::Route route;
+        route.host = renderer.fill(it.host);
+        route.path = renderer.fill(it.path);
+        for (const auto& method : it.methods)
+            route.methods.push_back(renderer.fill(method));
+        route.serviceName = renderer.fill(it.serviceName);
+        route.timeoutMs = static_cast<int32_t>(renderer.number(it.timeoutMs, "timeout_ms", 1, MAX_TIMEOUT_MS));
+        route.idempotent = it.idempotent;
+        out.routes.push_back(std::move(route));
+    }
+    return out;
+}
+
+} // namespace pomelowind::config
--- /dev/null
+++ b/src/control/ClaimEpochPlanner.cpp
@@ -0,0 +1,53 @@
+#include "ClaimEpochPlanner.h"
+
+namespace pomelowind::control {
+
+namespace {
+
+    constexpr auto SETTLE_TIME = base::Millis(2000);
+    // Part of the lead that a promise lasts; the rest covers clocks that differ between hosts.
+    constexpr int PROMISE_PERCENT = 60;
+
+    std::vector<wire::ClaimHolder> holdersOf(const std::vector<wire::NodeInfo>& nodes)
+    {
+        std::vector<wire::ClaimHolder> out;
+        for (const auto& it : nodes) {
+            wire::ClaimHolder holder;
+            holder.node = it.node;
+            holder.address = it.callAddress;
+            holder.dataCentre = it.dataCentre;
+            out.push_back(holder);
+        }
+        return out;
+    }
+
+}
+
+std::optional<wire::ClaimEpoch> ClaimEpochPlanner::plan(
+    const config::ConfigState& state, const std::vector<wire::NodeInfo>& nodes, base::Instant now, int64_t wallMs)
+{
+    auto holders = holdersOf(nodes);
+    if (holders != m_seen) {
+        m_seen = holders;
+        m_seenSince = now;
+    }
+    const auto* ring = state.claimRing();
+    bool settled = now - m_seenSince >= SETTLE_TIME;
+    bool same = ring && !ring->epochs.empty() && ring->epochs.back().holders == holders;
+    bool pending = ring && !ring->epochs.empty() && ring->epochs.back().fromMs > wallMs;
+    if (holders.empty() || !settled || same || pending)
+        return std::nullopt;
+    wire::ClaimEpoch next;
+    bool isFirst = !ring || ring->epochs.empty();
+    next.epoch = isFirst ? 1 : ring->epochs.back().epoch + 1;
+    next.fromMs = isFirst ? 0 : wallMs + m_lead.count(); // no key can have been claimed before the first epoch
+    next.holders = holders;
+    return next;
+}
+
+int64_t ClaimEpochPlanner::promiseThroughMs(int64_t wallMs) const
+{
+    return wallMs + m_lead.count() * PROMISE_PERCENT / 100;
+}
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/src/control/ControlCore.cpp
@@ -0,0 +1,509 @@
+#include "ControlCore.h"
+
+#include "pomelowind/base/Log.h"
+
+namespace pomelowind::control {
+
+using base::Millis;
+using links::FrameKind;
+using members::Outgoing;
+using members::Ready;
+
+namespace {
+
+    constexpr auto SUBMISSION_TIMEOUT = Millis(5000);
+    constexpr auto BEACON_PERIOD = Millis(500);
+    constexpr auto EVIDENCE_PERIOD = Millis(250);
+    constexpr auto GONE_RETENTION = Millis(600000);
+    constexpr char SYSTEM_ACTOR[] = "system";
+
+    members::ReplicaOptions replicaOptions(const ControlSettings& settings, uint64_t seed)
+    {
+        members::ReplicaOptions out;
+        out.self = settings.id;
+        out.electionTimeout = settings.electionTimeout;
+        out.heartbeat = settings.heartbeat;
+        out.seed = seed;
+        return out;
+    }
+
+    wire::CommandResult unavailable(const std::string& message)
+    {
+        wire::CommandResult out;
+        out.code = wire::ResultCode::UNAVAILABLE;
+        out.message = message;
+        out.remedy = "send it again with the same request id; it cannot be carried out twice";
+        return out;
+    }
+
+    struct Encoded {
+        links::Kind kind;
+        std::string payload;
+    };
+
+    Encoded encodeMessage(const members::Message& message)
+    {
+        return std::visit(
+            [](const auto& it) -> Encoded {
+                using T = std::decay_t<decltype(it)>;
+                if constexpr (std::is_same_v<T, wire::VoteRequest>)
+                    return { FrameKind::VOTE_REQUEST, base::encode(it) };
+                else if constexpr (std::is_same_v<T, wire::VoteAnswer>)
+                    return { FrameKind::VOTE_ANSWER, base::encode(it) };
+                else if constexpr (std::is_same_v<T, wire::AppendRequest>)
+                    return { FrameKind::APPEND_REQUEST, base::encode(it) };
+                else if constexpr (std::is_same_v<T, wire::AppendAnswer>)
+                    return { FrameKind::APPEND_ANSWER, base::encode(it) };
+                else
+                    return { FrameKind::SNAPSHOT_REQUEST, base::encode(it) };
+            },
+            message);
+    }
+
+    // Needs no request id: a move's step or an epoch's number already makes it idempotent.
+    wire::Command systemCommand(wire::CommandKind::type kind, int64_t wallMs)
+    {
+        wire::Command command;
+        command.kind = kind;
+        command.actor = SYSTEM_ACTOR;
+        command.timeMs = wallMs;
+        return command;
+    }
+
+}
+
+ControlCore::ControlCore(const ControlSettings& settings, members::DurableState durable, ControlOutputs& outputs,
+    base::Instant now, int64_t wallMs, uint64_t seed)
+    : m_settings(settings)
+    , m_outputs(outputs)
+    , m_now(now)
+    , m_wallMs(wallMs)
+    , m_replica(replicaOptions(settings, seed), durable, now)
+    , m_feeder({}, now)
+    , m_epochs(settings.claimLead)
+{
+    if (const auto& snapshot = m_replica.snapshot()) {
+        if (!snapshot->state.empty())
+            m_machine.restore(base::decode<wire::MachineImage>(snapshot->state));
+        m_applied = snapshot->index;
+        m_snapshotIndex = snapshot->index;
+    }
+    publish();
+}
+
+void ControlCore::advance(base::Instant now, int64_t wallMs)
+{
+    m_now = now;
+    m_wallMs = wallMs;
+}
+
+// ---- the log ----
+
+void ControlCore::pump()
+{
+    if (m_pumping)
+        return;
+    m_pumping = true;
+    for (Ready ready = m_replica.takeReady();
+         ready.needsDisk() || !ready.messages.empty() || !ready.afterDurable.empty() || !ready.committed.empty();
+         ready = m_replica.takeReady())
+        handle(std::move(ready));
+    m_pumping = false;
+    publish();
+    maybeSnapshot();
+}
+
+void ControlCore::handle(Ready ready)
+{
+    sendAll(ready.messages);
+    ready.messages.clear();
+    auto committed = std::move(ready.committed);
+    ready.committed.clear();
+    if (ready.install) {
+        m_machine.restore(base::decode<wire::MachineImage>(ready.install->state));
+        m_applied = ready.install->index;
+        m_snapshotIndex = ready.install->index;
+    }
+    // Answers keep the order of the disk: while a write is on its way, later answers wait behind it.
+    if (ready.needsDisk() || (m_diskOutstanding && !ready.afterDurable.empty())) {
+        DiskWork work;
+        work.hardState = m_replica.hardState();
+        work.ready = std::move(ready);
+        ++m_diskOutstanding;
+        if (!m_outputs.persist(std::move(work)))
+            throw base::InternalFault("the disk duty does not keep up");
+    } else {
+        sendAll(ready.afterDurable);
+    }
+    for (const auto& it : committed)
+        applyEntry(it);
+}
+
+void ControlCore::sendAll(const std::vector<Outgoing>& messages)
+{
+    for (const auto& it : messages) {
+        auto encoded = encodeMessage(it.message);
+        m_outputs.sendToMember(it.to, encoded.kind, std::move(encoded.payload));
+    }
+}
+
+void ControlCore::applyEntry(const wire::Entry& entry)
+{
+    m_applied = entry.index;
+    wire::CommandResult result;
+    if (entry.kind == wire::EntryKind::COMMAND) {
+        auto command = base::decode<wire::Command>(entry.data);
+        result = m_machine.apply(entry.index, command);
+        base::logInfo("command.applied",
+            { { "index", entry.index }, { "kind", config::commandKindName(command.kind) }, { "actor", command.actor },
+                { "result", config::resultCodeName(result.code) }, { "version", m_machine.state().version() },
+                { "request", command.requestId } });
+    }
+    answerPending(entry, result);
+}
+
+void ControlCore::answerPending(const wire::Entry& entry, const wire::CommandResult& result)
+{
+    auto it = m_pending.find(entry.index);
+    if (it == m_pending.end())
+        return;
+    auto pending = std::move(it->second);
+    m_pending.erase(it);
+    // Another leader's entry at this index means that the submission was not accepted here.
+    pending.reply(pending.term == entry.term ? result : unavailable("the leader changed before this was accepted"));
+}
+
+void ControlCore::expirePending()
+{
+    for (auto* map : { &m_pending, &m_forwards }) {
+        for (auto it = map->begin(); it != map->end();) {
+            if (m_now < it->second.due) {
+                ++it;
+                continue;
+            }
+            auto pending = std::move(it->second);
+            it = map->erase(it);
+            pending.reply(unavailable("no majority of the control hosts answered in time"));
+        }
+    }
+}
+
+void ControlCore::maybeSnapshot()
+{
+    if (m_snapshotInFlight || m_applied - m_snapshotIndex < m_settings.snapshotEvery)
+        return;
+    DiskWork work;
+    work.snapshot = wire::SnapshotRecord();
+    work.snapshot->index = m_applied;
+    work.snapshot->term = m_replica.termAt(m_applied);
+    work.snapshot->membership = m_replica.membershipAt(m_applied);
+    work.snapshot->state = base::encode(m_machine.image());
+    ++m_diskOutstanding;
+    m_snapshotInFlight = m_outputs.persist(std::move(work));
+}
+
+void ControlCore::diskDone(DiskDone done, base::Instant now)
+{
+    m_now = now;
+    --m_diskOutstanding;
+    if (done.snapshot) {
+        m_snapshotInFlight = false;
+        m_snapshotIndex = done.snapshot->index;
+        m_replica.compacted(std::move(*done.snapshot));
+    }
+    if (done.lastIndex)
+        m_replica.persisted(done.lastIndex, done.lastTerm);
+    sendAll(done.send);
+    pump();
+}
+
+// ---- submissions ----
+
+void ControlCore::submit(wire::Command command, SubmissionReply reply, base::Instant now, int64_t wallMs)
+{
+    advance(now, wallMs);
+    if (m_replica.isLeader()) {
+        command.timeMs = wallMs;
+        auto index = m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), now);
+        if (!index) {
+            wire::CommandResult busy = unavailable("too many submissions are in flight");
+            busy.code = wire::ResultCode::BUSY;
+            return reply(busy);
+        }
+        m_pending[*index] = { m_replica.term(), std::move(reply), now + SUBMISSION_TIMEOUT };
+        return pump();
+    }
+    if (m_replica.leader().empty())
+        return reply(unavailable("the control hosts have no leader now"));
+    wire::ForwardRequest request;
+    request.id = m_nextForward++;
+    request.command = base::encode(command);
+    m_forwards[request.id] = { 0, std::move(reply), now + SUBMISSION_TIMEOUT };
+    m_outputs.sendToMember(m_replica.leader(), FrameKind::FORWARD_REQUEST, base::encode(request));
+}
+
+void ControlCore::forwardRequest(const std::string& member, const wire::ForwardRequest& request)
+{
+    wire::ForwardAnswer answer;
+    answer.id = request.id;
+    if (!m_replica.isLeader()) {
+        answer.notLeader = true;
+        return m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(answer));
+    }
+    auto reply = [this, member, answer](const wire::CommandResult& result) {
+        auto full = answer;
+        full.result = base::encode(result);
+        m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(full));
+    };
+    submit(base::decode<wire::Command>(request.command), reply, m_now, m_wallMs);
+}
+
+void ControlCore::forwardAnswer(const wire::ForwardAnswer& answer)
+{
+    auto it = m_forwards.find(answer.id);
+    if (it == m_forwards.end())
+        return;
+    auto pending = std::move(it->second);
+    m_forwards.erase(it);
+    if (answer.notLeader)
+        return pending.reply(unavailable("the leader has just changed"));
+    pending.reply(base::decode<wire::CommandResult>(answer.result));
+}
+
+bool ControlCore::changeMembers(const wire::Membership& next, base::Instant now)
+{
+    m_now = now;
+    bool accepted = m_replica.proposeMembership(next, now).has_value();
+    pump();
+    return accepted;
+}
+
+// ---- members ----
+
+void ControlCore::memberFrame(
+    const std::string& member, links::Kind kind, std::string_view payload, base::Instant now, int64_t wallMs)
+{
+    advance(now, wallMs);
+    switch (kind) {
+    case FrameKind::VOTE_REQUEST:
+        m_replica.receive(member, base::decode<wire::VoteRequest>(payload), now);
+        break;
+    case FrameKind::VOTE_ANSWER:
+        m_replica.receive(member, base::decode<wire::VoteAnswer>(payload), now);
+        break;
+    case FrameKind::APPEND_REQUEST:
+        m_replica.receive(member, base::decode<wire::AppendRequest>(payload), now);
+        break;
+    case FrameKind::APPEND_ANSWER:
+        m_replica.receive(member, base::decode<wire::AppendAnswer>(payload), now);
+        break;
+    case FrameKind::SNAPSHOT_REQUEST:
+        m_replica.receive(member, base::decode<wire::SnapshotRequest>(payload), now);
+        break;
+    case FrameKind::FORWARD_REQUEST:
+        forwardRequest(member, base::decode<wire::ForwardRequest>(payload));
+        break;
+    case FrameKind::FORWARD_ANSWER:
+        forwardAnswer(base::decode<wire::ForwardAnswer>(payload));
+        break;
+    case FrameKind::MEMBER_REPORT:
+        memberReport(base::decode<wire::MemberReport>(payload));
+        break;
+    default:
+        throw base::UserError(
+            base::ErrorKind::Protocol, "unexpected frame from a control host", "run the same release on all hosts");
+    }
+    pump();
+}
+
+void ControlCore::memberConnected(const std::string& member)
+{
+    wire::MemberReport report;
+    report.report.nodes = m_directory.allNodes();
+    report.report.targets = m_directory.allTargets();
+    report.report.acks = m_acks.fresh(m_now, GONE_RETENTION);
+    m_outputs.sendToMember(member, FrameKind::MEMBER_REPORT, base::encode(report));
+}
+
+void ControlCore::memberReport(const wire::MemberReport& report)
+{
+    takeReport(report.report, false);
+    if (!report.__isset.beacon)
+        return;
+    bool newer = report.beacon.term > m_lastBeacon.term
+        || (report.beacon.term == m_lastBeacon.term && report.beacon.sequence > m_lastBeacon.sequence);
+    if (!newer)
+        return;
+    m_lastBeacon = report.beacon;
+    wire::Spread out;
+    out.__set_beacon(report.beacon);
+    spread(out);
+}
+
+void ControlCore::broadcastToMembers(const wire::MemberReport& report)
+{
+    std::string payload = base::encode(report);
+    for (const auto& it : m_settings.members) {
+        if (it.id != m_settings.id)
+            m_outputs.sendToMember(it.id, FrameKind::MEMBER_REPORT, payload);
+    }
+}
+
+// ---- nodes ----
+
+void ControlCore::nodeFrame(
+    const std::string& node, links::Kind kind, std::string_view payload, base::Instant now, int64_t wallMs)
+{
+    advance(now, wallMs);
+    switch (kind) {
+    case FrameKind::SUBSCRIBE:
+        subscribe(node, base::decode<wire::Subscribe>(payload));
+        break;
+    case FrameKind::REPORT:
+        takeReport(base::decode<wire::Report>(payload), true);
+        break;
+    default:
+        throw base::UserError(
+            base::ErrorKind::Protocol, "unexpected frame from a node", "run the same release on all hosts");
+    }
+}
+
+void ControlCore::subscribe(const std::string& node, const wire::Subscribe& request)
+{
+    wire::SubscribeAnswer answer;
+    nodes::Admission admission { false, Millis(500) };
+    // A host that does not hear the leader may be behind a partition: its state may be old, so it feeds nobody.
+    if (m_replica.isFresh(m_now))
+        admission = m_feeder.subscribe(request.node, request.base, m_now);
+    answer.admitted = admission.admitted;
+    answer.retryAfterMs = static_cast<int32_t>(admission.retryAfter.count());
+    answer.version = m_machine.state().version();
+    answer.floor = m_acks.versionOf(node);
+    answer.fresh = true;
+    if (admission.admitted)
+        answer.directory = m_directory.liveNodes(request.node.dataCentre);
+    m_outputs.sendToNode(node, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
+    if (!admission.admitted)
+        return;
+    wire::Report report;
+    report.nodes.push_back(request.node);
+    takeReport(report, true);
+    wire::Spread all;
+    all.nodes = m_directory.liveNodes();
+    all.targets = m_directory.allTargets();
+    m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(all));
+    publish();
+}
+
+void ControlCore::nodeDisconnected(const std::string& node, base::Instant now) { m_feeder.disconnected(node, now); }
+
+void ControlCore::takeReport(const wire::Report& report, bool fromNode)
+{
+    auto change = m_directory.merge(report.nodes, report.targets, m_now);
+    auto news = m_acks.merge(report.acks, m_now);
+    m_moves.addEvidence(report.evidence, m_machine);
+    m_moves.addAlarms(report.alarms);
+    if (!change.empty()) {
+        wire::Spread out;
+        out.nodes = change.nodes;
+        out.targets = change.targets;
+        spread(out);
+    }
+    if (!fromNode)
+        return;
+    wire::MemberReport forwarded;
+    forwarded.report = report;
+    forwarded.report.nodes = change.nodes;
+    forwarded.report.targets = change.targets;
+    broadcastToMembers(forwarded);
+}
+
+void ControlCore::spread(const wire::Spread& spread)
+{
+    std::string payload = base::encode(spread);
+    for (const auto& it : m_feeder.connected())
+        m_outputs.sendToNode(it, FrameKind::SPREAD, payload);
+}
+
+void ControlCore::publish()
+{
+    if (m_machine.state().version() > m_feeder.state()->version())
+        m_feeder.publish(std::make_shared<const config::ConfigState>(m_machine.state()));
+    for (const auto& it : m_feeder.takeFeeds())
+        m_outputs.sendToNode(it.child, FrameKind::DELTA, *it.delta);
+}
+
+// ---- periodic work ----
+
+void ControlCore::tick(base::Instant now, int64_t wallMs)
+{
+    advance(now, wallMs);
+    m_replica.tick(now);
+    expirePending();
+    reportExpired();
+    m_directory.expire(now, GONE_RETENTION);
+    if (now >= m_batchDue) {
+        m_batchDue = now + EVIDENCE_PERIOD;
+        m_moves.closeBatches({ m_machine, m_directory, m_acks, now, wallMs });
+    }
+    bool leads = m_replica.isCurrent() && m_replica.hasLease(now);
+    if (leads && now >= m_beaconDue) {
+        m_beaconDue = now + BEACON_PERIOD;
+        sendBeacon();
+        proposeEpoch();
+    }
+    if (leads)
+        driveMoves();
+    pump();
+}
+
+void ControlCore::reportExpired()
+{
+    wire::Report report;
+    for (auto& it : m_feeder.takeExpired(m_now)) {
+        it.gone = true;
+        report.nodes.push_back(it);
+    }
+    if (!report.nodes.empty())
+        takeReport(report, true);
+}
+
+void ControlCore::sendBeacon()
+{
+    wire::Beacon beacon;
+    beacon.term = m_replica.term();
+    beacon.sequence = ++m_beaconSequence;
+    beacon.version = m_machine.state().version();
+    beacon.claimsThroughMs = m_epochs.promiseThroughMs(m_wallMs);
+    m_lastBeacon = beacon;
+    wire::MemberReport report;
+    report.__set_beacon(beacon);
+    broadcastToMembers(report);
+    wire::Spread out;
+    out.__set_beacon(beacon);
+    spread(out);
+}
+
+void ControlCore::proposeEpoch()
+{
+    auto epoch = m_epochs.plan(m_machine.state(), m_directory.liveNodes(), m_now, m_wallMs);
+    if (!epoch)
+        return;
+    auto command = systemCommand(wire::CommandKind::CLAIM_EPOCH, m_wallMs);
+    command.__set_claimEpoch(*epoch);
+    m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), m_now);
+}
+
+void ControlCore::driveMoves()
+{
+    // One event at a time: the next is planned on the state that the last one left.
+    if (m_replica.lastIndex() != m_applied)
+        return;
+    for (const auto& event : m_moves.plan({ m_machine, m_directory, m_acks, m_now, m_wallMs })) {
+        auto command = systemCommand(wire::CommandKind::MOVE_EVENT, m_wallMs);
+        command.__set_moveEvent(event);
+        m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), m_now);
+    }
+}
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/src/control/ControlHost.cpp
@@ -0,0 +1,289 @@
+#include "pomelowind/control/ControlHost.h"
+
+#include "ControlCore.h"
+#include "MemberNetwork.h"
+#include "Views.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/base/TimerService.h"
+#include "pomelowind/operators/OperatorApi.h"
+#include "pomelowind/platform/Metrics.h"
+
+#include <boost/asio/post.hpp>
+#include <cstdlib>
+#include <future>
+
+namespace pomelowind::control {
+
+namespace {
+
+    constexpr size_t RING_CAPACITY = 8192;
+    constexpr size_t DISK_RING_CAPACITY = 4096;
+    constexpr auto TICK = base::Millis(20);
+    constexpr auto METRICS_PERIOD = base::Millis(1000);
+    constexpr auto STOP_GRACE = base::Millis(200);
+    constexpr auto STOP_TIMEOUT = std::chrono::seconds(5);
+    constexpr size_t MAX_BODY_BYTES = 512 * 1024;
+
+    // The disk duty: makes batches durable in order and hands back what may then be sent.
+    class DiskDuty {
+    public:
+        using Done = std::function<void(DiskDone)>;
+
+        DiskDuty(members::LogStore& store, Done done)
+            : m_store(store)
+            , m_done(std::move(done))
+            , m_duty("disk")
+            , m_inbox(m_duty.context(), DISK_RING_CAPACITY, [this](DiskWork&& work) { carryOut(std::move(work)); })
+        {
+        }
+        void start() { m_duty.start(); }
+        void stop() { m_duty.stop(); }
+        bool put(DiskWork work) { return m_inbox.tryPut(std::move(work)); }
+
+    private:
+        void carryOut(DiskWork work)
+        {
+            DiskDone done;
+            try {
+                write(work, done);
+            } catch (const base::Error& e) {
+                // Nothing may be acknowledged that is not durable, and the files may end in a torn record: stop here,
+                // the restart cuts it.
+                base::logError("disk.failed", { { "error", e.what() }, { "remedy", e.remedy() } });
+                std::_Exit(EXIT_FAILURE);
+            }
+            done.send = std::move(work.ready.afterDurable);
+            m_done(std::move(done));
+        }
+
+        void write(DiskWork& work, DiskDone& done)
+        {
+            auto& ready = work.ready;
+            if (ready.install)
+                m_store.installSnapshot(*ready.install, work.hardState);
+            if (ready.hardState || !ready.append.empty())
+                m_store.write(ready.hardState, ready.append);
+            if (ready.reinstated)
+                m_store.markReinstated();
+            if (!ready.append.empty()) {
+                done.lastIndex = ready.append.back().index;
+                done.lastTerm = ready.append.back().term;
+            }
+            if (work.snapshot) {
+                m_store.writeSnapshot(*work.snapshot);
+                done.snapshot = std::move(work.snapshot);
+            }
+        }
+
+        members::LogStore& m_store;
+        Done m_done;
+        base::Duty m_duty;
+        base::Mailbox<DiskWork> m_inbox;
+    };
+
+}
+
+// Joins the duties. Rings: network -> decisions, decisions -> network, decisions -> disk -> decisions, API ->
+// decisions.
+class ControlHost::Impl final : public ControlOutputs, public operators::ControlGateway {
+public:
+    Impl(ControlSettings settings, members::EmptyStart emptyStart)
+        : m_settings(std::move(settings))
+        , m_folder(platform::openFolder(m_settings.dataFolder))
+        , m_store(*m_folder)
+        , m_decisions("decisions")
+        , m_api("api")
+        , m_events(m_decisions.context(), RING_CAPACITY, [this](NetworkEvent&& event) { take(std::move(event)); })
+        , m_diskResults(m_decisions.context(), DISK_RING_CAPACITY,
+              [this](DiskDone&& done) { m_core->diskDone(std::move(done), m_clock.now()); })
+        , m_requests(m_decisions.context(), RING_CAPACITY, [](std::function<void()>&& request) { request(); })
+        , m_network(m_settings, [this](NetworkEvent event) { return m_events.tryPut(std::move(event)); })
+        , m_disk(m_store, [this](DiskDone done) { m_diskResults.tryPut(std::move(done)); })
+        , m_handler(m_settings.roles, *this)
+        , m_metrics(platform::serveMetrics(m_settings.metricsAddress))
+        , m_versionGauge(m_metrics->gauge("config_version", "Version of the accepted configuration"))
+        , m_leaderGauge(m_metrics->gauge("is_leader", "1 while this host leads"))
+        , m_sentGauge(m_metrics->gauge("link_bytes_sent", "Bytes sent on links"))
+        , m_receivedGauge(m_metrics->gauge("link_bytes_received", "Bytes received on links"))
+    {
+        auto durable = m_store.load(emptyStart, bootstrapMembership());
+        base::logInfo("control.loaded",
+            { { "id", m_settings.id }, { "disk", durable.diskId }, { "recovering", durable.recovering ? 1 : 0 },
+                { "entries", durable.entries.size() }, { "term", durable.hardState.term } });
+        m_core = std::make_unique<ControlCore>(
+            m_settings, std::move(durable), *this, m_clock.now(), m_clock.wallMs(), base::platformSeed());
+        http::HttpLimits limits;
+        limits.bodyBytes = MAX_BODY_BYTES;
+        m_server = http::makeHttpServer(m_api.context(), m_settings.operatorAddress, limits, m_handler);
+        m_timers = base::makeTimerService();
+        m_tick = m_timers->subscribe(
+            m_decisions.context(), TICK, [this] { m_core->tick(m_clock.now(), m_clock.wallMs()); });
+        m_gauges = m_timers->subscribe(m_decisions.context(), METRICS_PERIOD, [this] { updateGauges(); });
+        m_disk.start();
+        m_decisions.start();
+        m_network.start();
+        m_api.start();
+        base::logInfo("control.started",
+            { { "id", m_settings.id }, { "mesh", m_settings.meshAddress.text() },
+                { "operators", m_settings.operatorAddress.text() } });
+    }
+
+    ~Impl() override { stop(); }
+
+    void stop()
+    {
+        if (std::exchange(m_stopped, true))
+            return;
+        drainApi();
+        m_tick.reset();
+        m_gauges.reset();
+        m_timers.reset();
+        m_api.stop();
+        m_network.stop();
+        m_disk.stop();
+        m_decisions.stop();
+        base::logInfo("control.stopped", { { "id", m_settings.id } });
+    }
+
+    // ---- ControlOutputs, on the decision duty ----
+
+    void sendToMember(const std::string& member, links::Kind kind, std::string payload) override
+    {
+        m_network.send({ true, member, kind, std::move(payload) });
+    }
+
+    void sendToNode(const std::string& node, links::Kind kind, std::string payload) override
+    {
+        m_network.send({ false, node, kind, std::move(payload) });
+    }
+
+    bool persist(DiskWork work) override { return m_disk.put(std::move(work)); }
+
+    // ---- ControlGateway, on the API duty ----
+
+    void submit(wire::Command command, CommandDone done) override
+    {
+        auto reply = [this, done](const wire::CommandResult& result) {
+            boost::asio::post(m_api.context(), [done, result] { done(result); });
+        };
+        bool queued = m_requests.tryPut([this, command = std::move(command), reply] {
+            m_core->submit(command, reply, m_clock.now(), m_clock.wallMs());
+        });
+        if (!queued)
+            done(overloaded());
+    }
+
+    void view(operators::View view, const std::string& name, size_t limit, ViewDone done) override
+    {
+        bool queued = m_requests.tryPut([this, view, name, limit, done] {
+            auto answer = renderView(*m_core, view, name, limit);
+            boost::asio::post(m_api.context(), [done, answer] { done(answer.status, answer.json); });
+        });
+        if (!queued)
+            done(429, R"({"error":"busy","message":"too many requests","remedy":"try again later"})");
+    }
+
+    void changeMembers(wire::Membership next, std::function<void(bool)> done) override
+    {
+        bool queued = m_requests.tryPut([this, next = std::move(next), done] {
+            bool accepted = m_core->changeMembers(next, m_clock.now());
+            boost::asio::post(m_api.context(), [done, accepted] { done(accepted); });
+        });
+        if (!queued)
+            done(false);
+    }
+
+private:
+    static wire::CommandResult overloaded()
+    {
+        wire::CommandResult out;
+        out.code = wire::ResultCode::BUSY;
+        out.message = "too many requests are waiting";
+        out.remedy = "send it again later with the same request id";
+        return out;
+    }
+
+    wire::Membership bootstrapMembership() const
+    {
+        wire::Membership out;
+        for (const auto& it : m_settings.members)
+            out.voters.push_back(it.id);
+        return out;
+    }
+
+    void take(NetworkEvent event)
+    {
+        try {
+            dispatch(event);
+        } catch (const base::UserError& e) {
+            base::logWarn("frame.refused", { { "peer", event.peer }, { "error", e.what() } });
+        }
+    }
+
+    void dispatch(const NetworkEvent& event)
+    {
+        auto now = m_clock.now();
+        switch (event.kind) {
+        case NetworkEvent::Kind::MemberFrame:
+            return m_core->memberFrame(event.peer, event.frame, event.payload, now, m_clock.wallMs());
+        case NetworkEvent::Kind::NodeFrame:
+            return m_core->nodeFrame(event.peer, event.frame, event.payload, now, m_clock.wallMs());
+        case NetworkEvent::Kind::MemberConnected:
+            return m_core->memberConnected(event.peer);
+        case NetworkEvent::Kind::NodeDisconnected:
+            return m_core->nodeDisconnected(event.peer, now);
+        }
+    }
+
+    void updateGauges()
+    {
+        m_versionGauge->set(static_cast<double>(m_core->machine().state().version()));
+        m_leaderGauge->set(m_core->replica().isLeader() ? 1 : 0);
+        m_sentGauge->set(static_cast<double>(m_network.traffic().sent));
+        m_receivedGauge->set(static_cast<double>(m_network.traffic().received));
+    }
+
+    void drainApi()
+    {
+        auto drained = std::make_shared<std::promise<void>>();
+        auto future = drained->get_future();
+        boost::asio::post(
+            m_api.context(), [this, drained] { m_server->drain(STOP_GRACE, [drained] { drained->set_value(); }); });
+        future.wait_for(STOP_TIMEOUT);
+    }
+
+    ControlSettings m_settings;
+    base::SystemClock m_clock;
+    std::unique_ptr<platform::Disk> m_folder;
+    members::LogStore m_store;
+    base::Duty m_decisions;
+    base::Duty m_api;
+    base::Mailbox<NetworkEvent> m_events;
+    base::Mailbox<DiskDone> m_diskResults;
+    base::Mailbox<std::function<void()>> m_requests;
+    std::unique_ptr<ControlCore> m_core;
+    MemberNetwork m_network;
+    DiskDuty m_disk;
+    operators::OperatorApi m_handler;
+    std::unique_ptr<http::HttpServer> m_server;
+    std::unique_ptr<platform::Metrics> m_metrics;
+    std::shared_ptr<platform::Gauge> m_versionGauge;
+    std::shared_ptr<platform::Gauge> m_leaderGauge;
+    std::shared_ptr<platform::Gauge> m_sentGauge;
+    std::shared_ptr<platform::Gauge> m_receivedGauge;
+    std::unique_ptr<base::TimerService> m_timers;
+    std::unique_ptr<base::Subscription> m_tick;
+    std::unique_ptr<base::Subscription> m_gauges;
+    bool m_stopped { false };
+};
+
+ControlHost::ControlHost(ControlSettings settings, members::EmptyStart emptyStart)
+    : m_impl(std::make_unique<Impl>(std::move(settings), emptyStart))
+{
+}
+
+ControlHost::~ControlHost() = default;
+
+void ControlHost::stop() { m_impl->stop(); }
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/src/control/MemberNetwork.cpp
@@ -0,0 +1,98 @@
+#include "MemberNetwork.h"
+
+#include "pomelowind/base/Log.h"
+
+#include <algorithm>
+
+namespace pomelowind::control {
+
+namespace {
+
+    constexpr size_t OUTBOX_CAPACITY = 16384;
+    constexpr char CONTROL_ROLE[] = "control";
+    constexpr char NODE_ROLE[] = "node";
+
+}
+
+MemberNetwork::MemberNetwork(const ControlSettings& settings, Sink sink)
+    : m_settings(settings)
+    , m_sink(std::move(sink))
+    , m_identity { settings.mesh, CONTROL_ROLE, settings.id, settings.meshKey }
+    , m_duty("network")
+    , m_outbox(m_duty.context(), OUTBOX_CAPACITY, [this](NetworkSend&& send) { transmit(std::move(send)); })
+{
+    m_server
+        = std::make_unique<links::LinkServer>(m_duty.context(), settings.meshAddress, m_identity, *this, m_traffic);
+    for (const auto& it : settings.members) {
+        if (it.id == settings.id)
+            continue;
+        auto dialer = std::make_shared<links::LinkDialer>(m_duty.context(), it.address, m_identity, *this, m_traffic);
+        m_members[it.id] = dialer;
+        dialer->start();
+    }
+}
+
+MemberNetwork::~MemberNetwork() { stop(); }
+
+void MemberNetwork::start() { m_duty.start(); }
+
+void MemberNetwork::stop() { m_duty.stop(); }
+
+bool MemberNetwork::send(NetworkSend send) { return m_outbox.tryPut(std::move(send)); }
+
+void MemberNetwork::transmit(NetworkSend send)
+{
+    if (send.toMember) {
+        auto it = m_members.find(send.peer);
+        if (it == m_members.end())
+            return;
+        if (auto link = it->second->link())
+            link->send(send.frame, send.payload);
+        return;
+    }
+    auto it = m_nodes.find(send.peer);
+    if (it != m_nodes.end() && !it->second->send(send.frame, send.payload))
+        it->second->close("the node does not read");
+}
+
+void MemberNetwork::linkReady(const std::shared_ptr<links::Link>& link)
+{
+    if (link->peerRole() == NODE_ROLE) {
+        auto& slot = m_nodes[link->peerId()];
+        auto old = std::move(slot);
+        slot = link;
+        if (old)
+            old->close("the node has a newer link");
+        return;
+    }
+    bool dialed
+        = std::any_of(m_members.begin(), m_members.end(), [&](const auto& it) { return it.second->link() == link; });
+    if (dialed) {
+        base::logInfo("member.connected", { { "member", link->peerId() } });
+        m_sink({ NetworkEvent::Kind::MemberConnected, link->peerId(), {}, {} });
+    }
+}
+
+void MemberNetwork::linkFrame(const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
+{
+    bool isNode = link->peerRole() == NODE_ROLE;
+    auto event = isNode ? NetworkEvent::Kind::NodeFrame : NetworkEvent::Kind::MemberFrame;
+    // Replies to the node go over its latest link only, so a frame from an older one is not taken.
+    if (isNode && m_nodes[link->peerId()] != link)
+        return;
+    // A full ring drops the frame, as a lossy network would; every protocol above repeats what matters.
+    if (!m_sink({ event, link->peerId(), kind, std::string(payload) }) && isNode)
+        link->close("this control host is overloaded");
+}
+
+void MemberNetwork::linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason)
+{
+    base::logInfo("link.closed", { { "peer", link->peerId() }, { "reason", reason } });
+    auto it = m_nodes.find(link->peerId());
+    if (link->peerRole() != NODE_ROLE || it == m_nodes.end() || it->second != link)
+        return;
+    m_nodes.erase(it);
+    m_sink({ NetworkEvent::Kind::NodeDisconnected, link->peerId(), {}, {} });
+}
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/src/control/Views.cpp
@@ -0,0 +1,215 @@
+#include "Views.h"
+
+#include "pomelowind/moves/MoveMachine.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::control {
+
+namespace {
+
+    using nlohmann::json;
+    using operators::View;
+
+    constexpr auto REACHABLE_WINDOW = base::Millis(6000);
+
+    ViewAnswer notFound(const std::string& what, const std::string& name)
+    {
+        json body { { "error", "not_found" }, { "message", what + " '" + name + "' does not exist" },
+            { "remedy", "check its name with '" + what + " list'" } };
+        return { 404, body.dump() };
+    }
+
+    json sampleJson(const moves::Sample& sample) { return { { "calls", sample.calls }, { "failed", sample.faults } }; }
+
+    json serviceJson(const wire::ServiceResource& it, int64_t version)
+    {
+        json out { { "name", it.name }, { "version", it.stable }, { "base_version", version } };
+        if (!it.moveId.empty()) {
+            out["move"] = it.moveId;
+            out["candidate"] = it.candidate;
+            out["candidate_permille"] = it.permille;
+        }
+        return out;
+    }
+
+    // The one answer on a move: running, done, taken back or late.
+    std::string moveAnswer(const wire::MoveRecord& move)
+    {
+        if (moves::isOver(move))
+            return moves::moveStateName(move.state);
+        return move.late ? "late" : "running";
+    }
+
+    json moveJson(const ControlCore& core, const wire::MoveRecord& move)
+    {
+        json out { { "id", move.id }, { "service", move.serviceName }, { "from_version", move.fromVersion },
+            { "to_version", move.toVersion }, { "answer", moveAnswer(move) },
+            { "state", moves::moveStateName(move.state) }, { "share_permille", move.permille }, { "step", move.step },
+            { "started_ms", move.startedMs }, { "deadline_ms", move.deadlineMs }, { "watch_ms", move.watchMs },
+            { "late", move.late }, { "reason", move.reason }, { "asked_by", move.actor },
+            { "expected_end_ms", moves::expectedEndMs(move, core.wallMs()) } };
+        if (moves::isOver(move)) {
+            out["ended_ms"] = move.endedMs;
+            out["on_time"] = move.state == wire::MoveState::DONE && move.endedMs <= move.deadlineMs;
+        }
+        auto evidence = core.moveDriver().evidence(move.id);
+        out["evidence"] = { { "new", sampleJson(evidence.candidate) }, { "old", sampleJson(evidence.stable) },
+            { "log_evidence", evidence.logEvidence }, { "strongest", evidence.reason } };
+        return out;
+    }
+
+    json auditJson(const wire::AuditRecord& it)
+    {
+        return { { "index", it.index }, { "time_ms", it.timeMs }, { "actor", it.actor }, { "team", it.team },
+            { "action", it.action }, { "subject", it.subject }, { "from_version", it.fromVersion },
+            { "to_version", it.toVersion }, { "result", config::resultCodeName(it.code) }, { "message", it.message },
+            { "request_id", it.requestId } };
+    }
+
+    json auditList(const ControlCore& core, size_t limit, bool onlyChanges)
+    {
+        json out = json::array();
+        const auto& audit = core.machine().audit();
+        for (auto it = audit.rbegin(); it != audit.rend() && out.size() < limit; ++it) {
+            if (!onlyChanges || it->toVersion > it->fromVersion)
+                out.push_back(auditJson(*it));
+        }
+        return out;
+    }
+
+    struct Tally {
+        int known { 0 };
+        int inForce { 0 };
+        int unreachable { 0 };
+        json missing = json::array();
+    };
+
+    void tallyNode(Tally& tally, const ControlCore& core, const wire::NodeInfo& node)
+    {
+        int64_t version = core.acks().versionOf(node.node);
+        bool reachable = core.acks().isReachable(node.node, core.now(), REACHABLE_WINDOW);
+        ++tally.known;
+        if (version >= core.machine().state().version()) {
+            ++tally.inForce;
+            return;
+        }
+        tally.unreachable += reachable ? 0 : 1;
+        tally.missing.push_back({ { "node", node.node }, { "runs_version", version }, { "reachable", reachable },
+            { "rejection", core.acks().rejectionOf(node.node) } });
+    }
+
+    json tallyJson(const Tally& it)
+    {
+        return { { "known", it.known }, { "in_force", it.inForce }, { "unreachable", it.unreachable },
+            { "missing", it.missing } };
+    }
+
+    json statusJson(const ControlCore& core)
+    {
+        Tally all;
+        std::map<std::string, Tally> byDataCentre;
+        for (const auto& node : core.directory().liveNodes()) {
+            tallyNode(all, core, node);
+            tallyNode(byDataCentre[node.dataCentre], core, node);
+        }
+        json centres = json::object();
+        for (const auto& [name, tally] : byDataCentre)
+            centres[name] = tallyJson(tally);
+        json targets = json::array();
+        for (const auto& it : core.directory().liveTargets())
+            targets.push_back({ { "target", it.target }, { "service", it.serviceName }, { "version", it.version },
+                { "data_centre", it.dataCentre }, { "node", it.node }, { "state", static_cast<int>(it.state) },
+                { "slots", it.slots } });
+        const auto& replica = core.replica();
+        return { { "version", core.machine().state().version() },
+            { "hash", std::to_string(core.machine().state().hash()) }, { "nodes", tallyJson(all) },
+            { "data_centres", centres }, { "targets", targets }, { "leader", replica.leader() },
+            { "term", replica.term() }, { "commit_index", replica.commitIndex() },
+            { "fresh", replica.isFresh(core.now()) } };
+    }
+
+    json membersJson(const ControlCore& core)
+    {
+        const auto& replica = core.replica();
+        return { { "voters", replica.membership().voters }, { "learners", replica.membership().learners },
+            { "leader", replica.leader() }, { "term", replica.term() }, { "commit_index", replica.commitIndex() },
+            { "last_index", replica.lastIndex() }, { "recovering", replica.isRecovering() } };
+    }
+
+    ViewAnswer servicesView(const ControlCore& core, const std::string& name)
+    {
+        const auto& state = core.machine().state();
+        json out = json::array();
+        for (const auto* it : state.services()) {
+            auto item = serviceJson(*it, state.versionOf(config::serviceKey(it->name)));
+            if (it->name == name)
+                return { 200, item.dump() };
+            out.push_back(item);
+        }
+        return name.empty() ? ViewAnswer { 200, out.dump() } : notFound("service", name);
+    }
+
+    ViewAnswer templatesView(const ControlCore& core, const std::string& name)
+    {
+        json out = json::array();
+        for (const auto& [key, it] : core.machine().templates()) {
+            if (key == name)
+                return { 200,
+                    json { { "name", it.name }, { "base_version", it.version }, { "body", it.body } }.dump() };
+            out.push_back({ { "name", it.name }, { "base_version", it.version } });
+        }
+        return name.empty() ? ViewAnswer { 200, out.dump() } : notFound("template", name);
+    }
+
+    ViewAnswer accountsView(const ControlCore& core, const std::string& name)
+    {
+        json out = json::array();
+        for (const auto& [key, it] : core.machine().accounts()) {
+            json item { { "name", it.name }, { "template", it.templateName }, { "parameters", it.parameters },
+                { "base_version", it.version } };
+            if (key == name)
+                return { 200, item.dump() };
+            out.push_back(item);
+        }
+        return name.empty() ? ViewAnswer { 200, out.dump() } : notFound("account", name);
+    }
+
+    ViewAnswer movesView(const ControlCore& core, const std::string& name)
+    {
+        if (!name.empty()) {
+            const auto* move = core.machine().findMove(name);
+            return move ? ViewAnswer { 200, moveJson(core, *move).dump() } : notFound("move", name);
+        }
+        json out = json::array();
+        for (const auto& it : core.machine().moves())
+            out.push_back(moveJson(core, it));
+        return { 200, out.dump() };
+    }
+
+}
+
+ViewAnswer renderView(const ControlCore& core, View view, const std::string& name, size_t limit)
+{
+    switch (view) {
+    case View::Services:
+        return servicesView(core, name);
+    case View::Templates:
+        return templatesView(core, name);
+    case View::Accounts:
+        return accountsView(core, name);
+    case View::Moves:
+        return movesView(core, name);
+    case View::Status:
+        return { 200, statusJson(core).dump() };
+    case View::History:
+        return { 200, auditList(core, limit, true).dump() };
+    case View::Audit:
+        return { 200, auditList(core, limit, false).dump() };
+    case View::Members:
+        return { 200, membersJson(core).dump() };
+    }
+    return { 404, "{}" };
+}
+
+} // namespace pomelowind::control
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,291 @@
+#include "pomelowind/http/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_set>
+
+namespace pomelowind::http {
+
+namespace {
+
+    namespace beast = boost::beast;
+    using boost::asio::ip::tcp;
+
+    constexpr uint64_t MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
+    class Connection;
+
+    // Where connections go back to when they are free.
+    class Pool {
+    public:
+        virtual ~Pool() = default;
+        virtual void released(const std::shared_ptr<Connection>& connection) = 0;
+        virtual void ended(const std::shared_ptr<Connection>& connection) = 0;
+    };
+
+    // One kept connection. It carries one exchange at a time, so a late answer can only meet its own request.
+    class Connection : public std::enable_shared_from_this<Connection> {
+    public:
+        Connection(boost::asio::io_context& io, std::weak_ptr<Pool> pool)
+            : m_socket(io)
+            , m_timer(io)
+            , m_pool(std::move(pool))
+        {
+        }
+
+        void begin(HttpRequest request, base::Millis budget, HttpClient::Done done, const tcp::endpoint& endpoint)
+        {
+            m_done = std::move(done);
+            fill(std::move(request));
+            m_bytesSent = false;
+            m_timer.expires_after(budget);
+            m_timer.async_wait([self = shared_from_this(), turn = m_turn](beast::error_code ec) {
+                if (!ec && turn == self->m_turn && self->m_done)
+                    self->fail(self->m_bytesSent ? ExchangeEnd::TimedOut : ExchangeEnd::NotSent, "deadline passed");
+            });
+            if (m_open)
+                return write();
+            m_socket.async_connect(endpoint, [self = shared_from_this()](beast::error_code ec) {
+                if (!self->m_done)
+                    return;
+                if (ec)
+                    return self->fail(ExchangeEnd::NotSent, ec.message());
+                self->m_open = true;
+                beast::error_code ignored;
+                self->m_socket.set_option(tcp::no_delay(true), ignored);
+                self->write();
+            });
+        }
+
+        uint64_t turn() const { return m_turn; }
+
+        void cancel(uint64_t turn)
+        {
+            if (turn == m_turn && m_done)
+                fail(m_bytesSent ? ExchangeEnd::Cancelled : ExchangeEnd::NotSent, "cancelled");
+        }
+
+        // Leaves the pool as soon as the target closes an idle connection, so that no request is sent into it.
+        void watchIdle()
+        {
+            m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), turn = m_turn](beast::error_code) {
+                if (turn == self->m_turn && !self->m_done)
+                    self->shut();
+            });
+        }
+
+        // False when the target has already closed this idle connection or sent bytes that nobody asked for.
+        bool isUsable()
+        {
+            char c = 0;
+            beast::error_code ec;
+            m_socket.non_blocking(true, ec);
+            m_socket.receive(boost::asio::buffer(&c, 1), tcp::socket::message_peek, ec);
+            return ec == boost::asio::error::would_block;
+        }
+
+        void shut()
+        {
+            beast::error_code ec;
+            m_socket.close(ec);
+            if (auto pool = m_pool.lock())
+                pool->ended(shared_from_this());
+        }
+
+    private:
+        void fill(HttpRequest request)
+        {
+            m_request = {};
+            m_request.version(11);
+            m_request.method_string(request.method);
+            m_request.target(request.path);
+            for (const auto& it : request.headers)
+                m_request.insert(it.name, it.value);
+            m_request.body() = std::move(request.body);
+            m_request.prepare_payload();
+            m_request.keep_alive(true);
+            m_headOnly = request.method == "HEAD";
+        }
+
+        void write()
+        {
+            m_bytesSent = true;
+            beast::http::async_write(m_socket, m_request, [self = shared_from_this()](beast::error_code ec, size_t) {
+                if (!self->m_done)
+                    return;
+                if (ec)
+                    return self->fail(ExchangeEnd::Ambiguous, ec.message());
+                self->read();
+            });
+        }
+
+        void read()
+        {
+            m_parser.emplace();
+            m_parser->body_limit(MAX_RESPONSE_BYTES);
+            m_parser->skip(m_headOnly);
+            beast::http::async_read(
+                m_socket, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code ec, size_t) {
+                    if (!self->m_done)
+                        return;
+                    if (ec)
+                        return self->fail(ExchangeEnd::Ambiguous, ec.message());
+                    self->succeed();
+                });
+        }
+
+        void succeed()
+        {
+            auto message = m_parser->release();
+            ExchangeResult result;
+            result.end = ExchangeEnd::Answered;
+            result.response.status = message.result_int();
+            for (const auto& it : message)
+                result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+            result.response.body = std::move(message.body());
+            bool keep = message.keep_alive() && !m_buffer.size();
+            m_timer.cancel();
+            ++m_turn;
+            auto done = std::move(m_done);
+            m_done = nullptr;
+            auto pool = m_pool.lock();
+            if (keep && pool)
+                pool->released(shared_from_this());
+            else
+                shut();
+            done(std::move(result));
+        }
+
+        void fail(ExchangeEnd end, const std::string& error)
+        {
+            m_timer.cancel();
+            ++m_turn;
+            auto done = std::move(m_done);
+            m_done = nullptr;
+            shut();
+            ExchangeResult result;
+            result.end = end;
+            result.error = error;
+            done(std::move(result));
+        }
+
+        tcp::socket m_socket;
+        boost::asio::steady_timer m_timer;
+        std::weak_ptr<Pool> m_pool;
+        beast::flat_buffer m_buffer;
+        beast::http::request<beast::http::string_body> m_request;
+        std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
+        HttpClient::Done m_done;
+        uint64_t m_turn { 0 };
+        bool m_open { false };
+        bool m_bytesSent { false };
+        bool m_headOnly { false };
+    };
+
+    class ConnectionExchange final : public Exchange {
+    public:
+        explicit ConnectionExchange(std::shared_ptr<Connection> connection)
+            : m_connection(std::move(connection))
+            , m_turn(m_connection->turn())
+        {
+        }
+        void cancel() override { m_connection->cancel(m_turn); }
+
+    private:
+        std::shared_ptr<Connection> m_connection;
+        uint64_t m_turn;
+    };
+
+    class IdleExchange final : public Exchange {
+    public:
+        void cancel() override { }
+    };
+
+    class PooledClient final : public HttpClient, public Pool, public std::enable_shared_from_this<PooledClient> {
+    public:
+        PooledClient(boost::asio::io_context& io, const base::Address& address, size_t connections)
+            : m_io(io)
+            , m_endpoint(boost::asio::ip::make_address(address.ip), address.port)
+            , m_most(connections)
+        {
+        }
+
+        std::shared_ptr<Exchange> request(HttpRequest request, base::Millis budget, Done done) override
+        {
+            auto connection = take();
+            if (!connection) {
+                boost::asio::post(m_io, [done = std::move(done)] {
+                    ExchangeResult result;
+                    result.error = "no free connection";
+                    done(std::move(result));
+                });
+                return std::make_shared<IdleExchange>();
+            }
+            auto exchange = std::make_shared<ConnectionExchange>(connection);
+            connection->begin(std::move(request), budget, std::move(done), m_endpoint);
+            return exchange;
+        }
+
+        size_t connectionCount() const override { return m_all.size(); }
+
+        void close() override
+        {
+            m_closed = true;
+            auto idle = std::move(m_idle);
+            m_idle.clear();
+            for (const auto& it : idle)
+                it->shut();
+        }
+
+        void released(const std::shared_ptr<Connection>& connection) override
+        {
+            if (m_closed)
+                return connection->shut();
+            m_idle.push_back(connection);
+            connection->watchIdle();
+        }
+
+        void ended(const std::shared_ptr<Connection>& connection) override
+        {
+            m_all.erase(connection);
+            std::erase(m_idle, connection);
+        }
+
+    private:
+        std::shared_ptr<Connection> take()
+        {
+            while (!m_closed && !m_idle.empty()) {
+                auto connection = m_idle.back();
+                m_idle.pop_back();
+                if (connection->isUsable())
+                    return connection;
+                connection->shut();
+            }
+            if (m_closed || m_all.size() >= m_most)
+                return nullptr;
+            auto connection = std::make_shared<Connection>(m_io, weak_from_this());
+            m_all.insert(connection);
+            return connection;
+        }
+
+        boost::asio::io_context& m_io;
+        tcp::endpoint m_endpoint;
+        size_t m_most;
+        std::unordered_set<std::shared_ptr<Connection>> m_all;
+        std::vector<std::shared_ptr<Connection>> m_idle;
+        bool m_closed { false };
+    };
+
+}
+
+std::shared_ptr<HttpClient> makeHttpClient(
+    boost::asio::io_context& io, const base::Address& address, size_t connections)
+{
+    return std::make_shared<PooledClient>(io, address, connections);
+}
+
+} // namespace pomelowind::http
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,427 @@
+#include "pomelowind/http/HttpServer.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_set>
+
+namespace pomelowind::http {
+
+namespace {
+
+    namespace beast = boost::beast;
+    using base::Instant;
+    using boost::asio::ip::tcp;
+
+    constexpr auto SWEEP_PERIOD = base::Millis(200);
+    constexpr auto LINGER = base::Millis(500);
+
+    Instant steadyNow() { return std::chrono::steady_clock::now(); }
+
+    class Session;
+
+    // What sessions need from their server.
+    class SessionOwner {
+    public:
+        virtual ~SessionOwner() = default;
+        virtual const HttpLimits& limits() const = 0;
+        virtual HttpHandler& handler() = 0;
+        virtual bool draining() const = 0;
+        virtual void sessionEnded(const std::shared_ptr<Session>& session) = 0;
+    };
+
+    int statusOfReadError(beast::error_code ec)
+    {
+        if (ec == beast::http::error::body_limit)
+            return 413;
+        if (ec == beast::http::error::header_limit)
+            return 431;
+        return 400;
+    }
+
+    // One caller's connection: read a request, hand it over, write its answer, repeat. Pipelined requests wait in the
+    // buffer, so answers keep the order of the requests.
+    class Session : public std::enable_shared_from_this<Session> {
+    public:
+        Session(tcp::socket socket, SessionOwner& owner)
+            : m_socket(std::move(socket))
+            , m_owner(owner)
+        {
+        }
+
+        void start()
+        {
+            beast::error_code ec;
+            m_socket.set_option(tcp::no_delay(true), ec);
+            readNext();
+        }
+
+        // Closes the connection when its present phase has lasted too long.
+        void sweep(Instant now)
+        {
+            if (m_closed)
+                return;
+            if (m_phase == Phase::Handling)
+                return;
+            if (now >= m_phaseEnd)
+                close();
+        }
+
+        // Ends an idle connection during a drain.
+        void closeIfIdle()
+        {
+            if (m_phase == Phase::Idle && !m_buffer.size())
+                shutdownAndLinger();
+        }
+
+        void close()
+        {
+            if (m_closed)
+                return;
+            m_closed = true;
+            beast::error_code ec;
+            m_socket.close(ec);
+            auto cancelled = std::move(m_cancelled);
+            m_cancelled = nullptr;
+            if (m_phase == Phase::Handling && cancelled)
+                cancelled();
+            m_owner.sessionEnded(shared_from_this());
+        }
+
+        void respond(HttpResponse response, uint64_t turn)
+        {
+            if (m_closed || turn != m_turn || m_phase != Phase::Handling)
+                return;
+            enter(Phase::Writing, m_owner.limits().requestTimeout);
+            m_cancelled = nullptr;
+            m_keepAlive = m_keepAlive && !m_owner.draining();
+            m_response.emplace(static_cast<beast::http::status>(response.status), m_version);
+            for (const auto& it : response.headers)
+                m_response->insert(it.name, it.value);
+            m_response->keep_alive(m_keepAlive);
+            m_response->body() = std::move(response.body);
+            m_response->prepare_payload();
+            if (m_headOnly)
+                return writeHead();
+            beast::http::async_write(m_socket, *m_response,
+                [self = shared_from_this()](beast::error_code ec, size_t) { self->written(ec); });
+        }
+
+        void respondCut(const HttpResponse& response, size_t declaredBytes, uint64_t turn)
+        {
+            if (m_closed || turn != m_turn || m_phase != Phase::Handling)
+                return;
+            enter(Phase::Writing, m_owner.limits().requestTimeout);
+            m_raw = "HTTP/1.1 " + std::to_string(response.status)
+                + " OK\r\nContent-Length: " + std::to_string(declaredBytes) + "\r\n\r\n" + response.body;
+            boost::asio::async_write(m_socket, boost::asio::buffer(m_raw),
+                [self = shared_from_this()](beast::error_code, size_t) { self->close(); });
+        }
+
+        void onCancel(std::function<void()> cancelled, uint64_t turn)
+        {
+            if (turn != m_turn || m_phase != Phase::Handling)
+                return;
+            if (m_closed)
+                return cancelled();
+            m_cancelled = std::move(cancelled);
+        }
+
+    private:
+        enum class Phase { Idle, Reading, Handling, Writing, Lingering };
+
+        void enter(Phase phase, base::Millis limit)
+        {
+            m_phase = phase;
+            m_phaseEnd = steadyNow() + limit;
+        }
+
+        void readNext()
+        {
+            m_parser.emplace();
+            m_parser->header_limit(static_cast<uint32_t>(m_owner.limits().headerBytes));
+            m_parser->body_limit(m_owner.limits().bodyBytes);
+            if (m_buffer.size())
+                return readWhole();
+            enter(Phase::Idle, m_owner.limits().idleTimeout);
+            m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code ec) {
+                if (ec || self->m_closed || self->m_phase != Phase::Idle)
+                    return self->close();
+                self->readWhole();
+            });
+        }
+
+        void readWhole()
+        {
+            enter(Phase::Reading, m_owner.limits().requestTimeout);
+            beast::http::async_read(m_socket, m_buffer, *m_parser,
+                [self = shared_from_this()](beast::error_code ec, size_t) { self->readDone(ec); });
+        }
+
+        void readDone(beast::error_code ec)
+        {
+            if (m_closed)
+                return;
+            if (ec == beast::http::error::end_of_stream
+                || (ec && ec.category() == boost::asio::error::get_system_category()) || ec == boost::asio::error::eof
+                || ec == beast::http::error::partial_message)
+                return close();
+            if (ec)
+                return refuse(ec);
+            auto message = m_parser->release();
+            HttpRequest request;
+            request.method = message.method_string();
+            request.path = message.target();
+            for (const auto& it : message)
+                request.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+            request.body = std::move(message.body());
+            m_keepAlive = message.keep_alive();
+            m_version = message.version();
+            m_headOnly = message.method() == beast::http::verb::head;
+            hand(std::move(request));
+        }
+
+        void hand(HttpRequest request);
+
+        // A malformed or oversized request is answered once, and its connection ends: the rest cannot be trusted.
+        void refuse(beast::error_code ec)
+        {
+            enter(Phase::Handling, m_owner.limits().requestTimeout);
+            ++m_turn;
+            m_keepAlive = false;
+            m_headOnly = false;
+            HttpResponse response;
+            response.status = statusOfReadError(ec);
+            response.headers = { { "Content-Type", "application/json" }, { "X-Pomelowind-Outcome", "not-run" } };
+            response.body = R"({"error":"invalid_input","message":"request refused: )" + ec.message()
+                + R"(","remedy":"send a well-formed HTTP/1.1 request within the documented size limits"})";
+            respond(std::move(response), m_turn);
+        }
+
+        // While a request is being handled, a readable socket without bytes means that the caller has gone.
+        void watchForCancel()
+        {
+            m_socket.async_wait(
+                tcp::socket::wait_read, [self = shared_from_this(), turn = m_turn](beast::error_code ec) {
+                    if (ec || self->m_closed || turn != self->m_turn || self->m_phase != Phase::Handling)
+                        return;
+                    char c = 0;
+                    beast::error_code peek;
+                    self->m_socket.non_blocking(true, peek);
+                    size_t n = self->m_socket.receive(boost::asio::buffer(&c, 1), tcp::socket::message_peek, peek);
+                    if ((peek && peek != boost::asio::error::would_block) || (!peek && !n))
+                        self->close();
+                });
+        }
+
+        void writeHead()
+        {
+            auto serializer = std::make_shared<beast::http::response_serializer<beast::http::string_body>>(*m_response);
+            beast::http::async_write_header(m_socket, *serializer,
+                [self = shared_from_this(), serializer](beast::error_code ec, size_t) { self->written(ec); });
+        }
+
+        void written(beast::error_code ec)
+        {
+            m_response.reset();
+            if (ec || m_closed)
+                return close();
+            if (!m_keepAlive)
+                return shutdownAndLinger();
+            readNext();
+        }
+
+        // Sends the end of the stream and waits for the caller's own, so that no unread byte resets the answer.
+        void shutdownAndLinger()
+        {
+            enter(Phase::Lingering, LINGER);
+            beast::error_code ec;
+            m_socket.shutdown(tcp::socket::shutdown_send, ec);
+            drainInput();
+        }
+
+        void drainInput()
+        {
+            m_socket.async_read_some(
+                boost::asio::buffer(m_discard), [self = shared_from_this()](beast::error_code ec, size_t) {
+                    if (ec || self->m_closed)
+                        return self->close();
+                    self->drainInput();
+                });
+        }
+
+        tcp::socket m_socket;
+        SessionOwner& m_owner;
+        beast::flat_buffer m_buffer;
+        std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+        std::optional<beast::http::response<beast::http::string_body>> m_response;
+        std::function<void()> m_cancelled;
+        std::string m_raw;
+        std::array<char, 512> m_discard {};
+        Phase m_phase { Phase::Idle };
+        Instant m_phaseEnd;
+        uint64_t m_turn { 0 };
+        unsigned m_version { 11 };
+        bool m_keepAlive { true };
+        bool m_headOnly { false };
+        bool m_closed { false };
+    };
+
+    class SessionReply final : public HttpReply {
+    public:
+        SessionReply(std::shared_ptr<Session> session, uint64_t turn)
+            : m_session(std::move(session))
+            , m_turn(turn)
+        {
+        }
+        void send(HttpResponse response) override { m_session->respond(std::move(response), m_turn); }
+        void sendCut(HttpResponse response, size_t declaredBytes) override
+        {
+            m_session->respondCut(response, declaredBytes, m_turn);
+        }
+        void onCancel(std::function<void()> cancelled) override { m_session->onCancel(std::move(cancelled), m_turn); }
+
+    private:
+        std::shared_ptr<Session> m_session;
+        uint64_t m_turn;
+    };
+
+    void Session::hand(HttpRequest request)
+    {
+        enter(Phase::Handling, base::Millis(0));
+        ++m_turn;
+        watchForCancel();
+        m_owner.handler().handle(std::move(request), std::make_shared<SessionReply>(shared_from_this(), m_turn));
+    }
+
+    class BeastServer final : public HttpServer, public SessionOwner {
+    public:
+        BeastServer(boost::asio::io_context& io, const base::Address& address, HttpLimits limits, HttpHandler& handler)
+            : m_acceptor(io)
+            , m_sweepTimer(io)
+            , m_limits(limits)
+            , m_handler(handler)
+        {
+            try {
+                tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
+                m_acceptor.open(endpoint.protocol());
+                m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+                m_acceptor.bind(endpoint);
+                m_acceptor.listen();
+            } catch (const boost::system::system_error& e) {
+                throw base::UserError(base::ErrorKind::Settings, "cannot listen on " + address.text() + ": " + e.what(),
+                    "choose a free port of this host in the settings");
+            }
+            accept();
+            sweepLater();
+        }
+
+        void drain(base::Millis grace, std::function<void()> done) override
+        {
+            m_drainEnd = steadyNow() + grace;
+            m_drained = std::move(done);
+        }
+
+        void close() override
+        {
+            m_closing = true;
+            beast::error_code ec;
+            m_acceptor.close(ec);
+            m_sweepTimer.cancel();
+            auto sessions = m_sessions;
+            for (const auto& it : sessions)
+                it->close();
+        }
+
+        size_t connectionCount() const override { return m_sessions.size(); }
+
+    private:
+        const HttpLimits& limits() const override { return m_limits; }
+        HttpHandler& handler() override { return m_handler; }
+        bool draining() const override { return m_drainEnd.has_value(); }
+        void sessionEnded(const std::shared_ptr<Session>& session) override { m_sessions.erase(session); }
+
+        void accept()
+        {
+            m_acceptor.async_accept([this](beast::error_code ec, tcp::socket socket) {
+                if (ec == boost::asio::error::operation_aborted || m_closing)
+                    return;
+                if (ec) {
+                    m_acceptPaused = true;
+                    return;
+                }
+                if (m_sessions.size() < m_limits.connections) {
+                    auto session = std::make_shared<Session>(std::move(socket), *this);
+                    m_sessions.insert(session);
+                    session->start();
+                }
+                accept();
+            });
+        }
+
+        void sweepLater()
+        {
+            m_sweepTimer.expires_after(SWEEP_PERIOD);
+            m_sweepTimer.async_wait([this](beast::error_code ec) {
+                if (ec || m_closing)
+                    return;
+                sweep();
+                sweepLater();
+            });
+        }
+
+        void sweep()
+        {
+            auto now = steadyNow();
+            auto sessions = m_sessions;
+            for (const auto& it : sessions)
+                it->sweep(now);
+            if (m_acceptPaused) {
+                m_acceptPaused = false;
+                accept();
+            }
+            if (m_drainEnd && m_drained)
+                finishDrain(now, sessions);
+        }
+
+        void finishDrain(Instant now, const std::unordered_set<std::shared_ptr<Session>>& sessions)
+        {
+            if (now >= *m_drainEnd) {
+                for (const auto& it : sessions)
+                    it->closeIfIdle();
+            }
+            if (!m_sessions.empty() || now < *m_drainEnd)
+                return;
+            beast::error_code ec;
+            m_acceptor.close(ec);
+            auto done = std::move(m_drained);
+            m_drained = nullptr;
+            done();
+        }
+
+        tcp::acceptor m_acceptor;
+        boost::asio::steady_timer m_sweepTimer;
+        HttpLimits m_limits;
+        HttpHandler& m_handler;
+        std::unordered_set<std::shared_ptr<Session>> m_sessions;
+        std::optional<Instant> m_drainEnd;
+        std::function<void()> m_drained;
+        bool m_acceptPaused { false };
+        bool m_closing { false };
+    };
+
+}
+
+std::unique_ptr<HttpServer> makeHttpServer(
+    boost::asio::io_context& io, const base::Address& address, HttpLimits limits, HttpHandler& handler)
+{
+    return std::make_unique<BeastServer>(io, address, limits, handler);
+}
+
+} // namespace pomelowind::http
--- /dev/null
+++ b/src/links/Link.cpp
@@ -0,0 +1,223 @@
+#include "pomelowind/links/Link.h"
+
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Log.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+
+namespace pomelowind::links {
+
+namespace {
+
+    constexpr size_t HEADER_BYTES = 5;
+    constexpr size_t NONCE_BYTES = 16;
+    constexpr size_t MAX_HANDSHAKE_BYTES = 4096;
+    constexpr size_t READ_CHUNK_BYTES = 16 * 1024;
+    constexpr size_t MAX_QUEUED_BYTES = 48 * 1024 * 1024;
+    constexpr size_t KEPT_BUFFER_BYTES = 64 * 1024;
+    constexpr auto HANDSHAKE_TIMEOUT = base::Millis(3000);
+
+    uint32_t readLength(const char* at)
+    {
+        uint32_t n = 0;
+        for (int i = 0; i < 4; ++i)
+            n = (n << 8) | static_cast<unsigned char>(at[i]);
+        return n;
+    }
+
+    void appendLength(std::string& out, uint32_t n)
+    {
+        for (int shift = 24; shift >= 0; shift -= 8)
+            out += static_cast<char>(n >> shift);
+    }
+
+    // Gives back the memory of a buffer that one large frame has stretched.
+    void shrink(std::string& buf)
+    {
+        if (buf.capacity() > KEPT_BUFFER_BYTES)
+            std::string().swap(buf);
+        else
+            buf.clear();
+    }
+
+}
+
+Link::Link(boost::asio::ip::tcp::socket socket, const Identity& self, LinkListener& listener, Traffic& traffic)
+    : m_socket(std::move(socket))
+    , m_handshakeTimer(m_socket.get_executor())
+    , m_self(self)
+    , m_listener(listener)
+    , m_traffic(traffic)
+    , m_nonce(base::randomBytes(NONCE_BYTES))
+{
+}
+
+void Link::start(Ended ended)
+{
+    m_ended = std::move(ended);
+    boost::system::error_code ec;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    m_handshakeTimer.expires_after(HANDSHAKE_TIMEOUT);
+    m_handshakeTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->m_ready)
+            self->close("handshake timed out");
+    });
+    wire::Hello hello;
+    hello.mesh = m_self.mesh;
+    hello.role = m_self.role;
+    hello.id = m_self.id;
+    hello.nonce = m_nonce;
+    queueFrame(FrameKind::HELLO, base::encode(hello));
+    read();
+}
+
+bool Link::send(Kind kind, std::string_view payload)
+{
+    if (m_closed || !m_ready || m_queuedBytes + payload.size() > MAX_QUEUED_BYTES)
+        return false;
+    queueFrame(kind, payload);
+    return true;
+}
+
+void Link::queueFrame(Kind kind, std::string_view payload)
+{
+    appendLength(m_pending, static_cast<uint32_t>(payload.size()));
+    m_pending += static_cast<char>(kind);
+    m_pending.append(payload);
+    m_queuedBytes += payload.size() + HEADER_BYTES;
+    if (!m_writing)
+        write();
+}
+
+void Link::write()
+{
+    m_writing = true;
+    m_inFlight.swap(m_pending);
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_inFlight), [self = shared_from_this()](boost::system::error_code ec, size_t n) {
+            self->m_traffic.sent += n;
+            self->m_queuedBytes -= self->m_inFlight.size();
+            shrink(self->m_inFlight);
+            self->m_writing = false;
+            if (ec)
+                return self->close(ec.message());
+            if (!self->m_pending.empty())
+                self->write();
+        });
+}
+
+void Link::read()
+{
+    if (m_input.size() < m_inputSize + READ_CHUNK_BYTES)
+        m_input.resize(m_inputSize + READ_CHUNK_BYTES);
+    auto space = boost::asio::buffer(m_input.data() + m_inputSize, m_input.size() - m_inputSize);
+    m_socket.async_read_some(space, [self = shared_from_this()](boost::system::error_code ec, size_t n) {
+        if (ec)
+            return self->close(ec.message());
+        self->m_traffic.received += n;
+        self->m_inputSize += n;
+        try {
+            size_t used = self->parseFrames();
+            if (self->m_closed)
+                return;
+            std::memmove(self->m_input.data(), self->m_input.data() + used, self->m_inputSize - used);
+            self->m_inputSize -= used;
+        } catch (const base::UserError& e) {
+            base::logWarn("link.refused", { { "peer", self->m_peerId }, { "error", e.what() } });
+            return self->close(e.what());
+        }
+        if (!self->m_inputSize && self->m_input.size() > KEPT_BUFFER_BYTES)
+            std::string().swap(self->m_input);
+        self->read();
+    });
+}
+
+size_t Link::parseFrames()
+{
+    size_t at = 0;
+    while (!m_closed && m_inputSize - at >= HEADER_BYTES) {
+        size_t n = readLength(m_input.data() + at);
+        size_t most = m_ready ? static_cast<size_t>(base::MAX_WIRE_BYTES) : MAX_HANDSHAKE_BYTES;
+        if (n > most)
+            throw base::UserError(base::ErrorKind::Protocol, "frame of " + std::to_string(n) + " bytes is too long",
+                "check that the peer is a pomelowind process of the same release");
+        if (m_inputSize - at < HEADER_BYTES + n)
+            break;
+        auto kind = static_cast<Kind>(static_cast<unsigned char>(m_input[at + 4]));
+        takeFrame(kind, { m_input.data() + at + HEADER_BYTES, n });
+        at += HEADER_BYTES + n;
+    }
+    return at;
+}
+
+void Link::takeFrame(Kind kind, std::string_view payload)
+{
+    if (m_ready)
+        return m_listener.linkFrame(shared_from_this(), kind, payload);
+    if (kind == FrameKind::HELLO && m_peerNonce.empty())
+        return takeHello(payload);
+    if (kind == FrameKind::PROOF && !m_peerNonce.empty())
+        return takeProof(payload);
+    throw base::UserError(base::ErrorKind::Protocol, "peer sent a frame before its proof",
+        "check that the peer is a pomelowind process of the same release");
+}
+
+void Link::takeHello(std::string_view payload)
+{
+    auto hello = base::decode<wire::Hello>(payload);
+    if (hello.mesh != m_self.mesh)
+        throw base::UserError(base::ErrorKind::Denied, "peer '" + hello.id + "' belongs to mesh '" + hello.mesh + "'",
+            "set the same 'mesh' on both processes, or correct the address");
+    if (hello.nonce.size() != NONCE_BYTES)
+        throw base::UserError(
+            base::ErrorKind::Protocol, "peer's nonce has a wrong size", "run the same release on both");
+    m_peerNonce = hello.nonce;
+    m_peerId = hello.id;
+    m_peerRole = hello.role;
+    wire::Proof proof;
+    proof.mac = proofFor(m_peerNonce, m_nonce, m_self.role + "/" + m_self.id);
+    queueFrame(FrameKind::PROOF, base::encode(proof));
+}
+
+void Link::takeProof(std::string_view payload)
+{
+    auto proof = base::decode<wire::Proof>(payload);
+    if (!base::equalConstantTime(proof.mac, proofFor(m_nonce, m_peerNonce, m_peerRole + "/" + m_peerId)))
+        throw base::UserError(base::ErrorKind::Denied, "peer '" + m_peerId + "' does not hold the mesh's key",
+            "set the same 'mesh_key' on both processes");
+    becomeReady();
+}
+
+std::string Link::proofFor(
+    const std::string& verifierNonce, const std::string& proverNonce, const std::string& proverId) const
+{
+    return base::hmacSha256(m_self.key, verifierNonce + proverNonce + m_self.mesh + "/" + proverId);
+}
+
+void Link::becomeReady()
+{
+    m_ready = true;
+    m_handshakeTimer.cancel();
+    m_listener.linkReady(shared_from_this());
+}
+
+void Link::close(const std::string& reason)
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_handshakeTimer.cancel();
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
+    m_socket.close(ec);
+    auto self = shared_from_this();
+    if (m_ready)
+        m_listener.linkClosed(self, reason);
+    m_ready = false;
+    if (auto ended = std::move(m_ended))
+        ended();
+}
+
+} // namespace pomelowind::links
--- /dev/null
+++ b/src/links/LinkDialer.cpp
@@ -0,0 +1,78 @@
+#include "pomelowind/links/LinkDialer.h"
+
+namespace pomelowind::links {
+
+namespace {
+
+    constexpr auto FIRST_BACKOFF = base::Millis(50);
+    constexpr auto LONGEST_BACKOFF = base::Millis(2000);
+    constexpr auto CONNECT_TIMEOUT = base::Millis(2000);
+
+}
+
+LinkDialer::LinkDialer(
+    boost::asio::io_context& io, base::Address address, Identity self, LinkListener& listener, Traffic& traffic)
+    : m_io(io)
+    , m_address(std::move(address))
+    , m_self(std::move(self))
+    , m_listener(listener)
+    , m_traffic(traffic)
+    , m_timer(io)
+    , m_backoff(FIRST_BACKOFF, LONGEST_BACKOFF, base::platformSeed())
+{
+}
+
+void LinkDialer::start() { dial(); }
+
+void LinkDialer::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    if (m_dialing)
+        m_dialing->close();
+    if (m_link)
+        m_link->close("this process stops");
+}
+
+std::shared_ptr<Link> LinkDialer::link() const { return m_link && m_link->isReady() ? m_link : nullptr; }
+
+void LinkDialer::dial()
+{
+    if (m_stopped)
+        return;
+    m_dialing = std::make_shared<boost::asio::ip::tcp::socket>(m_io);
+    boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(m_address.ip), m_address.port);
+    auto self = shared_from_this();
+    m_timer.expires_after(CONNECT_TIMEOUT);
+    m_timer.async_wait([socket = m_dialing](boost::system::error_code ec) {
+        if (!ec)
+            socket->close();
+    });
+    m_dialing->async_connect(endpoint, [self, socket = m_dialing](boost::system::error_code ec) {
+        self->m_timer.cancel();
+        self->m_dialing.reset();
+        if (self->m_stopped)
+            return;
+        if (ec)
+            return self->dialLater();
+        self->m_link = std::make_shared<Link>(std::move(*socket), self->m_self, self->m_listener, self->m_traffic);
+        self->m_link->start([self] {
+            self->m_link.reset();
+            self->dialLater();
+        });
+    });
+}
+
+void LinkDialer::dialLater()
+{
+    if (m_stopped)
+        return;
+    ++m_failures;
+    m_timer.expires_after(m_backoff.next());
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec)
+            self->dial();
+    });
+}
+
+} // namespace pomelowind::links
--- /dev/null
+++ b/src/links/LinkServer.cpp
@@ -0,0 +1,65 @@
+#include "pomelowind/links/LinkServer.h"
+
+#include "pomelowind/base/Log.h"
+
+namespace pomelowind::links {
+
+namespace {
+
+    constexpr auto ACCEPT_RETRY = base::Millis(100);
+
+}
+
+LinkServer::LinkServer(
+    boost::asio::io_context& io, const base::Address& address, Identity self, LinkListener& listener, Traffic& traffic)
+    : m_acceptor(io)
+    , m_retryTimer(io)
+    , m_self(std::move(self))
+    , m_listener(listener)
+    , m_traffic(traffic)
+{
+    try {
+        boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    } catch (const boost::system::system_error& e) {
+        throw base::UserError(base::ErrorKind::Settings, "cannot listen on " + address.text() + ": " + e.what(),
+            "choose a free port of this host in the settings");
+    }
+    accept();
+}
+
+void LinkServer::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted)
+            return;
+        if (ec) {
+            base::logWarn("link.accept_failed", { { "error", ec.message() } });
+            m_retryTimer.expires_after(ACCEPT_RETRY);
+            m_retryTimer.async_wait([this](boost::system::error_code error) {
+                if (!error)
+                    accept();
+            });
+            return;
+        }
+        auto link = std::make_shared<Link>(std::move(socket), m_self, m_listener, m_traffic);
+        m_links.insert(link);
+        link->start([this, weak = std::weak_ptr<Link>(link)] { m_links.erase(weak.lock()); });
+        accept();
+    });
+}
+
+void LinkServer::close()
+{
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+    m_retryTimer.cancel();
+    auto links = m_links;
+    for (const auto& it : links)
+        it->close("this process stops");
+}
+
+} // namespace pomelowind::links
--- /dev/null
+++ b/src/members/LogStore.cpp
@@ -0,0 +1,249 @@
+#include "pomelowind/members/LogStore.h"
+
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+
+namespace pomelowind::members {
+
+namespace {
+
+    constexpr char IDENTITY_FILE[] = "identity";
+    constexpr char RECOVERING_FILE[] = "recovering";
+    constexpr char SNAPSHOT_FILE[] = "snapshot";
+    constexpr char SEGMENT_PREFIX[] = "log-";
+    constexpr size_t SEGMENT_LIMIT_BYTES = 4 * 1024 * 1024;
+    constexpr size_t DISK_ID_BYTES = 8;
+    constexpr int64_t BOOTSTRAP_INDEX = 1;
+    constexpr int64_t BOOTSTRAP_TERM = 1;
+
+    enum RecordType : uint8_t { HARD_STATE = 1, ENTRY = 2 };
+
+    // Record layout: u32 payload length, u8 type, u64 hash of type and payload, payload.
+    constexpr size_t RECORD_HEADER_BYTES = 13;
+
+    uint64_t recordHash(uint8_t type, std::string_view payload) { return base::hash64(payload, type); }
+
+    std::string frameRecord(uint8_t type, const std::string& payload)
+    {
+        auto n = static_cast<uint32_t>(payload.size());
+        uint64_t hash = recordHash(type, payload);
+        std::string out(RECORD_HEADER_BYTES, '\0');
+        std::memcpy(out.data(), &n, sizeof n);
+        out[4] = static_cast<char>(type);
+        std::memcpy(out.data() + 5, &hash, sizeof hash);
+        return out + payload;
+    }
+
+    struct ParsedRecord {
+        uint8_t type { 0 };
+        std::string_view payload;
+        size_t bytes { 0 };
+    };
+
+    // The record at the start of `data`, or nothing when it is incomplete or its hash does not match.
+    std::optional<ParsedRecord> parseRecord(std::string_view data)
+    {
+        if (data.size() < RECORD_HEADER_BYTES)
+            return std::nullopt;
+        uint32_t n = 0;
+        uint64_t hash = 0;
+        std::memcpy(&n, data.data(), sizeof n);
+        std::memcpy(&hash, data.data() + 5, sizeof hash);
+        if (data.size() - RECORD_HEADER_BYTES < n)
+            return std::nullopt;
+        ParsedRecord record { static_cast<uint8_t>(data[4]), data.substr(RECORD_HEADER_BYTES, n),
+            RECORD_HEADER_BYTES + n };
+        if (recordHash(record.type, record.payload) != hash)
+            return std::nullopt;
+        return record;
+    }
+
+    // A crash tears only what was being appended, so a whole record behind a bad one means damage, not a torn tail.
+    bool hasRecordAfter(std::string_view data)
+    {
+        for (size_t at = 1; at + RECORD_HEADER_BYTES <= data.size(); ++at) {
+            auto record = parseRecord(data.substr(at));
+            if (record && (record->type == HARD_STATE || record->type == ENTRY) && !record->payload.empty())
+                return true;
+        }
+        return false;
+    }
+
+    base::UserError damaged(const std::string& file, size_t at)
+    {
+        return { base::ErrorKind::StorageDamaged,
+            "record at byte " + std::to_string(at) + " of " + file + " is damaged",
+            "do not delete the file alone: empty this host's whole data folder and restart it without --bootstrap, so "
+            "that it returns as a recovering member" };
+    }
+
+    std::string segmentName(int64_t number)
+    {
+        char buf[32];
+        std::snprintf(buf, sizeof buf, "%s%08lld", SEGMENT_PREFIX, static_cast<long long>(number));
+        return buf;
+    }
+
+    // Puts `entry` at its index and drops what stood at or after it.
+    void placeEntry(std::vector<wire::Entry>& entries, wire::Entry entry)
+    {
+        while (!entries.empty() && entries.back().index >= entry.index)
+            entries.pop_back();
+        entries.push_back(std::move(entry));
+    }
+
+}
+
+LogStore::LogStore(platform::Disk& disk)
+    : m_disk(disk)
+{
+}
+
+DurableState LogStore::load(EmptyStart emptyStart, const wire::Membership& membership)
+{
+    if (!m_disk.exists(IDENTITY_FILE))
+        prepareEmpty(emptyStart, membership);
+    DurableState state;
+    state.diskId = m_disk.read(IDENTITY_FILE);
+    state.recovering = m_disk.exists(RECOVERING_FILE);
+    if (m_disk.exists(SNAPSHOT_FILE)) {
+        std::string content = m_disk.read(SNAPSHOT_FILE);
+        auto record = parseRecord(content);
+        if (!record)
+            throw damaged(SNAPSHOT_FILE, 0);
+        state.snapshot = base::decode<wire::SnapshotRecord>(record->payload);
+        state.hardState.term = state.snapshot->term;
+    }
+    replaySegments(state);
+    if (state.snapshot) {
+        std::erase_if(state.entries, [&](const wire::Entry& it) { return it.index <= state.snapshot->index; });
+        int64_t expected = state.snapshot->index + 1;
+        if (!state.entries.empty() && state.entries.front().index != expected)
+            throw damaged("log before index " + std::to_string(state.entries.front().index), 0);
+    }
+    m_hardState = state.hardState;
+    openSegment();
+    return state;
+}
+
+void LogStore::prepareEmpty(EmptyStart emptyStart, const wire::Membership& membership)
+{
+    if (emptyStart == EmptyStart::Recover) {
+        m_disk.replace(RECOVERING_FILE, "1");
+    } else {
+        wire::SnapshotRecord first;
+        first.index = BOOTSTRAP_INDEX;
+        first.term = BOOTSTRAP_TERM;
+        first.membership = membership;
+        writeSnapshotFile(first);
+    }
+    // Written last: a crash before this line leaves a folder that still counts as empty.
+    m_disk.replace(IDENTITY_FILE, base::sha256Hex(base::randomBytes(DISK_ID_BYTES)).substr(0, 2 * DISK_ID_BYTES));
+}
+
+void LogStore::replaySegments(DurableState& state)
+{
+    std::vector<std::string> names;
+    for (const auto& it : m_disk.list()) {
+        if (it.rfind(SEGMENT_PREFIX, 0) == 0 && it.find('.') == std::string::npos)
+            names.push_back(it);
+    }
+    std::sort(names.begin(), names.end());
+    for (size_t i = 0; i < names.size(); ++i) {
+        replaySegment(names[i], i + 1 == names.size(), state);
+        m_segments.push_back({ names[i], state.entries.empty() ? 0 : state.entries.back().index });
+        m_nextSegment = std::atoll(names[i].c_str() + std::strlen(SEGMENT_PREFIX)) + 1;
+    }
+}
+
+void LogStore::replaySegment(const std::string& name, bool isLast, DurableState& state)
+{
+    std::string content = m_disk.read(name);
+    size_t at = 0;
+    while (at < content.size()) {
+        std::string_view rest = std::string_view(content).substr(at);
+        auto record = parseRecord(rest);
+        if (!record) {
+            if (!isLast || hasRecordAfter(rest))
+                throw damaged(name, at);
+            base::logWarn("log.tail_cut", { { "file", name }, { "at", at }, { "bytes", rest.size() } });
+            m_disk.truncate(name, at);
+            return;
+        }
+        if (record->type == HARD_STATE)
+            state.hardState = base::decode<wire::HardState>(record->payload);
+        else
+            placeEntry(state.entries, base::decode<wire::Entry>(record->payload));
+        at += record->bytes;
+    }
+}
+
+void LogStore::openSegment()
+{
+    std::string name = segmentName(m_nextSegment++);
+    m_file = m_disk.open(name);
+    m_segments.push_back({ name, 0 });
+    m_segmentBytes = 0;
+    appendRecord(HARD_STATE, base::encode(m_hardState));
+    m_file->sync();
+}
+
+void LogStore::appendRecord(uint8_t type, const std::string& payload)
+{
+    std::string bytes = frameRecord(type, payload);
+    m_file->append(bytes);
+    m_segmentBytes += bytes.size();
+}
+
+void LogStore::write(const std::optional<wire::HardState>& hardState, const std::vector<wire::Entry>& entries)
+{
+    if (m_segmentBytes >= SEGMENT_LIMIT_BYTES)
+        openSegment();
+    if (hardState) {
+        m_hardState = *hardState;
+        appendRecord(HARD_STATE, base::encode(*hardState));
+    }
+    for (const auto& it : entries) {
+        appendRecord(ENTRY, base::encode(it));
+        m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, it.index);
+    }
+    m_file->sync();
+}
+
+void LogStore::writeSnapshotFile(const wire::SnapshotRecord& snapshot)
+{
+    m_disk.replace(SNAPSHOT_FILE, frameRecord(ENTRY, base::encode(snapshot)));
+}
+
+void LogStore::writeSnapshot(const wire::SnapshotRecord& snapshot)
+{
+    writeSnapshotFile(snapshot);
+    dropCoveredSegments(snapshot.index);
+}
+
+void LogStore::dropCoveredSegments(int64_t index)
+{
+    while (m_segments.size() > 1 && m_segments.front().lastIndex <= index) {
+        m_disk.remove(m_segments.front().name);
+        m_segments.erase(m_segments.begin());
+    }
+}
+
+void LogStore::installSnapshot(const wire::SnapshotRecord& snapshot, const wire::HardState& hardState)
+{
+    writeSnapshotFile(snapshot);
+    m_hardState = hardState;
+    auto old = std::move(m_segments);
+    m_segments.clear();
+    openSegment();
+    for (const auto& it : old)
+        m_disk.remove(it.name);
+}
+
+void LogStore::markReinstated() { m_disk.remove(RECOVERING_FILE); }
+
+} // namespace pomelowind::members
--- /dev/null
+++ b/src/members/Replica.cpp
@@ -0,0 +1,600 @@
+#include "pomelowind/members/Replica.h"
+
+#include "pomelowind/base/Log.h"
+
+#include <algorithm>
+
+namespace pomelowind::members {
+
+using base::Instant;
+using base::Millis;
+
+namespace {
+
+    constexpr size_t ROUNDS_KEPT = 64;
+    // Share of the election timeout that a lease lasts; the rest covers clock rates that differ.
+    constexpr int LEASE_PERCENT = 80;
+    constexpr auto REINSTATE_RETRY = Millis(1000);
+    constexpr auto SNAPSHOT_RETRY = Millis(3000);
+
+    bool contains(const std::vector<std::string>& list, const std::string& item)
+    {
+        return std::find(list.begin(), list.end(), item) != list.end();
+    }
+
+}
+
+Replica::Replica(ReplicaOptions options, DurableState durable, Instant now)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_diskId(durable.diskId)
+    , m_recovering(durable.recovering)
+    , m_hardState(durable.hardState)
+    , m_snapshot(std::move(durable.snapshot))
+    , m_leaderContact(now)
+{
+    m_memberships.emplace_back(0, wire::Membership());
+    if (m_snapshot) {
+        m_logStart = m_snapshot->index;
+        m_logStartTerm = m_snapshot->term;
+        m_commit = m_snapshot->index;
+        m_memberships.back() = { m_snapshot->index, m_snapshot->membership };
+    }
+    for (auto& it : durable.entries)
+        appendEntry(std::move(it));
+    m_ready.append.clear();
+    m_persisted = lastIndex();
+    resetElectionTimer(now);
+}
+
+// ---- log access ----
+
+int64_t Replica::firstIndex() const { return m_logStart + 1; }
+
+int64_t Replica::lastIndex() const { return m_logStart + static_cast<int64_t>(m_log.size()); }
+
+const wire::Entry* Replica::entryAt(int64_t index) const
+{
+    if (index < firstIndex() || index > lastIndex())
+        return nullptr;
+    return &m_log[static_cast<size_t>(index - firstIndex())];
+}
+
+int64_t Replica::termAt(int64_t index) const
+{
+    if (index == m_logStart)
+        return m_logStartTerm;
+    const auto* entry = entryAt(index);
+    return entry ? entry->term : -1;
+}
+
+void Replica::appendEntry(wire::Entry entry)
+{
+    if (entry.kind == wire::EntryKind::MEMBERSHIP)
+        m_memberships.emplace_back(entry.index, base::decode<wire::Membership>(entry.data));
+    m_ready.append.push_back(entry);
+    m_log.push_back(std::move(entry));
+}
+
+void Replica::truncateFrom(int64_t index)
+{
+    if (index <= m_commit)
+        throw base::InternalFault("log conflict at committed index " + std::to_string(index));
+    while (lastIndex() >= index)
+        m_log.pop_back();
+    std::erase_if(m_ready.append, [&](const wire::Entry& it) { return it.index >= index; });
+    while (m_memberships.size() > 1 && m_memberships.back().first >= index)
+        m_memberships.pop_back();
+    m_persisted = std::min(m_persisted, index - 1);
+}
+
+// ---- membership ----
+
+bool Replica::isVoter(const std::string& member) const { return contains(membership().voters, member); }
+
+size_t Replica::majority() const { return membership().voters.size() / 2 + 1; }
+
+std::vector<std::string> Replica::peers() const
+{
+    std::vector<std::string> out;
+    for (const auto& it : membership().voters) {
+        if (it != m_options.self)
+            out.push_back(it);
+    }
+    for (const auto& it : membership().learners) {
+        if (it != m_options.self)
+            out.push_back(it);
+    }
+    return out;
+}
+
+bool Replica::canVote() const { return !m_recovering && isVoter(m_options.self); }
+
+std::optional<int64_t> Replica::proposeMembership(const wire::Membership& next, Instant now)
+{
+    if (!isLeader() || !isCurrent() || m_memberships.back().first > m_commit)
+        return std::nullopt;
+    auto differing = [](const std::vector<std::string>& a, const std::vector<std::string>& b) {
+        return std::count_if(a.begin(), a.end(), [&](const std::string& it) { return !contains(b, it); });
+    };
+    const auto& voters = membership().voters;
+    if (next.voters.empty() || differing(voters, next.voters) + differing(next.voters, voters) > 1)
+        return std::nullopt;
+    return propose(wire::EntryKind::MEMBERSHIP, base::encode(next), now);
+}
+
+// ---- roles ----
+
+void Replica::resetElectionTimer(Instant now)
+{
+    auto base = m_options.electionTimeout;
+    auto jitter = Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(base.count()) + 1)));
+    m_electionDue = now + base + jitter;
+}
+
+void Replica::becomeFollower(int64_t term, const std::string& leader, Instant now)
+{
+    if (term > m_hardState.term) {
+        m_hardState.term = term;
+        m_hardState.votedFor.clear();
+        m_ready.hardState = m_hardState;
+    }
+    m_role = Role::Follower;
+    m_leader = leader;
+    resetElectionTimer(now);
+}
+
+void Replica::startPreVote(Instant now)
+{
+    m_role = Role::PreCandidate;
+    m_leader.clear();
+    m_votes = { m_options.self };
+    resetElectionTimer(now);
+    if (m_votes.size() >= majority())
+        return startElection(now);
+    sendVoteRequests(true);
+}
+
+void Replica::startElection(Instant now)
+{
+    m_role = Role::Candidate;
+    m_leader.clear();
+    m_hardState.term += 1;
+    m_hardState.votedFor = m_options.self;
+    m_ready.hardState = m_hardState;
+    m_votes = { m_options.self };
+    resetElectionTimer(now);
+    if (m_votes.size() >= majority())
+        return becomeLeader(now);
+    sendVoteRequests(false);
+}
+
+void Replica::sendVoteRequests(bool preVote)
+{
+    wire::VoteRequest request;
+    request.term = preVote ? m_hardState.term + 1 : m_hardState.term;
+    request.preVote = preVote;
+    request.lastIndex = lastIndex();
+    request.lastTerm = termAt(lastIndex());
+    for (const auto& it : membership().voters) {
+        if (it != m_options.self)
+            m_ready.afterDurable.push_back({ it, request });
+    }
+}
+
+void Replica::becomeLeader(Instant now)
+{
+    m_role = Role::Leader;
+    m_leader = m_options.self;
+    m_progress.clear();
+    m_roundTimes.clear();
+    for (const auto& it : peers()) {
+        Progress progress;
+        progress.next = lastIndex() + 1;
+        progress.lastAck = now;
+        m_progress[it] = progress;
+    }
+    // An entry of the new term commits all entries of earlier terms with it.
+    propose(wire::EntryKind::NOOP, {}, now);
+}
+
+bool Replica::isFresh(Instant now) const
+{
+    return isLeader() ? hasLease(now) : !m_leader.empty() && now - m_leaderContact < 2 * m_options.electionTimeout;
+}
+
+const wire::Membership& Replica::membershipAt(int64_t index) const
+{
+    auto it
+        = std::find_if(m_memberships.rbegin(), m_memberships.rend(), [&](const auto& m) { return m.first <= index; });
+    return it == m_memberships.rend() ? m_memberships.front().second : it->second;
+}
+
+bool Replica::isCurrent() const { return isLeader() && termAt(m_commit) == m_hardState.term; }
+
+bool Replica::hasLease(Instant now) const
+{
+    if (!isLeader())
+        return false;
+    if (majority() == 1)
+        return true;
+    std::vector<int64_t> rounds;
+    for (const auto& [peer, progress] : m_progress) {
+        if (isVoter(peer) && !progress.recovering)
+            rounds.push_back(progress.ackedRound);
+    }
+    size_t needed = majority() - 1;
+    if (rounds.size() < needed)
+        return false;
+    std::sort(rounds.rbegin(), rounds.rend());
+    int64_t round = rounds[needed - 1];
+    for (const auto& [number, sent] : m_roundTimes) {
+        if (number == round)
+            return now < sent + m_options.electionTimeout * LEASE_PERCENT / 100;
+    }
+    return false;
+}
+
+void Replica::tick(Instant now)
+{
+    m_now = now;
+    if (isLeader()) {
+        checkQuorum(now);
+        if (isLeader() && now >= m_heartbeatDue)
+            broadcastAppend(now);
+        return;
+    }
+    if (now >= m_electionDue) {
+        if (canVote())
+            startPreVote(now);
+        else
+            resetElectionTimer(now);
+    }
+}
+
+// A leader that no majority answers steps down, so that its callers hear "unavailable" instead of waiting.
+void Replica::checkQuorum(Instant now)
+{
+    size_t alive = isVoter(m_options.self) ? 1 : 0;
+    for (const auto& [peer, progress] : m_progress) {
+        if (isVoter(peer) && now - progress.lastAck < 2 * m_options.electionTimeout)
+            ++alive;
+    }
+    if (alive < majority())
+        becomeFollower(m_hardState.term, {}, now);
+}
+
+// ---- proposals and replication ----
+
+std::optional<int64_t> Replica::propose(wire::EntryKind::type kind, std::string data, Instant now)
+{
+    if (!isLeader() || lastIndex() - m_commit >= static_cast<int64_t>(m_options.inFlightProposals))
+        return std::nullopt;
+    m_now = now;
+    wire::Entry entry;
+    entry.index = lastIndex() + 1;
+    entry.term = m_hardState.term;
+    entry.kind = kind;
+    entry.data = std::move(data);
+    int64_t index = entry.index;
+    appendEntry(std::move(entry));
+    for (const auto& it : peers()) {
+        if (!m_progress.count(it)) {
+            Progress progress;
+            progress.next = index;
+            progress.lastAck = now;
+            m_progress[it] = progress;
+        }
+    }
+    broadcastAppend(now);
+    return index;
+}
+
+void Replica::broadcastAppend(Instant now)
+{
+    m_heartbeatDue = now + m_options.heartbeat;
+    ++m_round;
+    m_roundTimes.emplace_back(m_round, now);
+    if (m_roundTimes.size() > ROUNDS_KEPT)
+        m_roundTimes.pop_front();
+    for (const auto& it : peers())
+        sendAppend(it, now);
+}
+
+void Replica::sendAppend(const std::string& peer, Instant now)
+{
+    auto& progress = m_progress[peer];
+    if (progress.next < firstIndex())
+        return sendSnapshot(peer, progress, now);
+    wire::AppendRequest request;
+    request.term = m_hardState.term;
+    request.prevIndex = progress.next - 1;
+    request.prevTerm = termAt(request.prevIndex);
+    request.commit = m_commit;
+    request.round = m_round;
+    size_t bytes = 0;
+    while (progress.next <= lastIndex() && request.entries.size() < m_options.batchEntries
+        && bytes < m_options.batchBytes) {
+        const auto* entry = entryAt(progress.next);
+        bytes += entry->data.size();
+        request.entries.push_back(*entry);
+        ++progress.next;
+    }
+    m_ready.messages.push_back({ peer, std::move(request) });
+}
+
+void Replica::sendSnapshot(const std::string& peer, Progress& progress, Instant now)
+{
+    if (!m_snapshot || (progress.snapshotSent != Instant() && now - progress.snapshotSent < SNAPSHOT_RETRY)) {
+        // The heartbeat still has to reach the peer, so that it does not campaign meanwhile.
+        wire::AppendRequest beat;
+        beat.term = m_hardState.term;
+        beat.prevIndex = lastIndex();
+        beat.prevTerm = termAt(lastIndex());
+        beat.round = m_round;
+        m_ready.messages.push_back({ peer, std::move(beat) });
+        return;
+    }
+    progress.snapshotSent = now;
+    wire::SnapshotRequest request;
+    request.term = m_hardState.term;
+    request.snapshot = *m_snapshot;
+    request.round = m_round;
+    m_ready.messages.push_back({ peer, std::move(request) });
+}
+
+void Replica::persisted(int64_t index, int64_t term)
+{
+    if (termAt(index) != term || index <= m_persisted)
+        return;
+    m_persisted = index;
+    if (isLeader())
+        advanceCommit();
+}
+
+void Replica::advanceCommit()
+{
+    std::vector<int64_t> durable;
+    if (isVoter(m_options.self))
+        durable.push_back(m_persisted);
+    for (const auto& [peer, progress] : m_progress) {
+        if (isVoter(peer) && !progress.recovering)
+            durable.push_back(progress.match);
+    }
+    if (durable.size() < majority())
+        return;
+    std::sort(durable.rbegin(), durable.rend());
+    int64_t index = durable[majority() - 1];
+    // Only entries of the own term are committed by counting; earlier ones come with them.
+    if (index <= m_commit || termAt(index) != m_hardState.term)
+        return;
+    commitTo(index);
+    // Followers feed nodes too, so they learn of the commit at once and not with the next heartbeat.
+    broadcastAppend(m_now);
+}
+
+void Replica::commitTo(int64_t index)
+{
+    while (m_commit < index) {
+        const auto* entry = entryAt(++m_commit);
+        noteCommitted(*entry);
+        m_ready.committed.push_back(*entry);
+    }
+}
+
+void Replica::noteCommitted(const wire::Entry& entry)
+{
+    if (entry.kind != wire::EntryKind::REINSTATE)
+        return;
+    auto reinstate = base::decode<wire::Reinstate>(entry.data);
+    if (reinstate.member == m_options.self && reinstate.diskId == m_diskId && m_recovering) {
+        m_recovering = false;
+        m_ready.reinstated = true;
+    }
+}
+
+void Replica::compacted(wire::SnapshotRecord snapshot)
+{
+    if (m_snapshot && snapshot.index <= m_snapshot->index)
+        return;
+    int64_t keepFrom = snapshot.index - static_cast<int64_t>(m_options.keptEntries);
+    while (firstIndex() <= keepFrom && !m_log.empty()) {
+        m_logStartTerm = m_log.front().term;
+        m_log.pop_front();
+        ++m_logStart;
+    }
+    m_snapshot = std::move(snapshot);
+}
+
+// ---- messages ----
+
+void Replica::receive(const std::string& from, const Message& message, Instant now)
+{
+    m_now = now;
+    std::visit(
+        [&](const auto& it) {
+            using T = std::decay_t<decltype(it)>;
+            if constexpr (std::is_same_v<T, wire::VoteRequest>)
+                onVoteRequest(from, it, now);
+            else if constexpr (std::is_same_v<T, wire::VoteAnswer>)
+                onVoteAnswer(from, it, now);
+            else if constexpr (std::is_same_v<T, wire::AppendRequest>)
+                onAppendRequest(from, it, now);
+            else if constexpr (std::is_same_v<T, wire::AppendAnswer>)
+                onAppendAnswer(from, it, now);
+            else
+                onSnapshotRequest(from, it, now);
+        },
+        message);
+}
+
+bool Replica::isUpToDate(int64_t index, int64_t term) const
+{
+    int64_t ownTerm = termAt(lastIndex());
+    return term > ownTerm || (term == ownTerm && index >= lastIndex());
+}
+
+void Replica::onVoteRequest(const std::string& from, const wire::VoteRequest& request, Instant now)
+{
+    // A recovering host has forgotten its votes, so it must not vote. A host that hears a leader does not help to
+    // unseat it: that keeps the leader's lease and stops a host that returns from behind a partition.
+    bool hearsLeader = isLeader() || now - m_leaderContact < m_options.electionTimeout;
+    if (!canVote() || hearsLeader)
+        return;
+    wire::VoteAnswer answer;
+    answer.preVote = request.preVote;
+    if (request.preVote) {
+        answer.term = request.term;
+        answer.granted = request.term > m_hardState.term && isUpToDate(request.lastIndex, request.lastTerm);
+        if (!answer.granted)
+            answer.term = m_hardState.term;
+        m_ready.afterDurable.push_back({ from, answer });
+        return;
+    }
+    if (request.term > m_hardState.term)
+        becomeFollower(request.term, {}, now);
+    bool free = m_hardState.votedFor.empty() || m_hardState.votedFor == from;
+    answer.granted = request.term == m_hardState.term && free && isUpToDate(request.lastIndex, request.lastTerm);
+    answer.term = m_hardState.term;
+    if (answer.granted) {
+        m_hardState.votedFor = from;
+        m_ready.hardState = m_hardState;
+        resetElectionTimer(now);
+    }
+    m_ready.afterDurable.push_back({ from, answer });
+}
+
+void Replica::onVoteAnswer(const std::string& from, const wire::VoteAnswer& answer, Instant now)
+{
+    if (!answer.granted && answer.term > m_hardState.term)
+        return becomeFollower(answer.term, {}, now);
+    if (!answer.granted || !isVoter(from))
+        return;
+    bool counts = answer.preVote ? m_role == Role::PreCandidate && answer.term == m_hardState.term + 1
+                                 : m_role == Role::Candidate && answer.term == m_hardState.term;
+    if (!counts)
+        return;
+    m_votes.insert(from);
+    if (m_votes.size() < majority())
+        return;
+    if (answer.preVote)
+        startElection(now);
+    else
+        becomeLeader(now);
+}
+
+void Replica::answerAppend(const std::string& to, bool success, int64_t match, int64_t round)
+{
+    wire::AppendAnswer answer;
+    answer.term = m_hardState.term;
+    answer.success = success;
+    answer.match = match;
+    answer.round = round;
+    answer.recovering = m_recovering;
+    answer.diskId = m_diskId;
+    m_ready.afterDurable.push_back({ to, answer });
+}
+
+void Replica::onAppendRequest(const std::string& from, const wire::AppendRequest& request, Instant now)
+{
+    if (request.term < m_hardState.term)
+        return answerAppend(from, false, lastIndex(), 0);
+    becomeFollower(request.term, from, now);
+    m_leaderContact = now;
+    if (request.prevIndex < m_logStart)
+        return answerAppend(from, true, m_commit, request.round);
+    if (termAt(request.prevIndex) != request.prevTerm)
+        return answerAppend(from, false, std::min(lastIndex(), request.prevIndex - 1), request.round);
+    auto stored = static_cast<int64_t>(storeEntries(request.entries));
+    int64_t match = request.prevIndex + stored;
+    commitTo(std::max(m_commit, std::min(request.commit, match)));
+    answerAppend(from, true, match, request.round);
+}
+
+size_t Replica::storeEntries(const std::vector<wire::Entry>& entries)
+{
+    for (const auto& it : entries) {
+        if (termAt(it.index) == it.term)
+            continue;
+        if (it.index <= lastIndex())
+            truncateFrom(it.index);
+        appendEntry(it);
+    }
+    return entries.size();
+}
+
+void Replica::onAppendAnswer(const std::string& from, const wire::AppendAnswer& answer, Instant now)
+{
+    if (answer.term > m_hardState.term)
+        return becomeFollower(answer.term, {}, now);
+    auto it = m_progress.find(from);
+    if (!isLeader() || answer.term < m_hardState.term || it == m_progress.end())
+        return;
+    auto& progress = it->second;
+    progress.lastAck = now;
+    progress.recovering = answer.recovering;
+    progress.diskId = answer.diskId;
+    progress.ackedRound = std::max(progress.ackedRound, answer.round);
+    if (!answer.success) {
+        // Never below what the peer has acknowledged: a reordered refusal must not rewind it. A peer that lost its
+        // disk does have less than it once acknowledged, and says so.
+        progress.next = answer.recovering ? answer.match + 1 : std::max(progress.match + 1, answer.match + 1);
+        if (answer.recovering)
+            progress.match = std::min(progress.match, answer.match);
+        return sendAppend(from, now);
+    }
+    progress.match = std::max(progress.match, answer.match);
+    progress.next = std::max(progress.next, progress.match + 1);
+    if (progress.match >= firstIndex() - 1)
+        progress.snapshotSent = Instant();
+    advanceCommit();
+    maybeReinstate(from, progress, now);
+    if (progress.next <= lastIndex())
+        sendAppend(from, now);
+}
+
+// A host with a new disk may vote again once it holds everything that may have been committed. The entry that says so
+// is committed by the other voters, because a recovering host's acknowledgements do not count.
+void Replica::maybeReinstate(const std::string& peer, Progress& progress, Instant now)
+{
+    bool caughtUp = progress.match >= m_commit && isCurrent();
+    bool proposed = progress.reinstateProposed != Instant() && now - progress.reinstateProposed < REINSTATE_RETRY;
+    if (!progress.recovering || !isVoter(peer) || !caughtUp || proposed)
+        return;
+    progress.reinstateProposed = now;
+    wire::Reinstate reinstate;
+    reinstate.member = peer;
+    reinstate.diskId = progress.diskId;
+    propose(wire::EntryKind::REINSTATE, base::encode(reinstate), now);
+}
+
+void Replica::onSnapshotRequest(const std::string& from, const wire::SnapshotRequest& request, Instant now)
+{
+    if (request.term < m_hardState.term)
+        return answerAppend(from, false, lastIndex(), 0);
+    becomeFollower(request.term, from, now);
+    m_leaderContact = now;
+    const auto& snapshot = request.snapshot;
+    if (snapshot.index <= m_commit)
+        return answerAppend(from, true, m_commit, request.round);
+    m_log.clear();
+    m_ready.append.clear();
+    m_ready.committed.clear();
+    m_snapshot = snapshot;
+    m_logStart = snapshot.index;
+    m_logStartTerm = snapshot.term;
+    m_commit = snapshot.index;
+    m_persisted = snapshot.index;
+    m_memberships = { { snapshot.index, snapshot.membership } };
+    m_ready.install = snapshot;
+    answerAppend(from, true, snapshot.index, request.round);
+}
+
+Ready Replica::takeReady()
+{
+    Ready ready = std::move(m_ready);
+    m_ready = {};
+    return ready;
+}
+
+} // namespace pomelowind::members
--- /dev/null
+++ b/src/moves/EvidenceBook.cpp
@@ -0,0 +1,213 @@
+#include "pomelowind/moves/EvidenceBook.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <tuple>
+
+namespace pomelowind::moves {
+
+namespace {
+
+    using Dimension = wire::EvidenceDimension;
+
+    constexpr double FAILURE_TOLERANCE = 1.25;
+    constexpr double LATENCY_TOLERANCE = 1.6;
+    constexpr double SLOW_QUANTILE = 0.9;
+    constexpr int64_t LEAST_BASELINE = 20;
+    // Part of the faults that must lie outside the worst target before the version is blamed.
+    constexpr double LEAST_SPREAD = 0.15;
+    constexpr size_t MAX_TESTS = 256;
+
+    int64_t countAbove(const std::map<int16_t, int64_t>& buckets, int16_t limit)
+    {
+        int64_t n = 0;
+        for (auto it = buckets.upper_bound(limit); it != buckets.end(); ++it)
+            n += it->second;
+        return n;
+    }
+
+    int64_t countAll(const std::map<int16_t, int64_t>& buckets)
+    {
+        int64_t n = 0;
+        for (const auto& [bucket, count] : buckets)
+            n += count;
+        return n;
+    }
+
+    const char* dimensionName(Dimension::type dimension)
+    {
+        switch (dimension) {
+        case Dimension::ROUTE:
+            return "route";
+        case Dimension::ACCOUNT:
+            return "client account";
+        case Dimension::TARGET:
+            return "target";
+        }
+        return "unknown";
+    }
+
+}
+
+int16_t latencyBucket(int64_t micros)
+{
+    return static_cast<int16_t>(std::floor(2 * std::log2(static_cast<double>(std::max<int64_t>(1, micros)))));
+}
+
+EvidenceBook::EvidenceBook(std::string candidate, std::string stable, EvidenceOptions options)
+    : m_candidate(std::move(candidate))
+    , m_stable(std::move(stable))
+    , m_options(options)
+{
+}
+
+void EvidenceBook::add(const std::vector<wire::EvidenceCell>& cells)
+{
+    for (const auto& it : cells) {
+        bool isCandidate = it.version == m_candidate;
+        if (!isCandidate && it.version != m_stable)
+            continue;
+        if (it.dimension == Dimension::TARGET) {
+            if (isCandidate) {
+                m_candidateTargets[it.value].calls += it.calls;
+                m_candidateTargets[it.value].faults += it.failures;
+            }
+            continue;
+        }
+        auto& batch = m_batch[{ it.dimension, it.value, it.dataCentre }];
+        auto& sample = isCandidate ? batch.candidate : batch.stable;
+        sample.calls += it.calls;
+        sample.faults += it.failures;
+        auto& latency = isCandidate ? batch.candidateLatency : batch.stableLatency;
+        for (const auto& [bucket, count] : it.latency)
+            latency[bucket] += count;
+    }
+}
+
+void EvidenceBook::closeBatch()
+{
+    for (const auto& [key, batch] : m_batch) {
+        feed({ key.dimension, key.value, Measure::Failures }, batch.candidate, batch.stable);
+        if (key.dimension != Dimension::ROUTE)
+            continue;
+        m_candidateTotal.calls += batch.candidate.calls;
+        m_candidateTotal.faults += batch.candidate.faults;
+        m_stableTotal.calls += batch.stable.calls;
+        m_stableTotal.faults += batch.stable.faults;
+        feedLatency(key, batch);
+    }
+    m_batch.clear();
+}
+
+void EvidenceBook::feed(const Key& key, const Sample& candidate, const Sample& stable)
+{
+    auto it = m_tests.find(key);
+    if (it == m_tests.end()) {
+        if (m_tests.size() >= MAX_TESTS)
+            return;
+        double tolerance = key.measure == Measure::Latency ? LATENCY_TOLERANCE : FAILURE_TOLERANCE;
+        it = m_tests.emplace(key, Tests { SequentialTest(tolerance), {}, {}, {} }).first;
+    }
+    auto& tests = it->second;
+    tests.comparison.add(candidate, stable);
+    tests.candidate.calls += candidate.calls;
+    tests.candidate.faults += candidate.faults;
+    tests.stable.calls += stable.calls;
+    tests.stable.faults += stable.faults;
+    if (key.measure == Measure::Failures)
+        tests.rate.add(candidate, stable);
+}
+
+// A call is slow when it takes longer than 9 in 10 calls of the stable version took in earlier batches.
+void EvidenceBook::feedLatency(const BatchKey& key, const Batch& batch)
+{
+    auto& baseline = m_stableLatency[key.value];
+    if (baseline.total >= LEAST_BASELINE) {
+        int16_t limit = 0;
+        int64_t below = 0;
+        for (const auto& [bucket, count] : baseline.buckets) {
+            limit = bucket;
+            below += count;
+            if (static_cast<double>(below) >= SLOW_QUANTILE * static_cast<double>(baseline.total))
+                break;
+        }
+        Sample candidate { countAll(batch.candidateLatency), countAbove(batch.candidateLatency, limit) };
+        Sample stable { countAll(batch.stableLatency), countAbove(batch.stableLatency, limit) };
+        feed({ key.dimension, key.value, Measure::Latency }, candidate, stable);
+    }
+    for (const auto& [bucket, count] : batch.stableLatency) {
+        baseline.buckets[bucket] += count;
+        baseline.total += count;
+    }
+}
+
+// One target that fails alone is a host's fault and is ejected by the nodes; a bad version fails on more than one.
+bool EvidenceBook::isSpreadOverTargets(Measure measure) const
+{
+    if (measure == Measure::Latency || m_candidateTargets.size() < 2)
+        return true;
+    int64_t worst = 0;
+    int64_t all = 0;
+    for (const auto& [target, sample] : m_candidateTargets) {
+        worst = std::max(worst, sample.faults);
+        all += sample.faults;
+    }
+    auto others = all - worst;
+    return others >= 2 && static_cast<double>(others) >= LEAST_SPREAD * static_cast<double>(all);
+}
+
+std::string EvidenceBook::describe(const Key& key, const Tests& tests) const
+{
+    char buf[160];
+    const char* what = key.measure == Measure::Latency ? "slow" : "failed";
+    std::snprintf(buf, sizeof buf, "%lld of %lld calls %s on %s, against %lld of %lld on %s",
+        static_cast<long long>(tests.candidate.faults), static_cast<long long>(tests.candidate.calls), what,
+        m_candidate.c_str(), static_cast<long long>(tests.stable.faults), static_cast<long long>(tests.stable.calls),
+        m_stable.c_str());
+    return std::string(dimensionName(key.dimension)) + " " + key.value + ": " + buf;
+}
+
+EvidenceSummary EvidenceBook::summary() const
+{
+    EvidenceSummary out;
+    out.candidate = m_candidateTotal;
+    out.stable = m_stableTotal;
+    for (const auto& [key, tests] : m_tests) {
+        double comparison = tests.comparison.logEvidence();
+        bool compared = comparison > m_options.decideAt;
+        bool rated = key.measure == Measure::Failures && tests.rate.logEvidence() > m_options.decideAt
+            && comparison > m_options.supportAt;
+        bool isBad = (compared || rated) && isSpreadOverTargets(key.measure);
+        if (comparison > out.logEvidence || (isBad && !out.isBad)) {
+            out.logEvidence = comparison;
+            out.reason = describe(key, tests);
+        }
+        out.isBad = out.isBad || isBad;
+    }
+    return out;
+}
+
+std::vector<wire::EvidenceCell> mergeCells(const std::vector<wire::EvidenceCell>& cells)
+{
+    using Key = std::tuple<std::string, std::string, Dimension::type, std::string, std::string>;
+    std::map<Key, wire::EvidenceCell> sums;
+    for (const auto& it : cells) {
+        auto& sum = sums[{ it.serviceName, it.version, it.dimension, it.value, it.dataCentre }];
+        int64_t calls = sum.calls + it.calls;
+        int64_t failures = sum.failures + it.failures;
+        auto latency = std::move(sum.latency);
+        for (const auto& [bucket, count] : it.latency)
+            latency[bucket] += count;
+        sum = it;
+        sum.calls = calls;
+        sum.failures = failures;
+        sum.latency = std::move(latency);
+    }
+    std::vector<wire::EvidenceCell> out;
+    for (auto& [key, cell] : sums)
+        out.push_back(std::move(cell));
+    return out;
+}
+
+} // namespace pomelowind::moves
