--- /dev/null
+++ b/src/moves/MovePlanner.cpp
@@ -0,0 +1,191 @@
+#include "pomelowind/moves/MovePlanner.h"
+
+#include "pomelowind/moves/MoveMachine.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelowind::moves {
+
+namespace {
+
+    using wire::MoveEventKind;
+    using wire::MoveState;
+
+    constexpr int32_t LEAST_FIRST_PERMILLE = 10;
+    constexpr int32_t MOST_FIRST_PERMILLE = 250;
+    // Calls a second that the first step sends to the new version, so that a failure shows within seconds.
+    constexpr double FIRST_STEP_CALLS_PER_SECOND = 5;
+    constexpr double UNKNOWN_TRAFFIC_PERMILLE = 50;
+    constexpr double GROWTH = 2.5;
+    // The comparison of two versions learns most per call at an even split, so the plan stays there longest.
+    constexpr int32_t EVEN_SPLIT_PERMILLE = 500;
+    constexpr double EVEN_SPLIT_WEIGHT = 3;
+    constexpr int64_t LEAST_DWELL_MS = 700;
+    constexpr int64_t END_MARGIN_MS = 1500;
+    // With this many calls on the new version in one step, 5 failures in 100 would have shown.
+    constexpr int64_t CONVINCING_CALLS = 600;
+    constexpr int64_t WAIT_FOR_TARGETS_MS = 2000;
+    constexpr double OLD_CAPACITY_NEEDED = 0.9;
+    constexpr int LEAST_ALARMS = 2;
+    constexpr int ALARM_DIVISOR = 20;
+
+    wire::MoveEvent makeEvent(const wire::MoveRecord& move, MoveEventKind::type kind, const std::string& reason)
+    {
+        wire::MoveEvent event;
+        event.moveId = move.id;
+        event.step = move.step + 1;
+        event.kind = kind;
+        event.reason = reason;
+        return event;
+    }
+
+    double weightOf(int32_t permille) { return permille == EVEN_SPLIT_PERMILLE ? EVEN_SPLIT_WEIGHT : 1; }
+
+    // Time that the present step may take so that all later ones fit before the deadline.
+    int64_t plannedDwellMs(const wire::MoveRecord& move, const MoveView& view)
+    {
+        double ahead = 0;
+        for (int32_t share = nextShare(move.permille, view.callsPerSecond); share < TOP_PERMILLE;
+             share = nextShare(share, view.callsPerSecond))
+            ahead += weightOf(share);
+        int64_t rampEnd = move.deadlineMs - move.watchMs - END_MARGIN_MS;
+        auto left = static_cast<double>(std::max<int64_t>(0, rampEnd - move.stepMs));
+        double own = weightOf(move.permille);
+        return std::max(LEAST_DWELL_MS, static_cast<int64_t>(left * own / (own + ahead)));
+    }
+
+    // Highest share that the new version's announced slots can carry.
+    int32_t capacityPermille(const MoveView& view)
+    {
+        if (view.stableSlotsAtStart <= 0)
+            return TOP_PERMILLE;
+        int64_t permille = static_cast<int64_t>(FULL_PERMILLE) * view.candidateSlots / view.stableSlotsAtStart;
+        return static_cast<int32_t>(std::min<int64_t>(TOP_PERMILLE, permille));
+    }
+
+    bool oldVersionTooSmall(const wire::MoveRecord& move, const MoveView& view)
+    {
+        double needed = view.stableSlotsAtStart * (FULL_PERMILLE - move.permille) / static_cast<double>(FULL_PERMILLE);
+        return view.stableSlots < OLD_CAPACITY_NEEDED * needed;
+    }
+
+    bool mayRaise(const wire::MoveRecord& move, const MoveView& view)
+    {
+        int64_t dwell = view.wallMs - move.stepMs;
+        if (!view.inForce || dwell < LEAST_DWELL_MS)
+            return false;
+        bool convinced = view.evidence.candidate.calls - view.candidateCallsAtStep >= CONVINCING_CALLS
+            && view.evidence.logEvidence < 1;
+        return convinced || dwell >= plannedDwellMs(move, view);
+    }
+
+    std::optional<wire::MoveEvent> lateEvent(
+        const wire::MoveRecord& move, const MoveView& view, const std::string& reason)
+    {
+        if (move.late || view.wallMs < move.deadlineMs - move.watchMs)
+            return std::nullopt;
+        return makeEvent(move, MoveEventKind::LATE, reason);
+    }
+
+    std::optional<wire::MoveEvent> raiseTo(const wire::MoveRecord& move, const MoveView& view, int32_t share)
+    {
+        int32_t most = capacityPermille(view);
+        if (std::min(share, most) <= move.permille)
+            return lateEvent(move, view,
+                "version " + move.toVersion + " announces " + std::to_string(view.candidateSlots) + " slots of "
+                    + std::to_string(view.stableSlotsAtStart) + " needed; start more of its targets");
+        auto event = makeEvent(move, MoveEventKind::RAISE, "planned step");
+        event.permille = std::min(share, most);
+        event.slotsNeeded = view.stableSlotsAtStart;
+        return event;
+    }
+
+    std::optional<wire::MoveEvent> planStart(const wire::MoveRecord& move, const MoveView& view)
+    {
+        if (!view.candidateTargets)
+            return lateEvent(
+                move, view, "no target of version " + move.toVersion + " has announced itself; start its targets");
+        bool fewYet
+            = view.candidateSlots < view.stableSlotsAtStart && view.wallMs - move.startedMs < WAIT_FOR_TARGETS_MS;
+        if (fewYet)
+            return std::nullopt;
+        return raiseTo(move, view, nextShare(0, view.callsPerSecond));
+    }
+
+    std::optional<wire::MoveEvent> planRaise(const wire::MoveRecord& move, const MoveView& view)
+    {
+        if (oldVersionTooSmall(move, view))
+            return makeEvent(move, MoveEventKind::PAUSE,
+                "targets of version " + move.fromVersion + " leave before the move is done; keep them until then");
+        if (move.permille == TOP_PERMILLE) {
+            if (view.inForce)
+                return makeEvent(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
+            return lateEvent(move, view, "not in force on every reachable node yet");
+        }
+        if (!mayRaise(move, view))
+            return lateEvent(move, view, "the share is not in force on every reachable node yet");
+        return raiseTo(move, view, nextShare(move.permille, view.callsPerSecond));
+    }
+
+    std::optional<wire::MoveEvent> planResume(const wire::MoveRecord& move, const MoveView& view)
+    {
+        if (!oldVersionTooSmall(move, view))
+            return makeEvent(move, MoveEventKind::RESUME, "enough targets of both versions");
+        return lateEvent(move, view, move.reason);
+    }
+
+    std::optional<wire::MoveEvent> planWatch(const wire::MoveRecord& move, const MoveView& view)
+    {
+        if (view.wallMs - move.reachedMs >= move.watchMs)
+            return makeEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version during the watch");
+        return std::nullopt;
+    }
+
+}
+
+int32_t nextShare(int32_t permille, double callsPerSecond)
+{
+    if (permille <= 0) {
+        double share = callsPerSecond > 0 ? FULL_PERMILLE * FIRST_STEP_CALLS_PER_SECOND / callsPerSecond
+                                          : UNKNOWN_TRAFFIC_PERMILLE;
+        return std::clamp(static_cast<int32_t>(share), LEAST_FIRST_PERMILLE, MOST_FIRST_PERMILLE);
+    }
+    if (permille >= EVEN_SPLIT_PERMILLE)
+        return TOP_PERMILLE;
+    return std::min(EVEN_SPLIT_PERMILLE, static_cast<int32_t>(std::ceil(permille * GROWTH)));
+}
+
+int64_t expectedEndMs(const wire::MoveRecord& move, int64_t nowMs)
+{
+    if (isOver(move))
+        return move.endedMs;
+    if (move.state == MoveState::WATCHING)
+        return move.reachedMs + move.watchMs;
+    return std::max(nowMs, move.deadlineMs - END_MARGIN_MS);
+}
+
+std::optional<wire::MoveEvent> planMove(const wire::MoveRecord& move, const MoveView& view)
+{
+    if (isOver(move))
+        return std::nullopt;
+    if (view.evidence.isBad)
+        return makeEvent(move, MoveEventKind::BAD, view.evidence.reason);
+    if (view.alarms >= std::max(LEAST_ALARMS, view.nodes / ALARM_DIVISOR))
+        return makeEvent(
+            move, MoveEventKind::BAD, "several nodes stopped using the version by themselves: " + view.alarmReason);
+    switch (move.state) {
+    case MoveState::PLANNED:
+        return planStart(move, view);
+    case MoveState::RAISING:
+        return planRaise(move, view);
+    case MoveState::PAUSED:
+        return planResume(move, view);
+    case MoveState::WATCHING:
+        return planWatch(move, view);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace pomelowind::moves
--- /dev/null
+++ b/src/node/AnnounceApi.cpp
@@ -0,0 +1,107 @@
+#include "AnnounceApi.h"
+
+#include "pomelowind/base/Errors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::node {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr int MAX_SLOTS = 10000;
+
+    http::HttpResponse jsonResponse(int status, const json& body)
+    {
+        http::HttpResponse out;
+        out.status = status;
+        out.headers = { { "Content-Type", "application/json" } };
+        out.body = body.dump();
+        return out;
+    }
+
+    http::HttpResponse refuse(int status, const std::string& message, const std::string& remedy)
+    {
+        return jsonResponse(status, { { "error", "invalid_input" }, { "message", message }, { "remedy", remedy } });
+    }
+
+    wire::TargetState::type stateNamed(const std::string& name)
+    {
+        if (name == "starting")
+            return wire::TargetState::STARTING;
+        if (name == "serving")
+            return wire::TargetState::SERVING;
+        if (name == "leaving")
+            return wire::TargetState::LEAVING;
+        if (name == "gone")
+            return wire::TargetState::GONE;
+        throw base::UserError(
+            base::ErrorKind::InvalidInput, "unknown state '" + name + "'", "use starting, serving, leaving or gone");
+    }
+
+    Announcement parseAnnouncement(const std::string& body)
+    {
+        auto fields = json::parse(body);
+        Announcement out;
+        out.target = fields.at("target").get<std::string>();
+        out.serviceName = fields.at("service").get<std::string>();
+        out.version = fields.at("version").get<std::string>();
+        out.address = base::parseAddress(fields.at("address").get<std::string>());
+        out.slots = fields.at("slots").get<int>();
+        out.incarnation = fields.at("incarnation").get<int64_t>();
+        out.state = stateNamed(fields.at("state").get<std::string>());
+        if (out.target.empty() || out.serviceName.empty() || out.version.empty() || out.slots < 1
+            || out.slots > MAX_SLOTS)
+            throw base::UserError(
+                base::ErrorKind::InvalidInput, "a field is empty or out of range", "see docs/operate/targets.md");
+        return out;
+    }
+
+}
+
+AnnounceApi::AnnounceApi(const NodeSettings& settings, DistributionCore& core, const base::Clock& clock)
+    : m_settings(settings)
+    , m_core(core)
+    , m_clock(clock)
+{
+}
+
+void AnnounceApi::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
+{
+    if (request.path == "/v1/announce" && request.method == "POST")
+        return reply->send(announce(request.body));
+    if (request.path == "/v1/node" && request.method == "GET")
+        return reply->send(status());
+    reply->send(refuse(404, "no such resource", "use POST /v1/announce or GET /v1/node"));
+}
+
+http::HttpResponse AnnounceApi::announce(const std::string& body)
+{
+    try {
+        m_core.announced(parseAnnouncement(body), m_clock.now());
+        return jsonResponse(200, { { "node", m_settings.id }, { "lease_ms", m_settings.targetLease.count() } });
+    } catch (const base::UserError& e) {
+        return refuse(422, e.what(), e.remedy());
+    } catch (const json::exception& e) {
+        return refuse(422, std::string("malformed announcement: ") + e.what(), "see docs/operate/targets.md");
+    }
+}
+
+http::HttpResponse AnnounceApi::status() const
+{
+    json targets = json::array();
+    for (const auto& it : m_core.directory().liveTargets())
+        targets.push_back({ { "target", it.target }, { "version", it.version }, { "state", static_cast<int>(it.state) },
+            { "node", it.node } });
+    json services = json::object();
+    for (const auto* it : m_core.state().services())
+        services[it->name] = { { "stable", it->stable }, { "candidate", it->candidate }, { "permille", it->permille } };
+    return jsonResponse(200,
+        { { "node", m_settings.id }, { "data_centre", m_settings.dataCentre }, { "version", m_core.state().version() },
+            { "hash", std::to_string(m_core.state().hash()) }, { "serving", m_core.isServing() },
+            { "parent", m_core.parentId() }, { "admitted", m_core.isAdmitted() }, { "children", m_core.childCount() },
+            { "rejection", m_core.rejection() }, { "targets", targets }, { "services", services } });
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/AnnounceApi.h
@@ -0,0 +1,24 @@
+// The local HTTP interface of a node: targets announce themselves here, and it shows the node's state.
+#pragma once
+
+#include "DistributionCore.h"
+#include "pomelowind/http/HttpServer.h"
+
+namespace pomelowind::node {
+
+// Thread safety: confined to the distribution duty.
+class AnnounceApi final : public http::HttpHandler {
+public:
+    AnnounceApi(const NodeSettings& settings, DistributionCore& core, const base::Clock& clock);
+    void handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply) override;
+
+private:
+    http::HttpResponse announce(const std::string& body);
+    http::HttpResponse status() const;
+
+    const NodeSettings& m_settings;
+    DistributionCore& m_core;
+    const base::Clock& m_clock;
+};
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/CallHeaders.cpp
@@ -0,0 +1,54 @@
+#include "CallHeaders.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace pomelowind::node {
+
+namespace {
+
+    constexpr std::array<std::string_view, 13> LEFT_BEHIND = { "Connection", "Keep-Alive", "Proxy-Authenticate",
+        "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+        DEADLINE_HEADER, RETRIES_HEADER, DEPTH_HEADER };
+
+}
+
+std::vector<wire::Header> endToEndHeaders(const http::HttpHeaders& headers)
+{
+    std::vector<wire::Header> out;
+    for (const auto& it : headers) {
+        bool stays = std::any_of(LEFT_BEHIND.begin(), LEFT_BEHIND.end(),
+            [&](std::string_view name) { return http::equalNames(name, it.name); });
+        if (stays)
+            continue;
+        wire::Header header;
+        header.name = it.name;
+        header.value = it.value;
+        out.push_back(std::move(header));
+    }
+    return out;
+}
+
+const char* outcomeText(wire::Outcome::type outcome)
+{
+    switch (outcome) {
+    case wire::Outcome::RAN:
+        return "ran";
+    case wire::Outcome::NOT_RUN:
+        return NOT_RUN;
+    case wire::Outcome::UNKNOWN:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+int64_t headerNumber(const http::HttpHeaders& headers, std::string_view name, int64_t fallback)
+{
+    auto text = http::findHeader(headers, name);
+    int64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    return text.empty() || ec != std::errc() || end != text.data() + text.size() ? fallback : n;
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/CallPath.cpp
@@ -0,0 +1,540 @@
+#include "CallPath.h"
+
+#include "CallHeaders.h"
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::node {
+
+using base::Instant;
+using base::Micros;
+using base::Millis;
+using claims::ClaimDecision;
+using claims::KeyProblem;
+using wire::Outcome;
+
+namespace {
+
+    constexpr int64_t MOST_RETRIES = 2;
+    constexpr int64_t MOST_DEPTH = 16;
+    // An attempt that may be repeated gets this part of the time that is left, so that the repeat has the rest.
+    constexpr int FIRST_ATTEMPT_PERCENT = 60;
+    constexpr auto NODE_SLACK = Millis(20);
+    constexpr double RETRY_RESERVE_PER_SECOND = 5;
+    constexpr double RETRY_BURST = 50;
+    // A node decides alone only on evidence stronger than what the control hosts need for the whole mesh.
+    constexpr double LOCAL_DECIDE_AT = 11.5;
+    constexpr int FIRST_FAILURE_STATUS = 500;
+    constexpr int STATUS_UNAVAILABLE = 503;
+    constexpr int STATUS_TIMEOUT = 504;
+
+    std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy)
+    {
+        return nlohmann::json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump();
+    }
+
+    wire::Header header(const std::string& name, const std::string& value)
+    {
+        wire::Header out;
+        out.name = name;
+        out.value = value;
+        return out;
+    }
+
+    std::string retryAfterSeconds(int64_t ms) { return std::to_string(std::max<int64_t>(1, (ms + 999) / 1000)); }
+
+    const char* keyRemedy(KeyProblem problem)
+    {
+        switch (problem) {
+        case KeyProblem::NotUuidV7:
+            return "use a UUIDv7 as the Idempotency-Key";
+        case KeyProblem::FromFuture:
+            return "set the caller's clock; the key's time is in the future";
+        case KeyProblem::TooOld:
+            return "the key is older than 10 minutes; find out whether the request ran before sending it with a new "
+                   "key";
+        default:
+            return "try again; this node has no agreed claim holders at the moment";
+        }
+    }
+
+}
+
+// One call of a caller, from its arrival to its answer.
+struct CallPath::Call {
+    http::HttpRequest request;
+    std::shared_ptr<http::HttpReply> reply;
+    MeshViewPtr view;
+    const wire::Route* route { nullptr };
+    const wire::AccountResource* account { nullptr };
+    const wire::ServiceResource* service { nullptr };
+    Instant deadline;
+    int64_t retriesLeft { 0 };
+    int64_t depth { 0 };
+    int attempts { 0 };
+    std::set<std::string> tried;
+    std::optional<ClaimHandle> claim;
+    std::string version;
+    std::string target; // of the attempt in flight
+    bool ended { false };
+    int64_t peerCall { 0 };
+    uint64_t localCall { 0 };
+};
+
+CallPath::CallPath(
+    boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock, Observe observe, uint64_t seed)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_observe(std::move(observe))
+    , m_view(std::make_shared<MeshView>())
+    , m_peers(io, settings, *this)
+    , m_local(io, settings, clock)
+    , m_claimer(settings, m_peers, clock)
+    , m_balancer(settings.dataCentre, seed)
+    , m_retryBudget(RETRY_RESERVE_PER_SECOND, RETRY_BURST, clock.now())
+{
+    http::HttpLimits limits;
+    limits.bodyBytes = static_cast<size_t>(settings.maxBodyBytes);
+    limits.requestTimeout = settings.callerTimeout;
+    m_server = http::makeHttpServer(io, settings.callerAddress, limits, *this);
+}
+
+void CallPath::takeView(MeshViewPtr view)
+{
+    m_view = std::move(view);
+    m_balancer.retain(*m_view->targets);
+    for (const auto* service : m_view->config->services()) {
+        auto& watch = m_watches[service->name];
+        if (watch.moveId == service->moveId)
+            continue;
+        watch.moveId = service->moveId;
+        moves::EvidenceOptions options;
+        options.decideAt = LOCAL_DECIDE_AT;
+        watch.book = service->moveId.empty()
+            ? nullptr
+            : std::make_unique<moves::EvidenceBook>(service->candidate, service->stable, options);
+    }
+}
+
+// ---- arrival ----
+
+void CallPath::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
+{
+    ++m_counts.calls;
+    ++m_open;
+    auto call = std::make_shared<Call>();
+    call->request = std::move(request);
+    call->reply = std::move(reply);
+    call->view = m_view;
+    if (!admit(call))
+        return;
+    call->reply->onCancel([this, call] { cancelled(call); });
+    m_retryBudget.give(m_settings.retryShare);
+    if (!call->route->idempotent && !http::findHeader(call->request.headers, KEY_HEADER).empty())
+        return claim(call);
+    dispatch(call);
+}
+
+bool CallPath::refuseEarly(
+    const CallPtr& call, int status, const std::string& error, const std::string& message, const std::string& remedy)
+{
+    wire::CallAnswer answer;
+    answer.outcome = Outcome::NOT_RUN;
+    answer.status = status;
+    answer.headers = { header("Content-Type", "application/json") };
+    answer.body = errorBody(error, message, remedy);
+    finish(call, std::move(answer));
+    return false;
+}
+
+bool CallPath::admit(const CallPtr& call)
+{
+    const auto& headers = call->request.headers;
+    if (!m_view->serving || !m_view->routes)
+        return refuseEarly(
+            call, STATUS_UNAVAILABLE, "unavailable", "this node has no accepted configuration yet", "try again later");
+    auto match = m_view->routes->find(http::findHeader(headers, "Host"), call->request.path, call->request.method);
+    if (!match.route)
+        return refuseEarly(
+            call, 404, "not_found", "no route for this host and path", "check the Host header and the path");
+    if (!match.methodAllowed)
+        return refuseEarly(
+            call, 405, "invalid_input", "the route does not take " + call->request.method, "use a method of the route");
+    call->route = match.route;
+    call->account = match.account;
+    call->service = m_view->config->service(match.route->serviceName);
+    call->depth = headerNumber(headers, DEPTH_HEADER, 0);
+    if (call->depth >= MOST_DEPTH)
+        return refuseEarly(
+            call, 508, "invalid_input", "the call has passed too many nodes", "look for a loop between services");
+    bool isTop = call->depth == 0;
+    call->retriesLeft
+        = std::clamp<int64_t>(headerNumber(headers, RETRIES_HEADER, isTop ? MOST_RETRIES : 0), 0, MOST_RETRIES);
+    int64_t budget
+        = std::min<int64_t>(match.route->timeoutMs, headerNumber(headers, DEADLINE_HEADER, match.route->timeoutMs));
+    if (budget <= 0)
+        return refuseEarly(call, STATUS_TIMEOUT, "timeout", "the deadline has passed", "allow more time");
+    call->deadline = m_clock.now() + Millis(budget);
+    // A limit counts what callers ask for, so calls that targets make on their behalf are not counted again.
+    if (!isTop || !m_settings.limitsEnabled)
+        return true;
+    auto verdict = m_limiter.take(*call->account, m_clock.now());
+    if (verdict.allowed)
+        return true;
+    ++m_counts.limited;
+    wire::CallAnswer answer;
+    answer.outcome = Outcome::NOT_RUN;
+    answer.status = 429;
+    answer.headers = { header("Content-Type", "application/json"),
+        header("RateLimit-Limit", std::to_string(verdict.limit)), header("RateLimit-Remaining", "0") };
+    answer.retryAfterMs = static_cast<int32_t>(verdict.retryAfter.count());
+    answer.body
+        = errorBody("busy", "the client account's limit is reached", "send it again after the time in Retry-After");
+    finish(call, std::move(answer));
+    return false;
+}
+
+// ---- claims ----
+
+void CallPath::claim(const CallPtr& call)
+{
+    ClaimHandle handle;
+    handle.key = http::findHeader(call->request.headers, KEY_HEADER);
+    const auto* ring = call->view->config->claimRing();
+    if (ring)
+        handle.place = claims::placeClaim(*ring, handle.key, m_clock.wallMs(), call->view->claimsThroughMs);
+    else
+        handle.place.problem = KeyProblem::NoEpoch;
+    if (handle.place.problem != KeyProblem::None) {
+        bool isOurs = handle.place.problem == KeyProblem::NoEpoch;
+        // Of an old key nobody can say any more whether it ran.
+        wire::CallAnswer answer;
+        answer.outcome = handle.place.problem == KeyProblem::TooOld || isOurs ? Outcome::UNKNOWN : Outcome::NOT_RUN;
+        answer.status = isOurs ? STATUS_UNAVAILABLE : 422;
+        answer.headers = { header("Content-Type", "application/json") };
+        answer.body = errorBody(
+            isOurs ? "unavailable" : "invalid_input", "the request cannot be claimed", keyRemedy(handle.place.problem));
+        return finish(call, std::move(answer));
+    }
+    handle.owner = m_claimer.newOwner();
+    handle.fingerprint = static_cast<int64_t>(base::hash64(call->request.body,
+        base::hash64(call->account->name + "\n" + call->request.method + "\n" + call->request.path)));
+    call->claim = handle;
+    m_claimer.take(handle, call->deadline, [this, call](const ClaimOutcome& outcome) { claimed(call, outcome); });
+}
+
+void CallPath::claimed(const CallPtr& call, const ClaimOutcome& outcome)
+{
+    if (outcome.decision == ClaimDecision::Run) {
+        if (!call->ended)
+            return dispatch(call);
+        return m_claimer.release(*call->claim);
+    }
+    call->claim.reset();
+    wire::CallAnswer answer;
+    answer.headers = { header("Content-Type", "application/json") };
+    switch (outcome.decision) {
+    case ClaimDecision::Replay:
+        ++m_counts.replayed;
+        answer = outcome.answer;
+        answer.headers.push_back(header(REPLAYED_HEADER, "true"));
+        break;
+    case ClaimDecision::Conflict:
+        answer.outcome = Outcome::NOT_RUN;
+        answer.status = 422;
+        answer.body = errorBody(
+            "conflict", "the Idempotency-Key was used for another request", "use a new key for a new request");
+        break;
+    case ClaimDecision::NotRun:
+        answer.outcome = Outcome::NOT_RUN;
+        answer.status = STATUS_UNAVAILABLE;
+        answer.body = errorBody("unavailable", "the request could not be claimed", "send it again with the same key");
+        break;
+    default:
+        answer.outcome = Outcome::UNKNOWN;
+        answer.status = STATUS_TIMEOUT;
+        answer.body = errorBody(
+            "unavailable", "whether an earlier attempt ran cannot be told now", "send it again with the same key");
+        break;
+    }
+    finish(call, std::move(answer));
+}
+
+// ---- attempts ----
+
+std::optional<wire::Presence> CallPath::chooseTarget(const CallPtr& call)
+{
+    const auto& service = *call->service;
+    const auto& targets = *m_view->targets;
+    auto now = m_clock.now();
+    // Only a first attempt may go to a move's new version; what failed once goes where it is known to work.
+    std::string version = service.stable;
+    if (call->attempts == 0)
+        version = m_splitter.choose(service, m_view->beaconAt, now);
+    auto target = m_balancer.choose(targets, service.name, version, call->tried, now);
+    if (!target && version != service.stable) {
+        m_splitter.giveBack(service);
+        version = service.stable;
+        target = m_balancer.choose(targets, service.name, version, call->tried, now);
+    }
+    // Rather a target that was tried than none, when all others are gone.
+    if (!target && !call->tried.empty())
+        target = m_balancer.choose(targets, service.name, version, {}, now);
+    call->version = version;
+    return target;
+}
+
+void CallPath::dispatch(const CallPtr& call)
+{
+    auto target = chooseTarget(call);
+    if (!target) {
+        wire::CallAnswer answer;
+        answer.outcome = Outcome::NOT_RUN;
+        answer.reason = "no target of service '" + call->service->name + "' can take the call";
+        return finish(call, std::move(answer));
+    }
+    ++call->attempts;
+    call->tried.insert(target->target);
+    call->target = target->target;
+    send(call, *target);
+}
+
+void CallPath::send(const CallPtr& call, const wire::Presence& target)
+{
+    auto now = m_clock.now();
+    auto left = std::chrono::duration_cast<Millis>(call->deadline - now);
+    if (call->route->idempotent && call->retriesLeft > 0)
+        left = left * FIRST_ATTEMPT_PERCENT / 100;
+    left = std::max(left, Millis(1));
+    wire::CallRequest request;
+    request.method = call->request.method;
+    request.path = call->request.path;
+    request.headers = endToEndHeaders(call->request.headers);
+    request.headers.push_back(header(RETRIES_HEADER, std::to_string(call->retriesLeft)));
+    request.headers.push_back(header(DEPTH_HEADER, std::to_string(call->depth + 1)));
+    request.body = call->request.body;
+    request.budgetMs = static_cast<int32_t>(left.count());
+    request.serviceName = call->service->name;
+    request.target = target.target;
+    request.account = call->account->name;
+    request.priority = call->account->priority;
+    m_balancer.started(target.target);
+    auto done = [this, call, target, now](wire::CallAnswer answer) { answered(call, target, now, std::move(answer)); };
+    call->peerCall = 0;
+    call->localCall = 0;
+    if (target.node == m_settings.id)
+        call->localCall = m_local.call(std::move(request), done);
+    else
+        call->peerCall = m_peers.call(target.callAddress, std::move(request), left + NODE_SLACK, now, done);
+}
+
+void CallPath::answered(const CallPtr& call, const wire::Presence& target, Instant sentAt, wire::CallAnswer answer)
+{
+    auto latency = std::chrono::duration_cast<Micros>(m_clock.now() - sentAt);
+    observe(call, target, latency, answer);
+    if (call->ended) {
+        // The caller has gone; its claim still gets what became of the request.
+        if (call->claim && answer.outcome != Outcome::NOT_RUN)
+            m_claimer.complete(*call->claim, answer);
+        else if (call->claim)
+            m_claimer.release(*call->claim);
+        return;
+    }
+    if (answer.outcome != Outcome::RAN && mayRetry(call, answer)) {
+        --call->retriesLeft;
+        ++m_counts.retries;
+        return dispatch(call);
+    }
+    finish(call, std::move(answer));
+}
+
+void CallPath::observe(
+    const CallPtr& call, const wire::Presence& target, Micros latency, const wire::CallAnswer& answer)
+{
+    targets::Observation observation { target.target, answer.fault, answer.refused, latency, answer.inFlight,
+        answer.queued };
+    m_balancer.ended(observation, m_clock.now());
+    // A refusal by the target's gate says how busy it is, not whether the version is good.
+    bool underMove = !call->service->candidate.empty();
+    if (!underMove || answer.refused || call->ended)
+        return;
+    callers::CallRecord record;
+    record.serviceName = call->service->name;
+    record.version = target.version;
+    record.route = call->route->path;
+    record.account = call->account->name;
+    record.target = target.target;
+    record.dataCentre = target.dataCentre;
+    record.failed = answer.outcome != Outcome::RAN || answer.status >= FIRST_FAILURE_STATUS;
+    record.latency = latency;
+    record.countLatency = !answer.cold && !record.failed;
+    m_evidence.record(record);
+}
+
+// What surely did not run may be sent elsewhere; what may have run only when running it twice does no harm.
+bool CallPath::mayRetry(const CallPtr& call, const wire::CallAnswer& answer)
+{
+    bool safe = answer.outcome == Outcome::NOT_RUN || call->route->idempotent;
+    bool hasTime = call->deadline - m_clock.now() > Millis(1);
+    return safe && hasTime && call->retriesLeft > 0 && m_retryBudget.tryTake(m_clock.now());
+}
+
+// ---- the answer ----
+
+void CallPath::finish(const CallPtr& call, wire::CallAnswer answer)
+{
+    call->ended = true;
+    if (call->claim) {
+        if (answer.outcome == Outcome::NOT_RUN)
+            m_claimer.release(*call->claim);
+        else
+            m_claimer.complete(*call->claim, answer);
+    }
+    reply(call, answer);
+    --m_open;
+}
+
+void CallPath::reply(const CallPtr& call, const wire::CallAnswer& answer)
+{
+    m_counts.notRun += answer.outcome == Outcome::NOT_RUN ? 1 : 0;
+    m_counts.unknown += answer.outcome == Outcome::UNKNOWN ? 1 : 0;
+    http::HttpResponse response;
+    response.status = answer.status;
+    for (const auto& it : answer.headers) {
+        if (!http::equalNames(it.name, OUTCOME_HEADER))
+            response.headers.push_back({ it.name, it.value });
+    }
+    response.body = answer.body;
+    if (!response.status || (answer.outcome == Outcome::UNKNOWN && response.status < 400)) {
+        bool notRun = answer.outcome == Outcome::NOT_RUN;
+        response.status = notRun ? STATUS_UNAVAILABLE : STATUS_TIMEOUT;
+        response.headers = { { "Content-Type", "application/json" } };
+        const char* remedy
+            = notRun ? "send it again" : "send it again if it is idempotent or carries an Idempotency-Key";
+        response.body = errorBody(notRun ? "unavailable" : "timeout", answer.reason, remedy);
+    }
+    if (answer.outcome == Outcome::NOT_RUN && (response.status == STATUS_UNAVAILABLE || response.status == 429))
+        response.headers.push_back({ "Retry-After", retryAfterSeconds(answer.retryAfterMs) });
+    response.headers.push_back({ OUTCOME_HEADER, outcomeText(answer.outcome) });
+    if (!call->version.empty() && answer.outcome == Outcome::RAN)
+        response.headers.push_back({ VERSION_HEADER, call->version });
+    call->reply->send(std::move(response));
+}
+
+void CallPath::cancelled(const CallPtr& call)
+{
+    if (call->ended)
+        return;
+    call->ended = true;
+    --m_open;
+    // A claimed request is let run to its end: its first answer is what a resend will ask for.
+    if (call->claim)
+        return;
+    if (call->peerCall)
+        m_peers.cancel(call->peerCall);
+    if (call->localCall)
+        m_local.cancel(call->localCall);
+    // The balancer's count of calls in flight is settled here, because a cancelled call gets no answer.
+    if (call->peerCall || call->localCall) {
+        targets::Observation observation;
+        observation.refused = true;
+        observation.target = call->target;
+        m_balancer.ended(observation, m_clock.now());
+    }
+}
+
+// ---- requests of other nodes ----
+
+void CallPath::onCall(const void* origin, wire::CallRequest request, CallDone done)
+{
+    auto key = std::make_pair(origin, request.id);
+    auto ended = std::make_shared<bool>(false);
+    uint64_t id = m_local.call(std::move(request), [this, key, ended, done = std::move(done)](wire::CallAnswer answer) {
+        *ended = true;
+        m_remoteCalls.erase(key);
+        done(std::move(answer));
+    });
+    if (!*ended)
+        m_remoteCalls[key] = id;
+}
+
+void CallPath::onCancel(const void* origin, int64_t id)
+{
+    auto it = m_remoteCalls.find({ origin, id });
+    if (it == m_remoteCalls.end())
+        return;
+    m_local.cancel(it->second);
+    m_remoteCalls.erase(it);
+}
+
+wire::ClaimAnswer CallPath::onClaim(const wire::ClaimRequest& request) { return m_claimer.serve(request, m_view); }
+
+// ---- periodic work ----
+
+void CallPath::sweep()
+{
+    auto now = m_clock.now();
+    m_peers.sweep(now);
+    m_claimer.sweep(now);
+    m_local.sweep();
+    if (m_drained && m_serverDrained && m_open == 0 && m_local.running() == 0) {
+        auto done = std::move(m_drained);
+        m_drained = nullptr;
+        done();
+    }
+}
+
+void CallPath::reportEvidence()
+{
+    wire::Report report;
+    report.evidence = m_evidence.take();
+    judgeMoves(report.evidence, report);
+    if (!report.evidence.empty() || !report.alarms.empty())
+        m_observe(std::move(report));
+}
+
+// A node that sees the new version fail stops using it at once, without asking, and says so.
+void CallPath::judgeMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report)
+{
+    for (auto& [service, watch] : m_watches) {
+        if (!watch.book || m_splitter.isSuppressed(watch.moveId))
+            continue;
+        std::vector<wire::EvidenceCell> own;
+        for (const auto& it : cells) {
+            if (it.serviceName == service)
+                own.push_back(it);
+        }
+        watch.book->add(own);
+        watch.book->closeBatch();
+        auto summary = watch.book->summary();
+        if (!summary.isBad)
+            continue;
+        m_splitter.suppress(watch.moveId);
+        wire::Alarm alarm;
+        alarm.moveId = watch.moveId;
+        alarm.node = m_settings.id;
+        alarm.reason = summary.reason;
+        report.alarms.push_back(alarm);
+        base::logWarn("move.suppressed", { { "move", watch.moveId }, { "reason", summary.reason } });
+    }
+}
+
+void CallPath::drain(std::function<void()> done)
+{
+    m_drained = std::move(done);
+    m_server->drain(m_settings.drainGrace, [this] {
+        m_serverDrained = true;
+        m_local.leave();
+    });
+}
+
+void CallPath::close()
+{
+    m_server->close();
+    m_peers.close();
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/DistributionCore.cpp
@@ -0,0 +1,569 @@
+#include "DistributionCore.h"
+
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/moves/EvidenceBook.h"
+
+#include <algorithm>
+
+namespace pomelowind::node {
+
+using base::Instant;
+using base::Millis;
+using links::FrameKind;
+
+namespace {
+
+    constexpr auto ATTEMPT_TIMEOUT = Millis(2500);
+    constexpr auto CHOOSE_PERIOD = Millis(1000);
+    constexpr auto HEARTBEAT_PERIOD = Millis(2000);
+    constexpr auto EVIDENCE_PERIOD = Millis(250);
+    constexpr auto DIGEST_PERIOD = Millis(5000);
+    constexpr auto FIRST_DIGEST = Millis(300);
+    constexpr auto BEACON_LIFETIME = Millis(3000);
+    constexpr auto BEHIND_LIMIT = Millis(1000);
+    constexpr auto SUBTREE_WINDOW = Millis(5000);
+    constexpr auto GONE_RETENTION = Millis(600000);
+    // A node that starts while cut off serves after it has compared itself with peers for this long.
+    constexpr auto CUT_OFF_WAIT = Millis(3000);
+    constexpr int CUT_OFF_ANSWERS = 1;
+
+    nodes::FeederOptions relayOptions()
+    {
+        nodes::FeederOptions out;
+        out.children = 32;
+        return out;
+    }
+
+    // Control hosts of the own data centre first; the others in an order that differs between nodes.
+    std::vector<nodes::Parent> controlParents(const NodeSettings& settings)
+    {
+        auto hosts = settings.control;
+        std::sort(hosts.begin(), hosts.end(), [&](const ControlAddress& a, const ControlAddress& b) {
+            bool nearA = a.dataCentre == settings.dataCentre;
+            bool nearB = b.dataCentre == settings.dataCentre;
+            if (nearA != nearB)
+                return nearA;
+            return base::rendezvousScore(settings.id, a.id) > base::rendezvousScore(settings.id, b.id);
+        });
+        std::vector<nodes::Parent> out;
+        for (const auto& it : hosts)
+            out.push_back({ it.id, it.address, true });
+        return out;
+    }
+
+}
+
+DistributionCore::DistributionCore(
+    const NodeSettings& settings, DistributionOutputs& outputs, Instant now, int64_t wallMs, uint64_t seed)
+    : m_settings(settings)
+    , m_outputs(outputs)
+    , m_random(seed)
+    , m_chooser(settings.id, settings.dataCentre, controlParents(settings), seed + 1)
+    , m_feeder(relayOptions(), now)
+    , m_state(std::make_shared<config::ConfigState>())
+    , m_active(m_state)
+    , m_routes(std::make_shared<RouteTable>())
+    , m_incarnation(wallMs)
+    , m_heartbeatDue(now)
+    , m_digestDue(now + FIRST_DIGEST)
+    , m_started(now)
+{
+}
+
+wire::NodeInfo DistributionCore::selfInfo(bool isGone)
+{
+    wire::NodeInfo out;
+    out.node = m_settings.id;
+    out.dataCentre = m_settings.dataCentre;
+    out.meshAddress = m_settings.meshAdvertised.text();
+    out.callAddress = m_settings.callAdvertised.text();
+    out.incarnation = m_incarnation;
+    out.sequence = m_sequence;
+    out.gone = isGone;
+    return out;
+}
+
+bool DistributionCore::beaconIsFresh(Instant now) const
+{
+    return m_beaconAt != Instant() && now - m_beaconAt < BEACON_LIFETIME;
+}
+
+// ---- the parent ----
+
+void DistributionCore::chooseParent(Instant now)
+{
+    if (m_leaving)
+        return;
+    bool attemptFailed = m_parent && !m_admitted && now >= m_attemptDue;
+    bool silent = m_parent && m_admitted && !beaconIsFresh(now) && now >= m_attemptDue;
+    if (attemptFailed || silent) {
+        base::logInfo("parent.lost", { { "parent", m_parent->id }, { "silent", silent ? 1 : 0 } });
+        m_chooser.failed(m_parent->id, now);
+        m_parent.reset();
+    }
+    if (now < m_chooseDue && m_parent)
+        return;
+    m_chooseDue = now + CHOOSE_PERIOD;
+    auto best = m_chooser.choose(m_directory.liveNodes(m_settings.dataCentre), now);
+    // While cut off nobody has a beacon; the present parent is then as good as any.
+    if (!best || (m_parent && (*best == *m_parent || !m_admitted)))
+        return;
+    m_parent = best;
+    m_linked = false;
+    m_admitted = false;
+    m_attemptDue = now + ATTEMPT_TIMEOUT;
+    m_outputs.connectParent(m_parent);
+}
+
+void DistributionCore::parentReady(const std::string& parent, Instant now)
+{
+    if (!m_parent || parent != m_parent->id)
+        return;
+    m_linked = true;
+    m_attemptDue = now + ATTEMPT_TIMEOUT;
+    subscribe(m_state->version());
+}
+
+void DistributionCore::subscribe(int64_t base)
+{
+    ++m_sequence;
+    wire::Subscribe request;
+    request.node = selfInfo(false);
+    request.base = base;
+    request.hash = static_cast<int64_t>(m_state->hash());
+    m_outputs.sendParent(FrameKind::SUBSCRIBE, base::encode(request));
+}
+
+void DistributionCore::parentClosed(const std::string& parent, Instant now)
+{
+    if (!m_parent || parent != m_parent->id)
+        return;
+    m_chooser.failed(m_parent->id, now);
+    m_parent.reset();
+    m_linked = false;
+    m_admitted = false;
+    m_outputs.connectParent(std::nullopt);
+    chooseParent(now);
+}
+
+void DistributionCore::subscribeAnswer(const wire::SubscribeAnswer& answer, Instant now)
+{
+    if (!m_parent)
+        return;
+    if (!answer.admitted) {
+        m_chooser.refused(m_parent->id, Millis(std::max(50, answer.retryAfterMs)), now);
+        m_parent.reset();
+        m_linked = false;
+        m_outputs.connectParent(std::nullopt);
+        return;
+    }
+    m_admitted = true;
+    m_attemptDue = now + BEACON_LIFETIME;
+    m_chooser.succeeded(m_parent->id);
+    if (answer.fresh || m_parent->isControl) {
+        m_floorKnown = true;
+        m_floor = std::max({ m_floor, answer.floor, answer.version });
+    }
+    base::logInfo(
+        "parent.admitted", { { "parent", m_parent->id }, { "version", answer.version }, { "floor", answer.floor } });
+    std::vector<wire::NodeInfo> members = answer.directory;
+    members.push_back(selfInfo(false));
+    mergePresence(members, {}, now, false);
+    reportSubtree(now);
+    updateServing(now);
+}
+
+void DistributionCore::parentFrame(links::Kind kind, std::string_view payload, Instant now)
+{
+    switch (kind) {
+    case FrameKind::SUBSCRIBE_ANSWER:
+        return subscribeAnswer(base::decode<wire::SubscribeAnswer>(payload), now);
+    case FrameKind::DELTA:
+        return takeDelta(base::decode<wire::Delta>(payload), now);
+    case FrameKind::SPREAD:
+        return takeSpread(base::decode<wire::Spread>(payload), now);
+    default:
+        throw base::UserError(
+            base::ErrorKind::Protocol, "unexpected frame from the parent", "run the same release on all hosts");
+    }
+}
+
+// ---- configuration ----
+
+void DistributionCore::takeDelta(const wire::Delta& delta, Instant now)
+{
+    auto result = m_state->apply(delta);
+    switch (result.refusal) {
+    case config::ApplyRefusal::None:
+        break;
+    case config::ApplyRefusal::Older:
+        return;
+    case config::ApplyRefusal::WrongBase:
+    case config::ApplyRefusal::WrongHash:
+        base::logWarn(
+            "config.resync", { { "refusal", config::refusalName(result.refusal) }, { "detail", result.detail } });
+        if (delta.base && m_admitted)
+            subscribe(0);
+        return;
+    default:
+        m_rejection = std::string(config::refusalName(result.refusal)) + ": " + result.detail;
+        base::logError("config.rejected", { { "version", delta.version }, { "reason", m_rejection } });
+        acknowledge(now);
+        return;
+    }
+    // The next state stands beside the present one until it is complete; then one pointer changes.
+    m_state = result.state;
+    m_active = std::make_shared<const config::ConfigState>(m_state->closure(m_settings.services));
+    m_routes = std::make_shared<const RouteTable>(m_active);
+    m_rejection.clear();
+    m_feeder.publish(m_state);
+    base::logDebug("config.applied", { { "version", m_state->version() } });
+    updateServing(now);
+    m_viewDirty = true;
+    publish();
+    feedChildren();
+    acknowledge(now);
+}
+
+void DistributionCore::feedChildren()
+{
+    for (const auto& it : m_feeder.takeFeeds())
+        m_outputs.sendChild(it.child, FrameKind::DELTA, *it.delta);
+}
+
+void DistributionCore::acknowledge(Instant now)
+{
+    wire::NodeAck ack;
+    ack.node = m_settings.id;
+    ack.version = m_state->version();
+    ack.rejection = m_rejection;
+    for (const auto& it : m_acks.merge({ ack }, now))
+        m_pending.acks.push_back(it);
+}
+
+// A restarted node has no state of its own. It serves once it runs at least what it may have run before: what the
+// control hosts last saw of it, or while cut off what its peers have.
+void DistributionCore::updateServing(Instant now)
+{
+    if (m_serving)
+        return;
+    if (!m_floorKnown && !beaconIsFresh(now) && now - m_started >= CUT_OFF_WAIT && m_digestAnswers >= CUT_OFF_ANSWERS) {
+        m_floorKnown = true;
+        base::logWarn("node.serving_cut_off", { { "floor", m_floor } });
+    }
+    if (!m_floorKnown || !m_state->version() || m_state->version() < m_floor)
+        return;
+    m_serving = true;
+    m_viewDirty = true;
+    base::logInfo("node.serving", { { "version", m_state->version() }, { "floor", m_floor } });
+}
+
+// ---- presence ----
+
+void DistributionCore::mergePresence(
+    const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets, Instant now, bool fromBelow)
+{
+    auto change = m_directory.merge(nodes, targets, now);
+    if (change.empty())
+        return;
+    m_viewDirty = true;
+    wire::Spread out;
+    out.nodes = change.nodes;
+    out.targets = change.targets;
+    spreadToChildren(out, {});
+    if (!fromBelow)
+        return;
+    m_pending.nodes.insert(m_pending.nodes.end(), change.nodes.begin(), change.nodes.end());
+    m_pending.targets.insert(m_pending.targets.end(), change.targets.begin(), change.targets.end());
+}
+
+void DistributionCore::spreadToChildren(const wire::Spread& spread, const std::string& except)
+{
+    std::string payload = base::encode(spread);
+    for (const auto& it : m_feeder.connected()) {
+        if (it != except)
+            m_outputs.sendChild(it, FrameKind::SPREAD, payload);
+    }
+}
+
+void DistributionCore::takeSpread(const wire::Spread& spread, Instant now)
+{
+    mergePresence(spread.nodes, spread.targets, now, false);
+    if (spread.__isset.beacon)
+        takeBeacon(spread.beacon, now);
+    publish();
+}
+
+void DistributionCore::takeBeacon(const wire::Beacon& beacon, Instant now)
+{
+    bool newer = beacon.term > m_beacon.term || (beacon.term == m_beacon.term && beacon.sequence > m_beacon.sequence);
+    if (!newer)
+        return;
+    m_beacon = beacon;
+    m_beaconAt = now;
+    m_viewDirty = true;
+    wire::Spread out;
+    out.__set_beacon(beacon);
+    spreadToChildren(out, {});
+    bool behind = beacon.version > m_state->version();
+    if (!behind)
+        m_behindSince = Instant();
+    else if (m_behindSince == Instant())
+        m_behindSince = now;
+    else if (now - m_behindSince >= BEHIND_LIMIT && m_admitted) {
+        m_behindSince = now;
+        subscribe(m_state->version());
+    }
+}
+
+// ---- children ----
+
+void DistributionCore::childFrame(const std::string& child, links::Kind kind, std::string_view payload, Instant now)
+{
+    switch (kind) {
+    case FrameKind::SUBSCRIBE:
+        return takeChildSubscribe(child, base::decode<wire::Subscribe>(payload), now);
+    case FrameKind::REPORT:
+        return takeReport(base::decode<wire::Report>(payload), now);
+    default:
+        throw base::UserError(
+            base::ErrorKind::Protocol, "unexpected frame from a node", "run the same release on all hosts");
+    }
+}
+
+void DistributionCore::takeChildSubscribe(const std::string& child, const wire::Subscribe& request, Instant now)
+{
+    wire::SubscribeAnswer answer;
+    auto admission
+        = m_leaving ? nodes::Admission { false, ATTEMPT_TIMEOUT } : m_feeder.subscribe(request.node, request.base, now);
+    answer.admitted = admission.admitted;
+    answer.retryAfterMs = static_cast<int32_t>(admission.retryAfter.count());
+    answer.version = m_state->version();
+    answer.floor = m_acks.versionOf(child);
+    answer.fresh = beaconIsFresh(now) && m_state->version() >= m_beacon.version;
+    if (answer.admitted)
+        answer.directory = m_directory.liveNodes(m_settings.dataCentre);
+    m_outputs.sendChild(child, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
+    if (!answer.admitted)
+        return;
+    mergePresence({ request.node }, {}, now, true);
+    wire::Spread all;
+    all.nodes = m_directory.liveNodes();
+    all.targets = m_directory.allTargets();
+    if (beaconIsFresh(now))
+        all.__set_beacon(m_beacon);
+    m_outputs.sendChild(child, FrameKind::SPREAD, base::encode(all));
+    feedChildren();
+}
+
+void DistributionCore::childDisconnected(const std::string& child, Instant now) { m_feeder.disconnected(child, now); }
+
+void DistributionCore::takeReport(const wire::Report& report, Instant now)
+{
+    mergePresence(report.nodes, report.targets, now, true);
+    for (const auto& it : m_acks.merge(report.acks, now))
+        m_pending.acks.push_back(it);
+    m_pending.alarms.insert(m_pending.alarms.end(), report.alarms.begin(), report.alarms.end());
+    m_pending.evidence.insert(m_pending.evidence.end(), report.evidence.begin(), report.evidence.end());
+    publish();
+}
+
+void DistributionCore::observed(const wire::Report& report)
+{
+    m_pending.alarms.insert(m_pending.alarms.end(), report.alarms.begin(), report.alarms.end());
+    m_pending.evidence.insert(m_pending.evidence.end(), report.evidence.begin(), report.evidence.end());
+}
+
+// After a change of parent, everything that lives below this node is told again.
+void DistributionCore::reportSubtree(Instant now)
+{
+    wire::Report report;
+    report.nodes.push_back(selfInfo(false));
+    report.acks = m_acks.fresh(now, SUBTREE_WINDOW);
+    for (const auto& it : report.acks) {
+        const auto* node = m_directory.findNode(it.node);
+        if (node && it.node != m_settings.id)
+            report.nodes.push_back(*node);
+    }
+    for (const auto& it : m_directory.allTargets()) {
+        bool below = std::any_of(
+            report.nodes.begin(), report.nodes.end(), [&](const wire::NodeInfo& n) { return n.node == it.node; });
+        if (below)
+            report.targets.push_back(it);
+    }
+    m_outputs.sendParent(FrameKind::REPORT, base::encode(report));
+}
+
+void DistributionCore::flushReport()
+{
+    if (!m_admitted) {
+        // Presence and acknowledgements are told again on admission; counts of lost periods are given up.
+        m_pending = {};
+        return;
+    }
+    wire::Report out = std::move(m_pending);
+    m_pending = {};
+    out.evidence = moves::mergeCells(out.evidence);
+    m_outputs.sendParent(FrameKind::REPORT, base::encode(out));
+}
+
+// ---- digests ----
+
+std::string DistributionCore::answerDigest(std::string_view payload) const
+{
+    auto digest = base::decode<wire::Digest>(payload);
+    wire::DigestAnswer answer;
+    answer.version = m_state->version();
+    if (m_state->version() > digest.version)
+        answer.__set_delta(m_state->deltaSince(digest.version));
+    auto differing = m_directory.differing(digest.buckets);
+    answer.nodes = std::move(differing.nodes);
+    answer.targets = std::move(differing.targets);
+    return base::encode(answer);
+}
+
+void DistributionCore::exchangeDigest(Instant now)
+{
+    auto jitter = Millis(static_cast<int64_t>(m_random.below(DIGEST_PERIOD.count() / 2)));
+    m_digestDue = now + (m_serving ? DIGEST_PERIOD : CUT_OFF_WAIT / 4) + jitter;
+    std::vector<base::Address> peers = m_serving ? std::vector<base::Address>() : m_settings.seeds;
+    for (const auto& it : m_directory.liveNodes(m_settings.dataCentre)) {
+        if (it.node != m_settings.id)
+            peers.push_back(base::parseAddress(it.meshAddress));
+    }
+    std::erase(peers, m_settings.meshAdvertised);
+    if (peers.empty())
+        return;
+    wire::Digest digest;
+    digest.version = m_state->version();
+    digest.hash = static_cast<int64_t>(m_state->hash());
+    for (uint64_t it : m_directory.digest())
+        digest.buckets.push_back(static_cast<int64_t>(it));
+    m_outputs.exchangeDigest(peers[m_random.below(peers.size())], base::encode(digest));
+}
+
+void DistributionCore::digestAnswered(std::string_view payload, Instant now)
+{
+    auto answer = base::decode<wire::DigestAnswer>(payload);
+    ++m_digestAnswers;
+    m_floor = std::max(m_floor, m_serving ? m_floor : answer.version);
+    mergePresence(answer.nodes, answer.targets, now, true);
+    if (answer.__isset.delta)
+        takeDelta(answer.delta, now);
+    updateServing(now);
+    publish();
+}
+
+// ---- targets of this host ----
+
+void DistributionCore::announced(const Announcement& announcement, Instant now)
+{
+    auto& slot = m_localTargets[announcement.target];
+    bool changed = !(slot.announcement == announcement);
+    slot.announcement = announcement;
+    slot.leaseEnd = now + m_settings.targetLease;
+    if (!changed)
+        return;
+    reportTarget(slot, now);
+    publish();
+}
+
+void DistributionCore::reportTarget(const LocalTarget& target, Instant now)
+{
+    const auto& it = target.announcement;
+    wire::Presence presence;
+    presence.target = it.target;
+    presence.serviceName = it.serviceName;
+    presence.version = it.version;
+    presence.dataCentre = m_settings.dataCentre;
+    presence.node = m_settings.id;
+    presence.callAddress = m_settings.callAdvertised.text();
+    presence.incarnation = std::max(it.incarnation, m_incarnation);
+    presence.sequence = ++m_presenceSequence;
+    bool leaves = m_leaving && it.state != wire::TargetState::GONE;
+    presence.state = leaves ? wire::TargetState::LEAVING : it.state;
+    presence.slots = it.slots;
+    base::logInfo("target.announced",
+        { { "target", it.target }, { "service", it.serviceName }, { "version", it.version },
+            { "state", static_cast<int>(presence.state) } });
+    mergePresence({}, { presence }, now, true);
+    std::vector<Announcement> local;
+    for (const auto& [name, slot] : m_localTargets) {
+        if (slot.announcement.state != wire::TargetState::GONE)
+            local.push_back(slot.announcement);
+    }
+    m_outputs.publishLocalTargets(std::move(local));
+}
+
+void DistributionCore::expireTargets(Instant now)
+{
+    for (auto& [name, slot] : m_localTargets) {
+        if (now < slot.leaseEnd || slot.announcement.state == wire::TargetState::GONE)
+            continue;
+        base::logWarn("target.lease_ended", { { "target", name } });
+        slot.announcement.state = wire::TargetState::GONE;
+        reportTarget(slot, now);
+    }
+}
+
+void DistributionCore::leave(Instant now)
+{
+    m_leaving = true;
+    for (const auto& [name, slot] : m_localTargets)
+        reportTarget(slot, now);
+    flushReport();
+    publish();
+}
+
+void DistributionCore::gone(Instant now)
+{
+    ++m_sequence;
+    mergePresence({ selfInfo(true) }, {}, now, true);
+    flushReport();
+}
+
+// ---- periodic work ----
+
+void DistributionCore::tick(Instant now)
+{
+    chooseParent(now);
+    expireTargets(now);
+    std::vector<wire::NodeInfo> expired = m_feeder.takeExpired(now);
+    for (auto& it : expired)
+        it.gone = true;
+    mergePresence(expired, {}, now, true);
+    m_directory.expire(now, GONE_RETENTION);
+    if (now >= m_heartbeatDue) {
+        m_heartbeatDue = now + HEARTBEAT_PERIOD;
+        acknowledge(now);
+        m_pending.acks = m_acks.fresh(now, SUBTREE_WINDOW);
+    }
+    if (now >= m_digestDue)
+        exchangeDigest(now);
+    updateServing(now);
+    bool urgent = !m_pending.nodes.empty() || !m_pending.targets.empty() || !m_pending.acks.empty()
+        || !m_pending.alarms.empty();
+    bool evidenceDue = now >= m_evidenceDue && !m_pending.evidence.empty();
+    if (evidenceDue)
+        m_evidenceDue = now + EVIDENCE_PERIOD;
+    if (urgent || evidenceDue)
+        flushReport();
+    publish();
+}
+
+void DistributionCore::publish()
+{
+    if (!std::exchange(m_viewDirty, false))
+        return;
+    auto view = std::make_shared<MeshView>();
+    view->config = m_active;
+    view->routes = m_routes;
+    view->targets = std::make_shared<const nodes::Targets>(m_directory.liveTargets());
+    view->claimsThroughMs = m_beacon.claimsThroughMs;
+    view->beaconAt = m_beaconAt;
+    view->serving = m_serving;
+    m_outputs.publish(std::move(view));
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/DistributionNetwork.cpp
@@ -0,0 +1,163 @@
+#include "DistributionNetwork.h"
+
+#include "pomelowind/base/Log.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace pomelowind::node {
+
+using links::FrameKind;
+
+namespace {
+
+    constexpr char NODE_ROLE[] = "node";
+    constexpr char DIGEST_ROLE[] = "digest";
+    constexpr auto DIGEST_TIMEOUT = base::Millis(2000);
+    constexpr size_t MAX_DIGESTS = 4;
+
+}
+
+DistributionNetwork::DistributionNetwork(boost::asio::io_context& io, const NodeSettings& settings,
+    const base::Clock& clock, PublishView publishView, PublishTargets publishTargets)
+    : m_io(io)
+    , m_clock(clock)
+    , m_identity { settings.mesh, NODE_ROLE, settings.id, settings.meshKey }
+    , m_digestIdentity { settings.mesh, DIGEST_ROLE, settings.id, settings.meshKey }
+    , m_publishView(std::move(publishView))
+    , m_publishTargets(std::move(publishTargets))
+    , m_server(std::make_unique<links::LinkServer>(io, settings.meshAddress, m_identity, *this, m_traffic))
+{
+}
+
+bool DistributionNetwork::isParent(const std::shared_ptr<links::Link>& link) const
+{
+    return m_parentDialer && m_parentDialer->link() == link;
+}
+
+void DistributionNetwork::connectParent(std::optional<nodes::Parent> parent)
+{
+    auto old = std::move(m_parentDialer);
+    m_parentDialer = nullptr;
+    if (old)
+        old->stop();
+    if (!parent)
+        return;
+    m_parentId = parent->id;
+    m_parentDialer = std::make_shared<links::LinkDialer>(m_io, parent->address, m_identity, *this, m_traffic);
+    m_parentDialer->start();
+}
+
+void DistributionNetwork::sendParent(links::Kind kind, std::string payload)
+{
+    if (!m_parentDialer)
+        return;
+    if (auto link = m_parentDialer->link())
+        link->send(kind, payload);
+}
+
+void DistributionNetwork::sendChild(const std::string& child, links::Kind kind, std::string payload)
+{
+    auto it = m_children.find(child);
+    if (it == m_children.end())
+        return;
+    auto link = it->second;
+    if (!link->send(kind, payload))
+        link->close("the child does not read");
+}
+
+void DistributionNetwork::exchangeDigest(const base::Address& peer, std::string payload)
+{
+    if (m_digests.size() >= MAX_DIGESTS)
+        return;
+    auto dialer = std::make_shared<links::LinkDialer>(m_io, peer, m_digestIdentity, *this, m_traffic);
+    m_digests.push_back({ dialer, std::move(payload), m_clock.now() + DIGEST_TIMEOUT });
+    dialer->start();
+}
+
+void DistributionNetwork::tick(base::Instant now)
+{
+    for (auto it = m_digests.begin(); it != m_digests.end();) {
+        if (now < it->due && it->dialer->failures() == 0) {
+            ++it;
+            continue;
+        }
+        it->dialer->stop();
+        it = m_digests.erase(it);
+    }
+    // A parent that cannot be reached is given up at the first refusal, not after the timeout.
+    if (m_parentDialer && m_parentDialer->failures() > 0)
+        m_core->parentClosed(m_parentId, now);
+}
+
+void DistributionNetwork::close()
+{
+    connectParent(std::nullopt);
+    for (auto& it : m_digests)
+        it.dialer->stop();
+    m_server->close();
+}
+
+void DistributionNetwork::linkReady(const std::shared_ptr<links::Link>& link)
+{
+    if (isParent(link))
+        return m_core->parentReady(m_parentId, m_clock.now());
+    for (auto& it : m_digests) {
+        if (it.dialer->link() == link) {
+            link->send(FrameKind::DIGEST, it.payload);
+            return;
+        }
+    }
+    if (link->peerRole() != NODE_ROLE)
+        return;
+    auto& slot = m_children[link->peerId()];
+    auto old = std::move(slot);
+    slot = link;
+    if (old)
+        old->close("the node has a newer link");
+}
+
+void DistributionNetwork::linkFrame(
+    const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
+{
+    auto now = m_clock.now();
+    if (isParent(link))
+        return m_core->parentFrame(kind, payload, now);
+    if (kind == FrameKind::DIGEST_ANSWER) {
+        endDigest(link);
+        return m_core->digestAnswered(payload, now);
+    }
+    if (link->peerRole() == DIGEST_ROLE && kind == FrameKind::DIGEST) {
+        link->send(FrameKind::DIGEST_ANSWER, m_core->answerDigest(payload));
+        return;
+    }
+    auto it = m_children.find(link->peerId());
+    if (it != m_children.end() && it->second == link)
+        m_core->childFrame(link->peerId(), kind, payload, now);
+}
+
+void DistributionNetwork::endDigest(const std::shared_ptr<links::Link>& link)
+{
+    auto it
+        = std::find_if(m_digests.begin(), m_digests.end(), [&](const Digest& d) { return d.dialer->link() == link; });
+    if (it == m_digests.end())
+        return;
+    auto dialer = it->dialer;
+    m_digests.erase(it);
+    // Closed after this frame has been handled.
+    boost::asio::post(m_io, [dialer] { dialer->stop(); });
+}
+
+void DistributionNetwork::linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason)
+{
+    base::logDebug("link.closed", { { "peer", link->peerId() }, { "reason", reason } });
+    if (isParent(link))
+        return m_core->parentClosed(m_parentId, m_clock.now());
+    auto it = m_children.find(link->peerId());
+    if (it == m_children.end() || it->second != link)
+        return;
+    m_children.erase(it);
+    m_core->childDisconnected(link->peerId(), m_clock.now());
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/DistributionNetwork.h
@@ -0,0 +1,68 @@
+// The sockets of the distribution duty: the link to the parent, links from children, and short links for digests.
+#pragma once
+
+#include "DistributionCore.h"
+#include "pomelowind/links/LinkDialer.h"
+#include "pomelowind/links/LinkServer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pomelowind::node {
+
+// Thread safety: confined to the distribution duty.
+class DistributionNetwork final : public DistributionOutputs, public links::LinkListener {
+public:
+    using PublishView = std::function<void(MeshViewPtr)>;
+    using PublishTargets = std::function<void(std::vector<Announcement>)>;
+
+    // Binds the mesh address.
+    DistributionNetwork(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock,
+        PublishView publishView, PublishTargets publishTargets);
+    // Precondition: called once, before any event.
+    void attach(DistributionCore& core) { m_core = &core; }
+    // Ends attempts that take too long.
+    void tick(base::Instant now);
+    void close();
+    const links::Traffic& traffic() const { return m_traffic; }
+
+    void connectParent(std::optional<nodes::Parent> parent) override;
+    void sendParent(links::Kind kind, std::string payload) override;
+    void sendChild(const std::string& child, links::Kind kind, std::string payload) override;
+    void exchangeDigest(const base::Address& peer, std::string payload) override;
+    void publish(MeshViewPtr view) override { m_publishView(std::move(view)); }
+    void publishLocalTargets(std::vector<Announcement> targets) override { m_publishTargets(std::move(targets)); }
+
+    void linkReady(const std::shared_ptr<links::Link>& link) override;
+    void linkFrame(const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload) override;
+    void linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason) override;
+
+private:
+    struct Digest {
+        std::shared_ptr<links::LinkDialer> dialer;
+        std::string payload;
+        base::Instant due;
+    };
+
+    bool isParent(const std::shared_ptr<links::Link>& link) const;
+    void endDigest(const std::shared_ptr<links::Link>& link);
+
+    boost::asio::io_context& m_io;
+    const base::Clock& m_clock;
+    links::Identity m_identity;
+    links::Identity m_digestIdentity;
+    PublishView m_publishView;
+    PublishTargets m_publishTargets;
+    DistributionCore* m_core { nullptr };
+    links::Traffic m_traffic;
+    std::unique_ptr<links::LinkServer> m_server;
+    std::shared_ptr<links::LinkDialer> m_parentDialer;
+    std::string m_parentId;
+    std::map<std::string, std::shared_ptr<links::Link>> m_children;
+    std::vector<Digest> m_digests;
+};
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/LocalTargets.cpp
@@ -0,0 +1,228 @@
+#include "LocalTargets.h"
+
+#include "CallHeaders.h"
+
+namespace pomelowind::node {
+
+using http::ExchangeEnd;
+using targets::GateVerdict;
+using wire::Outcome;
+
+namespace {
+
+    constexpr int SERVICE_UNAVAILABLE = 503;
+
+    http::HttpRequest toHttp(const wire::CallRequest& request, base::Millis budget)
+    {
+        http::HttpRequest out;
+        out.method = request.method;
+        out.path = request.path;
+        for (const auto& it : request.headers)
+            out.headers.push_back({ it.name, it.value });
+        out.headers.push_back({ DEADLINE_HEADER, std::to_string(budget.count()) });
+        out.body = request.body;
+        return out;
+    }
+
+    // What a finished exchange says about whether the request ran.
+    wire::CallAnswer toAnswer(http::ExchangeResult result)
+    {
+        wire::CallAnswer out;
+        switch (result.end) {
+        case ExchangeEnd::Answered:
+            break;
+        case ExchangeEnd::NotSent:
+            out.outcome = Outcome::NOT_RUN;
+            out.reason = "the target cannot be reached: " + result.error;
+            out.fault = true;
+            return out;
+        case ExchangeEnd::Ambiguous:
+        case ExchangeEnd::TimedOut:
+        case ExchangeEnd::Cancelled:
+            out.outcome = Outcome::UNKNOWN;
+            out.reason = "the target did not answer: " + result.error;
+            out.fault = true;
+            return out;
+        }
+        // Only the target itself can know that a request it received did not run.
+        bool shed = http::findHeader(result.response.headers, OUTCOME_HEADER) == NOT_RUN;
+        out.outcome = shed ? Outcome::NOT_RUN : Outcome::RAN;
+        out.reason = shed ? "the target had no room" : "";
+        out.status = result.response.status;
+        out.fault = out.status == SERVICE_UNAVAILABLE;
+        out.headers = endToEndHeaders(result.response.headers);
+        out.body = std::move(result.response.body);
+        return out;
+    }
+
+}
+
+LocalTargets::LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock)
+    : m_io(io)
+    , m_settings(settings)
+    , m_clock(clock)
+{
+}
+
+void LocalTargets::update(const std::vector<Announcement>& targets)
+{
+    std::map<std::string, std::shared_ptr<Target>> next;
+    for (const auto& it : targets) {
+        auto found = m_targets.find(it.target);
+        bool same = found != m_targets.end() && found->second->announcement.incarnation == it.incarnation
+            && found->second->announcement.address == it.address;
+        auto target = same ? found->second : std::make_shared<Target>();
+        if (!same) {
+            targets::GateOptions options;
+            options.slots = it.slots;
+            options.coldStart = m_settings.coldStart;
+            options.limited = m_settings.limitsEnabled;
+            target->gate = std::make_unique<targets::Gate>(options, m_clock.now());
+            target->client = http::makeHttpClient(m_io, it.address, static_cast<size_t>(m_settings.targetConnections));
+        }
+        target->announcement = it;
+        target->gate->setSlots(it.slots);
+        if (it.state == wire::TargetState::LEAVING && !target->isLeaving) {
+            target->isLeaving = true;
+            carryOut(*target, target->gate->leave());
+        }
+        next[it.target] = target;
+    }
+    m_targets = std::move(next);
+}
+
+void LocalTargets::addLoad(const std::string& target, wire::CallAnswer& answer) const
+{
+    auto it = m_targets.find(target);
+    if (it == m_targets.end())
+        return;
+    answer.inFlight = it->second->gate->running();
+    answer.queued = it->second->gate->queued();
+    answer.cold = it->second->gate->isCold(m_clock.now());
+    if (answer.outcome == Outcome::NOT_RUN)
+        answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter().count());
+}
+
+uint64_t LocalTargets::call(wire::CallRequest request, CallDone done)
+{
+    uint64_t id = m_nextId++;
+    auto now = m_clock.now();
+    std::string name = request.target;
+    Call call;
+    call.target = name;
+    call.deadline = now + base::Millis(request.budgetMs);
+    call.request = std::move(request);
+    call.done = std::move(done);
+    targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline };
+    m_calls.emplace(id, std::move(call));
+    auto it = m_targets.find(name);
+    if (it == m_targets.end()) {
+        refuse(id, "the target is not on this host");
+        return id;
+    }
+    std::optional<uint64_t> shed;
+    auto verdict = it->second->gate->admit(gateCall, now, shed);
+    if (shed)
+        refuse(*shed, "shed for a call of higher priority");
+    if (verdict == GateVerdict::Run)
+        run(id);
+    else if (verdict == GateVerdict::Overloaded)
+        refuse(id, "the target is overloaded");
+    else if (verdict == GateVerdict::Leaving)
+        refuse(id, "the target is leaving");
+    return id;
+}
+
+void LocalTargets::refuse(uint64_t id, const std::string& reason)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    Call call = std::move(it->second);
+    m_calls.erase(it);
+    wire::CallAnswer answer;
+    answer.outcome = Outcome::NOT_RUN;
+    answer.reason = reason;
+    answer.refused = true;
+    addLoad(call.target, answer);
+    call.done(std::move(answer));
+}
+
+void LocalTargets::run(uint64_t id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    auto& call = it->second;
+    call.running = true;
+    call.started = m_clock.now();
+    auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
+    auto request = toHttp(call.request, left);
+    call.request.body.clear();
+    // The closure keeps the target's gate alive until the call has ended, also when the target is gone by then.
+    auto target = m_targets.at(call.target);
+    call.exchange = target->client->request(std::move(request), left, [this, id, target](http::ExchangeResult result) {
+        auto found = m_calls.find(id);
+        auto took = found == m_calls.end()
+            ? base::Millis(0)
+            : std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started);
+        auto step = target->gate->finished(took, m_clock.now());
+        exchanged(id, std::move(result));
+        carryOut(*target, step);
+    });
+}
+
+void LocalTargets::exchanged(uint64_t id, http::ExchangeResult result)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    Call call = std::move(it->second);
+    m_calls.erase(it);
+    auto answer = toAnswer(std::move(result));
+    addLoad(call.target, answer);
+    call.done(std::move(answer));
+}
+
+void LocalTargets::carryOut(Target& target, const targets::GateStep& step)
+{
+    const char* reason = target.isLeaving ? "the target is leaving" : "the deadline could not be met";
+    for (uint64_t id : step.refuse)
+        refuse(id, reason);
+    for (uint64_t id : step.run)
+        run(id);
+}
+
+void LocalTargets::cancel(uint64_t id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    it->second.done = [](const wire::CallAnswer&) {};
+    if (it->second.running) {
+        auto exchange = it->second.exchange;
+        return exchange->cancel();
+    }
+    auto target = m_targets.find(it->second.target);
+    if (target != m_targets.end())
+        target->second->gate->cancel(id);
+    m_calls.erase(id);
+}
+
+void LocalTargets::sweep()
+{
+    auto targets = m_targets;
+    for (auto& [name, target] : targets)
+        carryOut(*target, target->gate->expire(m_clock.now()));
+}
+
+void LocalTargets::leave()
+{
+    auto targets = m_targets;
+    for (auto& [name, target] : targets) {
+        target->isLeaving = true;
+        carryOut(*target, target->gate->leave());
+    }
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/LocalTargets.h
@@ -0,0 +1,64 @@
+// The targets of this host behind their gates. Every call to them, from wherever it comes, passes here.
+#pragma once
+
+#include "DistributionCore.h"
+#include "PeerCalls.h"
+#include "pomelowind/http/HttpClient.h"
+#include "pomelowind/targets/Gate.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace pomelowind::node {
+
+// Thread safety: confined to the calls duty.
+class LocalTargets {
+public:
+    LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock);
+
+    // Takes the targets that have announced themselves; others are forgotten once idle.
+    void update(const std::vector<Announcement>& targets);
+    bool has(const std::string& target) const { return m_targets.count(target) > 0; }
+    // Runs a call on its target, or refuses it as not run. `done` is called once. Returns an id for cancel().
+    uint64_t call(wire::CallRequest request, CallDone done);
+    // Nobody waits for the call any more: it leaves the queue, or its target is told by a closed connection.
+    void cancel(uint64_t id);
+    void sweep();
+    // Refuses new calls; those that run go on.
+    void leave();
+    size_t running() const { return m_calls.size(); }
+
+private:
+    struct Target {
+        Announcement announcement;
+        std::unique_ptr<targets::Gate> gate;
+        std::shared_ptr<http::HttpClient> client;
+        bool isLeaving { false };
+    };
+    struct Call {
+        std::string target;
+        wire::CallRequest request;
+        CallDone done;
+        base::Instant started;
+        base::Instant deadline;
+        std::shared_ptr<http::Exchange> exchange;
+        bool running { false };
+    };
+
+    void run(uint64_t id);
+    void carryOut(Target& target, const targets::GateStep& step);
+    void refuse(uint64_t id, const std::string& reason);
+    void exchanged(uint64_t id, http::ExchangeResult result);
+    void addLoad(const std::string& target, wire::CallAnswer& answer) const;
+
+    boost::asio::io_context& m_io;
+    const NodeSettings& m_settings;
+    const base::Clock& m_clock;
+    std::map<std::string, std::shared_ptr<Target>> m_targets;
+    std::unordered_map<uint64_t, Call> m_calls;
+    uint64_t m_nextId { 1 };
+};
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/NodeHost.cpp
@@ -0,0 +1,171 @@
+#include "pomelowind/node/NodeHost.h"
+
+#include "AnnounceApi.h"
+#include "CallPath.h"
+#include "DistributionNetwork.h"
+#include "pomelowind/base/Duty.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/base/Mailbox.h"
+#include "pomelowind/base/TimerService.h"
+#include "pomelowind/platform/Metrics.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+namespace pomelowind::node {
+
+namespace {
+
+    constexpr size_t RING_CAPACITY = 1024;
+    constexpr auto DISTRIBUTION_TICK = base::Millis(20);
+    constexpr auto CALLS_TICK = base::Millis(5);
+    constexpr auto EVIDENCE_PERIOD = base::Millis(250);
+    constexpr auto METRICS_PERIOD = base::Millis(1000);
+    constexpr auto STOP_TIMEOUT = std::chrono::seconds(60);
+    constexpr auto FAREWELL = std::chrono::milliseconds(150);
+
+    // Runs `task` on `duty` and waits for it.
+    void runOn(base::Duty& duty, std::function<void()> task)
+    {
+        std::promise<void> done;
+        boost::asio::post(duty.context(), [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+}
+
+// Joins the duties. Rings: distribution -> calls (views, local targets), calls -> distribution (evidence, alarms).
+class NodeHost::Impl {
+public:
+    explicit Impl(NodeSettings settings)
+        : m_settings(std::move(settings))
+        , m_distribution("distribution")
+        , m_callsDuty("calls")
+        , m_views(
+              m_callsDuty.context(), RING_CAPACITY, [this](MeshViewPtr&& view) { m_calls->takeView(std::move(view)); })
+        , m_localTargets(m_callsDuty.context(), RING_CAPACITY,
+              [this](std::vector<Announcement>&& targets) { m_calls->takeLocalTargets(targets); })
+        , m_observations(
+              m_distribution.context(), RING_CAPACITY, [this](wire::Report&& report) { m_core->observed(report); })
+        , m_metrics(platform::serveMetrics(m_settings.metricsAddress))
+        , m_network(
+              m_distribution.context(), m_settings, m_clock,
+              [this](MeshViewPtr view) { m_views.tryPut(std::move(view)); },
+              [this](std::vector<Announcement> targets) { m_localTargets.tryPut(std::move(targets)); })
+        , m_core(std::make_unique<DistributionCore>(
+              m_settings, m_network, m_clock.now(), m_clock.wallMs(), base::platformSeed()))
+        , m_calls(std::make_unique<CallPath>(
+              m_callsDuty.context(), m_settings, m_clock,
+              [this](wire::Report report) { m_observations.tryPut(std::move(report)); }, base::platformSeed()))
+        , m_announceApi(m_settings, *m_core, m_clock)
+        , m_announceServer(
+              http::makeHttpServer(m_distribution.context(), m_settings.announceAddress, {}, m_announceApi))
+        , m_timers(base::makeTimerService())
+    {
+        m_network.attach(*m_core);
+        makeGauges();
+        subscribeTimers();
+        m_callsDuty.start();
+        m_distribution.start();
+        base::logInfo("node.started",
+            { { "id", m_settings.id }, { "callers", m_settings.callerAddress.text() },
+                { "mesh", m_settings.meshAddress.text() } });
+    }
+
+    ~Impl() { stop(); }
+
+    void stop()
+    {
+        if (std::exchange(m_stopped, true))
+            return;
+        base::logInfo("node.draining", { { "id", m_settings.id } });
+        runOn(m_distribution, [this] { m_core->leave(m_clock.now()); });
+        auto drained = std::make_shared<std::promise<void>>();
+        auto future = drained->get_future();
+        boost::asio::post(
+            m_callsDuty.context(), [this, drained] { m_calls->drain([drained] { drained->set_value(); }); });
+        bool whole = future.wait_for(STOP_TIMEOUT) == std::future_status::ready;
+        runOn(m_distribution, [this] { m_core->gone(m_clock.now()); });
+        std::this_thread::sleep_for(FAREWELL);
+        m_subscriptions.clear();
+        m_timers.reset();
+        runOn(m_callsDuty, [this] { m_calls->close(); });
+        runOn(m_distribution, [this] {
+            m_announceServer->close();
+            m_network.close();
+        });
+        m_callsDuty.stop();
+        m_distribution.stop();
+        base::logInfo("node.stopped", { { "id", m_settings.id }, { "drained", whole ? 1 : 0 } });
+    }
+
+private:
+    void subscribeTimers()
+    {
+        m_subscriptions.push_back(m_timers->subscribe(m_distribution.context(), DISTRIBUTION_TICK, [this] {
+            m_network.tick(m_clock.now());
+            m_core->tick(m_clock.now());
+        }));
+        m_subscriptions.push_back(m_timers->subscribe(m_callsDuty.context(), CALLS_TICK, [this] { m_calls->sweep(); }));
+        m_subscriptions.push_back(
+            m_timers->subscribe(m_callsDuty.context(), EVIDENCE_PERIOD, [this] { m_calls->reportEvidence(); }));
+        m_subscriptions.push_back(m_timers->subscribe(m_distribution.context(), METRICS_PERIOD, [this] {
+            m_version->set(static_cast<double>(m_core->state().version()));
+            m_sent->set(static_cast<double>(m_network.traffic().sent));
+            m_received->set(static_cast<double>(m_network.traffic().received));
+        }));
+        m_subscriptions.push_back(m_timers->subscribe(m_callsDuty.context(), METRICS_PERIOD, [this] {
+            const auto& counts = m_calls->counts();
+            m_callCount->set(static_cast<double>(counts.calls));
+            m_notRun->set(static_cast<double>(counts.notRun));
+            m_unknown->set(static_cast<double>(counts.unknown));
+            m_retries->set(static_cast<double>(counts.retries));
+            m_limited->set(static_cast<double>(counts.limited));
+        }));
+    }
+
+    void makeGauges()
+    {
+        m_version = m_metrics->gauge("config_version", "Version of the configuration in force");
+        m_sent = m_metrics->gauge("control_bytes_sent", "Bytes sent for configuration and presence");
+        m_received = m_metrics->gauge("control_bytes_received", "Bytes received for configuration and presence");
+        m_callCount = m_metrics->gauge("calls", "Calls taken from callers");
+        m_notRun = m_metrics->gauge("calls_not_run", "Calls answered as not run");
+        m_unknown = m_metrics->gauge("calls_unknown", "Calls of which it is unknown whether they ran");
+        m_retries = m_metrics->gauge("call_retries", "Attempts after the first");
+        m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
+    }
+
+    NodeSettings m_settings;
+    base::SystemClock m_clock;
+    base::Duty m_distribution;
+    base::Duty m_callsDuty;
+    base::Mailbox<MeshViewPtr> m_views;
+    base::Mailbox<std::vector<Announcement>> m_localTargets;
+    base::Mailbox<wire::Report> m_observations;
+    std::unique_ptr<platform::Metrics> m_metrics;
+    DistributionNetwork m_network;
+    std::unique_ptr<DistributionCore> m_core;
+    std::unique_ptr<CallPath> m_calls;
+    AnnounceApi m_announceApi;
+    std::unique_ptr<http::HttpServer> m_announceServer;
+    std::unique_ptr<base::TimerService> m_timers;
+    std::vector<std::unique_ptr<base::Subscription>> m_subscriptions;
+    std::shared_ptr<platform::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries,
+        m_limited;
+    bool m_stopped { false };
+};
+
+NodeHost::NodeHost(NodeSettings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+NodeHost::~NodeHost() = default;
+
+void NodeHost::stop() { m_impl->stop(); }
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/NodeSettings.cpp
@@ -0,0 +1,71 @@
+#include "pomelowind/node/NodeSettings.h"
+
+namespace pomelowind::node {
+
+namespace {
+
+    using base::Millis;
+
+    constexpr size_t LEAST_KEY_BYTES = 16;
+    constexpr int64_t MIB = 1024 * 1024;
+
+    void readControlHosts(base::SettingsReader& reader, NodeSettings& out)
+    {
+        for (auto& it : reader.items("control")) {
+            out.control.push_back({ it.text("id"), it.text("data_centre"), it.address("address") });
+            it.checkUnknownKeys();
+        }
+        if (out.control.empty())
+            reader.problem("control", "is empty", "list the control hosts of the mesh");
+    }
+
+    void readSeeds(base::SettingsReader& reader, NodeSettings& out)
+    {
+        for (const auto& it : reader.textsOr("seeds", {})) {
+            try {
+                out.seeds.push_back(base::parseAddress(it));
+            } catch (const std::exception&) {
+                reader.problem("seeds", "holds '" + it + "', which is not an address", "write IP:PORT");
+            }
+        }
+    }
+
+}
+
+NodeSettings readNodeSettings(const std::string& file)
+{
+    auto reader = base::SettingsReader::fromFile(file);
+    NodeSettings out;
+    out.mesh = reader.text("mesh");
+    out.meshKey = reader.text("mesh_key");
+    out.id = reader.text("id");
+    out.dataCentre = reader.text("data_centre");
+    out.callerAddress = reader.address("caller_address");
+    out.meshAddress = reader.address("mesh_address");
+    out.callAddress = reader.address("call_address");
+    out.announceAddress = reader.address("announce_address");
+    out.metricsAddress = reader.address("metrics_address");
+    out.meshAdvertised = reader.has("mesh_advertised") ? reader.address("mesh_advertised") : out.meshAddress;
+    out.callAdvertised = reader.has("call_advertised") ? reader.address("call_advertised") : out.callAddress;
+    out.logLevel = reader.text("log_level", "info");
+    readControlHosts(reader, out);
+    readSeeds(reader, out);
+    for (const auto& it : reader.textsOr("services", {}))
+        out.services.insert(it);
+    out.targetLease = reader.millis("target_lease_ms", out.targetLease, Millis(500), Millis(60000));
+    out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
+    out.targetConnections = reader.integer("target_connections", out.targetConnections, 1, 10000);
+    out.maxBodyBytes = reader.integer("max_body_bytes", out.maxBodyBytes, 1024, 16 * MIB);
+    out.callerTimeout = reader.millis("caller_timeout_ms", out.callerTimeout, Millis(100), Millis(600000));
+    out.drainGrace = reader.millis("drain_grace_ms", out.drainGrace, Millis(0), Millis(60000));
+    out.claimMemoryBytes = reader.integer("claim_memory_bytes", out.claimMemoryBytes, MIB / 16, 1024 * MIB);
+    out.retryShare = reader.real("retry_share", out.retryShare, 0, 1);
+    out.limitsEnabled = reader.flag("limits_enabled", true);
+    if (out.meshKey.size() < LEAST_KEY_BYTES)
+        reader.problem(
+            "mesh_key", "is shorter than 16 characters", "use a random key, the same on all processes of the mesh");
+    reader.finish();
+    return out;
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/PeerCalls.cpp
@@ -0,0 +1,223 @@
+#include "PeerCalls.h"
+
+#include "pomelowind/base/Log.h"
+
+namespace pomelowind::node {
+
+using links::FrameKind;
+
+namespace {
+
+    constexpr char CALLS_ROLE[] = "calls";
+    constexpr size_t MAX_WAITING = 1024;
+
+}
+
+PeerCalls::PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, PeerRequests& requests)
+    : m_io(io)
+    , m_identity { settings.mesh, CALLS_ROLE, settings.id, settings.meshKey }
+    , m_requests(requests)
+    , m_server(std::make_unique<links::LinkServer>(io, settings.callAddress, m_identity, *this, m_traffic))
+{
+}
+
+PeerCalls::Peer& PeerCalls::peer(const std::string& address)
+{
+    auto& out = m_peers[address];
+    if (!out.dialer) {
+        out.dialer
+            = std::make_shared<links::LinkDialer>(m_io, base::parseAddress(address), m_identity, *this, m_traffic);
+        out.dialer->start();
+    }
+    return out;
+}
+
+void PeerCalls::submit(const std::string& address, links::Kind kind, std::string payload, int64_t id)
+{
+    auto& to = peer(address);
+    auto link = to.dialer->link();
+    if (link) {
+        auto& pending = m_pending.at(id);
+        pending.link = link;
+        pending.sent = link->send(kind, payload);
+        if (!pending.sent)
+            pending.due = base::Instant();
+        return;
+    }
+    if (to.waiting.size() < MAX_WAITING)
+        to.waiting.push_back({ kind, std::move(payload), id });
+}
+
+int64_t PeerCalls::call(
+    const std::string& address, wire::CallRequest request, base::Millis budget, base::Instant now, CallDone done)
+{
+    int64_t id = m_nextId++;
+    request.id = id;
+    Pending pending;
+    pending.address = address;
+    pending.callDone = std::move(done);
+    pending.due = now + budget;
+    m_due.emplace(pending.due, id);
+    m_pending.emplace(id, std::move(pending));
+    submit(address, FrameKind::CALL_REQUEST, base::encode(request), id);
+    return id;
+}
+
+void PeerCalls::claim(
+    const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done)
+{
+    int64_t id = m_nextId++;
+    request.id = id;
+    Pending pending;
+    pending.address = address;
+    pending.claimDone = std::move(done);
+    pending.due = now + budget;
+    m_due.emplace(pending.due, id);
+    m_pending.emplace(id, std::move(pending));
+    submit(address, FrameKind::CLAIM_REQUEST, base::encode(request), id);
+}
+
+void PeerCalls::cancel(int64_t id)
+{
+    auto it = m_pending.find(id);
+    if (it == m_pending.end())
+        return;
+    if (auto link = it->second.link.lock()) {
+        wire::CallCancel message;
+        message.id = id;
+        link->sendMessage(FrameKind::CALL_CANCEL, message);
+    }
+    m_pending.erase(it);
+}
+
+void PeerCalls::finish(int64_t id, wire::Outcome::type outcome, const std::string& reason)
+{
+    auto it = m_pending.find(id);
+    if (it == m_pending.end())
+        return;
+    Pending pending = std::move(it->second);
+    m_pending.erase(it);
+    if (pending.claimDone)
+        return pending.claimDone(std::nullopt);
+    wire::CallAnswer answer;
+    answer.id = id;
+    answer.outcome = outcome;
+    answer.reason = reason;
+    answer.fault = true;
+    pending.callDone(std::move(answer));
+}
+
+void PeerCalls::failWaiting(Peer& peer, const std::string& reason)
+{
+    auto waiting = std::move(peer.waiting);
+    peer.waiting.clear();
+    for (const auto& it : waiting)
+        finish(it.id, wire::Outcome::NOT_RUN, reason);
+}
+
+void PeerCalls::sweep(base::Instant now)
+{
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        int64_t id = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        auto it = m_pending.find(id);
+        if (it == m_pending.end())
+            continue;
+        bool sent = it->second.sent;
+        if (sent && it->second.callDone) {
+            if (auto link = it->second.link.lock()) {
+                wire::CallCancel message;
+                message.id = id;
+                link->sendMessage(FrameKind::CALL_CANCEL, message);
+            }
+        }
+        finish(id, sent ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN,
+            sent ? "no answer from the target's node in time" : "the target's node could not be reached in time");
+    }
+    for (auto& [address, it] : m_peers) {
+        if (!it.waiting.empty() && it.dialer->failures() > 0 && !it.dialer->link())
+            failWaiting(it, "the target's node cannot be reached");
+    }
+}
+
+void PeerCalls::close()
+{
+    m_server->close();
+    for (auto& [address, it] : m_peers)
+        it.dialer->stop();
+}
+
+void PeerCalls::linkReady(const std::shared_ptr<links::Link>& link)
+{
+    for (auto& [address, it] : m_peers) {
+        if (it.dialer->link() != link)
+            continue;
+        auto waiting = std::move(it.waiting);
+        it.waiting.clear();
+        for (const auto& item : waiting) {
+            auto pending = m_pending.find(item.id);
+            if (pending == m_pending.end())
+                continue;
+            pending->second.link = link;
+            pending->second.sent = link->send(item.kind, item.payload);
+        }
+    }
+}
+
+void PeerCalls::linkFrame(const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
+{
+    switch (kind) {
+    case FrameKind::CALL_REQUEST: {
+        auto request = base::decode<wire::CallRequest>(payload);
+        int64_t id = request.id;
+        m_requests.onCall(
+            link.get(), std::move(request), [weak = std::weak_ptr<links::Link>(link), id](wire::CallAnswer answer) {
+                answer.id = id;
+                if (auto to = weak.lock())
+                    to->sendMessage(FrameKind::CALL_ANSWER, answer);
+            });
+        return;
+    }
+    case FrameKind::CALL_CANCEL:
+        return m_requests.onCancel(link.get(), base::decode<wire::CallCancel>(payload).id);
+    case FrameKind::CLAIM_REQUEST:
+        link->sendMessage(FrameKind::CLAIM_ANSWER, m_requests.onClaim(base::decode<wire::ClaimRequest>(payload)));
+        return;
+    case FrameKind::CALL_ANSWER: {
+        auto answer = base::decode<wire::CallAnswer>(payload);
+        auto it = m_pending.find(answer.id);
+        // An answer that comes after its request was given up, or over another link, meets nobody.
+        if (it == m_pending.end() || !it->second.callDone || it->second.link.lock() != link)
+            return;
+        auto done = std::move(it->second.callDone);
+        m_pending.erase(it);
+        return done(std::move(answer));
+    }
+    case FrameKind::CLAIM_ANSWER: {
+        auto answer = base::decode<wire::ClaimAnswer>(payload);
+        auto it = m_pending.find(answer.id);
+        if (it == m_pending.end() || !it->second.claimDone || it->second.link.lock() != link)
+            return;
+        auto done = std::move(it->second.claimDone);
+        m_pending.erase(it);
+        return done(std::move(answer));
+    }
+    default:
+        throw base::UserError(
+            base::ErrorKind::Protocol, "unexpected frame on a call link", "run the same release on all hosts");
+    }
+}
+
+void PeerCalls::linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason)
+{
+    base::logInfo("calls.link_closed", { { "peer", link->peerId() }, { "reason", reason } });
+    std::vector<int64_t> lost;
+    for (const auto& [id, it] : m_pending) {
+        if (it.sent && it.link.lock() == link)
+            lost.push_back(id);
+    }
+    for (int64_t id : lost)
+        finish(id, wire::Outcome::UNKNOWN, "the link to the target's node was lost");
+}
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/node/PeerCalls.h
@@ -0,0 +1,91 @@
+// Calls and claims between nodes: requests with ids, multiplexed over few long-lived links, so that no call pays for a
+// new connection and a late answer can only meet its own request.
+#pragma once
+
+#include "pomelowind/links/LinkDialer.h"
+#include "pomelowind/links/LinkServer.h"
+#include "pomelowind/node/NodeSettings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pomelowind::node {
+
+using CallDone = std::function<void(wire::CallAnswer)>;
+using ClaimDone = std::function<void(std::optional<wire::ClaimAnswer>)>;
+
+// Serves the requests of other nodes, on the calls duty.
+class PeerRequests {
+public:
+    virtual ~PeerRequests() = default;
+    // `origin` and the request's id together name the call for onCancel.
+    virtual void onCall(const void* origin, wire::CallRequest request, CallDone done) = 0;
+    virtual void onCancel(const void* origin, int64_t id) = 0;
+    virtual wire::ClaimAnswer onClaim(const wire::ClaimRequest& request) = 0;
+};
+
+// Thread safety: confined to the calls duty.
+class PeerCalls final : public links::LinkListener {
+public:
+    // Binds the call address.
+    PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, PeerRequests& requests);
+
+    // Sends a call to the node at `address`. `done` is called once: NOT_RUN when it was never sent, UNKNOWN when the
+    // link was lost or `budget` passed after it was. Returns an id for cancel().
+    int64_t call(
+        const std::string& address, wire::CallRequest request, base::Millis budget, base::Instant now, CallDone done);
+    // Sends a claim request; `done` gets nothing when no answer came in time.
+    void claim(
+        const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done);
+    // Tells the other node that nobody waits any more, and forgets the call without calling its `done`.
+    void cancel(int64_t id);
+    // Ends what has waited too long. To be called every few milliseconds.
+    void sweep(base::Instant now);
+    void close();
+    const links::Traffic& traffic() const { return m_traffic; }
+
+    void linkReady(const std::shared_ptr<links::Link>& link) override;
+    void linkFrame(const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload) override;
+    void linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason) override;
+
+private:
+    struct Waiting {
+        links::Kind kind;
+        std::string payload;
+        int64_t id;
+    };
+    struct Peer {
+        std::shared_ptr<links::LinkDialer> dialer;
+        std::vector<Waiting> waiting;
+    };
+    struct Pending {
+        std::string address;
+        std::weak_ptr<links::Link> link; // empty until sent
+        bool sent { false };
+        CallDone callDone;
+        ClaimDone claimDone;
+        base::Instant due;
+    };
+
+    Peer& peer(const std::string& address);
+    void submit(const std::string& address, links::Kind kind, std::string payload, int64_t id);
+    void finish(int64_t id, wire::Outcome::type outcome, const std::string& reason);
+    void failWaiting(Peer& peer, const std::string& reason);
+
+    boost::asio::io_context& m_io;
+    links::Identity m_identity;
+    PeerRequests& m_requests;
+    links::Traffic m_traffic;
+    std::unique_ptr<links::LinkServer> m_server;
+    std::map<std::string, Peer> m_peers;
+    std::unordered_map<int64_t, Pending> m_pending;
+    std::multimap<base::Instant, int64_t> m_due;
+    int64_t m_nextId { 1 };
+};
+
+} // namespace pomelowind::node
--- /dev/null
+++ b/src/nodes/Directory.cpp
@@ -0,0 +1,142 @@
+#include "pomelowind/nodes/Directory.h"
+
+#include "pomelowind/base/Hash.h"
+
+#include <tuple>
+
+namespace pomelowind::nodes {
+
+namespace {
+
+    template <class T> std::tuple<int64_t, int64_t> orderOf(const T& it) { return { it.incarnation, it.sequence }; }
+
+    // A node's parent reports it gone with the sequence it last saw; a node that came back has a higher one.
+    bool supersedes(const wire::NodeInfo& next, const wire::NodeInfo& present)
+    {
+        if (orderOf(next) == orderOf(present))
+            return next.gone && !present.gone;
+        return orderOf(next) > orderOf(present);
+    }
+
+    bool supersedes(const wire::Presence& next, const wire::Presence& present)
+    {
+        return orderOf(next) > orderOf(present);
+    }
+
+    size_t bucketOf(const std::string& key) { return base::hash64(key) % Directory::DIGEST_BUCKETS; }
+
+    template <class Map, class T, class KeyOf>
+    void mergeInto(Map& map, const std::vector<T>& entries, base::Instant now, std::vector<T>& changed, KeyOf keyOf)
+    {
+        for (const auto& it : entries) {
+            auto found = map.find(keyOf(it));
+            if (found != map.end() && !supersedes(it, found->second.entry))
+                continue;
+            map[keyOf(it)] = { it, now };
+            changed.push_back(it);
+        }
+    }
+
+}
+
+DirectoryChange Directory::merge(
+    const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets, base::Instant now)
+{
+    DirectoryChange change;
+    mergeInto(m_nodes, nodes, now, change.nodes, [](const wire::NodeInfo& it) { return it.node; });
+    mergeInto(m_targets, targets, now, change.targets, [](const wire::Presence& it) { return it.target; });
+    return change;
+}
+
+void Directory::expire(base::Instant now, base::Millis retention)
+{
+    std::erase_if(m_nodes, [&](const auto& it) { return it.second.entry.gone && now - it.second.changed > retention; });
+    std::erase_if(m_targets, [&](const auto& it) {
+        bool orphaned = !m_nodes.count(it.second.entry.node);
+        bool gone = it.second.entry.state == wire::TargetState::GONE || orphaned;
+        return gone && now - it.second.changed > retention;
+    });
+}
+
+std::vector<wire::NodeInfo> Directory::liveNodes() const
+{
+    std::vector<wire::NodeInfo> out;
+    for (const auto& [name, slot] : m_nodes) {
+        if (!slot.entry.gone)
+            out.push_back(slot.entry);
+    }
+    return out;
+}
+
+std::vector<wire::NodeInfo> Directory::liveNodes(const std::string& dataCentre) const
+{
+    auto out = liveNodes();
+    std::erase_if(out, [&](const wire::NodeInfo& it) { return it.dataCentre != dataCentre; });
+    return out;
+}
+
+std::vector<wire::NodeInfo> Directory::allNodes() const
+{
+    std::vector<wire::NodeInfo> out;
+    for (const auto& [name, slot] : m_nodes)
+        out.push_back(slot.entry);
+    return out;
+}
+
+std::vector<wire::Presence> Directory::allTargets() const
+{
+    std::vector<wire::Presence> out;
+    for (const auto& [name, slot] : m_targets)
+        out.push_back(slot.entry);
+    return out;
+}
+
+const wire::NodeInfo* Directory::findNode(const std::string& node) const
+{
+    auto it = m_nodes.find(node);
+    return it == m_nodes.end() ? nullptr : &it->second.entry;
+}
+
+Targets Directory::liveTargets() const
+{
+    Targets out;
+    for (const auto& [name, slot] : m_targets) {
+        const auto* node = findNode(slot.entry.node);
+        // A restarted node has forgotten its targets; those that still live announce themselves to it again.
+        bool stale = node && (node->gone || node->incarnation > slot.entry.incarnation);
+        if (slot.entry.state != wire::TargetState::GONE && !stale)
+            out.push_back(slot.entry);
+    }
+    return out;
+}
+
+Directory::Buckets Directory::digest() const
+{
+    Buckets buckets {};
+    for (const auto& [name, slot] : m_nodes)
+        buckets[bucketOf(name)] ^= base::hash64(base::encode(slot.entry));
+    for (const auto& [name, slot] : m_targets)
+        buckets[bucketOf(name)] ^= base::hash64(base::encode(slot.entry));
+    return buckets;
+}
+
+DirectoryChange Directory::differing(const std::vector<int64_t>& theirs) const
+{
+    DirectoryChange out;
+    auto ours = digest();
+    auto differs = [&](const std::string& key) {
+        size_t i = bucketOf(key);
+        return i >= theirs.size() || static_cast<uint64_t>(theirs[i]) != ours[i];
+    };
+    for (const auto& [name, slot] : m_nodes) {
+        if (differs(name))
+            out.nodes.push_back(slot.entry);
+    }
+    for (const auto& [name, slot] : m_targets) {
+        if (differs(name))
+            out.targets.push_back(slot.entry);
+    }
+    return out;
+}
+
+} // namespace pomelowind::nodes
--- /dev/null
+++ b/src/nodes/Feeder.cpp
@@ -0,0 +1,96 @@
+#include "pomelowind/nodes/Feeder.h"
+
+namespace pomelowind::nodes {
+
+namespace {
+
+    constexpr auto FULL_RETRY = base::Millis(1000);
+
+}
+
+Feeder::Feeder(FeederOptions options, base::Instant now)
+    : m_options(options)
+    , m_admissions(options.admissionsPerSecond, options.admissionBurst, now)
+    , m_state(std::make_shared<config::ConfigState>())
+{
+}
+
+Admission Feeder::subscribe(const wire::NodeInfo& node, int64_t base, base::Instant now)
+{
+    auto known = m_children.find(node.node);
+    bool isNew = known == m_children.end() || !known->second.isConnected;
+    if (isNew && connected().size() >= m_options.children)
+        return { false, FULL_RETRY };
+    if (!m_admissions.tryTake(now))
+        return { false, m_admissions.untilNext(now) + FULL_RETRY / 4 };
+    Child child;
+    child.node = node;
+    child.sent = base;
+    m_children[node.node] = child;
+    return { true, base::Millis(0) };
+}
+
+void Feeder::disconnected(const std::string& child, base::Instant now)
+{
+    auto it = m_children.find(child);
+    if (it == m_children.end())
+        return;
+    it->second.isConnected = false;
+    it->second.disconnectedAt = now;
+}
+
+void Feeder::resync(const std::string& child)
+{
+    auto it = m_children.find(child);
+    if (it != m_children.end())
+        it->second.sent = 0;
+}
+
+void Feeder::publish(std::shared_ptr<const config::ConfigState> state)
+{
+    if (state->version() > m_state->version())
+        m_state = std::move(state);
+}
+
+std::vector<Feed> Feeder::takeFeeds()
+{
+    std::vector<Feed> out;
+    std::map<int64_t, std::shared_ptr<const std::string>> byBase;
+    for (auto& [name, child] : m_children) {
+        if (!child.isConnected || child.sent >= m_state->version())
+            continue;
+        auto& encoded = byBase[child.sent];
+        if (!encoded)
+            encoded = std::make_shared<const std::string>(base::encode(m_state->deltaSince(child.sent)));
+        out.push_back({ name, encoded });
+        child.sent = m_state->version();
+    }
+    return out;
+}
+
+std::vector<wire::NodeInfo> Feeder::takeExpired(base::Instant now)
+{
+    std::vector<wire::NodeInfo> out;
+    for (auto it = m_children.begin(); it != m_children.end();) {
+        const auto& child = it->second;
+        if (child.isConnected || now - child.disconnectedAt < m_options.childLease) {
+            ++it;
+            continue;
+        }
+        out.push_back(child.node);
+        it = m_children.erase(it);
+    }
+    return out;
+}
+
+std::vector<std::string> Feeder::connected() const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, child] : m_children) {
+        if (child.isConnected)
+            out.push_back(name);
+    }
+    return out;
+}
+
+} // namespace pomelowind::nodes
--- /dev/null
+++ b/src/nodes/ParentChooser.cpp
@@ -0,0 +1,73 @@
+#include "pomelowind/nodes/ParentChooser.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/nodes/RelayTree.h"
+
+#include <algorithm>
+
+namespace pomelowind::nodes {
+
+namespace {
+
+    constexpr auto FIRST_PENALTY = base::Millis(300);
+    constexpr int MAX_DOUBLINGS = 4;
+
+    std::optional<Parent> asParent(const wire::NodeInfo& node)
+    {
+        try {
+            return Parent { node.node, base::parseAddress(node.meshAddress), false };
+        } catch (const base::UserError&) {
+            return std::nullopt;
+        }
+    }
+
+}
+
+ParentChooser::ParentChooser(std::string self, std::string dataCentre, std::vector<Parent> controlHosts, uint64_t seed)
+    : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+    , m_controlHosts(std::move(controlHosts))
+    , m_random(seed)
+{
+}
+
+std::optional<Parent> ParentChooser::choose(const std::vector<wire::NodeInfo>& members, base::Instant now)
+{
+    std::vector<Parent> candidates;
+    for (const auto& it : relayParents(m_self, m_dataCentre, members)) {
+        if (auto parent = asParent(it))
+            candidates.push_back(*parent);
+    }
+    candidates.insert(candidates.end(), m_controlHosts.begin(), m_controlHosts.end());
+    for (const auto& it : candidates) {
+        auto avoid = m_avoidUntil.find(it.id);
+        if (avoid == m_avoidUntil.end() || now >= avoid->second)
+            return it;
+    }
+    return std::nullopt;
+}
+
+void ParentChooser::avoid(const std::string& parent, base::Millis least, base::Instant now)
+{
+    auto jitter = base::Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(least.count()) + 1)));
+    m_avoidUntil[parent] = now + least + jitter;
+}
+
+void ParentChooser::failed(const std::string& parent, base::Instant now)
+{
+    int doublings = std::min(m_failures[parent]++, MAX_DOUBLINGS);
+    avoid(parent, FIRST_PENALTY * (1 << doublings), now);
+}
+
+void ParentChooser::refused(const std::string& parent, base::Millis retryAfter, base::Instant now)
+{
+    avoid(parent, retryAfter, now);
+}
+
+void ParentChooser::succeeded(const std::string& parent)
+{
+    m_failures.erase(parent);
+    m_avoidUntil.erase(parent);
+}
+
+} // namespace pomelowind::nodes
--- /dev/null
+++ b/src/operators/CommandLine.cpp
@@ -0,0 +1,295 @@
+#include "pomelowind/operators/CommandLine.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Time.h"
+#include "pomelowind/http/HttpClient.h"
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+namespace pomelowind::operators {
+
+namespace {
+
+    using base::ErrorKind;
+    using base::UserError;
+    using nlohmann::json;
+
+    constexpr int EXIT_ACCEPTED = 0;
+    constexpr int EXIT_INVALID = 2;
+    constexpr int EXIT_CONFLICT = 3;
+    constexpr int EXIT_NOT_FOUND = 4;
+    constexpr int EXIT_DENIED = 5;
+    constexpr int EXIT_UNAVAILABLE = 6;
+    constexpr auto ATTEMPT_TIMEOUT = base::Millis(6000);
+    constexpr auto PAUSE = std::chrono::milliseconds(200);
+
+    struct Answer {
+        int status { 0 };
+        json body;
+    };
+
+    // Sends requests to the control hosts, one after the other until one answers.
+    class ControlClient {
+    public:
+        explicit ControlClient(const CommandLineOptions& options)
+            : m_options(options)
+        {
+            if (options.control.empty())
+                throw UserError(ErrorKind::InvalidInput, "no control host given", "add --control=IP:PORT,...");
+        }
+
+        Answer send(const std::string& method, const std::string& path, const json& body)
+        {
+            auto due = std::chrono::steady_clock::now() + m_options.timeout;
+            Answer answer;
+            do {
+                for (const auto& it : m_options.control) {
+                    answer = sendTo(it, method, path, body);
+                    if (answer.status && answer.status != 503)
+                        return answer;
+                }
+                std::this_thread::sleep_for(PAUSE);
+            } while (std::chrono::steady_clock::now() < due);
+            return answer;
+        }
+
+    private:
+        Answer sendTo(
+            const base::Address& address, const std::string& method, const std::string& path, const json& body)
+        {
+            boost::asio::io_context io;
+            auto client = http::makeHttpClient(io, address, 1);
+            http::HttpRequest request { method, path,
+                { { "Host", address.text() }, { "Authorization", "Bearer " + m_options.token } },
+                body.is_null() ? "" : body.dump() };
+            Answer out;
+            client->request(std::move(request), ATTEMPT_TIMEOUT, [&](const http::ExchangeResult& result) {
+                if (result.end == http::ExchangeEnd::Answered) {
+                    out.status = result.response.status;
+                    out.body = json::parse(result.response.body, nullptr, false);
+                }
+                client->close();
+            });
+            io.run();
+            return out;
+        }
+
+        const CommandLineOptions& m_options;
+    };
+
+    int exitCodeOf(int status)
+    {
+        switch (status) {
+        case 200:
+        case 202:
+            return EXIT_ACCEPTED;
+        case 409:
+            return EXIT_CONFLICT;
+        case 404:
+            return EXIT_NOT_FOUND;
+        case 401:
+        case 403:
+            return EXIT_DENIED;
+        case 0:
+        case 429:
+        case 503:
+            return EXIT_UNAVAILABLE;
+        default:
+            return EXIT_INVALID;
+        }
+    }
+
+    std::string plain(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+    // One line of key=value pairs for each object; nested objects get dotted keys.
+    void printFields(const json& object, const std::string& prefix, std::ostream& out)
+    {
+        for (const auto& [key, value] : object.items()) {
+            if (value.is_object() && !value.empty())
+                printFields(value, prefix + key + ".", out);
+            else
+                out << prefix << key << '=' << plain(value) << ' ';
+        }
+    }
+
+    void printText(const json& body)
+    {
+        if (!body.is_array()) {
+            printFields(body, "", std::cout);
+            std::cout << std::endl;
+            return;
+        }
+        for (const auto& it : body)
+            printText(it);
+    }
+
+    int show(const CommandLineOptions& options, const Answer& answer)
+    {
+        if (!answer.status) {
+            std::cerr << "no control host answered; remedy: check --control and try again with the same --request_id"
+                      << std::endl;
+            return EXIT_UNAVAILABLE;
+        }
+        if (options.json)
+            std::cout << answer.body.dump() << std::endl;
+        else
+            printText(answer.body);
+        return exitCodeOf(answer.status);
+    }
+
+    std::string word(const CommandLineOptions& options, size_t i, const char* what)
+    {
+        if (i >= options.words.size())
+            throw UserError(ErrorKind::InvalidInput, std::string(what) + " is missing", "see pomelowindctl --help");
+        return options.words[i];
+    }
+
+    std::string required(const std::string& value, const char* flag)
+    {
+        if (value.empty())
+            throw UserError(
+                ErrorKind::InvalidInput, std::string("--") + flag + " is missing", "see pomelowindctl --help");
+        return value;
+    }
+
+    std::string readFile(const std::string& file)
+    {
+        std::ifstream in(file);
+        if (!in)
+            throw UserError(ErrorKind::InvalidInput, "file '" + file + "' cannot be read", "check --file");
+        std::ostringstream out;
+        out << in.rdbuf();
+        return out.str();
+    }
+
+    json parameters(const std::vector<std::string>& pairs)
+    {
+        json out = json::object();
+        for (const auto& it : pairs) {
+            auto equals = it.find('=');
+            if (equals == std::string::npos)
+                throw UserError(
+                    ErrorKind::InvalidInput, "'" + it + "' is not NAME=VALUE", "write --param=NAME=VALUE,...");
+            out[it.substr(0, equals)] = it.substr(equals + 1);
+        }
+        return out;
+    }
+
+    // The version that a new submission on this item has to name.
+    int64_t readBase(ControlClient& client, const CommandLineOptions& options, const std::string& collection,
+        const std::string& name)
+    {
+        if (options.baseVersion >= 0)
+            return options.baseVersion;
+        auto answer = client.send("GET", "/v1/" + collection + "/" + name, nullptr);
+        return answer.status == 200 ? answer.body.value("base_version", int64_t { 0 }) : 0;
+    }
+
+    int submit(const CommandLineOptions& options, ControlClient& client, const std::string& method,
+        const std::string& path, json body, int64_t base)
+    {
+        std::string id = options.requestId.empty() ? base::makeUuidV7(base::SystemClock().wallMs()) : options.requestId;
+        body["request_id"] = id;
+        body["base_version"] = base;
+        auto answer = client.send(method, path, body);
+        if (!answer.status)
+            std::cerr << "request_id=" << id << std::endl;
+        return show(options, answer);
+    }
+
+    int runItem(
+        const CommandLineOptions& options, ControlClient& client, const std::string& kind, const std::string& action)
+    {
+        std::string collection = kind + "s";
+        if (action == "list")
+            return show(options, client.send("GET", "/v1/" + collection, nullptr));
+        std::string name = word(options, 2, "the name");
+        std::string path = "/v1/" + collection + "/" + name;
+        if (action == "show")
+            return show(options, client.send("GET", path, nullptr));
+        json body = json::object();
+        if (action == "remove" && kind != "template")
+            return submit(options, client, "DELETE", path, body, readBase(client, options, collection, name));
+        if (kind == "service" && action == "set") {
+            body["version"] = required(options.toVersion, "to_version");
+        } else if (kind == "template" && action == "submit") {
+            body["body"] = readFile(required(options.file, "file"));
+        } else if (kind == "account" && action == "set") {
+            body["template"] = required(options.templateName, "template_name");
+            body["parameters"] = parameters(options.parameters);
+        } else {
+            throw UserError(
+                ErrorKind::InvalidInput, "unknown command '" + kind + " " + action + "'", "see pomelowindctl --help");
+        }
+        return submit(options, client, "PUT", path, body, readBase(client, options, collection, name));
+    }
+
+    int runMove(const CommandLineOptions& options, ControlClient& client, const std::string& action)
+    {
+        if (action == "list")
+            return show(options, client.send("GET", "/v1/moves", nullptr));
+        std::string name = word(options, 2, "the service or move");
+        if (action == "status")
+            return show(options, client.send("GET", "/v1/moves/" + name, nullptr));
+        if (action == "take-back") {
+            auto move = client.send("GET", "/v1/moves/" + name, nullptr);
+            if (move.status != 200)
+                return show(options, move);
+            return submit(options, client, "POST", "/v1/moves/" + name + "/take-back",
+                { { "service", move.body["service"] } }, 0);
+        }
+        if (action != "start")
+            throw UserError(
+                ErrorKind::InvalidInput, "unknown command 'move " + action + "'", "see pomelowindctl --help");
+        int64_t now = base::SystemClock().wallMs();
+        json body { { "id", options.moveId.empty() ? name + "-" + std::to_string(now) : options.moveId },
+            { "service", name }, { "to_version", required(options.toVersion, "to_version") },
+            { "deadline_ms", now + options.within.count() }, { "watch_ms", options.watch.count() } };
+        return submit(options, client, "POST", "/v1/moves", body, readBase(client, options, "services", name));
+    }
+
+    std::vector<std::string> splitList(const std::string& text)
+    {
+        std::vector<std::string> out;
+        std::stringstream in(text);
+        for (std::string item; std::getline(in, item, ',');)
+            out.push_back(item);
+        return out;
+    }
+
+    int runMembers(const CommandLineOptions& options, ControlClient& client)
+    {
+        if (options.words.size() < 2)
+            return show(options, client.send("GET", "/v1/members", nullptr));
+        json body { { "voters", splitList(word(options, 2, "the list of voters")) },
+            { "learners", options.words.size() > 3 ? splitList(options.words[3]) : std::vector<std::string>() } };
+        return show(options, client.send("PUT", "/v1/members", body));
+    }
+
+}
+
+int runCommandLine(const CommandLineOptions& options)
+{
+    ControlClient client(options);
+    std::string kind = word(options, 0, "the command");
+    std::string limit = "?limit=" + std::to_string(options.limit);
+    if (kind == "status")
+        return show(options, client.send("GET", "/v1/status", nullptr));
+    if (kind == "history" || kind == "audit")
+        return show(options, client.send("GET", "/v1/" + kind + limit, nullptr));
+    if (kind == "members")
+        return runMembers(options, client);
+    std::string action = word(options, 1, "the action");
+    if (kind == "move")
+        return runMove(options, client, action);
+    if (kind == "service" || kind == "template" || kind == "account")
+        return runItem(options, client, kind, action);
+    throw UserError(ErrorKind::InvalidInput, "unknown command '" + kind + "'", "see pomelowindctl --help");
+}
+
+} // namespace pomelowind::operators
--- /dev/null
+++ b/src/operators/OperatorApi.cpp
@@ -0,0 +1,331 @@
+#include "pomelowind/operators/OperatorApi.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/config/ConfigMachine.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::operators {
+
+namespace {
+
+    using base::ErrorKind;
+    using base::UserError;
+    using nlohmann::json;
+    using wire::CommandKind;
+    using wire::ResultCode;
+
+    constexpr size_t DEFAULT_LIMIT = 100;
+    constexpr size_t MAX_LIMIT = 10000;
+    constexpr char SUBJECT_MEMBERS[] = "members/control";
+
+    struct Target {
+        std::vector<std::string> parts;
+        std::map<std::string, std::string> query;
+    };
+
+    std::vector<std::string> split(const std::string& text, char separator)
+    {
+        std::vector<std::string> out;
+        size_t at = 0;
+        while (at <= text.size()) {
+            auto end = std::min(text.find(separator, at), text.size());
+            if (end > at)
+                out.push_back(text.substr(at, end - at));
+            at = end + 1;
+        }
+        return out;
+    }
+
+    Target parseTarget(const std::string& path)
+    {
+        Target out;
+        auto mark = path.find('?');
+        out.parts = split(path.substr(0, mark), '/');
+        if (mark != std::string::npos) {
+            for (const auto& it : split(path.substr(mark + 1), '&')) {
+                auto equals = it.find('=');
+                out.query[it.substr(0, equals)] = equals == std::string::npos ? "" : it.substr(equals + 1);
+            }
+        }
+        return out;
+    }
+
+    http::HttpResponse jsonResponse(int status, std::string body)
+    {
+        http::HttpResponse out;
+        out.status = status;
+        out.headers = { { "Content-Type", "application/json" } };
+        out.body = std::move(body);
+        return out;
+    }
+
+    http::HttpResponse errorResponse(
+        int status, const std::string& error, const std::string& message, const std::string& remedy)
+    {
+        return jsonResponse(status, json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump());
+    }
+
+    int statusOf(ResultCode::type code)
+    {
+        switch (code) {
+        case ResultCode::ACCEPTED:
+        case ResultCode::UNCHANGED:
+            return 200;
+        case ResultCode::CONFLICT:
+            return 409;
+        case ResultCode::INVALID:
+            return 422;
+        case ResultCode::NOT_FOUND:
+            return 404;
+        case ResultCode::DENIED:
+            return 403;
+        case ResultCode::BUSY:
+            return 429;
+        case ResultCode::UNAVAILABLE:
+            return 503;
+        }
+        return 500;
+    }
+
+    http::HttpResponse resultResponse(const wire::CommandResult& result, const std::string& requestId)
+    {
+        json body { { "result", config::resultCodeName(result.code) }, { "version", result.version },
+            { "request_id", requestId } };
+        if (!result.message.empty()) {
+            body["error"] = config::resultCodeName(result.code);
+            body["message"] = result.message;
+            body["remedy"] = result.remedy;
+        }
+        return jsonResponse(statusOf(result.code), body.dump());
+    }
+
+    // Reads fields of a JSON body and names the one that is wrong.
+    class Body {
+    public:
+        explicit Body(const std::string& text)
+        {
+            m_json = json::parse(text.empty() ? "{}" : text, nullptr, false);
+            if (!m_json.is_object())
+                throw UserError(ErrorKind::InvalidInput, "the body is not a JSON object", "send a JSON object");
+        }
+
+        std::string text(const std::string& key) const
+        {
+            auto it = m_json.find(key);
+            if (it == m_json.end() || !it->is_string() || it->get<std::string>().empty())
+                throw UserError(ErrorKind::InvalidInput, "field '" + key + "' is missing or not a text",
+                    "add \"" + key + "\" to the body");
+            return it->get<std::string>();
+        }
+
+        int64_t integer(const std::string& key) const
+        {
+            auto it = m_json.find(key);
+            if (it == m_json.end() || !it->is_number_integer())
+                throw UserError(ErrorKind::InvalidInput, "field '" + key + "' is missing or not a whole number",
+                    "add \"" + key + "\" to the body");
+            return it->get<int64_t>();
+        }
+
+        std::map<std::string, std::string> texts(const std::string& key) const
+        {
+            std::map<std::string, std::string> out;
+            auto it = m_json.find(key);
+            if (it == m_json.end())
+                return out;
+            if (!it->is_object())
+                throw UserError(
+                    ErrorKind::InvalidInput, "field '" + key + "' is not an object", "send an object of texts");
+            for (const auto& [name, value] : it->items()) {
+                if (!value.is_string())
+                    throw UserError(
+                        ErrorKind::InvalidInput, "'" + name + "' in '" + key + "' is not a text", "write it in quotes");
+                out[name] = value.get<std::string>();
+            }
+            return out;
+        }
+
+        std::vector<std::string> list(const std::string& key) const
+        {
+            std::vector<std::string> out;
+            auto it = m_json.find(key);
+            if (it == m_json.end() || !it->is_array())
+                throw UserError(ErrorKind::InvalidInput, "field '" + key + "' is missing or not a list",
+                    "add \"" + key + "\" to the body");
+            for (const auto& item : *it) {
+                if (!item.is_string())
+                    throw UserError(ErrorKind::InvalidInput, "'" + key + "' holds something other than texts",
+                        "send a list of texts");
+                out.push_back(item.get<std::string>());
+            }
+            return out;
+        }
+
+    private:
+        json m_json;
+    };
+
+    std::optional<View> viewNamed(const std::string& name)
+    {
+        static const std::map<std::string, View> VIEWS
+            = { { "services", View::Services }, { "templates", View::Templates }, { "accounts", View::Accounts },
+                  { "moves", View::Moves }, { "status", View::Status }, { "history", View::History },
+                  { "audit", View::Audit }, { "members", View::Members } };
+        auto it = VIEWS.find(name);
+        return it == VIEWS.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    // "services" -> "service", the kind in a subject.
+    std::string kindOf(const std::string& collection)
+    {
+        return collection.back() == 's' && collection != "status" ? collection.substr(0, collection.size() - 1)
+                                                                  : collection;
+    }
+
+    std::string bearerToken(const http::HttpRequest& request)
+    {
+        std::string value(http::findHeader(request.headers, "Authorization"));
+        constexpr std::string_view PREFIX = "Bearer ";
+        return value.compare(0, PREFIX.size(), PREFIX) == 0 ? value.substr(PREFIX.size()) : std::string();
+    }
+
+}
+
+struct OperatorApi::Call {
+    http::HttpRequest request;
+    std::shared_ptr<http::HttpReply> reply;
+    Operator who;
+    Target target;
+};
+
+OperatorApi::OperatorApi(const Roles& roles, ControlGateway& gateway)
+    : m_roles(roles)
+    , m_gateway(gateway)
+{
+}
+
+void OperatorApi::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
+{
+    auto who = m_roles.authenticate(bearerToken(request));
+    if (!who)
+        return reply->send(errorResponse(401, "denied", "no valid bearer token",
+            "send 'Authorization: Bearer TOKEN' of an operator in the settings"));
+    Call call { std::move(request), std::move(reply), *who, {} };
+    call.target = parseTarget(call.request.path);
+    const auto& parts = call.target.parts;
+    try {
+        if (parts.size() < 2 || parts[0] != "v1" || !viewNamed(parts[1]))
+            return call.reply->send(errorResponse(
+                404, "not_found", "no such resource: " + call.request.path, "see docs/operate/api.md for the paths"));
+        if (call.request.method == "GET")
+            return read(call);
+        write(call);
+    } catch (const UserError& e) {
+        call.reply->send(errorResponse(422, base::errorKindName(e.kind()), e.what(), e.remedy()));
+    }
+}
+
+void OperatorApi::read(const Call& call)
+{
+    const auto& parts = call.target.parts;
+    std::string name = parts.size() > 2 ? parts[2] : "";
+    std::string subject = kindOf(parts[1]) + "/" + name;
+    if (!m_roles.allows(call.who, Permission::Read, subject))
+        return submit(call, {}, Permission::Read, subject);
+    auto limit = call.target.query.find("limit");
+    size_t most = limit == call.target.query.end() ? DEFAULT_LIMIT
+                                                   : static_cast<size_t>(std::max(1, std::atoi(limit->second.c_str())));
+    m_gateway.view(*viewNamed(parts[1]), name, std::min(most, MAX_LIMIT),
+        [reply = call.reply](int status, std::string body) { reply->send(jsonResponse(status, std::move(body))); });
+}
+
+void OperatorApi::write(const Call& call)
+{
+    const auto& parts = call.target.parts;
+    const auto& method = call.request.method;
+    if (parts[1] == "members" && method == "PUT")
+        return changeMembers(call);
+    wire::Command command;
+    std::string action = method + " " + parts[1] + (parts.size() > 3 ? " " + parts[3] : "");
+    Body body(call.request.body);
+    command.name = parts.size() > 2 ? parts[2] : "";
+    auto permission = Permission::Change;
+    std::string subject = kindOf(parts[1]) + "/" + command.name;
+    if (action == "PUT services") {
+        command.kind = CommandKind::SET_SERVICE;
+        command.body = body.text("version");
+    } else if (action == "DELETE services") {
+        command.kind = CommandKind::REMOVE_SERVICE;
+    } else if (action == "PUT templates") {
+        command.kind = CommandKind::SUBMIT_TEMPLATE;
+        command.body = body.text("body");
+    } else if (action == "PUT accounts") {
+        command.kind = CommandKind::SET_ACCOUNT;
+        command.templateName = body.text("template");
+        command.parameters = body.texts("parameters");
+    } else if (action == "DELETE accounts") {
+        command.kind = CommandKind::REMOVE_ACCOUNT;
+    } else if (action == "POST moves") {
+        command.kind = CommandKind::START_MOVE;
+        wire::MoveAsk ask;
+        ask.id = body.text("id");
+        ask.serviceName = body.text("service");
+        ask.toVersion = body.text("to_version");
+        ask.deadlineMs = body.integer("deadline_ms");
+        ask.watchMs = body.integer("watch_ms");
+        command.__set_move(ask);
+        permission = Permission::Move;
+        subject = "service/" + ask.serviceName;
+    } else if (action == "POST moves take-back") {
+        command.kind = CommandKind::TAKE_BACK_MOVE;
+        permission = Permission::Move;
+        subject = "service/" + body.text("service");
+    } else {
+        return call.reply->send(errorResponse(405, "invalid_input", method + " is not possible on " + call.request.path,
+            "see docs/operate/api.md for the methods"));
+    }
+    command.requestId = body.text("request_id");
+    command.baseVersion = body.integer("base_version");
+    submit(call, std::move(command), permission, subject);
+}
+
+void OperatorApi::submit(const Call& call, wire::Command command, Permission permission, const std::string& subject)
+{
+    command.actor = call.who.name;
+    command.team = call.who.team;
+    if (!m_roles.allows(call.who, permission, subject)) {
+        // Refusals stand in the audit trail too, as entries without effect.
+        wire::Command denied;
+        denied.kind = CommandKind::DENIED;
+        denied.actor = call.who.name;
+        denied.team = call.who.team;
+        denied.name = subject;
+        denied.body = "team '" + call.who.team + "' may not do " + call.request.method + " on " + subject;
+        command = denied;
+    }
+    std::string requestId = command.requestId;
+    m_gateway.submit(std::move(command), [reply = call.reply, requestId](const wire::CommandResult& result) {
+        reply->send(resultResponse(result, requestId));
+    });
+}
+
+void OperatorApi::changeMembers(const Call& call)
+{
+    Body body(call.request.body);
+    wire::Membership next;
+    next.voters = body.list("voters");
+    next.learners = body.list("learners");
+    if (!m_roles.allows(call.who, Permission::Change, SUBJECT_MEMBERS))
+        return submit(call, {}, Permission::Change, SUBJECT_MEMBERS);
+    m_gateway.changeMembers(std::move(next), [reply = call.reply](bool accepted) {
+        if (accepted)
+            return reply->send(jsonResponse(202, R"({"result":"proposed"})"));
+        reply->send(errorResponse(409, "conflict", "the membership cannot be changed now",
+            "ask the leader, change one voter at a time, and wait until the last change is in force"));
+    });
+}
+
+} // namespace pomelowind::operators
--- /dev/null
+++ b/src/platform/Metrics.cpp
@@ -0,0 +1,76 @@
+#include "pomelowind/platform/Metrics.h"
+
+#include "pomelowind/base/Errors.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/exposer.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+namespace pomelowind::platform {
+
+namespace {
+
+    class PrometheusGauge final : public Gauge {
+    public:
+        explicit PrometheusGauge(prometheus::Gauge& gauge)
+            : m_gauge(gauge)
+        {
+        }
+        void set(double value) override { m_gauge.Set(value); }
+
+    private:
+        prometheus::Gauge& m_gauge;
+    };
+
+    class PrometheusCounter final : public Counter {
+    public:
+        explicit PrometheusCounter(prometheus::Counter& counter)
+            : m_counter(counter)
+        {
+        }
+        void add(double n) override { m_counter.Increment(n); }
+
+    private:
+        prometheus::Counter& m_counter;
+    };
+
+    class PrometheusMetrics final : public Metrics {
+    public:
+        explicit PrometheusMetrics(const base::Address& address)
+            : m_exposer(std::vector<std::string> { "listening_ports", address.text(), "num_threads", "2" })
+            , m_registry(std::make_shared<prometheus::Registry>())
+        {
+            m_exposer.RegisterCollectable(m_registry);
+        }
+
+        std::shared_ptr<Gauge> gauge(const std::string& name, const std::string& help) override
+        {
+            auto& family = prometheus::BuildGauge().Name("pomelowind_" + name).Help(help).Register(*m_registry);
+            return std::make_shared<PrometheusGauge>(family.Add({}));
+        }
+
+        std::shared_ptr<Counter> counter(const std::string& name, const std::string& help) override
+        {
+            auto& family = prometheus::BuildCounter().Name("pomelowind_" + name).Help(help).Register(*m_registry);
+            return std::make_shared<PrometheusCounter>(family.Add({}));
+        }
+
+    private:
+        prometheus::Exposer m_exposer;
+        std::shared_ptr<prometheus::Registry> m_registry;
+    };
+
+}
+
+std::unique_ptr<Metrics> serveMetrics(const base::Address& address)
+{
+    try {
+        return std::make_unique<PrometheusMetrics>(address);
+    } catch (const std::exception& e) {
+        throw base::UserError(base::ErrorKind::Settings, "cannot serve metrics on " + address.text() + ": " + e.what(),
+            "choose a free port of this host for 'metrics_address'");
+    }
+}
+
+} // namespace pomelowind::platform
