--- /dev/null
+++ b/benchmarks/BenchCalls.cpp
@@ -0,0 +1,316 @@
+// Benchmarks of calls: latency that the nodes add, overload, claims, and planned stops.
+
+#include "benchmarks/BenchOutput.h"
+#include "benchmarks/Mesh.h"
+#include "pomelowind/base/Hash.h"
+
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <thread>
+
+namespace pomelowind::bench {
+
+namespace {
+
+    using base::Instant;
+    using base::Millis;
+    using nlohmann::json;
+
+    Instant now() { return std::chrono::steady_clock::now(); }
+
+    standins::LoadOptions loadOn(std::vector<base::Address> addresses, const std::string& path, double rate, double seconds)
+    {
+        standins::LoadOptions out;
+        out.addresses = std::move(addresses);
+        out.hosts = { "a.example" };
+        out.paths = { path };
+        out.ratePerSecond = rate;
+        out.seconds = seconds;
+        return out;
+    }
+
+    bool waitServing(Mesh& mesh, const std::string& path)
+    {
+        return mesh.waitFor([&] {
+            for (const auto& it : mesh.callers()) {
+                if (mesh.send(it, { "GET", path, { { "Host", "a.example" } }, "" }, Millis(3000)).status != 200)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    void startServing(Mesh& mesh, const std::string& extra)
+    {
+        mesh.startAll();
+        for (int i = 0; i < mesh.options().nodes; ++i)
+            mesh.startTarget({ "t" + std::to_string(i), "s", "v1", i, extra });
+        mesh.configure({ "s" });
+        mesh.waitInForce(mesh.options().nodes);
+        waitServing(mesh, "/get");
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+
+    std::map<std::string, int> runsByKey(const Mesh& mesh)
+    {
+        std::map<std::string, int> out;
+        std::ifstream in(mesh.folder() + "/runs.txt");
+        std::string time;
+        std::string key;
+        std::string rest;
+        while (in >> time >> key && std::getline(in, rest))
+            ++out[key];
+        return out;
+    }
+
+    int falseNotRun(const std::string& log, std::map<std::string, int>& runs)
+    {
+        int out = 0;
+        std::ifstream in(log);
+        std::string line;
+        while (std::getline(in, line)) {
+            std::istringstream fields(line);
+            std::string time;
+            std::string id;
+            std::string path;
+            std::string verdict;
+            fields >> time >> id >> path >> verdict;
+            out += verdict == "not-run" && runs[id] ? 1 : 0;
+        }
+        return out;
+    }
+
+    // A chain of `depth` services: the target of each calls the next through its own node.
+    json chainFigures(int depth, double rate, double seconds, uint64_t seed)
+    {
+        MeshOptions options;
+        options.nodes = depth;
+        options.dataCentres = 1;
+        options.serviceMs = 0;
+        options.slots = 100;
+        Mesh mesh(options);
+        mesh.startAll();
+        std::vector<std::string> services;
+        for (int i = 0; i < depth; ++i) {
+            std::string name = "s" + std::to_string(i);
+            services.push_back(name);
+            std::string extra = "exponential: false\n";
+            if (i + 1 < depth)
+                extra += "downstream_address: " + mesh.address("caller", i).text() + "\ndownstream_host: a.example\ndownstream_path: /s"
+                    + std::to_string(i + 1) + "/get\n";
+            mesh.startTarget({ "t" + std::to_string(i), name, "v1", i, extra });
+        }
+        mesh.configure(services);
+        mesh.waitInForce(depth);
+        waitServing(mesh, "/get");
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        auto through = runLoad(loadOn({ mesh.address("caller", 0) }, "/get", rate, seconds), seed);
+        auto direct = runLoad(loadOn({ mesh.address("target", depth - 1) }, "/get", rate, seconds), seed);
+        double directP99 = direct.quantile(0.99);
+        return { { "depth", depth }, { "calls_per_second", rate }, { "through_p50", through.quantile(0.5) }, { "through_p99", through.quantile(0.99) },
+            { "through_p999", through.quantile(0.999) }, { "direct_p50", direct.quantile(0.5) }, { "direct_p99", directP99 },
+            { "added_p99", through.quantile(0.99) - directP99 }, { "added_p99_per_hop", (through.quantile(0.99) - directP99) / depth },
+            { "ok", through.ok }, { "sent", through.sent } };
+    }
+
+    // One caller's node and one target's node: every call crosses the link between them.
+    struct PairFigures {
+        standins::LoadSummary direct;
+        standins::LoadSummary through;
+        double callsPerCore { 0 };
+    };
+
+    PairFigures measurePair(Mesh& mesh, double rate, double seconds, uint64_t seed)
+    {
+        PairFigures out;
+        auto cpu = [&] { return processCpuSeconds(mesh.pid("node-0")) + processCpuSeconds(mesh.pid("node-1")); };
+        out.direct = runLoad(loadOn({ mesh.address("target", 0) }, "/get", rate, seconds), seed);
+        double before = cpu();
+        out.through = runLoad(loadOn({ mesh.address("caller", 0) }, "/get", rate, seconds), seed);
+        out.callsPerCore = static_cast<double>(out.through.ok) / std::max(0.001, cpu() - before);
+        return out;
+    }
+
+}
+
+int benchAddedLatency(const BenchOptions& options)
+{
+    auto began = now();
+    double seconds = options.quick ? 3 : 10;
+    MeshOptions meshOptions;
+    meshOptions.nodes = 2;
+    meshOptions.dataCentres = 1;
+    meshOptions.serviceMs = 0;
+    meshOptions.slots = 400;
+    Mesh mesh(meshOptions);
+    mesh.startAll();
+    mesh.startTarget({ "t0", "s", "v1", 1, "exponential: false\n" });
+    mesh.configure({ "s" });
+    mesh.waitInForce(2);
+    waitServing(mesh, "/get");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    json rates = json::array();
+    json base;
+    for (double rate : { 345.0, 1725.0, 10000.0 }) {
+        auto it = measurePair(mesh, rate, seconds, options.seed);
+        json row { { "calls_per_second", rate }, { "direct_p50", it.direct.quantile(0.5) }, { "direct_p99", it.direct.quantile(0.99) },
+            { "through_p50", it.through.quantile(0.5) }, { "through_p99", it.through.quantile(0.99) }, { "through_p999", it.through.quantile(0.999) },
+            { "added_p99", it.through.quantile(0.99) - it.direct.quantile(0.99) }, { "calls_per_core_second", it.callsPerCore },
+            { "ok", it.through.ok }, { "sent", it.through.sent } };
+        say(row.dump());
+        rates.push_back(row);
+        if (base.is_null())
+            base = row;
+    }
+    json depths = json::array();
+    for (int depth : { 3, 11 }) {
+        depths.push_back(chainFigures(depth, 100, seconds, options.seed));
+        say(depths.back().dump());
+    }
+    base["depth"] = 1;
+    base["rates"] = rates;
+    base["depths"] = depths;
+    return finish("added-latency", options, began, base, {});
+}
+
+int benchOverload(const BenchOptions& options)
+{
+    auto began = now();
+    double seconds = options.quick ? 2 : 6;
+    constexpr int TARGETS = 4;
+    constexpr int SLOTS = 6;
+    constexpr int SERVICE_MS = 10;
+    double capacity = TARGETS * SLOTS * 1000.0 / SERVICE_MS;
+    json fields { { "capacity", capacity } };
+    for (bool limited : { true, false }) {
+        MeshOptions meshOptions;
+        meshOptions.nodes = TARGETS;
+        meshOptions.slots = SLOTS;
+        meshOptions.serviceMs = SERVICE_MS;
+        meshOptions.nodeExtra = std::string("limits_enabled: ") + (limited ? "true" : "false") + "\n";
+        Mesh mesh(meshOptions);
+        startServing(mesh, "");
+        json curve = json::array();
+        double peak = 0;
+        json last;
+        for (double share : { 0.5, 0.8, 1.0, 1.5, 2.0, 3.0 }) {
+            auto load = loadOn(mesh.callers(), "/get", capacity * share, seconds);
+            auto it = runLoad(load, options.seed);
+            double goodput = static_cast<double>(it.ok) / seconds;
+            peak = std::max(peak, goodput);
+            last = { { "load", share }, { "goodput", goodput }, { "p99", it.quantile(0.99) }, { "not_run", it.notRun }, { "lost", it.lost },
+                { "unknown", it.unknown } };
+            say((limited ? "limits " : "no limits ") + last.dump());
+            curve.push_back(last);
+        }
+        json part { { "peak_goodput", peak }, { "goodput_3x", last["goodput"] }, { "p99_3x", last["p99"] }, { "curve", curve } };
+        if (limited)
+            fields.update(part);
+        else
+            fields["no_limits"] = part;
+    }
+    return finish("overload", options, began, fields, {});
+}
+
+int benchClaims(const BenchOptions& options)
+{
+    auto began = now();
+    MeshOptions meshOptions;
+    meshOptions.nodes = 8;
+    meshOptions.serviceMs = 1;
+    Mesh mesh(meshOptions);
+    startServing(mesh, "exponential: false\n");
+    mesh.waitFor([&] {
+        auto key = base::makeUuidV7(base::SystemClock().wallMs());
+        return mesh.send(mesh.callers()[0], { "POST", "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } }, "" }).status == 200;
+    });
+    double rate = 500;
+    auto plain = loadOn(mesh.callers(), "/post", rate, options.quick ? 3 : 8);
+    plain.method = "POST";
+    auto without = runLoad(plain, options.seed);
+    auto keyedQuiet = plain;
+    keyedQuiet.keyed = true;
+    auto with = runLoad(keyedQuiet, options.seed + 1);
+    auto keyed = keyedQuiet;
+    keyed.seconds = options.quick ? 8 : 40;
+    keyed.resends = 4;
+    keyed.log = mesh.folder() + "/calls.txt";
+    auto running = std::async(std::launch::async, [&] { return runLoad(keyed, options.seed + 2); });
+    int kills = 0;
+    auto until = now() + std::chrono::milliseconds(static_cast<int>(keyed.seconds * 1000) - 2000);
+    while (now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        std::string node = "node-" + std::to_string(4 + kills % 4);
+        mesh.kill(node);
+        mesh.startNode(4 + kills % 4);
+        ++kills;
+    }
+    auto summary = running.get();
+    auto runs = runsByKey(mesh);
+    int duplicates = 0;
+    for (const auto& [key, n] : runs)
+        duplicates += n > 1 ? 1 : 0;
+    json fields { { "requests", summary.sent }, { "resends", summary.resends }, { "holder_kills", kills }, { "duplicates", duplicates },
+        { "false_not_run", falseNotRun(keyed.log, runs) }, { "wrong_bodies", summary.wrongBodies }, { "unknown", summary.unknown + summary.lost },
+        { "ok", summary.ok }, { "not_run", summary.notRun }, { "added_p50", with.quantile(0.5) - without.quantile(0.5) },
+        { "added_p99", with.quantile(0.99) - without.quantile(0.99) } };
+    return finish("claims", options, began, fields, { "duplicates", "false_not_run", "wrong_bodies" });
+}
+
+int benchDrain(const BenchOptions& options)
+{
+    auto began = now();
+    MeshOptions meshOptions;
+    meshOptions.nodes = 8;
+    Mesh mesh(meshOptions);
+    startServing(mesh, "");
+    int stops = options.quick ? 6 : 50;
+    std::atomic<bool> ended { false };
+    standins::LoadSummary total;
+    auto running = std::async(std::launch::async, [&] {
+        for (uint64_t seed = options.seed; !ended; ++seed) {
+            auto calls = loadOn({ mesh.address("caller", 0), mesh.address("caller", 1) }, "/get", 200, 2);
+            auto it = runLoad(calls, seed);
+            total.sent += it.sent;
+            total.ok += it.ok;
+        }
+    });
+    std::vector<double> lastNewWork;
+    for (int i = 0; i < stops; ++i) {
+        int node = 2 + i % 6;
+        bool stopsNode = i % 2 == 1;
+        std::string target = "t" + std::to_string(node);
+        std::string process = stopsNode ? "node-" + std::to_string(node) : target;
+        // Calls that the node's metrics still count after the stop began came after the target said that it leaves.
+        mesh.terminate(process);
+        auto left = now();
+        mesh.waitFor([&] {
+            auto targets = mesh.nodeState(0).value("targets", json::array());
+            for (const auto& it : targets) {
+                if (it["target"] == target && it["state"] == 1)
+                    return false;
+            }
+            return true;
+        });
+        lastNewWork.push_back(std::chrono::duration<double, std::milli>(now() - left).count());
+        mesh.wait(process, Millis(20000));
+        if (stopsNode)
+            mesh.startNode(node);
+        else
+            mesh.startTarget({ target, "s", "v1", node, "" });
+        mesh.waitFor([&] {
+            for (const auto& it : mesh.nodeState(0).value("targets", json::array())) {
+                if (it["target"] == target && it["state"] == 1)
+                    return true;
+            }
+            return false;
+        });
+    }
+    ended = true;
+    running.get();
+    json fields { { "stops", stops }, { "calls", total.sent }, { "lost", total.sent - total.ok }, { "last_new_work_max", quantile(lastNewWork, 1) } };
+    return finish("drain", options, began, fields, { "lost" });
+}
+
+} // namespace pomelowind::bench
--- /dev/null
+++ b/benchmarks/Mesh.cpp
@@ -0,0 +1,400 @@
+#include "benchmarks/Mesh.h"
+
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/http/HttpClient.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ; // NOLINT
+
+namespace pomelowind::bench {
+
+namespace {
+
+    namespace fs = std::filesystem;
+    using base::Millis;
+    using nlohmann::json;
+
+    constexpr int CONTROL_PORT = 7000;
+    constexpr int NODE_PORT = 8000;
+    constexpr int TARGET_PORT = 9000;
+    constexpr int PROXY_PORT = 10000;
+    constexpr auto POLL = std::chrono::milliseconds(20);
+    constexpr char TOKEN[] = "test-token";
+
+    std::atomic<int> nextMesh { 0 };
+
+    std::string programFolder() { return fs::canonical("/proc/self/exe").parent_path().string(); }
+
+}
+
+Mesh::Mesh(MeshOptions options)
+    : m_options(std::move(options))
+    , m_id((getpid() * 7 + nextMesh++) % 60000)
+    , m_duty("proxies")
+{
+    m_folder = (fs::temp_directory_path() / ("pomelowind-" + std::to_string(getpid()) + "-" + std::to_string(m_id))).string();
+    fs::remove_all(m_folder);
+    fs::create_directories(m_folder);
+    m_duty.start();
+}
+
+Mesh::~Mesh()
+{
+    for (const auto& [name, pid] : m_pids)
+        ::kill(pid, SIGKILL);
+    for (const auto& [name, pid] : m_pids)
+        waitpid(pid, nullptr, 0);
+    m_duty.stop();
+    if (!std::getenv("POMELOWIND_KEEP_LOGS"))
+        fs::remove_all(m_folder);
+}
+
+std::string Mesh::ip(int host) const
+{
+    return "127." + std::to_string(10 + m_id / 250) + "." + std::to_string(1 + m_id % 250) + "." + std::to_string(host);
+}
+
+base::Address Mesh::address(const std::string& kind, int i) const
+{
+    auto at = [&](int host, int port) { return base::Address { ip(host), static_cast<uint16_t>(port + i) }; };
+    if (kind == "control")
+        return at(1, CONTROL_PORT);
+    if (kind == "operator")
+        return at(2, CONTROL_PORT);
+    if (kind == "control-metrics")
+        return at(3, CONTROL_PORT);
+    if (kind == "caller")
+        return at(4, NODE_PORT);
+    if (kind == "mesh")
+        return at(5, NODE_PORT);
+    if (kind == "calls")
+        return at(6, NODE_PORT);
+    if (kind == "announce")
+        return at(7, NODE_PORT);
+    if (kind == "node-metrics")
+        return at(8, NODE_PORT);
+    if (kind == "target")
+        return at(9, TARGET_PORT);
+    return at(10, TARGET_PORT);
+}
+
+std::vector<base::Address> Mesh::callers() const
+{
+    std::vector<base::Address> out;
+    for (int i = 0; i < m_options.nodes; ++i)
+        out.push_back(address("caller", i));
+    return out;
+}
+
+std::string Mesh::proxied(const std::string& name, const base::Address& to)
+{
+    auto& known = m_proxyAddresses[name];
+    if (!known.empty())
+        return known;
+    base::Address listen { ip(11), static_cast<uint16_t>(PROXY_PORT + m_nextProxy++) };
+    std::promise<void> done;
+    boost::asio::post(m_duty.context(), [&] {
+        m_proxies.push_back(std::make_unique<standins::FaultProxy>(m_duty.context(), std::vector<standins::ProxyLink> { { name, listen, to } }));
+        done.set_value();
+    });
+    done.get_future().wait();
+    known = listen.text();
+    return known;
+}
+
+void Mesh::fault(const std::string& prefix, standins::ProxyFault fault)
+{
+    std::promise<void> done;
+    boost::asio::post(m_duty.context(), [&] {
+        for (const auto& it : m_proxies)
+            it->set(prefix, fault);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+std::string Mesh::write(const std::string& name, const std::string& content)
+{
+    std::string file = m_folder + "/" + name + ".yaml";
+    std::ofstream(file) << content;
+    return file;
+}
+
+void Mesh::spawn(const std::string& name, const std::string& program, const std::string& settings, const std::vector<std::string>& arguments)
+{
+    std::string path = programFolder() + "/" + program;
+    std::vector<std::string> words { path, "--settings=" + settings };
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> argv;
+    for (auto& it : words)
+        argv.push_back(it.data());
+    argv.push_back(nullptr);
+    std::string log = m_folder + "/" + name + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    pid_t pid = 0;
+    int error = posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error)
+        throw base::InternalFault("cannot start " + path);
+    m_pids[name] = pid;
+}
+
+void Mesh::startControl(int i, bool bootstrap)
+{
+    std::string id = std::to_string(i);
+    std::ostringstream out;
+    out << "mesh: test\nmesh_key: " << m_options.meshKey << "\nid: control-" << id << "\ndata_centre: dc" << i % m_options.dataCentres
+        << "\nmesh_address: " << address("control", i).text() << "\noperator_address: " << address("operator", i).text()
+        << "\nmetrics_address: " << address("control-metrics", i).text() << "\ndata_folder: " << m_folder << "/disk-" << id << "\nmembers:\n";
+    for (int j = 0; j < m_options.controls; ++j) {
+        std::string to = i == j ? address("control", j).text() : proxied("member/" + id + "/" + std::to_string(j), address("control", j));
+        out << "  - { id: control-" << j << ", address: \"" << to << "\" }\n";
+    }
+    out << "operators:\n  - { name: ana, team: all, token_sha256: " << base::sha256Hex(TOKEN) << " }\n"
+        << "  - { name: viv, team: viewers, token_sha256: " << base::sha256Hex("viewer") << " }\n"
+        << "teams:\n  - { name: all, read: [\"*\"], change: [\"*\"], move: [\"*\"] }\n  - { name: viewers }\n"
+        << m_options.controlExtra;
+    spawn("control-" + id, "pomelowind-control", write("control-" + id, out.str()), bootstrap ? std::vector<std::string> { "--bootstrap" } : std::vector<std::string>());
+}
+
+void Mesh::startNode(int i)
+{
+    std::string id = std::to_string(i);
+    std::string centre = dataCentreOf(i);
+    std::ostringstream out;
+    out << "mesh: test\nmesh_key: " << m_options.meshKey << "\nid: node-" << id << "\ndata_centre: " << centre
+        << "\ncaller_address: " << address("caller", i).text() << "\nmesh_address: " << address("mesh", i).text()
+        << "\ncall_address: " << address("calls", i).text() << "\nannounce_address: " << address("announce", i).text()
+        << "\nmetrics_address: " << address("node-metrics", i).text() << "\nmesh_advertised: " << proxied("mesh/" + id, address("mesh", i))
+        << "\ncall_advertised: " << proxied("calls/" + id, address("calls", i)) << "\ncold_start_ms: 200\nseeds: [";
+    int seeds = 0;
+    for (int j = i % m_options.dataCentres; j < m_options.nodes && seeds < 3; j += m_options.dataCentres) {
+        if (j != i)
+            out << (seeds++ ? ", " : "") << "\"" << proxied("mesh/" + std::to_string(j), address("mesh", j)) << "\"";
+    }
+    out << "]\ncontrol:\n";
+    for (int j = 0; j < m_options.controls; ++j)
+        out << "  - { id: control-" << j << ", data_centre: dc" << j % m_options.dataCentres << ", address: \""
+            << proxied("feed/" + centre + "/" + std::to_string(j), address("control", j)) << "\" }\n";
+    out << m_options.nodeExtra;
+    spawn("node-" + id, "pomelowind-node", write("node-" + id, out.str()), {});
+}
+
+void Mesh::startTarget(const TargetSpec& spec)
+{
+    int i = m_nextTarget++;
+    std::ostringstream out;
+    out << "id: " << spec.name << "\nservice: " << spec.service << "\nversion: " << spec.version << "\naddress: " << address("target", i).text()
+        << "\nmetrics_address: " << address("target-metrics", i).text() << "\nannounce: " << address("announce", spec.node).text()
+        << "\nslots: " << m_options.slots << "\nservice_ms: " << m_options.serviceMs << "\nruns_log: " << m_folder << "/runs.txt\n"
+        << spec.extra;
+    spawn(spec.name, "pomelowind-target", write(spec.name, out.str()), { "--seed=" + std::to_string(i + 1) });
+}
+
+void Mesh::startAll()
+{
+    for (int i = 0; i < m_options.controls; ++i)
+        startControl(i);
+    for (int i = 0; i < m_options.nodes; ++i)
+        startNode(i);
+}
+
+void Mesh::kill(const std::string& process)
+{
+    auto it = m_pids.find(process);
+    if (it == m_pids.end())
+        return;
+    ::kill(it->second, SIGKILL);
+    waitpid(it->second, nullptr, 0);
+    m_pids.erase(it);
+}
+
+void Mesh::terminate(const std::string& process) { ::kill(m_pids.at(process), SIGTERM); }
+
+int Mesh::wait(const std::string& process, Millis limit)
+{
+    int status = -1;
+    bool ended = waitFor([&] { return waitpid(m_pids.at(process), &status, WNOHANG) > 0; }, limit);
+    if (!ended)
+        return -1;
+    m_pids.erase(process);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void Mesh::wipeDisk(int control) { fs::remove_all(m_folder + "/disk-" + std::to_string(control)); }
+
+http::HttpResponse Mesh::send(const base::Address& to, http::HttpRequest request, Millis budget)
+{
+    boost::asio::io_context io;
+    auto client = http::makeHttpClient(io, to, 1);
+    http::HttpResponse out;
+    out.status = 0;
+    client->request(std::move(request), budget, [&](const http::ExchangeResult& result) {
+        if (result.end == http::ExchangeEnd::Answered)
+            out = result.response;
+        client->close();
+    });
+    io.run();
+    return out;
+}
+
+std::pair<int, json> Mesh::submit(const std::string& method, const std::string& path, json body, int64_t base, const std::string& requestId)
+{
+    body["request_id"] = requestId.empty() ? base::makeUuidV7(base::SystemClock().wallMs()) : requestId;
+    body["base_version"] = base;
+    std::pair<int, json> out { 0, {} };
+    waitFor(
+        [&] {
+            for (int i = 0; i < m_options.controls; ++i) {
+                if (!isRunning("control-" + std::to_string(i)))
+                    continue;
+                auto to = address("operator", i);
+                auto response = send(to, { method, path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } }, body.dump() });
+                out = { response.status, json::parse(response.body, nullptr, false) };
+                if (out.first && out.first != 503)
+                    return true;
+            }
+            return false;
+        },
+        Millis(15000));
+    return out;
+}
+
+json Mesh::view(const std::string& path, int control)
+{
+    for (int i = 0; i < m_options.controls; ++i) {
+        if ((control >= 0 && i != control) || !isRunning("control-" + std::to_string(i)))
+            continue;
+        auto to = address("operator", i);
+        auto response = send(to, { "GET", path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } }, "" }, Millis(2000));
+        if (response.status == 200)
+            return json::parse(response.body, nullptr, false);
+    }
+    return json::object();
+}
+
+json Mesh::nodeState(int i)
+{
+    auto to = address("announce", i);
+    auto response = send(to, { "GET", "/v1/node", { { "Host", to.text() } }, "" }, Millis(2000));
+    return response.status == 200 ? json::parse(response.body, nullptr, false) : json::object();
+}
+
+void Mesh::configure(const std::vector<std::string>& services)
+{
+    std::string routes;
+    for (const auto& it : services) {
+        submit("PUT", "/v1/services/" + it, { { "version", "v1" } });
+        std::string prefix = it == services.front() ? "" : "/" + it;
+        routes += "  - { host: \"${host}\", path: " + prefix + "/get, service: " + it + ", timeout_ms: 3000 }\n";
+        routes += "  - { host: \"${host}\", path: " + prefix + "/other, service: " + it + ", timeout_ms: 3000 }\n";
+        routes += "  - { host: \"${host}\", path: " + prefix + "/post, methods: [POST], service: " + it + ", timeout_ms: 3000, idempotent: false }\n";
+    }
+    std::string body = "name: t\nroutes:\n" + routes + "rate_per_second: \"100000\"\nburst: \"100000\"\nparameters:\n  - { name: host }\n  - { name: note, default: x }\n";
+    submit("PUT", "/v1/templates/t", { { "body", body } });
+    submit("PUT", "/v1/accounts/a", { { "template", "t" }, { "parameters", { { "host", "a.example" } } } });
+}
+
+std::pair<int, json> Mesh::startMove(const std::string& id, const std::string& service, const std::string& version, int64_t withinMs, int64_t watchMs)
+{
+    auto base = view("/v1/services/" + service).value("base_version", int64_t { 0 });
+    return submit("POST", "/v1/moves",
+        { { "id", id }, { "service", service }, { "to_version", version }, { "deadline_ms", base::SystemClock().wallMs() + withinMs }, { "watch_ms", watchMs } }, base);
+}
+
+bool Mesh::waitFor(const std::function<bool()>& condition, Millis limit)
+{
+    auto until = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        std::this_thread::sleep_for(POLL);
+    }
+    return true;
+}
+
+bool Mesh::waitInForce(int nodes, Millis limit)
+{
+    return waitFor(
+        [&] {
+            auto status = view("/v1/status");
+            return status.contains("version") && status["version"].get<int64_t>() > 0 && status["nodes"]["known"] == nodes && status["nodes"]["in_force"] == nodes;
+        },
+        limit);
+}
+
+int Mesh::leader()
+{
+    int out = -1;
+    waitFor([&] {
+        for (int i = 0; i < m_options.controls; ++i) {
+            auto status = view("/v1/status", i);
+            std::string name = "control-" + std::to_string(i);
+            if (status.value("leader", "") == name && status.value("fresh", false)) {
+                out = i;
+                return true;
+            }
+        }
+        return false;
+    });
+    return out;
+}
+
+double Mesh::metric(const base::Address& address, const std::string& name)
+{
+    auto response = send(address, { "GET", "/metrics", { { "Host", address.text() } }, "" }, Millis(2000));
+    auto at = response.body.find("\npomelowind_" + name + " ");
+    return at == std::string::npos ? -1 : std::atof(response.body.c_str() + at + name.size() + 13);
+}
+
+standins::LoadSummary runLoad(const standins::LoadOptions& options, uint64_t seed)
+{
+    boost::asio::io_context io;
+    standins::Load load(io, options, seed);
+    load.run([&] { io.stop(); });
+    io.run();
+    return load.summary();
+}
+
+double processCpuSeconds(int pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string field;
+    double ticks = 0;
+    for (int i = 0; i < 13 && fields >> field; ++i) {
+        if (i >= 11)
+            ticks += std::atof(field.c_str());
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double processRssMb(int pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
+    double pages = 0;
+    double resident = 0;
+    in >> pages >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1024 * 1024);
+}
+
+} // namespace pomelowind::bench
--- /dev/null
+++ b/benchmarks/bench-pomelowind.cpp
@@ -0,0 +1,41 @@
+// The benchmarks behind tools/bench. The last line of each is one JSON object.
+
+#include "benchmarks/BenchOutput.h"
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Log.h"
+#include "pomelowind/platform/Program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <functional>
+#include <map>
+
+ABSL_FLAG(uint64_t, seed, 1, "seed");
+ABSL_FLAG(bool, quick, false, "a run of under 50 s with the same fields");
+ABSL_FLAG(int, nodes, 50, "nodes of convergence and restart-storm");
+ABSL_FLAG(int, runs, 2000, "scenarios of moves");
+ABSL_FLAG(std::string, commit, "", "commit to print");
+
+using namespace pomelowind;
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves");
+    auto words = absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([&] {
+        static const std::map<std::string, std::function<int(const bench::BenchOptions&)>> BENCHES
+            = { { "convergence", bench::benchConvergence }, { "restart-storm", bench::benchRestartStorm }, { "failover", bench::benchFailover },
+                  { "added-latency", bench::benchAddedLatency }, { "overload", bench::benchOverload }, { "claims", bench::benchClaims },
+                  { "drain", bench::benchDrain }, { "moves", bench::benchMoves } };
+        std::string name = words.size() > 1 ? words[1] : "";
+        auto it = BENCHES.find(name);
+        if (it == BENCHES.end())
+            throw base::UserError(base::ErrorKind::InvalidInput, "unknown benchmark '" + name + "'", "see --help");
+        std::signal(SIGPIPE, SIG_IGN);
+        bench::BenchOptions options { absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_quick), absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_runs),
+            absl::GetFlag(FLAGS_commit) };
+        return it->second(options);
+    });
+}
--- a/include/pomelowind/operators/OperatorApi.h
+++ b/include/pomelowind/operators/OperatorApi.h
@@ -11,7 +11,8 @@
 namespace pomelowind::operators {
 
 // A view of the control host's state, as JSON text.
-enum class View { Services, Templates, Accounts, Moves, Status, History, Audit, Members };
+// Resources is the whole state in its wire form.
+enum class View { Services, Templates, Accounts, Moves, Status, History, Audit, Members, Resources };
 
 // What the API asks of the control host. Answers come on the API's duty.
 class ControlGateway {
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr auto SUBMISSION_TIMEOUT = Millis(5000);
+    constexpr auto BARRIER_TIMEOUT = Millis(2000);
     constexpr auto BEACON_PERIOD = Millis(500);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
     constexpr auto GONE_RETENTION = Millis(600000);
@@ -82,15 +83,22 @@
     , m_feeder({}, now)
     , m_epochs(settings.claimLead)
 {
-    if (const auto& snapshot = m_replica.snapshot()) {
-        if (!snapshot->state.empty())
-            m_machine.restore(base::decode<wire::MachineImage>(snapshot->state));
-        m_applied = snapshot->index;
-        m_snapshotIndex = snapshot->index;
-    }
+    if (const auto& snapshot = m_replica.snapshot())
+        restoreSnapshot(*snapshot);
     publish();
 }
 
+// The snapshot of a bootstrap carries the membership only.
+void ControlCore::restoreSnapshot(const wire::SnapshotRecord& snapshot)
+{
+    if (snapshot.state.empty())
+        m_machine = config::ConfigMachine();
+    else
+        m_machine.restore(base::decode<wire::MachineImage>(snapshot.state));
+    m_applied = snapshot.index;
+    m_snapshotIndex = snapshot.index;
+}
+
 void ControlCore::advance(base::Instant now, int64_t wallMs)
 {
     m_now = now;
@@ -120,9 +128,7 @@
     auto committed = std::move(ready.committed);
     ready.committed.clear();
     if (ready.install) {
-        m_machine.restore(base::decode<wire::MachineImage>(ready.install->state));
-        m_applied = ready.install->index;
-        m_snapshotIndex = ready.install->index;
+        restoreSnapshot(*ready.install);
     }
     // Answers keep the order of the disk: while a write is on its way, later answers wait behind it.
     if (ready.needsDisk() || (m_diskOutstanding && !ready.afterDurable.empty())) {
@@ -160,6 +166,7 @@
                 { "request", command.requestId } });
     }
     answerPending(entry, result);
+    releaseReads();
 }
 
 void ControlCore::answerPending(const wire::Entry& entry, const wire::CommandResult& result)
@@ -246,10 +253,17 @@
 {
     wire::ForwardAnswer answer;
     answer.id = request.id;
-    if (!m_replica.isLeader()) {
+    bool isBarrier = request.command.empty();
+    if (!m_replica.isLeader() || (isBarrier && !(m_replica.isCurrent() && m_replica.hasLease(m_now)))) {
         answer.notLeader = true;
         return m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(answer));
     }
+    if (isBarrier) {
+        wire::CommandResult result;
+        result.version = m_replica.commitIndex();
+        answer.result = base::encode(result);
+        return m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(answer));
+    }
     auto reply = [this, member, answer](const wire::CommandResult& result) {
         auto full = answer;
         full.result = base::encode(result);
@@ -270,6 +284,36 @@
     pending.reply(base::decode<wire::CommandResult>(answer.result));
 }
 
+// A read waits until this host has applied everything that was committed when the read began, so that an operator sees
+// its own accepted submissions at whichever host it asks.
+void ControlCore::readBarrier(BarrierDone done, base::Instant now)
+{
+    m_now = now;
+    if (m_replica.isCurrent() && m_replica.hasLease(now))
+        return done(true);
+    if (m_replica.isLeader() || m_replica.leader().empty())
+        return done(false);
+    wire::ForwardRequest request;
+    request.id = m_nextForward++;
+    auto reply = [this, done](const wire::CommandResult& result) {
+        if (result.code != wire::ResultCode::ACCEPTED)
+            return done(false);
+        m_reads.emplace(result.version, done);
+        releaseReads();
+    };
+    m_forwards[request.id] = { 0, reply, now + BARRIER_TIMEOUT };
+    m_outputs.sendToMember(m_replica.leader(), FrameKind::FORWARD_REQUEST, base::encode(request));
+}
+
+void ControlCore::releaseReads()
+{
+    while (!m_reads.empty() && m_reads.begin()->first <= m_applied) {
+        auto done = std::move(m_reads.begin()->second);
+        m_reads.erase(m_reads.begin());
+        done(true);
+    }
+}
+
 bool ControlCore::changeMembers(const wire::Membership& next, base::Instant now)
 {
     m_now = now;
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -20,6 +20,7 @@
 
 namespace pomelowind::control {
 
+using BarrierDone = std::function<void(bool)>;
 using SubmissionReply = std::function<void(const wire::CommandResult&)>;
 
 // Thread safety: confined to the decision duty.
@@ -40,6 +41,9 @@
     void diskDone(DiskDone done, base::Instant now);
     // Takes a submission, here or at the leader; `reply` is called once, on the decision duty.
     void submit(wire::Command command, SubmissionReply reply, base::Instant now, int64_t wallMs);
+    // Calls `done` with true once this host's state holds everything accepted before now, or with false when that
+    // cannot be had.
+    void readBarrier(BarrierDone done, base::Instant now);
     // Changes the members of the control group; returns false when that is not possible now.
     bool changeMembers(const wire::Membership& next, base::Instant now);
 
@@ -65,6 +69,8 @@
     void handle(members::Ready ready);
     void sendAll(const std::vector<members::Outgoing>& messages);
     void applyEntry(const wire::Entry& entry);
+    void restoreSnapshot(const wire::SnapshotRecord& snapshot);
+    void releaseReads();
     void answerPending(const wire::Entry& entry, const wire::CommandResult& result);
     void expirePending();
     void maybeSnapshot();
@@ -97,6 +103,7 @@
 
     std::map<int64_t, Pending> m_pending;
     std::map<int64_t, Pending> m_forwards;
+    std::multimap<int64_t, BarrierDone> m_reads; // by the log index they wait for
     int64_t m_nextForward { 1 };
     int64_t m_applied { 0 };
     int64_t m_snapshotIndex { 0 };
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -22,6 +22,9 @@
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto STOP_GRACE = base::Millis(200);
     constexpr auto STOP_TIMEOUT = std::chrono::seconds(5);
+    constexpr int STATUS_STALE = 503;
+    constexpr char STALE_BODY[]
+        = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
     constexpr size_t MAX_BODY_BYTES = 512 * 1024;
 
     // The disk duty: makes batches durable in order and hands back what may then be sent.
@@ -176,8 +179,17 @@
     void view(operators::View view, const std::string& name, size_t limit, ViewDone done) override
     {
         bool queued = m_requests.tryPut([this, view, name, limit, done] {
-            auto answer = renderView(*m_core, view, name, limit);
-            boost::asio::post(m_api.context(), [done, answer] { done(answer.status, answer.json); });
+            // Status and members describe this host itself, also while it is cut off.
+            bool isLocal = view == operators::View::Status || view == operators::View::Members;
+            if (isLocal)
+                return answerView(view, name, limit, done);
+            m_core->readBarrier(
+                [this, view, name, limit, done](bool current) {
+                    if (current)
+                        return answerView(view, name, limit, done);
+                    boost::asio::post(m_api.context(), [done] { done(STATUS_STALE, STALE_BODY); });
+                },
+                m_clock.now());
         });
         if (!queued)
             done(429, R"({"error":"busy","message":"too many requests","remedy":"try again later"})");
@@ -194,6 +206,12 @@
     }
 
 private:
+    void answerView(operators::View view, const std::string& name, size_t limit, const ViewDone& done)
+    {
+        auto answer = renderView(*m_core, view, name, limit);
+        boost::asio::post(m_api.context(), [done, answer] { done(answer.status, answer.json); });
+    }
+
     static wire::CommandResult overloaded()
     {
         wire::CommandResult out;
--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -208,6 +208,8 @@
         return { 200, auditList(core, limit, false).dump() };
     case View::Members:
         return { 200, membersJson(core).dump() };
+    case View::Resources:
+        return { 200, base::encode(core.machine().state().deltaSince(0)) };
     }
     return { 404, "{}" };
 }
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -173,7 +173,7 @@
         static const std::map<std::string, View> VIEWS
             = { { "services", View::Services }, { "templates", View::Templates }, { "accounts", View::Accounts },
                   { "moves", View::Moves }, { "status", View::Status }, { "history", View::History },
-                  { "audit", View::Audit }, { "members", View::Members } };
+                  { "audit", View::Audit }, { "members", View::Members }, { "resources", View::Resources } };
         auto it = VIEWS.find(name);
         return it == VIEWS.end() ? std::nullopt : std::optional(it->second);
     }
