--- a/benchmarks/BenchCalls.cpp
+++ b/benchmarks/BenchCalls.cpp
@@ -19,7 +19,8 @@
 
     Instant now() { return std::chrono::steady_clock::now(); }
 
-    standins::LoadOptions loadOn(std::vector<base::Address> addresses, const std::string& path, double rate, double seconds)
+    standins::LoadOptions loadOn(
+        std::vector<base::Address> addresses, const std::string& path, double rate, double seconds)
     {
         standins::LoadOptions out;
         out.addresses = std::move(addresses);
@@ -97,8 +98,8 @@
             services.push_back(name);
             std::string extra = "exponential: false\n";
             if (i + 1 < depth)
-                extra += "downstream_address: " + mesh.address("caller", i).text() + "\ndownstream_host: a.example\ndownstream_path: /s"
-                    + std::to_string(i + 1) + "/get\n";
+                extra += "downstream_address: " + mesh.address("caller", i).text()
+                    + "\ndownstream_host: a.example\ndownstream_path: /s" + std::to_string(i + 1) + "/get\n";
             mesh.startTarget({ "t" + std::to_string(i), name, "v1", i, extra });
         }
         mesh.configure(services);
@@ -108,10 +109,12 @@
         auto through = runLoad(loadOn({ mesh.address("caller", 0) }, "/get", rate, seconds), seed);
         auto direct = runLoad(loadOn({ mesh.address("target", depth - 1) }, "/get", rate, seconds), seed);
         double directP99 = direct.quantile(0.99);
-        return { { "depth", depth }, { "calls_per_second", rate }, { "through_p50", through.quantile(0.5) }, { "through_p99", through.quantile(0.99) },
-            { "through_p999", through.quantile(0.999) }, { "direct_p50", direct.quantile(0.5) }, { "direct_p99", directP99 },
-            { "added_p99", through.quantile(0.99) - directP99 }, { "added_p99_per_hop", (through.quantile(0.99) - directP99) / depth },
-            { "ok", through.ok }, { "sent", through.sent } };
+        return { { "depth", depth }, { "calls_per_second", rate }, { "through_p50", through.quantile(0.5) },
+            { "through_p99", through.quantile(0.99) }, { "through_p999", through.quantile(0.999) },
+            { "direct_p50", direct.quantile(0.5) }, { "direct_p99", directP99 },
+            { "added_p99", through.quantile(0.99) - directP99 },
+            { "added_p99_per_hop", (through.quantile(0.99) - directP99) / depth }, { "ok", through.ok },
+            { "sent", through.sent } };
     }
 
     // One caller's node and one target's node: every call crosses the link between them.
@@ -154,10 +157,11 @@
     json base;
     for (double rate : { 345.0, 1725.0, 10000.0 }) {
         auto it = measurePair(mesh, rate, seconds, options.seed);
-        json row { { "calls_per_second", rate }, { "direct_p50", it.direct.quantile(0.5) }, { "direct_p99", it.direct.quantile(0.99) },
-            { "through_p50", it.through.quantile(0.5) }, { "through_p99", it.through.quantile(0.99) }, { "through_p999", it.through.quantile(0.999) },
-            { "added_p99", it.through.quantile(0.99) - it.direct.quantile(0.99) }, { "calls_per_core_second", it.callsPerCore },
-            { "ok", it.through.ok }, { "sent", it.through.sent } };
+        json row { { "calls_per_second", rate }, { "direct_p50", it.direct.quantile(0.5) },
+            { "direct_p99", it.direct.quantile(0.99) }, { "through_p50", it.through.quantile(0.5) },
+            { "through_p99", it.through.quantile(0.99) }, { "through_p999", it.through.quantile(0.999) },
+            { "added_p99", it.through.quantile(0.99) - it.direct.quantile(0.99) },
+            { "calls_per_core_second", it.callsPerCore }, { "ok", it.through.ok }, { "sent", it.through.sent } };
         say(row.dump());
         rates.push_back(row);
         if (base.is_null())
@@ -199,12 +203,13 @@
             auto it = runLoad(load, options.seed);
             double goodput = static_cast<double>(it.ok) / seconds;
             peak = std::max(peak, goodput);
-            last = { { "load", share }, { "goodput", goodput }, { "p99", it.quantile(0.99) }, { "not_run", it.notRun }, { "lost", it.lost },
-                { "unknown", it.unknown } };
+            last = { { "load", share }, { "goodput", goodput }, { "p99", it.quantile(0.99) }, { "not_run", it.notRun },
+                { "lost", it.lost }, { "unknown", it.unknown } };
             say((limited ? "limits " : "no limits ") + last.dump());
             curve.push_back(last);
         }
-        json part { { "peak_goodput", peak }, { "goodput_3x", last["goodput"] }, { "p99_3x", last["p99"] }, { "curve", curve } };
+        json part { { "peak_goodput", peak }, { "goodput_3x", last["goodput"] }, { "p99_3x", last["p99"] },
+            { "curve", curve } };
         if (limited)
             fields.update(part);
         else
@@ -223,7 +228,10 @@
     startServing(mesh, "exponential: false\n");
     mesh.waitFor([&] {
         auto key = base::makeUuidV7(base::SystemClock().wallMs());
-        return mesh.send(mesh.callers()[0], { "POST", "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } }, "" }).status == 200;
+        return mesh.send(mesh.callers()[0],
+                       { "POST", "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } }, "" })
+                   .status
+            == 200;
     });
     double rate = 500;
     auto plain = loadOn(mesh.callers(), "/post", rate, options.quick ? 3 : 8);
@@ -251,9 +259,10 @@
     int duplicates = 0;
     for (const auto& [key, n] : runs)
         duplicates += n > 1 ? 1 : 0;
-    json fields { { "requests", summary.sent }, { "resends", summary.resends }, { "holder_kills", kills }, { "duplicates", duplicates },
-        { "false_not_run", falseNotRun(keyed.log, runs) }, { "wrong_bodies", summary.wrongBodies }, { "unknown", summary.unknown + summary.lost },
-        { "ok", summary.ok }, { "not_run", summary.notRun }, { "added_p50", with.quantile(0.5) - without.quantile(0.5) },
+    json fields { { "requests", summary.sent }, { "resends", summary.resends }, { "holder_kills", kills },
+        { "duplicates", duplicates }, { "false_not_run", falseNotRun(keyed.log, runs) },
+        { "wrong_bodies", summary.wrongBodies }, { "unknown", summary.unknown + summary.lost }, { "ok", summary.ok },
+        { "not_run", summary.notRun }, { "added_p50", with.quantile(0.5) - without.quantile(0.5) },
         { "added_p99", with.quantile(0.99) - without.quantile(0.99) } };
     return finish("claims", options, began, fields, { "duplicates", "false_not_run", "wrong_bodies" });
 }
@@ -309,7 +318,8 @@
     }
     ended = true;
     running.get();
-    json fields { { "stops", stops }, { "calls", total.sent }, { "lost", total.sent - total.ok }, { "last_new_work_max", quantile(lastNewWork, 1) } };
+    json fields { { "stops", stops }, { "calls", total.sent }, { "lost", total.sent - total.ok },
+        { "last_new_work_max", quantile(lastNewWork, 1) } };
     return finish("drain", options, began, fields, { "lost" });
 }
 
--- a/benchmarks/BenchControl.cpp
+++ b/benchmarks/BenchControl.cpp
@@ -22,7 +22,10 @@
     Instant now() { return std::chrono::steady_clock::now(); }
     double millisSince(Instant from) { return std::chrono::duration<double, std::milli>(now() - from).count(); }
 
-    json accountBody(const std::string& note) { return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } }; }
+    json accountBody(const std::string& note)
+    {
+        return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } };
+    }
 
     // What a set of nodes has used so far.
     struct Usage {
@@ -47,8 +50,8 @@
             if (!mesh.isRunning("control-" + std::to_string(i)))
                 continue;
             auto address = mesh.address("control-metrics", i);
-            out.busiestControlBytes
-                = std::max(out.busiestControlBytes, mesh.metric(address, "link_bytes_sent") + mesh.metric(address, "link_bytes_received"));
+            out.busiestControlBytes = std::max(out.busiestControlBytes,
+                mesh.metric(address, "link_bytes_sent") + mesh.metric(address, "link_bytes_received"));
         }
         out.at = now();
         return out;
@@ -61,8 +64,9 @@
             auto due = now() + std::chrono::seconds(1);
             for (int dc = 0; dc < mesh.options().dataCentres; ++dc) {
                 auto to = mesh.address("announce", dc);
-                json body { { "target", "churn-" + std::to_string(dc) }, { "service", "s" }, { "version", "v0" }, { "address", "127.0.0.1:9" },
-                    { "slots", 1 }, { "incarnation", 1 }, { "state", s % 2 ? "starting" : "leaving" } };
+                json body { { "target", "churn-" + std::to_string(dc) }, { "service", "s" }, { "version", "v0" },
+                    { "address", "127.0.0.1:9" }, { "slots", 1 }, { "incarnation", 1 },
+                    { "state", s % 2 ? "starting" : "leaving" } };
                 mesh.send(to, { "POST", "/v1/announce", { { "Host", "node" } }, body.dump() });
             }
             std::this_thread::sleep_until(due);
@@ -76,12 +80,14 @@
         int leader = mesh.leader();
         for (int i = 0; i < changes; ++i) {
             auto base = mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
-            auto version = mesh.submit("PUT", "/v1/accounts/a", accountBody(std::to_string(i)), base).second.value("version", int64_t { 0 });
+            auto version = mesh.submit("PUT", "/v1/accounts/a", accountBody(std::to_string(i)), base)
+                               .second.value("version", int64_t { 0 });
             auto accepted = now();
             int counted = 0;
             mesh.waitFor([&] {
                 auto status = mesh.view("/v1/status", leader);
-                int inForce = status.value("version", int64_t { 0 }) >= version ? status["nodes"].value("in_force", 0) : 0;
+                int inForce
+                    = status.value("version", int64_t { 0 }) >= version ? status["nodes"].value("in_force", 0) : 0;
                 double ms = millisSince(accepted);
                 for (; counted < inForce; ++counted)
                     out.push_back(ms);
@@ -104,7 +110,8 @@
                 auto client = http::makeHttpClient(m_io, leader, 1);
                 auto offset = Millis(1000 * i / nodes);
                 auto timer = std::make_shared<boost::asio::steady_timer>(m_io, offset);
-                timer->async_wait([this, i, client, timer](boost::system::error_code) { poll(static_cast<size_t>(i), client, timer); });
+                timer->async_wait([this, i, client, timer](
+                                      boost::system::error_code) { poll(static_cast<size_t>(i), client, timer); });
             }
         }
 
@@ -133,7 +140,8 @@
     private:
         void poll(size_t i, std::shared_ptr<http::HttpClient> client, std::shared_ptr<boost::asio::steady_timer> timer)
         {
-            http::HttpRequest request { "GET", "/v1/resources", { { "Host", "c" }, { "Authorization", "Bearer test-token" } }, "" };
+            http::HttpRequest request { "GET", "/v1/resources",
+                { { "Host", "c" }, { "Authorization", "Bearer test-token" } }, "" };
             client->request(request, Millis(5000), [this, i, client, timer](const http::ExchangeResult& result) {
                 if (result.end == http::ExchangeEnd::Answered && result.response.status == 200)
                     take(i, result.response.body);
@@ -173,7 +181,8 @@
         std::vector<double> times;
         for (int i = 0; i < changes; ++i) {
             auto base = mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
-            auto version = mesh.submit("PUT", "/v1/accounts/a", accountBody("n" + std::to_string(i)), base).second.value("version", int64_t { 0 });
+            auto version = mesh.submit("PUT", "/v1/accounts/a", accountBody("n" + std::to_string(i)), base)
+                               .second.value("version", int64_t { 0 });
             auto accepted = now();
             mesh.waitFor([&] {
                 auto seen = pollers.seen();
@@ -188,8 +197,9 @@
         for (int i = 0; i < mesh.options().nodes; ++i)
             ours.insert(mesh.nodeState(i).value("hash", ""));
         sameState = hashes.size() == 1 && ours == std::set<std::string> { std::to_string(*hashes.begin()) };
-        return { { "in_force_p50", quantile(times, 0.5) }, { "in_force_p99", quantile(times, 0.99) }, { "in_force_max", quantile(times, 1) },
-            { "idle_bytes_per_node", perNode }, { "busiest_control_bytes", perNode * mesh.options().nodes } };
+        return { { "in_force_p50", quantile(times, 0.5) }, { "in_force_p99", quantile(times, 0.99) },
+            { "in_force_max", quantile(times, 1) }, { "idle_bytes_per_node", perNode },
+            { "busiest_control_bytes", perNode * mesh.options().nodes } };
     }
 
     // Fills the configuration up to the size that the users expect.
@@ -227,12 +237,13 @@
     double idleSeconds = std::chrono::duration<double>(idle1.at - idle0.at).count();
     double churnSeconds = std::chrono::duration<double>(churn1.at - idle1.at).count();
     double n = options.nodes;
-    json fields { { "nodes", options.nodes }, { "in_force_p50", quantile(times, 0.5) }, { "in_force_p99", quantile(times, 0.99) },
-        { "in_force_max", quantile(times, 1) }, { "idle_bytes_per_node", (idle1.bytes - idle0.bytes) / idleSeconds / n },
+    json fields { { "nodes", options.nodes }, { "in_force_p50", quantile(times, 0.5) },
+        { "in_force_p99", quantile(times, 0.99) }, { "in_force_max", quantile(times, 1) },
+        { "idle_bytes_per_node", (idle1.bytes - idle0.bytes) / idleSeconds / n },
         { "churn_bytes_per_node", (churn1.bytes - idle1.bytes) / churnSeconds / n },
         { "node_cpu_share", (idle1.cpuSeconds - idle0.cpuSeconds) / idleSeconds / n }, { "node_rss_mb", churn1.rssMb },
-        { "busiest_control_bytes", (idle1.busiestControlBytes - idle0.busiestControlBytes) / idleSeconds }, { "naive", naive },
-        { "different_states", sameState && converged ? 0 : 1 } };
+        { "busiest_control_bytes", (idle1.busiestControlBytes - idle0.busiestControlBytes) / idleSeconds },
+        { "naive", naive }, { "different_states", sameState && converged ? 0 : 1 } };
     return finish("convergence", options, began, fields, { "different_states" });
 }
 
@@ -267,7 +278,11 @@
     mesh.waitFor(
         [&] {
             auto base = mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
-            accepted += mesh.submit("PUT", "/v1/accounts/a", accountBody("storm" + std::to_string(accepted)), base).first == 200 ? 1 : 0;
+            accepted
+                += mesh.submit("PUT", "/v1/accounts/a", accountBody("storm" + std::to_string(accepted)), base).first
+                    == 200
+                ? 1
+                : 0;
             if (millisSince(lastAt) >= 1000) {
                 double bytes = controlBytes();
                 peak = std::max(peak, (bytes - last) * 1000 / millisSince(lastAt));
@@ -275,15 +290,17 @@
                 lastAt = now();
             }
             auto status = mesh.view("/v1/status");
-            return status["nodes"].value("known", 0) == options.nodes && status["nodes"].value("in_force", 0) == options.nodes;
+            return status["nodes"].value("known", 0) == options.nodes
+                && status["nodes"].value("in_force", 0) == options.nodes;
         },
         Millis(60000));
     double allInForce = millisSince(started);
     int regressions = 0;
     for (int i = 0; i < options.nodes; ++i)
         regressions += mesh.nodeState(i).value("version", int64_t { 0 }) < floors[static_cast<size_t>(i)] ? 1 : 0;
-    json fields { { "nodes", options.nodes }, { "all_in_force", allInForce }, { "peak_feeder_bytes", peak > 0 ? json(peak) : json(last) },
-        { "accepted_meanwhile", accepted }, { "version_regressions", regressions } };
+    json fields { { "nodes", options.nodes }, { "all_in_force", allInForce },
+        { "peak_feeder_bytes", peak > 0 ? json(peak) : json(last) }, { "accepted_meanwhile", accepted },
+        { "version_regressions", regressions } };
     return finish("restart-storm", options, began, fields, { "version_regressions" });
 }
 
@@ -326,8 +343,9 @@
         lost += mesh.view("/v1/accounts/x" + std::to_string(i)).contains("name") ? 0 : 1;
         changed += put(static_cast<int>(i), answers[i].first).second == answers[i].second ? 0 : 1;
     }
-    json fields { { "kills", kills }, { "accept_again_p50", quantile(gaps, 0.5) }, { "accept_again_max", quantile(gaps, 1) },
-        { "accepted", answers.size() }, { "lost", lost }, { "changed_answers", changed } };
+    json fields { { "kills", kills }, { "accept_again_p50", quantile(gaps, 0.5) },
+        { "accept_again_max", quantile(gaps, 1) }, { "accepted", answers.size() }, { "lost", lost },
+        { "changed_answers", changed } };
     return finish("failover", options, began, fields, { "lost", "changed_answers" });
 }
 
--- a/benchmarks/BenchMoves.cpp
+++ b/benchmarks/BenchMoves.cpp
@@ -68,7 +68,8 @@
         bool isSteady = scenario.badness == Badness::Fails || scenario.badness == Badness::Slow;
         if (result.toZeroMs >= 0 && scenario.callsPerSecond >= 500 && isSteady)
             tally.toZeroBusy.push_back(static_cast<double>(result.toZeroMs));
-        std::string kind = std::string(badnessName(scenario.badness)) + (scenario.callsPerSecond < 10 ? "_low_traffic" : "");
+        std::string kind
+            = std::string(badnessName(scenario.badness)) + (scenario.callsPerSecond < 10 ? "_low_traffic" : "");
         auto& [all, back] = tally.byKind[kind];
         ++all;
         back += result.takenBack ? 1 : 0;
@@ -80,11 +81,13 @@
         for (const auto& [kind, counts] : it.byKind)
             kinds[kind] = { { "bad", counts.first }, { "taken_back", counts.second } };
         double harmedShare = it.calls ? static_cast<double>(it.harmed) / static_cast<double>(it.calls) : 0;
-        return { { "good", it.good }, { "good_on_time", it.goodOnTime }, { "bad", it.bad }, { "bad_taken_back", it.badTakenBack },
-            { "false_take_backs", it.falseTakeBacks }, { "harmed_share", harmedShare }, { "harmed_calls_p50", quantile(it.harmedCalls, 0.5) },
-            { "harmed_calls_p99", quantile(it.harmedCalls, 0.99) }, { "to_zero_p50", quantile(it.toZero, 0.5) }, { "to_zero_p99", quantile(it.toZero, 0.99) },
-            { "to_zero_busy_p50", quantile(it.toZeroBusy, 0.5) }, { "to_zero_busy_p99", quantile(it.toZeroBusy, 0.99) },
-            { "over_granted", it.overGranted }, { "by_kind", kinds } };
+        return { { "good", it.good }, { "good_on_time", it.goodOnTime }, { "bad", it.bad },
+            { "bad_taken_back", it.badTakenBack }, { "false_take_backs", it.falseTakeBacks },
+            { "harmed_share", harmedShare }, { "harmed_calls_p50", quantile(it.harmedCalls, 0.5) },
+            { "harmed_calls_p99", quantile(it.harmedCalls, 0.99) }, { "to_zero_p50", quantile(it.toZero, 0.5) },
+            { "to_zero_p99", quantile(it.toZero, 0.99) }, { "to_zero_busy_p50", quantile(it.toZeroBusy, 0.5) },
+            { "to_zero_busy_p99", quantile(it.toZeroBusy, 0.99) }, { "over_granted", it.overGranted },
+            { "by_kind", kinds } };
     }
 
 }
--- a/benchmarks/BenchOutput.cpp
+++ b/benchmarks/BenchOutput.cpp
@@ -23,7 +23,8 @@
     fields["seed"] = options.seed;
     fields["seconds"] = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     std::cout << fields.dump() << std::endl;
-    bool wrong = std::any_of(mustBeZero.begin(), mustBeZero.end(), [&](const std::string& it) { return fields[it] != 0; });
+    bool wrong
+        = std::any_of(mustBeZero.begin(), mustBeZero.end(), [&](const std::string& it) { return fields[it] != 0; });
     return wrong ? 1 : 0;
 }
 
--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -46,7 +46,8 @@
     , m_id((getpid() * 7 + nextMesh++) % 60000)
     , m_duty("proxies")
 {
-    m_folder = (fs::temp_directory_path() / ("pomelowind-" + std::to_string(getpid()) + "-" + std::to_string(m_id))).string();
+    m_folder = (fs::temp_directory_path() / ("pomelowind-" + std::to_string(getpid()) + "-" + std::to_string(m_id)))
+                   .string();
     fs::remove_all(m_folder);
     fs::create_directories(m_folder);
     m_duty.start();
@@ -108,7 +109,8 @@
     base::Address listen { ip(11), static_cast<uint16_t>(PROXY_PORT + m_nextProxy++) };
     std::promise<void> done;
     boost::asio::post(m_duty.context(), [&] {
-        m_proxies.push_back(std::make_unique<standins::FaultProxy>(m_duty.context(), std::vector<standins::ProxyLink> { { name, listen, to } }));
+        m_proxies.push_back(std::make_unique<standins::FaultProxy>(
+            m_duty.context(), std::vector<standins::ProxyLink> { { name, listen, to } }));
         done.set_value();
     });
     done.get_future().wait();
@@ -134,7 +136,8 @@
     return file;
 }
 
-void Mesh::spawn(const std::string& name, const std::string& program, const std::string& settings, const std::vector<std::string>& arguments)
+void Mesh::spawn(const std::string& name, const std::string& program, const std::string& settings,
+    const std::vector<std::string>& arguments)
 {
     std::string path = programFolder() + "/" + program;
     std::vector<std::string> words { path, "--settings=" + settings };
@@ -148,6 +151,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // The proxies' sockets must not live on in the processes that are started while they are open.
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     pid_t pid = 0;
     int error = posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -160,18 +165,22 @@
 {
     std::string id = std::to_string(i);
     std::ostringstream out;
-    out << "mesh: test\nmesh_key: " << m_options.meshKey << "\nid: control-" << id << "\ndata_centre: dc" << i % m_options.dataCentres
-        << "\nmesh_address: " << address("control", i).text() << "\noperator_address: " << address("operator", i).text()
-        << "\nmetrics_address: " << address("control-metrics", i).text() << "\ndata_folder: " << m_folder << "/disk-" << id << "\nmembers:\n";
+    out << "mesh: test\nmesh_key: " << m_options.meshKey << "\nid: control-" << id << "\ndata_centre: dc"
+        << i % m_options.dataCentres << "\nmesh_address: " << address("control", i).text()
+        << "\noperator_address: " << address("operator", i).text()
+        << "\nmetrics_address: " << address("control-metrics", i).text() << "\ndata_folder: " << m_folder << "/disk-"
+        << id << "\nmembers:\n";
     for (int j = 0; j < m_options.controls; ++j) {
-        std::string to = i == j ? address("control", j).text() : proxied("member/" + id + "/" + std::to_string(j), address("control", j));
+        std::string to = i == j ? address("control", j).text()
+                                : proxied("member/" + id + "/" + std::to_string(j), address("control", j));
         out << "  - { id: control-" << j << ", address: \"" << to << "\" }\n";
     }
     out << "operators:\n  - { name: ana, team: all, token_sha256: " << base::sha256Hex(TOKEN) << " }\n"
         << "  - { name: viv, team: viewers, token_sha256: " << base::sha256Hex("viewer") << " }\n"
         << "teams:\n  - { name: all, read: [\"*\"], change: [\"*\"], move: [\"*\"] }\n  - { name: viewers }\n"
         << m_options.controlExtra;
-    spawn("control-" + id, "pomelowind-control", write("control-" + id, out.str()), bootstrap ? std::vector<std::string> { "--bootstrap" } : std::vector<std::string>());
+    spawn("control-" + id, "pomelowind-control", write("control-" + id, out.str()),
+        bootstrap ? std::vector<std::string> { "--bootstrap" } : std::vector<std::string>());
 }
 
 void Mesh::startNode(int i)
@@ -182,7 +191,8 @@
     out << "mesh: test\nmesh_key: " << m_options.meshKey << "\nid: node-" << id << "\ndata_centre: " << centre
         << "\ncaller_address: " << address("caller", i).text() << "\nmesh_address: " << address("mesh", i).text()
         << "\ncall_address: " << address("calls", i).text() << "\nannounce_address: " << address("announce", i).text()
-        << "\nmetrics_address: " << address("node-metrics", i).text() << "\nmesh_advertised: " << proxied("mesh/" + id, address("mesh", i))
+        << "\nmetrics_address: " << address("node-metrics", i).text()
+        << "\nmesh_advertised: " << proxied("mesh/" + id, address("mesh", i))
         << "\ncall_advertised: " << proxied("calls/" + id, address("calls", i)) << "\ncold_start_ms: 200\nseeds: [";
     int seeds = 0;
     for (int j = i % m_options.dataCentres; j < m_options.nodes && seeds < 3; j += m_options.dataCentres) {
@@ -201,9 +211,10 @@
 {
     int i = m_nextTarget++;
     std::ostringstream out;
-    out << "id: " << spec.name << "\nservice: " << spec.service << "\nversion: " << spec.version << "\naddress: " << address("target", i).text()
-        << "\nmetrics_address: " << address("target-metrics", i).text() << "\nannounce: " << address("announce", spec.node).text()
-        << "\nslots: " << m_options.slots << "\nservice_ms: " << m_options.serviceMs << "\nruns_log: " << m_folder << "/runs.txt\n"
+    out << "id: " << spec.name << "\nservice: " << spec.service << "\nversion: " << spec.version
+        << "\naddress: " << address("target", i).text() << "\nmetrics_address: " << address("target-metrics", i).text()
+        << "\nannounce: " << address("announce", spec.node).text() << "\nslots: " << m_options.slots
+        << "\nservice_ms: " << m_options.serviceMs << "\nruns_log: " << m_folder << "/runs.txt\n"
         << spec.extra;
     spawn(spec.name, "pomelowind-target", write(spec.name, out.str()), { "--seed=" + std::to_string(i + 1) });
 }
@@ -255,7 +266,8 @@
     return out;
 }
 
-std::pair<int, json> Mesh::submit(const std::string& method, const std::string& path, json body, int64_t base, const std::string& requestId)
+std::pair<int, json> Mesh::submit(
+    const std::string& method, const std::string& path, json body, int64_t base, const std::string& requestId)
 {
     body["request_id"] = requestId.empty() ? base::makeUuidV7(base::SystemClock().wallMs()) : requestId;
     body["base_version"] = base;
@@ -266,7 +278,9 @@
                 if (!isRunning("control-" + std::to_string(i)))
                     continue;
                 auto to = address("operator", i);
-                auto response = send(to, { method, path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } }, body.dump() });
+                auto response = send(to,
+                    { method, path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } },
+                        body.dump() });
                 out = { response.status, json::parse(response.body, nullptr, false) };
                 if (out.first && out.first != 503)
                     return true;
@@ -283,7 +297,9 @@
         if ((control >= 0 && i != control) || !isRunning("control-" + std::to_string(i)))
             continue;
         auto to = address("operator", i);
-        auto response = send(to, { "GET", path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } }, "" }, Millis(2000));
+        auto response = send(to,
+            { "GET", path, { { "Host", to.text() }, { "Authorization", std::string("Bearer ") + TOKEN } }, "" },
+            Millis(2000));
         if (response.status == 200)
             return json::parse(response.body, nullptr, false);
     }
@@ -305,18 +321,24 @@
         std::string prefix = it == services.front() ? "" : "/" + it;
         routes += "  - { host: \"${host}\", path: " + prefix + "/get, service: " + it + ", timeout_ms: 3000 }\n";
         routes += "  - { host: \"${host}\", path: " + prefix + "/other, service: " + it + ", timeout_ms: 3000 }\n";
-        routes += "  - { host: \"${host}\", path: " + prefix + "/post, methods: [POST], service: " + it + ", timeout_ms: 3000, idempotent: false }\n";
+        routes += "  - { host: \"${host}\", path: " + prefix + "/post, methods: [POST], service: " + it
+            + ", timeout_ms: 3000, idempotent: false }\n";
     }
-    std::string body = "name: t\nroutes:\n" + routes + "rate_per_second: \"100000\"\nburst: \"100000\"\nparameters:\n  - { name: host }\n  - { name: note, default: x }\n";
+    std::string body = "name: t\nroutes:\n" + routes
+        + "rate_per_second: \"100000\"\nburst: \"100000\"\nparameters:\n  - { name: host }\n  - { name: note, default: "
+          "x }\n";
     submit("PUT", "/v1/templates/t", { { "body", body } });
     submit("PUT", "/v1/accounts/a", { { "template", "t" }, { "parameters", { { "host", "a.example" } } } });
 }
 
-std::pair<int, json> Mesh::startMove(const std::string& id, const std::string& service, const std::string& version, int64_t withinMs, int64_t watchMs)
+std::pair<int, json> Mesh::startMove(
+    const std::string& id, const std::string& service, const std::string& version, int64_t withinMs, int64_t watchMs)
 {
     auto base = view("/v1/services/" + service).value("base_version", int64_t { 0 });
     return submit("POST", "/v1/moves",
-        { { "id", id }, { "service", service }, { "to_version", version }, { "deadline_ms", base::SystemClock().wallMs() + withinMs }, { "watch_ms", watchMs } }, base);
+        { { "id", id }, { "service", service }, { "to_version", version },
+            { "deadline_ms", base::SystemClock().wallMs() + withinMs }, { "watch_ms", watchMs } },
+        base);
 }
 
 bool Mesh::waitFor(const std::function<bool()>& condition, Millis limit)
@@ -335,7 +357,8 @@
     return waitFor(
         [&] {
             auto status = view("/v1/status");
-            return status.contains("version") && status["version"].get<int64_t>() > 0 && status["nodes"]["known"] == nodes && status["nodes"]["in_force"] == nodes;
+            return status.contains("version") && status["version"].get<int64_t>() > 0
+                && status["nodes"]["known"] == nodes && status["nodes"]["in_force"] == nodes;
         },
         limit);
 }
--- a/benchmarks/Mesh.h
+++ b/benchmarks/Mesh.h
@@ -59,15 +59,18 @@
     void setMeshKey(const std::string& key) { m_options.meshKey = key; }
 
     // One HTTP request; status 0 when there was no whole answer.
-    http::HttpResponse send(const base::Address& to, http::HttpRequest request, base::Millis budget = base::Millis(6000));
+    http::HttpResponse send(
+        const base::Address& to, http::HttpRequest request, base::Millis budget = base::Millis(6000));
     // A write to the operator API, tried at all control hosts; returns status and body.
-    std::pair<int, nlohmann::json> submit(const std::string& method, const std::string& path, nlohmann::json body, int64_t base = 0,
-        const std::string& requestId = "");
+    std::pair<int, nlohmann::json> submit(const std::string& method, const std::string& path, nlohmann::json body,
+        int64_t base = 0, const std::string& requestId = "");
     nlohmann::json view(const std::string& path, int control = -1);
     nlohmann::json nodeState(int i);
-    // Service `name`, template `t` and account `a` (host "a.example") with routes /get (GET), /post (POST, not idempotent).
+    // Service `name`, template `t` and account `a` (host "a.example") with routes /get (GET), /post (POST, not
+    // idempotent).
     void configure(const std::vector<std::string>& services);
-    std::pair<int, nlohmann::json> startMove(const std::string& id, const std::string& service, const std::string& version, int64_t withinMs, int64_t watchMs);
+    std::pair<int, nlohmann::json> startMove(const std::string& id, const std::string& service,
+        const std::string& version, int64_t withinMs, int64_t watchMs);
 
     // True as soon as `condition` holds, false when `limit` has passed.
     bool waitFor(const std::function<bool()>& condition, base::Millis limit = base::Millis(20000));
@@ -87,7 +90,8 @@
     double metric(const base::Address& address, const std::string& name);
 
 private:
-    void spawn(const std::string& name, const std::string& program, const std::string& settings, const std::vector<std::string>& arguments);
+    void spawn(const std::string& name, const std::string& program, const std::string& settings,
+        const std::vector<std::string>& arguments);
     std::string ip(int host) const;
     std::string proxied(const std::string& name, const base::Address& to);
     std::string write(const std::string& name, const std::string& content);
--- a/benchmarks/bench-pomelowind.cpp
+++ b/benchmarks/bench-pomelowind.cpp
@@ -22,20 +22,22 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves");
+    absl::SetProgramUsageMessage(
+        "bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves");
     auto words = absl::ParseCommandLine(argc, argv);
     return platform::runProgram([&] {
         static const std::map<std::string, std::function<int(const bench::BenchOptions&)>> BENCHES
-            = { { "convergence", bench::benchConvergence }, { "restart-storm", bench::benchRestartStorm }, { "failover", bench::benchFailover },
-                  { "added-latency", bench::benchAddedLatency }, { "overload", bench::benchOverload }, { "claims", bench::benchClaims },
+            = { { "convergence", bench::benchConvergence }, { "restart-storm", bench::benchRestartStorm },
+                  { "failover", bench::benchFailover }, { "added-latency", bench::benchAddedLatency },
+                  { "overload", bench::benchOverload }, { "claims", bench::benchClaims },
                   { "drain", bench::benchDrain }, { "moves", bench::benchMoves } };
         std::string name = words.size() > 1 ? words[1] : "";
         auto it = BENCHES.find(name);
         if (it == BENCHES.end())
             throw base::UserError(base::ErrorKind::InvalidInput, "unknown benchmark '" + name + "'", "see --help");
         std::signal(SIGPIPE, SIG_IGN);
-        bench::BenchOptions options { absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_quick), absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_runs),
-            absl::GetFlag(FLAGS_commit) };
+        bench::BenchOptions options { absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_quick), absl::GetFlag(FLAGS_nodes),
+            absl::GetFlag(FLAGS_runs), absl::GetFlag(FLAGS_commit) };
         return it->second(options);
     });
 }
--- a/include/pomelowind/moves/EvidenceBook.h
+++ b/include/pomelowind/moves/EvidenceBook.h
@@ -57,6 +57,7 @@
         Sample candidate;
         Sample stable;
         std::map<std::string, int64_t> faultsByCentre; // of the candidate, by data centre of the target
+        std::map<std::string, std::pair<Sample, Sample>> open; // candidate and stable calls not yet compared
     };
     struct Histogram {
         std::map<int16_t, int64_t> buckets;
@@ -75,6 +76,7 @@
         auto operator<=>(const BatchKey&) const = default;
     };
 
+    static void addTo(Batch& batch, const wire::EvidenceCell& cell, bool isCandidate);
     void feed(const Key& key, const std::string& dataCentre, const Sample& candidate, const Sample& stable);
     static bool isSpreadOverCentres(const Tests& tests);
     void feedLatency(const BatchKey& key, const Batch& batch);
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -117,10 +117,21 @@
          ready = m_replica.takeReady())
         handle(std::move(ready));
     m_pumping = false;
+    logRole();
     publish();
     maybeSnapshot();
 }
 
+void ControlCore::logRole()
+{
+    std::string role = m_replica.isLeader() ? "leader" : "follower";
+    std::string now = role + "/" + std::to_string(m_replica.term()) + "/" + m_replica.leader();
+    if (now == m_loggedRole)
+        return;
+    m_loggedRole = now;
+    base::logInfo("replica.role", { { "role", role }, { "term", m_replica.term() }, { "leader", m_replica.leader() } });
+}
+
 void ControlCore::handle(Ready ready)
 {
     sendAll(ready.messages);
@@ -180,6 +191,19 @@
     pending.reply(pending.term == entry.term ? result : unavailable("the leader changed before this was accepted"));
 }
 
+// A submission that was forwarded to a leader which is gone would wait for its timeout; its sender can try again at
+// once.
+void ControlCore::dropForwards()
+{
+    if (m_replica.leader() == m_forwardLeader)
+        return;
+    m_forwardLeader = m_replica.leader();
+    auto lost = std::move(m_forwards);
+    m_forwards.clear();
+    for (auto& [id, pending] : lost)
+        pending.reply(unavailable("the leader changed before it answered"));
+}
+
 void ControlCore::expirePending()
 {
     for (auto* map : { &m_pending, &m_forwards }) {
@@ -484,6 +508,7 @@
     advance(now, wallMs);
     m_replica.tick(now);
     expirePending();
+    dropForwards();
     reportExpired();
     m_directory.expire(now, GONE_RETENTION);
     if (now >= m_batchDue) {
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -67,12 +67,14 @@
     void advance(base::Instant now, int64_t wallMs);
     void pump();
     void handle(members::Ready ready);
+    void logRole();
     void sendAll(const std::vector<members::Outgoing>& messages);
     void applyEntry(const wire::Entry& entry);
     void restoreSnapshot(const wire::SnapshotRecord& snapshot);
     void releaseReads();
     void answerPending(const wire::Entry& entry, const wire::CommandResult& result);
     void expirePending();
+    void dropForwards();
     void maybeSnapshot();
     void publish();
 
@@ -101,9 +103,11 @@
     MoveDriver m_moves;
     ClaimEpochPlanner m_epochs;
 
+    std::string m_loggedRole;
     std::map<int64_t, Pending> m_pending;
     std::map<int64_t, Pending> m_forwards;
     std::multimap<int64_t, BarrierDone> m_reads; // by the log index they wait for
+    std::string m_forwardLeader; // where the forwards went
     int64_t m_nextForward { 1 };
     int64_t m_applied { 0 };
     int64_t m_snapshotIndex { 0 };
--- a/src/moves/EvidenceBook.cpp
+++ b/src/moves/EvidenceBook.cpp
@@ -12,12 +12,13 @@
     using Dimension = wire::EvidenceDimension;
 
     constexpr double FAILURE_TOLERANCE = 1.25;
-    constexpr double LATENCY_TOLERANCE = 1.6;
+    constexpr double LATENCY_TOLERANCE = 1.3;
     constexpr double SLOW_QUANTILE = 0.9;
     constexpr int64_t LEAST_BASELINE = 20;
     // Part of the faults that must lie outside the worst target before the version is blamed.
     constexpr double LEAST_SPREAD = 0.15;
     constexpr size_t MAX_TESTS = 256;
+    constexpr char ALL_ROUTES[] = "all";
 
     int64_t countAbove(const std::map<int16_t, int64_t>& buckets, int16_t limit)
     {
@@ -75,27 +76,35 @@
             }
             continue;
         }
-        auto& batch = m_batch[{ it.dimension, it.value, it.dataCentre }];
-        auto& sample = isCandidate ? batch.candidate : batch.stable;
-        sample.calls += it.calls;
-        sample.faults += it.failures;
-        auto& latency = isCandidate ? batch.candidateLatency : batch.stableLatency;
-        for (const auto& [bucket, count] : it.latency)
-            latency[bucket] += count;
+        addTo(m_batch[{ it.dimension, it.value, it.dataCentre }], it, isCandidate);
+        if (it.dimension == Dimension::ROUTE)
+            addTo(m_batch[{ it.dimension, ALL_ROUTES, it.dataCentre }], it, isCandidate);
     }
 }
 
+void EvidenceBook::addTo(Batch& batch, const wire::EvidenceCell& cell, bool isCandidate)
+{
+    auto& sample = isCandidate ? batch.candidate : batch.stable;
+    sample.calls += cell.calls;
+    sample.faults += cell.failures;
+    auto& latency = isCandidate ? batch.candidateLatency : batch.stableLatency;
+    for (const auto& [bucket, count] : cell.latency)
+        latency[bucket] += count;
+}
+
 void EvidenceBook::closeBatch()
 {
     for (const auto& [key, batch] : m_batch) {
         feed({ key.dimension, key.value, Measure::Failures }, key.dataCentre, batch.candidate, batch.stable);
         if (key.dimension != Dimension::ROUTE)
             continue;
+        feedLatency(key, batch);
+        if (key.value != ALL_ROUTES)
+            continue;
         m_candidateTotal.calls += batch.candidate.calls;
         m_candidateTotal.faults += batch.candidate.faults;
         m_stableTotal.calls += batch.stable.calls;
         m_stableTotal.faults += batch.stable.faults;
-        feedLatency(key, batch);
     }
     m_batch.clear();
 }
@@ -107,10 +116,19 @@
         if (m_tests.size() >= MAX_TESTS)
             return;
         double tolerance = key.measure == Measure::Latency ? LATENCY_TOLERANCE : FAILURE_TOLERANCE;
-        it = m_tests.emplace(key, Tests { SequentialTest(tolerance), {}, {}, {}, {} }).first;
+        it = m_tests.emplace(key, Tests { SequentialTest(tolerance), {}, {}, {}, {}, {} }).first;
     }
     auto& tests = it->second;
-    tests.comparison.add(candidate, stable);
+    // A service with little traffic seldom has calls on both versions in one period; its batch stays open until then.
+    auto& open = tests.open[dataCentre];
+    open.first.calls += candidate.calls;
+    open.first.faults += candidate.faults;
+    open.second.calls += stable.calls;
+    open.second.faults += stable.faults;
+    if (open.first.calls && open.second.calls) {
+        tests.comparison.add(open.first, open.second);
+        open = {};
+    }
     tests.candidate.calls += candidate.calls;
     tests.candidate.faults += candidate.faults;
     if (candidate.calls)
--- a/src/moves/MovePlanner.cpp
+++ b/src/moves/MovePlanner.cpp
@@ -14,8 +14,9 @@
 
     constexpr int32_t LEAST_FIRST_PERMILLE = 10;
     constexpr int32_t MOST_FIRST_PERMILLE = 250;
-    // Calls a second that the first step sends to the new version, so that a failure shows within seconds.
-    constexpr double FIRST_STEP_CALLS_PER_SECOND = 5;
+    // Calls a second that the first step sends to the new version: enough that 5 failures in 100 show within 3 s. A
+    // smaller step would harm about as many calls until then, because it takes a number of faults to be sure.
+    constexpr double FIRST_STEP_CALLS_PER_SECOND = 50;
     constexpr double UNKNOWN_TRAFFIC_PERMILLE = 50;
     constexpr double GROWTH = 2.5;
     // The comparison of two versions learns most per call at an even split, so the plan stays there longest.
@@ -25,6 +26,10 @@
     constexpr int64_t END_MARGIN_MS = 1500;
     // With this many calls on the new version in one step, 5 failures in 100 would have shown.
     constexpr int64_t CONVINCING_CALLS = 600;
+    // Below this share a step only has to rule out gross failures: staying there would expose few calls, but a fault of
+    // a few in 100 would take tens of seconds to show.
+    constexpr int32_t PROBING_PERMILLE = 100;
+    constexpr int64_t PROBING_CALLS = 15;
     constexpr int64_t WAIT_FOR_TARGETS_MS = 2000;
     constexpr double OLD_CAPACITY_NEEDED = 0.9;
     constexpr int LEAST_ALARMS = 2;
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -17,8 +17,8 @@
 namespace {
 
     constexpr size_t RING_CAPACITY = 1024;
-    constexpr auto DISTRIBUTION_TICK = base::Millis(20);
-    constexpr auto CALLS_TICK = base::Millis(5);
+    constexpr auto DISTRIBUTION_TICK = base::Millis(50);
+    constexpr auto CALLS_TICK = base::Millis(20);
     constexpr auto EVIDENCE_PERIOD = base::Millis(250);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto STOP_TIMEOUT = std::chrono::seconds(60);
--- a/tests/integration/CallsKeepTheirPromises.cpp
+++ b/tests/integration/CallsKeepTheirPromises.cpp
@@ -58,7 +58,13 @@
     mesh.configure({ service });
     ASSERT_TRUE(mesh.waitInForce(mesh.options().nodes));
     auto ready = [&] {
-        return mesh.send(mesh.callers().back(), { "POST", "/post", { { "Host", "a.example" }, { "Idempotency-Key", base::makeUuidV7(base::SystemClock().wallMs()) } }, "" }).status == 200;
+        return mesh.send(mesh.callers().back(),
+                       { "POST", "/post",
+                           { { "Host", "a.example" },
+                               { "Idempotency-Key", base::makeUuidV7(base::SystemClock().wallMs()) } },
+                           "" })
+                   .status
+            == 200;
     };
     ASSERT_TRUE(mesh.waitFor(ready));
 }
@@ -125,8 +131,8 @@
     mesh.terminate("node-3");
     EXPECT_EQ(mesh.wait("node-3", Millis(20000)), 0);
     auto result = summary.get();
-    EXPECT_EQ(result.ok, result.sent) << "lost " << result.lost << " not run " << result.notRun << " unknown " << result.unknown
-                                      << " failed " << result.failed;
+    EXPECT_EQ(result.ok, result.sent) << "lost " << result.lost << " not run " << result.notRun << " unknown "
+                                      << result.unknown << " failed " << result.failed;
 }
 
 TEST(CallsKeepTheirPromises, CallersSeeClearErrorsForBadInput)
@@ -136,7 +142,8 @@
     Mesh mesh(options);
     startMesh(mesh);
     auto to = mesh.address("caller", 0);
-    auto status = [&](const std::string& method, const std::string& path, const http::HttpHeaders& headers, const std::string& body) {
+    auto status = [&](const std::string& method, const std::string& path, const http::HttpHeaders& headers,
+                      const std::string& body) {
         auto response = mesh.send(to, { method, path, headers, body });
         if (response.status >= 400) {
             EXPECT_EQ(http::findHeader(response.headers, "X-Pomelowind-Outcome"), "not-run") << path;
@@ -181,7 +188,8 @@
     calls.paths = { "/get", "/other" };
     auto summary = std::async(std::launch::async, [&] { return bench::runLoad(calls, 1); });
     for (int i = 0; i < 8; ++i)
-        mesh.startTarget({ "n" + std::to_string(i), "s", "v2", i, "bad_kind: fail\nbad_route: /other\nbad_rate: 0.5\nbad_after_ms: 4000\n" });
+        mesh.startTarget({ "n" + std::to_string(i), "s", "v2", i,
+            "bad_kind: fail\nbad_route: /other\nbad_rate: 0.5\nbad_after_ms: 4000\n" });
     ASSERT_TRUE(mesh.waitFor([&] { return mesh.view("/v1/status")["targets"].size() == 16; }));
     ASSERT_EQ(mesh.startMove("m", "s", "v2", 20000, 3000).first, 200);
     auto move = [&] { return mesh.view("/v1/moves/m"); };
--- a/tests/integration/ConfigurationSurvivesFailures.cpp
+++ b/tests/integration/ConfigurationSurvivesFailures.cpp
@@ -13,11 +13,17 @@
 
 namespace {
 
-json accountBody(const std::string& note) { return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } }; }
+json accountBody(const std::string& note)
+{
+    return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } };
+}
 
 int64_t accountBase(Mesh& mesh) { return mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 }); }
 
-std::string accountNote(Mesh& mesh) { return mesh.view("/v1/accounts/a").value("parameters", json::object()).value("note", ""); }
+std::string accountNote(Mesh& mesh)
+{
+    return mesh.view("/v1/accounts/a").value("parameters", json::object()).value("note", "");
+}
 
 }
 
@@ -46,7 +52,8 @@
         }
     }
     for (int i = 0; i < 12; ++i) {
-        auto [status, answer] = mesh.submit("PUT", "/v1/accounts/b" + std::to_string(i), accountBody("x"), 0, accepted[i].first);
+        auto [status, answer]
+            = mesh.submit("PUT", "/v1/accounts/b" + std::to_string(i), accountBody("x"), 0, accepted[i].first);
         EXPECT_EQ(answer, accepted[i].second) << "a resend got another answer";
     }
     EXPECT_TRUE(mesh.waitInForce(4));
@@ -134,7 +141,9 @@
     mesh.configure({ "s" });
     for (int i = 0; i < 20; ++i) {
         int64_t base = accountBase(mesh);
-        auto race = [&](const std::string& who) { return mesh.submit("PUT", "/v1/accounts/a", accountBody(who), base).first; };
+        auto race = [&](const std::string& who) {
+            return mesh.submit("PUT", "/v1/accounts/a", accountBody(who), base).first;
+        };
         auto other = std::async(std::launch::async, race, "left");
         int right = race("right");
         int left = other.get();
@@ -159,7 +168,9 @@
     mesh.startNode(9);
     ASSERT_TRUE(mesh.waitFor([&] { return mesh.nodeState(9).value("serving", false); }, Millis(30000)));
     EXPECT_GE(mesh.nodeState(9)["version"].get<int64_t>(), version);
-    auto call = [&] { return mesh.send(mesh.address("caller", 9), { "GET", "/get", { { "Host", "a.example" } }, "" }).status == 200; };
+    auto call = [&] {
+        return mesh.send(mesh.address("caller", 9), { "GET", "/get", { { "Host", "a.example" } }, "" }).status == 200;
+    };
     EXPECT_TRUE(mesh.waitFor(call)) << "the data centre goes on serving what it can";
     ASSERT_EQ(mesh.submit("PUT", "/v1/accounts/a", accountBody("new"), accountBase(mesh)).first, 200);
     mesh.fault("feed/", {});
@@ -177,7 +188,10 @@
     auto to = mesh.address("operator", 0);
     auto put = [&](const std::string& token) {
         json body { { "version", "v9" }, { "request_id", "x" }, { "base_version", 0 } };
-        return mesh.send(to, { "PUT", "/v1/services/s2", { { "Host", "c" }, { "Authorization", "Bearer " + token } }, body.dump() }).status;
+        return mesh
+            .send(to,
+                { "PUT", "/v1/services/s2", { { "Host", "c" }, { "Authorization", "Bearer " + token } }, body.dump() })
+            .status;
     };
     EXPECT_EQ(put("nobody"), 401);
     EXPECT_EQ(put("viewer"), 403);
