--- /dev/null
+++ b/benchmarks/campaign.cpp
@@ -0,0 +1,583 @@
+// The fault campaign: real processes behind the fault proxy, a seeded schedule of the brief's failures, and a checker
+// that judges each of the brief's ten promises from what callers, targets, nodes and operators saw.
+
+#include "benchmarks/BenchOutput.h"
+#include "benchmarks/Mesh.h"
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Random.h"
+#include "pomelowind/platform/Program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+ABSL_FLAG(uint64_t, seed, 1, "seed of the schedule");
+ABSL_FLAG(double, minutes, 1, "duration");
+ABSL_FLAG(std::string, deployment, "lumentra", "lumentra or arrieta");
+ABSL_FLAG(std::string, commit, "", "commit to print");
+
+using namespace pomelowind;
+using base::Millis;
+using nlohmann::json;
+
+namespace {
+
+constexpr int NODES = 12;
+constexpr int BIG_INSTANCES = 8;
+constexpr int PROMISES = 10;
+constexpr auto WATCH_PERIOD = std::chrono::milliseconds(100);
+constexpr double IN_FORCE_LIMIT_MS = 6000;
+constexpr int64_t TAKEN_BACK_GRACE_MS = 1500;
+constexpr int64_t LEAVING_LIMIT_MS = 3000;
+
+int64_t wallMs() { return base::SystemClock().wallMs(); }
+
+// Checks made of each promise, violations, and the first one's trace.
+class Verdicts {
+public:
+    void check(int promise, bool holds, const std::string& trace)
+    {
+        std::lock_guard lock(m_mutex);
+        auto& it = m_promises[promise - 1];
+        ++it.checks;
+        if (holds)
+            return;
+        ++it.violations;
+        if (it.first.empty())
+            it.first = trace;
+    }
+
+    json report()
+    {
+        std::lock_guard lock(m_mutex);
+        json out = json::array();
+        for (int i = 0; i < PROMISES; ++i)
+            out.push_back({ { "promise", i + 1 }, { "checks", m_promises[i].checks }, { "violations", m_promises[i].violations }, { "first", m_promises[i].first } });
+        return out;
+    }
+
+    int violations()
+    {
+        std::lock_guard lock(m_mutex);
+        int n = 0;
+        for (const auto& it : m_promises)
+            n += it.violations;
+        return n;
+    }
+
+private:
+    struct Promise {
+        int checks { 0 };
+        int violations { 0 };
+        std::string first;
+    };
+
+    std::mutex m_mutex;
+    std::array<Promise, PROMISES> m_promises;
+};
+
+struct Window {
+    int64_t fromMs;
+    int64_t toMs;
+};
+
+class Campaign {
+public:
+    Campaign(uint64_t seed, double minutes, const std::string& deployment)
+        : m_random(seed)
+        , m_seconds(minutes * 60)
+        , m_big(deployment == "arrieta" ? "pedidos" : "finder-app")
+        , m_small(deployment == "arrieta" ? "taller" : "certs-svc")
+        , m_mesh(options(deployment))
+    {
+    }
+
+    json run()
+    {
+        start();
+        auto calls = std::async(std::launch::async, [&] { return bench::runLoad(load("/get", 150, false), 1); });
+        auto keyed = std::async(std::launch::async, [&] { return bench::runLoad(load("/" + m_small + "/post", 20, true), 2); });
+        auto watcher = std::async(std::launch::async, [&] { watch(); });
+        auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<int64_t>(m_seconds * 1000));
+        while (std::chrono::steady_clock::now() < until)
+            oneFault();
+        heal();
+        auto callSummary = calls.get();
+        auto keyedSummary = keyed.get();
+        m_stopped = true;
+        watcher.get();
+        judge(callSummary, keyedSummary);
+        return report(callSummary);
+    }
+
+    int violations() { return m_verdicts.violations(); }
+
+private:
+    static bench::MeshOptions options(const std::string& deployment)
+    {
+        bench::MeshOptions out;
+        out.nodes = NODES;
+        out.slots = deployment == "arrieta" ? 6 : 12;
+        out.nodeExtra = "drain_grace_ms: 1000\n";
+        return out;
+    }
+
+    bool isBig(int node) const { return node < BIG_INSTANCES; }
+    std::string serviceOf(int node) const { return isBig(node) ? m_big : m_small; }
+
+    standins::LoadOptions load(const std::string& path, double rate, bool keyed)
+    {
+        standins::LoadOptions out;
+        out.addresses = m_mesh.callers();
+        out.hosts = { "a.example" };
+        out.paths = { path };
+        if (!keyed)
+            out.paths.push_back("/other");
+        out.method = keyed ? "POST" : "GET";
+        out.keyed = keyed;
+        out.resends = keyed ? 5 : 0;
+        out.ratePerSecond = rate;
+        out.seconds = m_seconds + 20;
+        out.log = m_mesh.folder() + (keyed ? "/keyed.txt" : "/calls.txt");
+        return out;
+    }
+
+    void start()
+    {
+        m_mesh.startAll();
+        for (int i = 0; i < NODES; ++i)
+            m_mesh.startTarget({ "t" + std::to_string(i), serviceOf(i), "v1", i, "" });
+        m_mesh.configure({ m_big, m_small });
+        if (!m_mesh.waitInForce(NODES))
+            throw base::InternalFault("the mesh did not start");
+        m_mesh.waitFor([&] {
+            auto key = base::makeUuidV7(wallMs());
+            return m_mesh.send(m_mesh.callers()[0], { "POST", "/" + m_small + "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } }, "" }).status == 200;
+        });
+        bench::say("mesh of " + std::to_string(NODES) + " nodes started");
+    }
+
+    // ---- all along: versions, routes, whole states ----
+
+    void watch()
+    {
+        std::map<int, int64_t> highest;
+        std::map<int64_t, std::string> hashOf;
+        while (!m_stopped) {
+            for (int i = 0; i < NODES; ++i) {
+                auto state = m_mesh.nodeState(i);
+                if (!state.value("serving", false))
+                    continue;
+                auto version = state.value("version", int64_t { 0 });
+                auto hash = state.value("hash", std::string());
+                std::string trace = "node " + std::to_string(i) + " version " + std::to_string(version);
+                m_verdicts.check(1, version >= highest[i], trace + " after " + std::to_string(highest[i]));
+                highest[i] = std::max(highest[i], version);
+                m_verdicts.check(2, state.value("dangling_routes", 1) == 0, trace);
+                auto [known, isNew] = hashOf.emplace(version, hash);
+                m_verdicts.check(3, isNew || known->second == hash, trace + " hash " + hash + " not " + known->second);
+            }
+            std::this_thread::sleep_for(WATCH_PERIOD);
+        }
+    }
+
+    // ---- faults ----
+
+    void oneFault()
+    {
+        ++m_faults;
+        auto dice = m_random.below(12);
+        bench::say("fault " + std::to_string(m_faults) + " kind " + std::to_string(dice));
+        switch (dice) {
+        case 0:
+            killLeader();
+            break;
+        case 1:
+            loseDisk();
+            break;
+        case 2:
+            herd();
+            break;
+        case 3:
+            killTarget();
+            break;
+        case 4:
+            cutDataCentre();
+            break;
+        case 5:
+            silentHost();
+            break;
+        case 6:
+        case 7:
+            plannedStop();
+            break;
+        case 8:
+            raceAndResend();
+            break;
+        case 9:
+            manyChangesPassARestart();
+            break;
+        case 10:
+            move(true);
+            break;
+        default:
+            move(false);
+            break;
+        }
+        change();
+    }
+
+    // One accepted change, and how long it takes to be in force everywhere.
+    void change()
+    {
+        auto base = m_mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
+        std::string note = "c" + std::to_string(++m_changes);
+        auto [status, answer] = m_mesh.submit("PUT", "/v1/accounts/a", account(note), base);
+        if (status != 200)
+            return;
+        m_lastNote = note;
+        auto version = answer.value("version", int64_t { 0 });
+        auto began = std::chrono::steady_clock::now();
+        bool inForce = m_mesh.waitFor([&] { return allAt(version); }, Millis(10000));
+        double ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+        m_convergence.push_back(ms);
+        m_verdicts.check(10, inForce && ms < IN_FORCE_LIMIT_MS, "version " + std::to_string(version) + " in force after " + std::to_string(ms) + " ms");
+    }
+
+    bool allAt(int64_t version)
+    {
+        for (int i = 0; i < NODES; ++i) {
+            if (m_mesh.nodeState(i).value("version", int64_t { 0 }) < version)
+                return false;
+        }
+        return true;
+    }
+
+    json account(const std::string& note) const { return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } }; }
+
+    int pick(int n) { return static_cast<int>(m_random.below(static_cast<uint64_t>(n))); }
+
+    void waitControl(int host)
+    {
+        m_mesh.waitFor([&] {
+            auto members = m_mesh.view("/v1/members", host);
+            return !members.value("recovering", true) && m_mesh.view("/v1/status", host).value("fresh", false);
+        });
+    }
+
+    void killLeader()
+    {
+        int leader = m_mesh.leader();
+        if (leader < 0)
+            return;
+        m_mesh.kill("control-" + std::to_string(leader));
+        change();
+        m_mesh.startControl(leader, false);
+        waitControl(leader);
+    }
+
+    void loseDisk()
+    {
+        int host = pick(3);
+        m_mesh.kill("control-" + std::to_string(host));
+        m_mesh.wipeDisk(host);
+        m_mesh.startControl(host, false);
+        waitControl(host);
+        // A second host is lost right after the repair.
+        int second = (host + 1) % 3;
+        m_mesh.kill("control-" + std::to_string(second));
+        m_mesh.wipeDisk(second);
+        m_mesh.startControl(second, false);
+        waitControl(second);
+    }
+
+    void herd()
+    {
+        int first = pick(NODES);
+        for (int i = 0; i < NODES / 2; ++i)
+            m_mesh.kill("node-" + std::to_string((first + i) % NODES));
+        for (int i = 0; i < NODES / 2; ++i)
+            m_mesh.startNode((first + i) % NODES);
+        m_mesh.waitInForce(NODES);
+    }
+
+    std::string anyTarget(int node) const { return m_targetOf.count(node) ? m_targetOf.at(node) : "t" + std::to_string(node); }
+
+    void restartTarget(int node)
+    {
+        m_mesh.startTarget({ anyTarget(node), serviceOf(node), isBig(node) ? m_stable : "v1", node, "" });
+    }
+
+    void killTarget()
+    {
+        int node = pick(NODES);
+        m_mesh.kill(anyTarget(node));
+        restartTarget(node);
+    }
+
+    void cutDataCentre()
+    {
+        int node = pick(NODES);
+        std::string prefix = "feed/" + m_mesh.dataCentreOf(node);
+        m_mesh.fault(prefix, { true, false, false, Millis(0) });
+        m_mesh.kill("node-" + std::to_string(node));
+        m_mesh.startNode(node);
+        m_mesh.waitFor([&] { return m_mesh.nodeState(node).value("serving", false); }, Millis(8000));
+        m_mesh.fault(prefix, {});
+        m_mesh.waitInForce(NODES);
+    }
+
+    void silentHost()
+    {
+        std::string host = std::to_string(pick(3));
+        bool oneWay = m_random.chance(0.5);
+        for (int i = 0; i < 3; ++i) {
+            m_mesh.fault("member/" + std::to_string(i) + "/" + host, { false, true, !oneWay, Millis(0) });
+            m_mesh.fault("member/" + host + "/" + std::to_string(i), { false, !oneWay, !oneWay, Millis(0) });
+        }
+        change();
+        m_mesh.fault("member/", {});
+        waitControl(host[0] - '0');
+    }
+
+    void plannedStop()
+    {
+        int node = pick(NODES);
+        std::string target = anyTarget(node);
+        int64_t from = wallMs();
+        m_mesh.terminate(target);
+        bool left = m_mesh.waitFor([&] { return !servesAnywhere(target); }, Millis(LEAVING_LIMIT_MS));
+        m_verdicts.check(8, left, target + " still chosen after " + std::to_string(LEAVING_LIMIT_MS) + " ms");
+        int code = m_mesh.wait(target, Millis(20000));
+        m_verdicts.check(9, code == 0, target + " ended with " + std::to_string(code));
+        m_quiet.push_back({ from, wallMs() });
+        restartTarget(node);
+    }
+
+    bool servesAnywhere(const std::string& target)
+    {
+        for (int i = 0; i < NODES; ++i) {
+            for (const auto& it : m_mesh.nodeState(i).value("targets", json::array())) {
+                if (it["target"] == target && it["state"] == 1)
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    void raceAndResend()
+    {
+        auto base = m_mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
+        std::string id = "race-" + std::to_string(m_faults);
+        auto put = [&](const std::string& who) { return m_mesh.submit("PUT", "/v1/accounts/a", account(who), base, id + who); };
+        auto other = std::async(std::launch::async, put, "left");
+        auto right = put("right");
+        auto left = other.get();
+        m_verdicts.check(10, (left.first == 200) != (right.first == 200), "race of two: " + std::to_string(left.first) + " " + std::to_string(right.first));
+        m_verdicts.check(10, put("left").second == left.second && put("right").second == right.second, "a resend got another answer");
+    }
+
+    void manyChangesPassARestart()
+    {
+        int node = pick(NODES);
+        m_mesh.kill("node-" + std::to_string(node));
+        for (int i = 0; i < 100; ++i) {
+            auto base = m_mesh.view("/v1/accounts/filler").value("base_version", int64_t { 0 });
+            m_mesh.submit("PUT", "/v1/accounts/filler", { { "template", "t" }, { "parameters", { { "host", "f.example" }, { "note", std::to_string(i) } } } }, base);
+        }
+        m_mesh.startNode(node);
+        m_mesh.waitInForce(NODES);
+    }
+
+    void move(bool good)
+    {
+        std::string version = "m" + std::to_string(++m_moves);
+        std::string bad = "bad_kind: fail\nbad_rate: 0.3\n" + std::string(m_random.chance(0.5) ? "bad_route: /other\n" : "");
+        for (int i = 0; i < BIG_INSTANCES; ++i)
+            m_mesh.startTarget({ version + "-" + std::to_string(i), m_big, version, i, good ? "" : bad });
+        bool ready = m_mesh.waitFor([&] {
+            int serving = 0;
+            for (const auto& it : m_mesh.nodeState(0).value("targets", json::array()))
+                serving += it["version"] == version && it["state"] == 1 ? 1 : 0;
+            return serving == BIG_INSTANCES;
+        });
+        int64_t from = wallMs();
+        bool started = ready && m_mesh.startMove(version, m_big, version, 16000, 2000).first == 200;
+        json status;
+        m_mesh.waitFor(
+            [&] {
+                status = m_mesh.view("/v1/moves/" + version);
+                std::string answer = status.value("answer", "");
+                return !started || answer == "done" || answer == "taken back";
+            },
+            Millis(40000));
+        if (!started)
+            return stopVersion(version);
+        std::string answer = status.value("answer", "");
+        bench::say("move to " + version + (good ? " (good): " : " (bad): ") + answer);
+        if (good) {
+            ++m_good;
+            m_goodOnTime += status.value("on_time", false) ? 1 : 0;
+        } else {
+            ++m_bad;
+            m_badTakenBack += answer == "taken back" ? 1 : 0;
+            m_badVersions[version] = { from, status.value("ended_ms", wallMs()) + TAKEN_BACK_GRACE_MS };
+        }
+        if (answer != "done")
+            return stopVersion(version);
+        std::string old = m_stable;
+        m_stable = version;
+        for (int i = 0; i < BIG_INSTANCES; ++i) {
+            std::string leaving = anyTarget(i);
+            m_targetOf[i] = version + "-" + std::to_string(i);
+            m_mesh.terminate(leaving);
+            m_mesh.wait(leaving, Millis(20000));
+        }
+    }
+
+    void stopVersion(const std::string& version)
+    {
+        for (int i = 0; i < BIG_INSTANCES; ++i)
+            m_mesh.terminate(version + "-" + std::to_string(i));
+        for (int i = 0; i < BIG_INSTANCES; ++i)
+            m_mesh.wait(version + "-" + std::to_string(i), Millis(20000));
+    }
+
+    void heal()
+    {
+        m_mesh.fault("", {});
+        bool inForce = m_mesh.waitInForce(NODES, Millis(20000));
+        m_verdicts.check(10, inForce, "not in force on all nodes after the faults");
+        auto note = m_mesh.view("/v1/accounts/a").value("parameters", json::object()).value("note", "");
+        bool raced = note == "left" || note == "right";
+        m_verdicts.check(10, raced || note == m_lastNote, "accepted " + m_lastNote + " became " + note);
+    }
+
+    // ---- afterwards: the logs ----
+
+    struct CallLine {
+        int64_t dueMs;
+        std::string id;
+        std::string verdict;
+        std::string version;
+    };
+
+    std::vector<CallLine> readCalls(const std::string& name) const
+    {
+        std::vector<CallLine> out;
+        std::ifstream in(m_mesh.folder() + name);
+        std::string line;
+        while (std::getline(in, line)) {
+            std::istringstream fields(line);
+            CallLine it;
+            std::string path;
+            std::string status;
+            std::string ms;
+            fields >> it.dueMs >> it.id >> path >> it.verdict >> status >> ms >> it.version;
+            out.push_back(it);
+        }
+        return out;
+    }
+
+    void judge(const standins::LoadSummary& calls, const standins::LoadSummary& keyed)
+    {
+        m_verdicts.check(5, calls.wrongBodies + keyed.wrongBodies == 0, std::to_string(calls.wrongBodies + keyed.wrongBodies) + " wrong bodies");
+        std::map<std::string, int> runs;
+        std::ifstream in(m_mesh.folder() + "/runs.txt");
+        std::string time;
+        std::string key;
+        std::string rest;
+        while (in >> time >> key && std::getline(in, rest))
+            ++runs[key];
+        for (const auto& [id, n] : runs)
+            m_verdicts.check(7, n <= 1, id + " ran " + std::to_string(n) + " times");
+        for (const auto& it : readCalls("/keyed.txt")) {
+            if (it.verdict == "not-run")
+                m_verdicts.check(6, runs[it.id] == 0, it.id + " was said not to have run");
+            if (it.verdict == "ok")
+                m_verdicts.check(5, runs[it.id] == 1, it.id + " was answered, but ran " + std::to_string(runs[it.id]) + " times");
+        }
+        judgeCalls(readCalls("/calls.txt"));
+    }
+
+    void judgeCalls(const std::vector<CallLine>& calls)
+    {
+        std::map<std::string, std::pair<int, int>> exposure; // calls on the bad version and all, while its move ran
+        for (const auto& it : calls) {
+            for (const auto& quiet : m_quiet) {
+                if (it.dueMs >= quiet.fromMs && it.dueMs < quiet.toMs)
+                    m_verdicts.check(9, it.verdict != "lost", it.id + " was cut off during a planned stop");
+            }
+            for (const auto& [version, window] : m_badVersions) {
+                if (it.dueMs >= window.fromMs && it.dueMs < window.toMs) {
+                    ++exposure[version].second;
+                    exposure[version].first += it.version == version ? 1 : 0;
+                }
+                if (it.version == version)
+                    m_verdicts.check(4, it.dueMs < window.toMs, "bad version " + version + " answered at " + std::to_string(it.dueMs));
+            }
+        }
+        for (const auto& [version, counts] : exposure)
+            m_verdicts.check(4, counts.first * 3 < counts.second, "bad version " + version + " got " + std::to_string(counts.first) + " of " + std::to_string(counts.second));
+    }
+
+    json report(const standins::LoadSummary& calls)
+    {
+        double bytes = 0;
+        for (int i = 0; i < NODES; ++i)
+            bytes += m_mesh.metric(m_mesh.address("node-metrics", i), "control_bytes_sent");
+        return { { "minutes", m_seconds / 60 }, { "faults", m_faults }, { "promises", m_verdicts.report() },
+            { "convergence_p99", bench::quantile(m_convergence, 0.99) }, { "control_bytes_per_node", bytes / NODES },
+            { "good_on_time", m_good ? json(static_cast<double>(m_goodOnTime) / m_good) : json() },
+            { "bad_taken_back", m_bad ? json(static_cast<double>(m_badTakenBack) / m_bad) : json() }, { "good", m_good }, { "bad", m_bad },
+            { "calls", calls.sent }, { "calls_ok", calls.ok }, { "violations", m_verdicts.violations() } };
+    }
+
+    base::Random m_random;
+    double m_seconds;
+    std::string m_big;
+    std::string m_small;
+    bench::Mesh m_mesh;
+    Verdicts m_verdicts;
+    std::atomic<bool> m_stopped { false };
+    int m_faults { 0 };
+    int m_changes { 0 };
+    int m_moves { 0 };
+    int m_good { 0 };
+    int m_goodOnTime { 0 };
+    int m_bad { 0 };
+    int m_badTakenBack { 0 };
+    std::string m_lastNote;
+    std::string m_stable { "v1" };
+    std::map<int, std::string> m_targetOf;
+    std::vector<double> m_convergence;
+    std::vector<Window> m_quiet;
+    std::map<std::string, Window> m_badVersions;
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("campaign --seed=N --minutes=M --deployment=lumentra|arrieta\nexit codes: 0 no violation, 1 some");
+    absl::ParseCommandLine(argc, argv);
+    return platform::runProgram([] {
+        std::signal(SIGPIPE, SIG_IGN);
+        auto began = std::chrono::steady_clock::now();
+        bench::BenchOptions options;
+        options.seed = absl::GetFlag(FLAGS_seed);
+        options.commit = absl::GetFlag(FLAGS_commit);
+        Campaign campaign(options.seed, absl::GetFlag(FLAGS_minutes), absl::GetFlag(FLAGS_deployment));
+        auto fields = campaign.run();
+        fields["deployment"] = absl::GetFlag(FLAGS_deployment);
+        return bench::finish("campaign", options, began, fields, { "violations" });
+    });
+}
--- a/src/node/AnnounceApi.cpp
+++ b/src/node/AnnounceApi.cpp
@@ -58,6 +58,17 @@
         return out;
     }
 
+    // Routes whose service this node does not have; the checks at activation keep it at 0.
+    int danglingRoutes(const config::ConfigState& state)
+    {
+        int n = 0;
+        for (const auto* account : state.accounts()) {
+            for (const auto& route : account->routes)
+                n += state.service(route.serviceName) ? 0 : 1;
+        }
+        return n;
+    }
+
 }
 
 AnnounceApi::AnnounceApi(const NodeSettings& settings, DistributionCore& core, const base::Clock& clock)
@@ -101,7 +112,8 @@
         { { "node", m_settings.id }, { "data_centre", m_settings.dataCentre }, { "version", m_core.state().version() },
             { "hash", std::to_string(m_core.state().hash()) }, { "serving", m_core.isServing() },
             { "parent", m_core.parentId() }, { "admitted", m_core.isAdmitted() }, { "children", m_core.childCount() },
-            { "rejection", m_core.rejection() }, { "targets", targets }, { "services", services } });
+            { "rejection", m_core.rejection() }, { "targets", targets }, { "services", services },
+            { "dangling_routes", danglingRoutes(m_core.state()) } });
 }
 
 } // namespace pomelowind::node
