--- a/include/pomelowind/config/ConfigMachine.h
+++ b/include/pomelowind/config/ConfigMachine.h
@@ -32,6 +32,8 @@
     const wire::MoveRecord* activeMove(const std::string& service) const;
     // Version that a submission on this subject must name as its base.
     int64_t baseVersion(const wire::Command& command) const;
+    // Highest sequence number taken from the outside source.
+    int64_t highestSourceSequence() const;
     size_t rememberedCount() const { return m_remembered.size(); }
 
     wire::MachineImage image() const;
@@ -50,6 +52,7 @@
     wire::CommandResult claimEpoch(const wire::Command& command);
     wire::CommandResult sourceUpdate(const wire::Command& command);
 
+    int64_t sourceSequenceOf(const wire::Command& command) const;
     wire::CommandResult accepted() const;
     void putService(const wire::ServiceResource& service);
     void putAccount(const wire::AccountResource& account);
--- a/include/pomelowind/control/ControlSettings.h
+++ b/include/pomelowind/control/ControlSettings.h
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Settings.h"
 #include "pomelowind/operators/Roles.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     base::Millis heartbeat { 80 };
     base::Millis claimLead { 25000 };
     int64_t snapshotEvery { 1000 };
+    std::optional<base::Address> sourceAddress; // outside source of templates and accounts
+    base::Millis sourcePeriod { 1000 };
     operators::Roles roles;
 };
 
--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -349,7 +349,7 @@
         if (account.templateName == parsed.name)
             renderChecked(parsed, name, account.parameters);
     }
-    wire::TemplateRecord record;
+    wire::TemplateRecord record = m_templates[parsed.name];
     record.name = parsed.name;
     record.body = command.body;
     m_parsed[parsed.name] = parsed;
@@ -396,18 +396,42 @@
 // Updates of the outside source may arrive repeated or crossed; only one with a higher sequence number is taken.
 CommandResult ConfigMachine::sourceUpdate(const wire::Command& command)
 {
-    auto known = m_accounts.find(command.name);
-    if (known != m_accounts.end() && known->second.sourceSequence >= command.sourceSequence) {
+    bool isTemplate = !command.body.empty();
+    if (command.sourceSequence <= sourceSequenceOf(command)) {
         CommandResult result = refuse(ResultCode::UNCHANGED, "the source's update is not newer", "");
         result.version = m_state.version();
         return result;
     }
-    CommandResult result = setAccount(command);
-    if (result.code == ResultCode::ACCEPTED)
+    CommandResult result = isTemplate ? submitTemplate(command) : setAccount(command);
+    if (result.code != ResultCode::ACCEPTED)
+        return result;
+    if (isTemplate)
+        m_templates[command.name].sourceSequence = command.sourceSequence;
+    else
         m_accounts[command.name].sourceSequence = command.sourceSequence;
     return result;
 }
 
+int64_t ConfigMachine::sourceSequenceOf(const wire::Command& command) const
+{
+    if (!command.body.empty()) {
+        auto it = m_templates.find(command.name);
+        return it == m_templates.end() ? 0 : it->second.sourceSequence;
+    }
+    auto it = m_accounts.find(command.name);
+    return it == m_accounts.end() ? 0 : it->second.sourceSequence;
+}
+
+int64_t ConfigMachine::highestSourceSequence() const
+{
+    int64_t out = 0;
+    for (const auto& [name, it] : m_templates)
+        out = std::max(out, it.sourceSequence);
+    for (const auto& [name, it] : m_accounts)
+        out = std::max(out, it.sourceSequence);
+    return out;
+}
+
 // ---- moves ----
 
 const wire::MoveRecord* ConfigMachine::findMove(const std::string& id) const
--- /dev/null
+++ b/src/config/ConfigSource.cpp
@@ -0,0 +1,80 @@
+#include "pomelowind/config/ConfigSource.h"
+
+#include "pomelowind/http/HttpClient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::config {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr base::Millis POLL_TIMEOUT(3000);
+    constexpr char SOURCE_ACTOR[] = "source";
+
+    class HttpSource final : public ConfigSource {
+    public:
+        HttpSource(boost::asio::io_context& io, const base::Address& address)
+            : m_client(http::makeHttpClient(io, address, 1))
+            , m_host(address.text())
+        {
+        }
+
+        void poll(int64_t after, Done done) override
+        {
+            http::HttpRequest request { "GET", "/updates?after=" + std::to_string(after), { { "Host", m_host } }, "" };
+            m_client->request(std::move(request), POLL_TIMEOUT, [done = std::move(done)](const http::ExchangeResult& result) {
+                bool ok = result.end == http::ExchangeEnd::Answered && result.response.status == 200;
+                done(ok ? parseSourceUpdates(result.response.body) : std::nullopt);
+            });
+        }
+
+    private:
+        std::shared_ptr<http::HttpClient> m_client;
+        std::string m_host;
+    };
+
+}
+
+std::optional<std::vector<SourceUpdate>> parseSourceUpdates(const std::string& text)
+{
+    try {
+        std::vector<SourceUpdate> out;
+        for (const auto& it : json::parse(text)) {
+            SourceUpdate update;
+            update.sequence = it.at("sequence").get<int64_t>();
+            update.name = it.at("name").get<std::string>();
+            if (it.contains("body")) {
+                update.body = it.at("body").get<std::string>();
+            } else {
+                update.templateName = it.at("template").get<std::string>();
+                update.parameters = it.at("parameters").get<std::map<std::string, std::string>>();
+            }
+            out.push_back(std::move(update));
+        }
+        return out;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+wire::Command toCommand(const SourceUpdate& update)
+{
+    wire::Command command;
+    command.kind = wire::CommandKind::SOURCE_UPDATE;
+    command.actor = SOURCE_ACTOR;
+    command.name = update.name;
+    command.body = update.body;
+    command.templateName = update.templateName;
+    command.parameters = update.parameters;
+    command.sourceSequence = update.sequence;
+    return command;
+}
+
+std::unique_ptr<ConfigSource> makeHttpSource(boost::asio::io_context& io, const base::Address& address)
+{
+    return std::make_unique<HttpSource>(io, address);
+}
+
+} // namespace pomelowind::config
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -2,6 +2,7 @@
 
 #include "ControlCore.h"
 #include "MemberNetwork.h"
+#include "SourcePoller.h"
 #include "Views.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/TimerService.h"
@@ -122,6 +123,7 @@
         m_tick = m_timers->subscribe(
             m_decisions.context(), TICK, [this] { m_core->tick(m_clock.now(), m_clock.wallMs()); });
         m_gauges = m_timers->subscribe(m_decisions.context(), METRICS_PERIOD, [this] { updateGauges(); });
+        startSource();
         m_disk.start();
         m_decisions.start();
         m_network.start();
@@ -140,6 +142,7 @@
         drainApi();
         m_tick.reset();
         m_gauges.reset();
+        m_sourceTick.reset();
         m_timers.reset();
         m_api.stop();
         m_network.stop();
@@ -253,6 +256,19 @@
         }
     }
 
+    void startSource()
+    {
+        if (!m_settings.sourceAddress)
+            return;
+        m_source = std::make_unique<SourcePoller>(
+            config::makeHttpSource(m_decisions.context(), *m_settings.sourceAddress), [this](wire::Command command) {
+                m_core->submit(std::move(command), [](const wire::CommandResult&) { }, m_clock.now(), m_clock.wallMs());
+            });
+        m_sourceTick = m_timers->subscribe(m_decisions.context(), m_settings.sourcePeriod, [this] {
+            m_source->tick(m_core->replica().isCurrent(), m_core->machine().highestSourceSequence());
+        });
+    }
+
     void updateGauges()
     {
         m_versionGauge->set(static_cast<double>(m_core->machine().state().version()));
@@ -292,6 +308,8 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::unique_ptr<base::Subscription> m_tick;
     std::unique_ptr<base::Subscription> m_gauges;
+    std::unique_ptr<SourcePoller> m_source;
+    std::unique_ptr<base::Subscription> m_sourceTick;
     bool m_stopped { false };
 };
 
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -29,6 +29,9 @@
     out.heartbeat = reader.millis("heartbeat_ms", out.heartbeat, Millis(10), Millis(2000));
     out.claimLead = reader.millis("claim_lead_ms", out.claimLead, Millis(5000), Millis(120000));
     out.snapshotEvery = reader.integer("snapshot_every", out.snapshotEvery, 10, 1000000);
+    if (reader.has("source_address"))
+        out.sourceAddress = reader.address("source_address");
+    out.sourcePeriod = reader.millis("source_period_ms", out.sourcePeriod, Millis(50), Millis(3600000));
     for (auto& it : reader.items("members")) {
         out.members.push_back({ it.text("id"), it.address("address") });
         it.checkUnknownKeys();
--- /dev/null
+++ b/tests/integration/SourceOutagesBlockNothing.cpp
@@ -0,0 +1,84 @@
+// A small fake of the outside source that crosses and repeats updates, is slow, and goes away.
+
+#include "benchmarks/Mesh.h"
+#include "pomelowind/config/ConfigSource.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using nlohmann::json;
+
+namespace {
+
+// Answers with whatever `updates` holds; not at all while `away`.
+class FakeSource final : public http::HttpHandler {
+public:
+    explicit FakeSource(const base::Address& address)
+        : m_duty("source")
+        , m_server(http::makeHttpServer(m_duty.context(), address, {}, *this))
+    {
+        m_duty.start();
+    }
+    ~FakeSource() override { m_duty.stop(); }
+
+    void handle(http::HttpRequest, std::shared_ptr<http::HttpReply> reply) override
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_away)
+            return m_held.push_back(reply);
+        reply->send({ 200, {}, m_updates.dump() });
+    }
+
+    void set(json updates, bool away)
+    {
+        std::lock_guard lock(m_mutex);
+        m_updates = std::move(updates);
+        m_away = away;
+    }
+
+private:
+    std::mutex m_mutex;
+    json m_updates = json::array();
+    bool m_away { false };
+    std::vector<std::shared_ptr<http::HttpReply>> m_held;
+    base::Duty m_duty;
+    std::unique_ptr<http::HttpServer> m_server;
+};
+
+json update(int64_t sequence, const std::string& note)
+{
+    return { { "sequence", sequence }, { "name", "fed" }, { "template", "t" }, { "parameters", { { "host", "fed.example" }, { "note", note } } } };
+}
+
+}
+
+TEST(SourceOutagesBlockNothing, CrossedRepeatedSlowAndAway)
+{
+    base::Address address { "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 10000) };
+    FakeSource source(address);
+    bench::MeshOptions options;
+    options.nodes = 1;
+    options.controlExtra = "source_address: " + address.text() + "\nsource_period_ms: 50\n";
+    bench::Mesh mesh(options);
+    mesh.startAll();
+    mesh.configure({ "s" });
+    auto note = [&] { return mesh.view("/v1/accounts/fed").value("parameters", json::object()).value("note", ""); };
+    source.set({ update(5, "five"), update(4, "four"), update(5, "five") }, false);
+    ASSERT_TRUE(mesh.waitFor([&] { return note() == "five"; }));
+    source.set({ update(3, "three"), "nonsense" }, false);
+    source.set({ update(3, "three"), update(6, "six") }, false);
+    ASSERT_TRUE(mesh.waitFor([&] { return note() == "six"; }));
+    source.set(json::array(), true);
+    auto base = mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
+    EXPECT_EQ(mesh.submit("PUT", "/v1/accounts/a", { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", "during" } } } }, base).first, 200);
+    EXPECT_TRUE(mesh.waitInForce(1)) << "an outage of the source blocks nothing";
+    EXPECT_EQ(note(), "six");
+}
+
+TEST(SourceOutagesBlockNothing, MalformedUpdatesAreRefusedWhole)
+{
+    EXPECT_FALSE(config::parseSourceUpdates("nonsense"));
+    EXPECT_FALSE(config::parseSourceUpdates(R"([{"sequence":1}])"));
+    EXPECT_TRUE(config::parseSourceUpdates("[]")->empty());
+}
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -91,7 +91,7 @@
   7: i64 fromVersion, 8: i64 toVersion, 9: ResultCode code, 10: string message, 11: string requestId
 }
 struct RememberedResult { 1: string requestId, 2: i64 timeMs, 3: CommandResult result, 4: i64 fingerprint }
-struct TemplateRecord { 1: string name, 2: i64 version, 3: string body }
+struct TemplateRecord { 1: string name, 2: i64 version, 3: string body, 4: i64 sourceSequence }
 struct AccountRecord { 1: string name, 2: i64 version, 3: string templateName, 4: map<string, string> parameters, 5: i64 sourceSequence }
 enum MoveState { PLANNED = 0, RAISING = 1, PAUSED = 2, WATCHING = 3, DONE = 4, TAKEN_BACK = 5 }
 struct MoveRecord {
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -5799,6 +5799,10 @@
 void TemplateRecord::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void TemplateRecord::__set_sourceSequence(const int64_t val) {
+  this->sourceSequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const TemplateRecord& obj)
 {
   obj.printTo(out);
@@ -5851,6 +5855,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sourceSequence);
+          this->__isset.sourceSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5880,6 +5892,10 @@
   xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5890,6 +5906,7 @@
   swap(a.name, b.name);
   swap(a.version, b.version);
   swap(a.body, b.body);
+  swap(a.sourceSequence, b.sourceSequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -5897,18 +5914,21 @@
   name = other183.name;
   version = other183.version;
   body = other183.body;
+  sourceSequence = other183.sourceSequence;
   __isset = other183.__isset;
 }
 TemplateRecord::TemplateRecord(TemplateRecord&& other184) noexcept {
   name = std::move(other184.name);
   version = other184.version;
   body = std::move(other184.body);
+  sourceSequence = other184.sourceSequence;
   __isset = other184.__isset;
 }
 TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other185) {
   name = other185.name;
   version = other185.version;
   body = other185.body;
+  sourceSequence = other185.sourceSequence;
   __isset = other185.__isset;
   return *this;
 }
@@ -5916,6 +5936,7 @@
   name = std::move(other186.name);
   version = other186.version;
   body = std::move(other186.body);
+  sourceSequence = other186.sourceSequence;
   __isset = other186.__isset;
   return *this;
 }
@@ -5925,6 +5946,7 @@
   out << "name=" << to_string(name);
   out << ", " << "version=" << to_string(version);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "sourceSequence=" << to_string(sourceSequence);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -2339,10 +2339,11 @@
 std::ostream& operator<<(std::ostream& out, const RememberedResult& obj);
 
 typedef struct _TemplateRecord__isset {
-  _TemplateRecord__isset() : name(false), version(false), body(false) {}
+  _TemplateRecord__isset() : name(false), version(false), body(false), sourceSequence(false) {}
   bool name :1;
   bool version :1;
   bool body :1;
+  bool sourceSequence :1;
 } _TemplateRecord__isset;
 
 class TemplateRecord : public virtual ::apache::thrift::TBase {
@@ -2355,13 +2356,15 @@
   TemplateRecord() noexcept
                  : name(),
                    version(0),
-                   body() {
+                   body(),
+                   sourceSequence(0) {
   }
 
   virtual ~TemplateRecord() noexcept;
   std::string name;
   int64_t version;
   std::string body;
+  int64_t sourceSequence;
 
   _TemplateRecord__isset __isset;
 
@@ -2371,6 +2374,8 @@
 
   void __set_body(const std::string& val);
 
+  void __set_sourceSequence(const int64_t val);
+
   bool operator == (const TemplateRecord & rhs) const
   {
     if (!(name == rhs.name))
@@ -2379,6 +2384,8 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(sourceSequence == rhs.sourceSequence))
+      return false;
     return true;
   }
   bool operator != (const TemplateRecord &rhs) const {
