--- a/benchmarks/BenchCalls.cpp
+++ b/benchmarks/BenchCalls.cpp
@@ -53,18 +53,6 @@
         std::this_thread::sleep_for(std::chrono::seconds(1));
     }
 
-    std::map<std::string, int> runsByKey(const Mesh& mesh)
-    {
-        std::map<std::string, int> out;
-        std::ifstream in(mesh.folder() + "/runs.txt");
-        std::string time;
-        std::string key;
-        std::string rest;
-        while (in >> time >> key && std::getline(in, rest))
-            ++out[key];
-        return out;
-    }
-
     int falseNotRun(const std::string& log, std::map<std::string, int>& runs)
     {
         int out = 0;
@@ -255,7 +243,7 @@
         ++kills;
     }
     auto summary = running.get();
-    auto runs = runsByKey(mesh);
+    auto runs = mesh.runsByKey();
     int duplicates = 0;
     for (const auto& [key, n] : runs)
         duplicates += n > 1 ? 1 : 0;
--- a/benchmarks/BenchControl.cpp
+++ b/benchmarks/BenchControl.cpp
@@ -290,7 +290,8 @@
                 last = bytes;
                 lastAt = now();
             }
-            // Changes go on all the while, so a node is back when it serves at least what was accepted when the herd died.
+            // Changes go on all the while, so a node is back when it serves at least what was accepted when the herd
+            // died.
             for (int i = 0; i < options.nodes; ++i) {
                 auto state = mesh.nodeState(i);
                 if (!state.value("serving", false) || state.value("version", int64_t { 0 }) < before)
--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -387,6 +387,18 @@
     return at == std::string::npos ? -1 : std::atof(response.body.c_str() + at + name.size() + 13);
 }
 
+std::map<std::string, int> Mesh::runsByKey() const
+{
+    std::map<std::string, int> out;
+    std::ifstream in(m_folder + "/runs.txt");
+    std::string time;
+    std::string key;
+    std::string rest;
+    while (in >> time >> key && std::getline(in, rest))
+        ++out[key];
+    return out;
+}
+
 standins::LoadSummary runLoad(const standins::LoadOptions& options, uint64_t seed)
 {
     boost::asio::io_context io;
--- a/benchmarks/Mesh.h
+++ b/benchmarks/Mesh.h
@@ -86,6 +86,8 @@
     std::string dataCentreOf(int node) const { return "dc" + std::to_string(node % m_options.dataCentres); }
     const std::string& folder() const { return m_folder; }
     const MeshOptions& options() const { return m_options; }
+    // How often each keyed request ran, from the targets' own logs.
+    std::map<std::string, int> runsByKey() const;
     // A value of a process's /metrics; -1 when it cannot be read.
     double metric(const base::Address& address, const std::string& name);
 
--- a/benchmarks/campaign.cpp
+++ b/benchmarks/campaign.cpp
@@ -60,7 +60,8 @@
         std::lock_guard lock(m_mutex);
         json out = json::array();
         for (int i = 0; i < PROMISES; ++i)
-            out.push_back({ { "promise", i + 1 }, { "checks", m_promises[i].checks }, { "violations", m_promises[i].violations }, { "first", m_promises[i].first } });
+            out.push_back({ { "promise", i + 1 }, { "checks", m_promises[i].checks },
+                { "violations", m_promises[i].violations }, { "first", m_promises[i].first } });
         return out;
     }
 
@@ -104,14 +105,24 @@
     {
         start();
         auto calls = std::async(std::launch::async, [&] { return bench::runLoad(load("/get", 150, false), 1); });
-        auto keyed = std::async(std::launch::async, [&] { return bench::runLoad(load("/" + m_small + "/post", 20, true), 2); });
+        auto keyed = std::async(
+            std::launch::async, [&] { return bench::runLoad(load("/" + m_small + "/post", 20, true), 2); });
+        // Callers that do not send again, so that each "not run" they hear is their last word.
+        auto onceLoad = load("/" + m_big + "/post", 30, true);
+        onceLoad.paths = { "/post" };
+        onceLoad.resends = 0;
+        onceLoad.log = m_mesh.folder() + "/once.txt";
+        auto once = std::async(std::launch::async, [&] { return bench::runLoad(onceLoad, 3); });
         auto watcher = std::async(std::launch::async, [&] { watch(); });
-        auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<int64_t>(m_seconds * 1000));
+        auto until
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<int64_t>(m_seconds * 1000));
         while (std::chrono::steady_clock::now() < until)
             oneFault();
         heal();
         auto callSummary = calls.get();
         auto keyedSummary = keyed.get();
+        auto onceSummary = once.get();
+        keyedSummary.wrongBodies += onceSummary.wrongBodies;
         m_stopped = true;
         watcher.get();
         judge(callSummary, keyedSummary);
@@ -160,7 +171,12 @@
             throw base::InternalFault("the mesh did not start");
         m_mesh.waitFor([&] {
             auto key = base::makeUuidV7(wallMs());
-            return m_mesh.send(m_mesh.callers()[0], { "POST", "/" + m_small + "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } }, "" }).status == 200;
+            return m_mesh
+                       .send(m_mesh.callers()[0],
+                           { "POST", "/" + m_small + "/post", { { "Host", "a.example" }, { "Idempotency-Key", key } },
+                               "" })
+                       .status
+                == 200;
         });
         bench::say("mesh of " + std::to_string(NODES) + " nodes started");
     }
@@ -249,7 +265,8 @@
         bool inForce = m_mesh.waitFor([&] { return allAt(version); }, Millis(10000));
         double ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
         m_convergence.push_back(ms);
-        m_verdicts.check(10, inForce && ms < IN_FORCE_LIMIT_MS, "version " + std::to_string(version) + " in force after " + std::to_string(ms) + " ms");
+        m_verdicts.check(10, inForce && ms < IN_FORCE_LIMIT_MS,
+            "version " + std::to_string(version) + " in force after " + std::to_string(ms) + " ms");
     }
 
     bool allAt(int64_t version)
@@ -261,7 +278,10 @@
         return true;
     }
 
-    json account(const std::string& note) const { return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } }; }
+    json account(const std::string& note) const
+    {
+        return { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", note } } } };
+    }
 
     int pick(int n) { return static_cast<int>(m_random.below(static_cast<uint64_t>(n))); }
 
@@ -309,7 +329,10 @@
         m_mesh.waitInForce(NODES);
     }
 
-    std::string anyTarget(int node) const { return m_targetOf.count(node) ? m_targetOf.at(node) : "t" + std::to_string(node); }
+    std::string anyTarget(int node) const
+    {
+        return m_targetOf.count(node) ? m_targetOf.at(node) : "t" + std::to_string(node);
+    }
 
     void restartTarget(int node)
     {
@@ -377,12 +400,16 @@
     {
         auto base = m_mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
         std::string id = "race-" + std::to_string(m_faults);
-        auto put = [&](const std::string& who) { return m_mesh.submit("PUT", "/v1/accounts/a", account(who), base, id + who); };
+        auto put = [&](const std::string& who) {
+            return m_mesh.submit("PUT", "/v1/accounts/a", account(who), base, id + who);
+        };
         auto other = std::async(std::launch::async, put, "left");
         auto right = put("right");
         auto left = other.get();
-        m_verdicts.check(10, (left.first == 200) != (right.first == 200), "race of two: " + std::to_string(left.first) + " " + std::to_string(right.first));
-        m_verdicts.check(10, put("left").second == left.second && put("right").second == right.second, "a resend got another answer");
+        m_verdicts.check(10, (left.first == 200) != (right.first == 200),
+            "race of two: " + std::to_string(left.first) + " " + std::to_string(right.first));
+        m_verdicts.check(10, put("left").second == left.second && put("right").second == right.second,
+            "a resend got another answer");
     }
 
     void manyChangesPassARestart()
@@ -391,7 +418,9 @@
         m_mesh.kill("node-" + std::to_string(node));
         for (int i = 0; i < 100; ++i) {
             auto base = m_mesh.view("/v1/accounts/filler").value("base_version", int64_t { 0 });
-            m_mesh.submit("PUT", "/v1/accounts/filler", { { "template", "t" }, { "parameters", { { "host", "f.example" }, { "note", std::to_string(i) } } } }, base);
+            m_mesh.submit("PUT", "/v1/accounts/filler",
+                { { "template", "t" }, { "parameters", { { "host", "f.example" }, { "note", std::to_string(i) } } } },
+                base);
         }
         m_mesh.startNode(node);
         m_mesh.waitInForce(NODES);
@@ -400,7 +429,8 @@
     void move(bool good)
     {
         std::string version = "m" + std::to_string(++m_moves);
-        std::string bad = "bad_kind: fail\nbad_rate: 0.3\n" + std::string(m_random.chance(0.5) ? "bad_route: /other\n" : "");
+        std::string bad
+            = "bad_kind: fail\nbad_rate: 0.3\n" + std::string(m_random.chance(0.5) ? "bad_route: /other\n" : "");
         for (int i = 0; i < BIG_INSTANCES; ++i)
             m_mesh.startTarget({ version + "-" + std::to_string(i), m_big, version, i, good ? "" : bad });
         bool ready = m_mesh.waitFor([&] {
@@ -489,21 +519,20 @@
 
     void judge(const standins::LoadSummary& calls, const standins::LoadSummary& keyed)
     {
-        m_verdicts.check(5, calls.wrongBodies + keyed.wrongBodies == 0, std::to_string(calls.wrongBodies + keyed.wrongBodies) + " wrong bodies");
-        std::map<std::string, int> runs;
-        std::ifstream in(m_mesh.folder() + "/runs.txt");
-        std::string time;
-        std::string key;
-        std::string rest;
-        while (in >> time >> key && std::getline(in, rest))
-            ++runs[key];
+        m_verdicts.check(5, calls.wrongBodies + keyed.wrongBodies == 0,
+            std::to_string(calls.wrongBodies + keyed.wrongBodies) + " wrong bodies");
+        auto runs = m_mesh.runsByKey();
         for (const auto& [id, n] : runs)
             m_verdicts.check(7, n <= 1, id + " ran " + std::to_string(n) + " times");
-        for (const auto& it : readCalls("/keyed.txt")) {
+        auto keyedCalls = readCalls("/keyed.txt");
+        for (const auto& it : readCalls("/once.txt"))
+            keyedCalls.push_back(it);
+        for (const auto& it : keyedCalls) {
             if (it.verdict == "not-run")
                 m_verdicts.check(6, runs[it.id] == 0, it.id + " was said not to have run");
             if (it.verdict == "ok")
-                m_verdicts.check(5, runs[it.id] == 1, it.id + " was answered, but ran " + std::to_string(runs[it.id]) + " times");
+                m_verdicts.check(
+                    5, runs[it.id] == 1, it.id + " was answered, but ran " + std::to_string(runs[it.id]) + " times");
         }
         judgeCalls(readCalls("/calls.txt"));
     }
@@ -522,11 +551,14 @@
                     exposure[version].first += it.version == version ? 1 : 0;
                 }
                 if (it.version == version)
-                    m_verdicts.check(4, it.dueMs < window.toMs, "bad version " + version + " answered at " + std::to_string(it.dueMs));
+                    m_verdicts.check(4, it.dueMs < window.toMs,
+                        "bad version " + version + " answered at " + std::to_string(it.dueMs));
             }
         }
         for (const auto& [version, counts] : exposure)
-            m_verdicts.check(4, counts.first * 3 < counts.second, "bad version " + version + " got " + std::to_string(counts.first) + " of " + std::to_string(counts.second));
+            m_verdicts.check(4, counts.first * 3 < counts.second,
+                "bad version " + version + " got " + std::to_string(counts.first) + " of "
+                    + std::to_string(counts.second));
     }
 
     json report(const standins::LoadSummary& calls)
@@ -537,8 +569,9 @@
         return { { "minutes", m_seconds / 60 }, { "faults", m_faults }, { "promises", m_verdicts.report() },
             { "convergence_p99", bench::quantile(m_convergence, 0.99) }, { "control_bytes_per_node", bytes / NODES },
             { "good_on_time", m_good ? json(static_cast<double>(m_goodOnTime) / m_good) : json() },
-            { "bad_taken_back", m_bad ? json(static_cast<double>(m_badTakenBack) / m_bad) : json() }, { "good", m_good }, { "bad", m_bad },
-            { "calls", calls.sent }, { "calls_ok", calls.ok }, { "violations", m_verdicts.violations() } };
+            { "bad_taken_back", m_bad ? json(static_cast<double>(m_badTakenBack) / m_bad) : json() },
+            { "good", m_good }, { "bad", m_bad }, { "calls", calls.sent }, { "calls_ok", calls.ok },
+            { "violations", m_verdicts.violations() } };
     }
 
     base::Random m_random;
@@ -567,7 +600,8 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("campaign --seed=N --minutes=M --deployment=lumentra|arrieta\nexit codes: 0 no violation, 1 some");
+    absl::SetProgramUsageMessage(
+        "campaign --seed=N --minutes=M --deployment=lumentra|arrieta\nexit codes: 0 no violation, 1 some");
     absl::ParseCommandLine(argc, argv);
     return platform::runProgram([] {
         std::signal(SIGPIPE, SIG_IGN);
--- a/src/config/ConfigSource.cpp
+++ b/src/config/ConfigSource.cpp
@@ -24,10 +24,11 @@
         void poll(int64_t after, Done done) override
         {
             http::HttpRequest request { "GET", "/updates?after=" + std::to_string(after), { { "Host", m_host } }, "" };
-            m_client->request(std::move(request), POLL_TIMEOUT, [done = std::move(done)](const http::ExchangeResult& result) {
-                bool ok = result.end == http::ExchangeEnd::Answered && result.response.status == 200;
-                done(ok ? parseSourceUpdates(result.response.body) : std::nullopt);
-            });
+            m_client->request(
+                std::move(request), POLL_TIMEOUT, [done = std::move(done)](const http::ExchangeResult& result) {
+                    bool ok = result.end == http::ExchangeEnd::Answered && result.response.status == 200;
+                    done(ok ? parseSourceUpdates(result.response.body) : std::nullopt);
+                });
         }
 
     private:
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -262,11 +262,11 @@
             return;
         m_source = std::make_unique<SourcePoller>(
             config::makeHttpSource(m_decisions.context(), *m_settings.sourceAddress), [this](wire::Command command) {
-                m_core->submit(std::move(command), [](const wire::CommandResult&) { }, m_clock.now(), m_clock.wallMs());
+                m_core->submit(
+                    std::move(command), [](const wire::CommandResult&) {}, m_clock.now(), m_clock.wallMs());
             });
-        m_sourceTick = m_timers->subscribe(m_decisions.context(), m_settings.sourcePeriod, [this] {
-            m_source->tick(m_core->replica().isCurrent(), m_core->machine().highestSourceSequence());
-        });
+        m_sourceTick = m_timers->subscribe(m_decisions.context(), m_settings.sourcePeriod,
+            [this] { m_source->tick(m_core->replica().isCurrent(), m_core->machine().highestSourceSequence()); });
     }
 
     void updateGauges()
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "pomelowind/http/HttpServer.h"
 
 #include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Listener.h"
 #include "pomelowind/base/Log.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -308,16 +309,7 @@
             , m_limits(limits)
             , m_handler(handler)
         {
-            try {
-                tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
-                m_acceptor.open(endpoint.protocol());
-                m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-                m_acceptor.bind(endpoint);
-                m_acceptor.listen();
-            } catch (const boost::system::system_error& e) {
-                throw base::UserError(base::ErrorKind::Settings, "cannot listen on " + address.text() + ": " + e.what(),
-                    "choose a free port of this host in the settings");
-            }
+            base::listenOn(m_acceptor, address);
             accept();
             sweepLater();
         }
--- a/src/links/LinkServer.cpp
+++ b/src/links/LinkServer.cpp
@@ -1,5 +1,6 @@
 #include "pomelowind/links/LinkServer.h"
 
+#include "pomelowind/base/Listener.h"
 #include "pomelowind/base/Log.h"
 
 namespace pomelowind::links {
@@ -18,16 +19,7 @@
     , m_listener(listener)
     , m_traffic(traffic)
 {
-    try {
-        boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
-        m_acceptor.open(endpoint.protocol());
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-        m_acceptor.bind(endpoint);
-        m_acceptor.listen();
-    } catch (const boost::system::system_error& e) {
-        throw base::UserError(base::ErrorKind::Settings, "cannot listen on " + address.text() + ": " + e.what(),
-            "choose a free port of this host in the settings");
-    }
+    base::listenOn(m_acceptor, address);
     accept();
 }
 
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -48,33 +48,33 @@
         to.waiting.push_back({ kind, std::move(payload), id });
 }
 
+int64_t PeerCalls::addPending(Pending pending)
+{
+    int64_t id = m_nextId++;
+    m_due.emplace(pending.due, id);
+    m_pending.emplace(id, std::move(pending));
+    return id;
+}
+
 int64_t PeerCalls::call(
     const std::string& address, wire::CallRequest request, base::Millis budget, base::Instant now, CallDone done)
 {
-    int64_t id = m_nextId++;
-    request.id = id;
     Pending pending;
-    pending.address = address;
     pending.callDone = std::move(done);
     pending.due = now + budget;
-    m_due.emplace(pending.due, id);
-    m_pending.emplace(id, std::move(pending));
-    submit(address, FrameKind::CALL_REQUEST, base::encode(request), id);
-    return id;
+    request.id = addPending(std::move(pending));
+    submit(address, FrameKind::CALL_REQUEST, base::encode(request), request.id);
+    return request.id;
 }
 
 void PeerCalls::claim(
     const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done)
 {
-    int64_t id = m_nextId++;
-    request.id = id;
     Pending pending;
-    pending.address = address;
     pending.claimDone = std::move(done);
     pending.due = now + budget;
-    m_due.emplace(pending.due, id);
-    m_pending.emplace(id, std::move(pending));
-    submit(address, FrameKind::CLAIM_REQUEST, base::encode(request), id);
+    request.id = addPending(std::move(pending));
+    submit(address, FrameKind::CLAIM_REQUEST, base::encode(request), request.id);
 }
 
 void PeerCalls::cancel(int64_t id)
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -64,7 +64,6 @@
         std::vector<Waiting> waiting;
     };
     struct Pending {
-        std::string address;
         std::weak_ptr<links::Link> link; // empty until sent
         bool sent { false };
         CallDone callDone;
@@ -73,6 +72,7 @@
     };
 
     Peer& peer(const std::string& address);
+    int64_t addPending(Pending pending);
     void submit(const std::string& address, links::Kind kind, std::string payload, int64_t id);
     void finish(int64_t id, wire::Outcome::type outcome, const std::string& reason);
     void failWaiting(Peer& peer, const std::string& reason);
--- a/tests/integration/CallsKeepTheirPromises.cpp
+++ b/tests/integration/CallsKeepTheirPromises.cpp
@@ -16,19 +16,6 @@
 
 namespace {
 
-// Runs of each key, from the targets' own log.
-std::map<std::string, int> runsByKey(const Mesh& mesh)
-{
-    std::map<std::string, int> out;
-    std::ifstream in(mesh.folder() + "/runs.txt");
-    std::string time;
-    std::string key;
-    std::string rest;
-    while (in >> time >> key && std::getline(in, rest))
-        ++out[key];
-    return out;
-}
-
 struct CallerLine {
     std::string id;
     std::string verdict;
@@ -95,15 +82,15 @@
     keyed.log = mesh.folder() + "/calls.txt";
     auto summary = std::async(std::launch::async, [&] { return bench::runLoad(keyed, 1); });
     for (int i : { 5, 6, 7 }) {
-        size_t before = runsByKey(mesh).size();
-        ASSERT_TRUE(mesh.waitFor([&] { return runsByKey(mesh).size() >= before + 100; }));
+        size_t before = mesh.runsByKey().size();
+        ASSERT_TRUE(mesh.waitFor([&] { return mesh.runsByKey().size() >= before + 100; }));
         mesh.kill("node-" + std::to_string(i));
         mesh.startNode(i);
         mesh.kill("t" + std::to_string(i - 4));
         mesh.startTarget({ "t" + std::to_string(i - 4), "s", "v1", i - 4, "" });
     }
     auto result = summary.get();
-    auto runs = runsByKey(mesh);
+    auto runs = mesh.runsByKey();
     for (const auto& [key, n] : runs)
         EXPECT_LE(n, 1) << key;
     for (const auto& it : callerLog(keyed.log)) {
@@ -175,7 +162,7 @@
     EXPECT_EQ(http::findHeader(second.headers, "X-Pomelowind-Replayed"), "true");
     request.body = "other";
     EXPECT_EQ(mesh.send(mesh.callers()[1], request).status, 422);
-    EXPECT_EQ(runsByKey(mesh)[key], 1);
+    EXPECT_EQ(mesh.runsByKey()[key], 1);
 }
 
 TEST(CallsKeepTheirPromises, BadVersionIsTakenBackAlsoWhenTheLeaderDies)
--- a/tests/integration/SourceOutagesBlockNothing.cpp
+++ b/tests/integration/SourceOutagesBlockNothing.cpp
@@ -48,7 +48,8 @@
 
 json update(int64_t sequence, const std::string& note)
 {
-    return { { "sequence", sequence }, { "name", "fed" }, { "template", "t" }, { "parameters", { { "host", "fed.example" }, { "note", note } } } };
+    return { { "sequence", sequence }, { "name", "fed" }, { "template", "t" },
+        { "parameters", { { "host", "fed.example" }, { "note", note } } } };
 }
 
 }
@@ -71,7 +72,11 @@
     ASSERT_TRUE(mesh.waitFor([&] { return note() == "six"; }));
     source.set(json::array(), true);
     auto base = mesh.view("/v1/accounts/a").value("base_version", int64_t { 0 });
-    EXPECT_EQ(mesh.submit("PUT", "/v1/accounts/a", { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", "during" } } } }, base).first, 200);
+    EXPECT_EQ(
+        mesh.submit("PUT", "/v1/accounts/a",
+                { { "template", "t" }, { "parameters", { { "host", "a.example" }, { "note", "during" } } } }, base)
+            .first,
+        200);
     EXPECT_TRUE(mesh.waitInForce(1)) << "an outage of the source blocks nothing";
     EXPECT_EQ(note(), "six");
 }
--- a/tutorial/Lesson1Configuration.cpp
+++ b/tutorial/Lesson1Configuration.cpp
@@ -19,7 +19,8 @@
     command = {};
     command.kind = wire::CommandKind::SUBMIT_TEMPLATE;
     command.name = "finder";
-    command.body = "name: finder\nroutes:\n  - { host: \"${host}\", path: /lookup, service: finder-app }\nparameters:\n  - { name: host }\n";
+    command.body = "name: finder\nroutes:\n  - { host: \"${host}\", path: /lookup, service: finder-app "
+                   "}\nparameters:\n  - { name: host }\n";
     machine.apply(2, command);
 
     command = {};
