A restarted node learns its floor from the leader's beacon

Cause: restart-storm at 200 nodes never ended: 6 nodes had been admitted by relays that were not up to date themselves and so told no floor; nothing told them later, and they did not serve. Ruled out: admission and relay limits (all 200 were admitted). Change: a beacon's version is a floor, too. Test: RestartedNodeKnowsItsFloor.

--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -303,6 +303,11 @@
     m_beacon = beacon;
     m_beaconAt = now;
     m_viewDirty = true;
+    // The leader's version is at least what this node ran before it restarted, so it is a floor too; a parent that was
+    // itself not up to date when it admitted this node could not tell one.
+    m_floorKnown = true;
+    m_floor = m_serving ? m_floor : std::max(m_floor, beacon.version);
+    updateServing(now);
     wire::Spread out;
     out.__set_beacon(beacon);
     spreadToChildren(out, {});
--- /dev/null
+++ b/tests/correctness/RestartedNodeKnowsItsFloor.cpp
@@ -0,0 +1,110 @@
+// A restarted node serves only at or above the version that it may have run before, and does serve once that is known.
+
+#include "node/DistributionCore.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using links::FrameKind;
+
+namespace {
+
+const base::Instant T0 = base::Instant() + std::chrono::hours(1);
+
+class Outputs final : public node::DistributionOutputs {
+public:
+    void connectParent(std::optional<nodes::Parent> parent) override { connected = parent; }
+    void sendParent(links::Kind, std::string) override { }
+    void sendChild(const std::string&, links::Kind, std::string) override { }
+    void exchangeDigest(const base::Address&, std::string) override { }
+    void publish(node::MeshViewPtr next) override { view = std::move(next); }
+    void publishLocalTargets(std::vector<node::Announcement>) override { }
+
+    std::optional<nodes::Parent> connected;
+    node::MeshViewPtr view;
+};
+
+class RestartedNodeKnowsItsFloor : public testing::Test {
+protected:
+    RestartedNodeKnowsItsFloor()
+    {
+        settings.id = "n1";
+        settings.dataCentre = "dc";
+        settings.control = { { "c1", "dc", { "127.0.0.1", 7000 } } };
+        core = std::make_unique<node::DistributionCore>(settings, outputs, T0, 1000, 1);
+        core->tick(T0);
+        core->parentReady("c1", T0);
+    }
+
+    void admit(int64_t floor, bool fresh)
+    {
+        wire::SubscribeAnswer answer;
+        answer.admitted = true;
+        answer.floor = floor;
+        answer.fresh = fresh;
+        core->parentFrame(FrameKind::SUBSCRIBE_ANSWER, base::encode(answer), T0);
+    }
+
+    // Feeds a state of `version` versions.
+    void feed(int versions)
+    {
+        config::ConfigState state;
+        for (int i = 0; i < versions; ++i) {
+            wire::Resource resource;
+            resource.key = config::serviceKey("s");
+            resource.__set_serviceResource({});
+            state = state.withResource(resource);
+        }
+        core->parentFrame(FrameKind::DELTA, base::encode(state.deltaSince(0)), T0);
+    }
+
+    void beacon(int64_t version)
+    {
+        wire::Spread spread;
+        wire::Beacon it;
+        it.term = 1;
+        it.sequence = ++m_sequence;
+        it.version = version;
+        spread.__set_beacon(it);
+        core->parentFrame(FrameKind::SPREAD, base::encode(spread), T0);
+    }
+
+    node::NodeSettings settings;
+    Outputs outputs;
+    std::unique_ptr<node::DistributionCore> core;
+
+private:
+    int64_t m_sequence { 0 };
+};
+
+}
+
+TEST_F(RestartedNodeKnowsItsFloor, DoesNotServeBelowWhatItRan)
+{
+    admit(5, true);
+    feed(4);
+    EXPECT_FALSE(core->isServing());
+    feed(5);
+    EXPECT_TRUE(core->isServing());
+}
+
+TEST_F(RestartedNodeKnowsItsFloor, ABeaconTellsItWhenTheParentCouldNot)
+{
+    beacon(3);
+    feed(2);
+    EXPECT_FALSE(core->isServing()) << "below the leader's version";
+    feed(3);
+    EXPECT_TRUE(core->isServing()) << "seen in restart-storm with 200 nodes: 6 of them never served";
+}
+
+TEST_F(RestartedNodeKnowsItsFloor, CutOffItWaitsForItsPeers)
+{
+    feed(2);
+    core->tick(T0 + Millis(10000));
+    EXPECT_FALSE(core->isServing()) << "nobody has said what it ran";
+    wire::DigestAnswer answer;
+    answer.version = 2;
+    core->digestAnswered(base::encode(answer), T0 + Millis(10000));
+    EXPECT_TRUE(core->isServing());
+}
