--- a/include/pomelowind/base/Settings.h
+++ b/include/pomelowind/base/Settings.h
@@ -64,7 +64,7 @@
         std::vector<std::string> problems;
     };
 
-    SettingsReader(YAML::Node node, std::shared_ptr<Shared> shared);
+    SettingsReader(const YAML::Node& node, std::shared_ptr<Shared> shared);
     YAML::Node find(const std::string& key);
     void missing(const std::string& key, const std::string& kind);
     void addProblem(int line, const std::string& what, const std::string& remedy);
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -35,8 +35,8 @@
     return { text.substr(0, colon), static_cast<uint16_t>(port) };
 }
 
-SettingsReader::SettingsReader(YAML::Node node, std::shared_ptr<Shared> shared)
-    : m_node(std::move(node))
+SettingsReader::SettingsReader(const YAML::Node& node, std::shared_ptr<Shared> shared)
+    : m_node(node)
     , m_shared(std::move(shared))
 {
     if (!m_node.IsMap())
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -172,7 +172,7 @@
         ms *= m_settings.bad.factor;
     if (isBad(request) && m_settings.bad.kind == "leak")
         ms *= std::exp2((age - static_cast<double>(m_settings.bad.after.count())) / LEAK_DOUBLING_MS);
-    return Millis(static_cast<int64_t>(ms + 0.5));
+    return Millis(std::lround(ms));
 }
 
 void Target::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
