One FaultSpread for faults by target and by data centre

Cause: EvidenceBook computed the worst place's part of the faults twice, in the same loop. Change: a small struct serves both; bounds and behaviour are as before.

--- a/src/moves/EvidenceBook.cpp
+++ b/src/moves/EvidenceBook.cpp
@@ -15,11 +15,25 @@
     constexpr double LATENCY_TOLERANCE = 1.3;
     constexpr double SLOW_QUANTILE = 0.9;
     constexpr int64_t LEAST_BASELINE = 20;
-    // Part of the faults that must lie outside the worst target before the version is blamed.
+    // Part of the faults that must lie outside the worst target or data centre before the version is blamed.
     constexpr double LEAST_SPREAD = 0.15;
     constexpr size_t MAX_TESTS = 256;
     constexpr char ALL_ROUTES[] = "all";
 
+    // How the faults are spread over the places where they happened.
+    struct FaultSpread {
+        int64_t worst { 0 };
+        int64_t all { 0 };
+
+        void add(int64_t faults)
+        {
+            worst = std::max(worst, faults);
+            all += faults;
+        }
+        int64_t others() const { return all - worst; }
+        bool isWide() const { return static_cast<double>(others()) >= LEAST_SPREAD * static_cast<double>(all); }
+    };
+
     int64_t countAbove(const std::map<int16_t, int64_t>& buckets, int16_t limit)
     {
         int64_t n = 0;
@@ -168,14 +182,10 @@
 {
     if (measure == Measure::Latency || m_candidateTargets.size() < 2)
         return true;
-    int64_t worst = 0;
-    int64_t all = 0;
-    for (const auto& [target, sample] : m_candidateTargets) {
-        worst = std::max(worst, sample.faults);
-        all += sample.faults;
-    }
-    auto others = all - worst;
-    return others >= 2 && static_cast<double>(others) >= LEAST_SPREAD * static_cast<double>(all);
+    FaultSpread spread;
+    for (const auto& [target, sample] : m_candidateTargets)
+        spread.add(sample.faults);
+    return spread.others() >= 2 && spread.isWide();
 }
 
 // The rate test cannot tell a sick data centre from a bad version when few calls are left on the stable one; faults
@@ -184,13 +194,10 @@
 {
     if (tests.faultsByCentre.size() < 2)
         return true;
-    int64_t worst = 0;
-    int64_t all = 0;
-    for (const auto& [centre, faults] : tests.faultsByCentre) {
-        worst = std::max(worst, faults);
-        all += faults;
-    }
-    return static_cast<double>(all - worst) >= LEAST_SPREAD * static_cast<double>(all);
+    FaultSpread spread;
+    for (const auto& [centre, faults] : tests.faultsByCentre)
+        spread.add(faults);
+    return spread.isWide();
 }
 
 std::string EvidenceBook::describe(const Key& key, const Tests& tests) const
