--- a/benchmarks/BenchControl.cpp
+++ b/benchmarks/BenchControl.cpp
@@ -107,7 +107,7 @@
             , m_thread([this] { m_io.run(); })
         {
             for (int i = 0; i < nodes; ++i) {
-                auto client = http::makeHttpClient(m_io, leader, 1);
+                auto client = http::makeHttpClient(m_io, leader, { 1 });
                 auto offset = Millis(1000 * i / nodes);
                 auto timer = std::make_shared<boost::asio::steady_timer>(m_io, offset);
                 timer->async_wait([this, i, client, timer](
--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -254,7 +254,7 @@
 http::HttpResponse Mesh::send(const base::Address& to, http::HttpRequest request, Millis budget)
 {
     boost::asio::io_context io;
-    auto client = http::makeHttpClient(io, to, 1);
+    auto client = http::makeHttpClient(io, to, { 1 });
     http::HttpResponse out;
     out.status = 0;
     client->request(std::move(request), budget, [&](const http::ExchangeResult& result) {
--- a/benchmarks/bench-pomelowind.cpp
+++ b/benchmarks/bench-pomelowind.cpp
@@ -3,7 +3,7 @@
 #include "benchmarks/BenchOutput.h"
 #include "pomelowind/base/Errors.h"
 #include "pomelowind/base/Log.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -25,7 +25,7 @@
     absl::SetProgramUsageMessage(
         "bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves");
     auto words = absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([&] {
+    return host::runProgram([&] {
         static const std::map<std::string, std::function<int(const bench::BenchOptions&)>> BENCHES
             = { { "convergence", bench::benchConvergence }, { "restart-storm", bench::benchRestartStorm },
                   { "failover", bench::benchFailover }, { "added-latency", bench::benchAddedLatency },
--- a/benchmarks/campaign.cpp
+++ b/benchmarks/campaign.cpp
@@ -6,7 +6,7 @@
 #include "pomelowind/base/Errors.h"
 #include "pomelowind/base/Hash.h"
 #include "pomelowind/base/Random.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -603,7 +603,7 @@
     absl::SetProgramUsageMessage(
         "campaign --seed=N --minutes=M --deployment=lumentra|arrieta\nexit codes: 0 no violation, 1 some");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         std::signal(SIGPIPE, SIG_IGN);
         auto began = std::chrono::steady_clock::now();
         bench::BenchOptions options;
--- a/include/pomelowind/base/Listener.h
+++ b/include/pomelowind/base/Listener.h
@@ -11,4 +11,8 @@
 // Throws UserError(Settings) when the address cannot be bound.
 void listenOn(boost::asio::ip::tcp::acceptor& acceptor, const Address& address);
 
+// Makes the kernel close a connection whose peer has fallen silent: when sent bytes are not acknowledged, or probes of
+// an idle connection not answered, for `timeout`. Without it a host that loses its power leaves its peers waiting.
+void noticeDeadPeer(boost::asio::ip::tcp::socket& socket, Millis timeout);
+
 } // namespace pomelowind::base
--- a/include/pomelowind/base/Settings.h
+++ b/include/pomelowind/base/Settings.h
@@ -74,4 +74,8 @@
     std::set<std::string> m_known;
 };
 
+// The seeds listed under `key`, each with `port` in place of its own: seeds name the hosts, and all hosts of a mesh
+// use the same ports. Malformed entries are recorded as problems.
+std::vector<Address> seedAddresses(SettingsReader& reader, const std::string& key, uint16_t port);
+
 } // namespace pomelowind::base
--- a/include/pomelowind/base/Time.h
+++ b/include/pomelowind/base/Time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace pomelowind::base {
 
@@ -20,10 +21,15 @@
     virtual int64_t wallMs() const = 0;
 };
 
-// The platform's clocks.
+// The host's clocks. The monotonic one goes on while the host is suspended, so that no lease outlives a suspension.
 class SystemClock final : public Clock {
 public:
-    Instant now() const override { return std::chrono::steady_clock::now(); }
+    Instant now() const override
+    {
+        timespec ts {};
+        clock_gettime(CLOCK_BOOTTIME, &ts);
+        return Instant(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
+    }
     int64_t wallMs() const override
     {
         using namespace std::chrono;
--- a/include/pomelowind/config/ConfigMachine.h
+++ b/include/pomelowind/config/ConfigMachine.h
@@ -16,6 +16,9 @@
 // Shortest time from the start of a move to its deadline, besides the watch.
 constexpr int64_t SHORTEST_RAMP_MS = 8000;
 
+// Base version of a submission that holds whatever the present version is.
+constexpr int64_t ANY_BASE = -1;
+
 // Thread safety: confined to the decision duty.
 class ConfigMachine {
 public:
@@ -34,6 +37,11 @@
     int64_t baseVersion(const wire::Command& command) const;
     // Highest sequence number taken from the outside source.
     int64_t highestSourceSequence() const;
+    // The newest accepted release as its operator sent it, and its number; 0 when there is none.
+    int64_t releaseNumber() const { return m_releaseNumber; }
+    const std::string& releaseDocument() const { return m_releaseDocument; }
+    // The newest move of `service`, running or over, or null.
+    const wire::MoveRecord* latestMove(const std::string& service) const;
     size_t rememberedCount() const { return m_remembered.size(); }
 
     wire::MachineImage image() const;
@@ -51,6 +59,7 @@
     wire::CommandResult moveEvent(const wire::Command& command);
     wire::CommandResult claimEpoch(const wire::Command& command);
     wire::CommandResult sourceUpdate(const wire::Command& command);
+    wire::CommandResult submitRelease(const wire::Command& command);
 
     int64_t sourceSequenceOf(const wire::Command& command) const;
     wire::CommandResult accepted() const;
@@ -73,6 +82,8 @@
     std::vector<wire::MoveRecord> m_moves;
     std::deque<wire::AuditRecord> m_audit;
     int64_t m_auditCount { 0 };
+    int64_t m_releaseNumber { 0 };
+    std::string m_releaseDocument;
     std::deque<std::string> m_rememberedOrder;
     std::unordered_map<std::string, wire::RememberedResult> m_remembered;
 };
--- a/include/pomelowind/config/ConfigState.h
+++ b/include/pomelowind/config/ConfigState.h
@@ -51,6 +51,9 @@
     const wire::Resource* find(const std::string& key) const;
     const wire::ServiceResource* service(const std::string& name) const;
     const wire::ClaimRing* claimRing() const;
+    // Number and caller bounds of the release in force, or null when configuration comes from templates only.
+    const wire::ReleaseResource* release() const;
+    std::vector<const wire::Route*> routes() const;
     std::vector<const wire::ServiceResource*> services() const;
     std::vector<const wire::AccountResource*> accounts() const;
     // Version at which `key` last changed or was removed; 0 when it never existed.
@@ -67,6 +70,9 @@
     ConfigState withResource(wire::Resource resource) const;
     ConfigState withoutResource(const std::string& key) const;
 
+    // Next version with all of `set` and without all of `removed`, as one step.
+    ConfigState withChange(std::vector<wire::Resource> set, const std::vector<std::string>& removed) const;
+
     std::vector<wire::Resource> resources() const;
     std::vector<wire::Tombstone> tombstones() const;
     int64_t tombstoneFloor() const { return m_tombstoneFloor; }
--- a/include/pomelowind/control/ControlHost.h
+++ b/include/pomelowind/control/ControlHost.h
@@ -3,6 +3,7 @@
 
 #include "pomelowind/control/ControlSettings.h"
 #include "pomelowind/members/LogStore.h"
+#include "pomelowind/operators/OperatorApi.h"
 
 #include <memory>
 
@@ -12,8 +13,12 @@
 class ControlHost {
 public:
     // Loads the durable state and binds all addresses. Throws UserError(Settings, StorageDamaged).
-    ControlHost(ControlSettings settings, members::EmptyStart emptyStart);
+    // `operators` replaces the product's own operators' API when it is set.
+    ControlHost(ControlSettings settings, members::EmptyStart emptyStart,
+        const operators::OperatorHandlerFactory& operators = {});
     ~ControlHost();
+    // Takes changed settings: new seeds are connected to; everything else needs a restart. Thread safety: any thread.
+    void reload(const ControlSettings& settings);
     // Answers running operator requests, then stops all threads.
     void stop();
 
--- a/include/pomelowind/platform/Disk.h
+++ b/include/pomelowind/host/Disk.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 // A file that only grows.
 class AppendFile {
@@ -38,4 +38,4 @@
 // Throws UserError(Settings) when it cannot be used.
 std::unique_ptr<Disk> openFolder(const std::string& path);
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/include/pomelowind/platform/Metrics.h
+++ b/include/pomelowind/host/Metrics.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 // A value that goes up and down. Thread safety: any thread.
 class Gauge {
@@ -33,4 +33,4 @@
 // Serves metrics at `address`. Throws UserError(Settings) when the address cannot be bound.
 std::unique_ptr<Metrics> serveMetrics(const base::Address& address);
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/include/pomelowind/platform/Program.h
+++ b/include/pomelowind/host/Program.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 // Exit codes of all programs.
 constexpr int EXIT_OK = 0;
@@ -14,8 +14,9 @@
 // Runs `body` and turns exceptions into an exit code and one line on standard error.
 int runProgram(const std::function<int()>& body);
 
-// Blocks until SIGTERM or SIGINT arrives. Precondition: blockStopSignals() ran before any thread was started.
-void waitForStopSignal();
+// Blocks until SIGTERM or SIGINT arrives; calls `reload` at each SIGHUP before that, and logs what it throws.
+// Precondition: blockStopSignals() ran before any thread was started.
+void waitForStopSignal(const std::function<void()>& reload = {});
 void blockStopSignals();
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/include/pomelowind/http/HttpClient.h
+++ b/include/pomelowind/http/HttpClient.h
@@ -46,8 +46,17 @@
     virtual void close() = 0;
 };
 
-// `connections` bounds the open connections; a request beyond that ends as NotSent.
+struct HttpClientOptions {
+    size_t connections { 120 }; // open at once; a request beyond that ends as NotSent
+    // Header that the server copies from the request. A response without it belongs to an earlier request and is
+    // dropped. Empty: responses are taken in order.
+    std::string echoHeader;
+    // An idle connection is not used again after this long, unless the server names a time of its own.
+    base::Millis idleLifetime { 4000 };
+    bool operator==(const HttpClientOptions&) const = default;
+};
+
 std::shared_ptr<HttpClient> makeHttpClient(
-    boost::asio::io_context& io, const base::Address& address, size_t connections);
+    boost::asio::io_context& io, const base::Address& address, HttpClientOptions options);
 
 } // namespace pomelowind::http
--- a/include/pomelowind/http/HttpServer.h
+++ b/include/pomelowind/http/HttpServer.h
@@ -15,6 +15,7 @@
     size_t headerBytes { 16 * 1024 };
     size_t bodyBytes { 1024 * 1024 };
     base::Millis requestTimeout { 10000 };
+    base::Millis headerTimeout { 10000 }; // part of requestTimeout that the header may take
     base::Millis idleTimeout { 60000 };
     size_t connections { 4096 };
     bool operator==(const HttpLimits&) const = default;
@@ -49,6 +50,8 @@
     // Closes listener and connections at once.
     virtual void close() = 0;
     virtual size_t connectionCount() const = 0;
+    // Bounds for requests that are read from now on.
+    virtual void setLimits(HttpLimits limits) = 0;
 };
 
 // Listens at once. Throws UserError(Settings) when the address cannot be bound.
--- a/include/pomelowind/members/LogStore.h
+++ b/include/pomelowind/members/LogStore.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "pomelowind/base/Wire.h"
-#include "pomelowind/platform/Disk.h"
+#include "pomelowind/host/Disk.h"
 
 #include <memory>
 #include <optional>
@@ -31,7 +31,7 @@
 class LogStore {
 public:
     // Precondition: `disk` outlives the store.
-    explicit LogStore(platform::Disk& disk);
+    explicit LogStore(host::Disk& disk);
 
     // Reads everything; on an empty folder prepares it as `emptyStart` and `membership` say.
     // Throws UserError(StorageDamaged) when a record before the tail is damaged.
@@ -61,8 +61,8 @@
     void dropCoveredSegments(int64_t index);
     void writeSnapshotFile(const wire::SnapshotRecord& snapshot);
 
-    platform::Disk& m_disk;
-    std::unique_ptr<platform::AppendFile> m_file;
+    host::Disk& m_disk;
+    std::unique_ptr<host::AppendFile> m_file;
     std::vector<Segment> m_segments;
     wire::HardState m_hardState;
     int64_t m_nextSegment { 1 };
--- a/include/pomelowind/members/Replica.h
+++ b/include/pomelowind/members/Replica.h
@@ -50,6 +50,13 @@
     bool needsDisk() const { return hardState || install || !append.empty() || reinstated; }
 };
 
+// What a leader knows of another member.
+struct PeerStatus {
+    bool caughtUp { false }; // holds all committed entries
+    bool recovering { false }; // may not vote yet after it lost its disk
+    base::Instant lastAck;
+};
+
 enum class Role { Follower, PreCandidate, Candidate, Leader };
 
 // Thread safety: confined to the decision duty.
@@ -73,6 +80,9 @@
     // Precondition: index has been handed out as committed.
     void compacted(wire::SnapshotRecord snapshot);
 
+    // Precondition: this replica leads. Nothing for a host that is not a member.
+    std::optional<PeerStatus> peerStatus(const std::string& peer) const;
+
     Role role() const { return m_role; }
     bool isLeader() const { return m_role == Role::Leader; }
     // True while no other replica can have become leader. Only then may this leader answer reads and send beacons.
@@ -135,6 +145,7 @@
     void maybeReinstate(const std::string& peer, Progress& progress, base::Instant now);
     void checkQuorum(base::Instant now);
     bool isVoter(const std::string& member) const;
+    bool isMember(const std::string& host) const;
     size_t majority() const;
     std::vector<std::string> peers() const;
     const wire::Entry* entryAt(int64_t index) const;
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -3,6 +3,7 @@
 
 #include "pomelowind/base/Settings.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,12 @@
     base::Address callAdvertised;
     std::string logLevel;
     std::vector<ControlAddress> control;
+    bool discovers { false }; // `control` are seeds; more control hosts are learned from them
+    bool relays { true }; // false: control hosts feed every node, as fits fleets of up to some hundred nodes
+    std::string protocol { "product" }; // how callers, targets and operators speak: product or platform
+    std::optional<base::Address> readyAddress; // answers whether callers may be sent here
+    std::optional<base::Address> targetAddress; // the only address that targets may announce
+    std::string localService; // service of the target on this host; callers of other services are told it
     std::vector<base::Address> seeds; // mesh addresses of nodes of the same data centre, for a start while cut off
     std::set<std::string> services; // services that callers of this node use; empty means all
     base::Millis targetLease { 3000 };
@@ -40,7 +47,12 @@
     base::Millis callerTimeout { 10000 };
     base::Millis drainGrace { 2500 };
     int64_t claimMemoryBytes { 8 * 1024 * 1024 };
+    base::Millis stopTimeout { 60000 }; // a planned stop ends then even if calls are still running
+    // Retries are paid from tokens per service: `retryShare` for each call, `retryReserve` a second, at most
+    // `retryBurst` saved up.
     double retryShare { 0.1 };
+    double retryReserve { 5 };
+    double retryBurst { 50 };
     bool limitsEnabled { true }; // false only in benchmarks that show what the limits are for
 };
 
--- a/include/pomelowind/node/RouteTable.h
+++ b/include/pomelowind/node/RouteTable.h
@@ -11,7 +11,8 @@
 
 namespace pomelowind::node {
 
-// A route with the client account it belongs to. Points into the table's configuration.
+// A route with the client account it belongs to; a release's routes belong to none. Points into the table's
+// configuration.
 struct RouteMatch {
     const wire::Route* route { nullptr };
     const wire::AccountResource* account { nullptr };
--- a/include/pomelowind/nodes/ParentChooser.h
+++ b/include/pomelowind/nodes/ParentChooser.h
@@ -28,6 +28,8 @@
     // `controlHosts` in the order of preference.
     ParentChooser(std::string self, std::string dataCentre, std::vector<Parent> controlHosts, uint64_t seed);
 
+    // Replaces the control hosts, in the order of preference.
+    void setControlHosts(std::vector<Parent> controlHosts) { m_controlHosts = std::move(controlHosts); }
     // The best parent that may be tried now, or nothing when all have to be left alone.
     std::optional<Parent> choose(const std::vector<wire::NodeInfo>& members, base::Instant now);
     // The attempt failed or the link was lost.
--- a/include/pomelowind/operators/OperatorApi.h
+++ b/include/pomelowind/operators/OperatorApi.h
@@ -11,8 +11,21 @@
 namespace pomelowind::operators {
 
 // A view of the control host's state, as JSON text.
-// Resources is the whole state in its wire form.
-enum class View { Services, Templates, Accounts, Moves, Status, History, Audit, Members, Resources };
+// Resources is the whole state in its wire form. Release is the newest whole configuration as submitted. ServiceMove is
+// the newest move of the service that is named.
+enum class View {
+    Services,
+    Templates,
+    Accounts,
+    Moves,
+    Status,
+    History,
+    Audit,
+    Members,
+    Resources,
+    Release,
+    ServiceMove
+};
 
 // What the API asks of the control host. Answers come on the API's duty.
 class ControlGateway {
@@ -26,6 +39,9 @@
     virtual void changeMembers(wire::Membership next, std::function<void(bool)> done) = 0;
 };
 
+// Makes the handler of the operators' address, for platforms with an API of their own.
+using OperatorHandlerFactory = std::function<std::unique_ptr<http::HttpHandler>(ControlGateway&)>;
+
 // Thread safety: confined to the API duty.
 class OperatorApi final : public http::HttpHandler {
 public:
--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -14,6 +14,14 @@
 
 namespace pomelowind::targets {
 
+// Which versions of a service may take a call: one, or all but some.
+struct VersionChoice {
+    std::string only; // empty: any that is not barred
+    std::vector<std::string> barred;
+    bool allows(const std::string& version) const;
+    bool operator==(const VersionChoice&) const = default;
+};
+
 // How one attempt ended, as far as the balancer cares.
 struct Observation {
     std::string target;
@@ -31,9 +39,9 @@
 
     // A target of the service version that can take work, or nothing. `avoid` holds targets that were tried already.
     std::optional<wire::Presence> choose(const nodes::Targets& targets, const std::string& service,
-        const std::string& version, const std::set<std::string>& avoid, base::Instant now);
+        const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now);
     // True when some target of the version may be chosen.
-    bool hasTarget(const nodes::Targets& targets, const std::string& service, const std::string& version) const;
+    bool hasTarget(const nodes::Targets& targets, const std::string& service, const VersionChoice& versions) const;
     void started(const std::string& target);
     void ended(const Observation& observation, base::Instant now);
     // Forgets targets that are no longer there.
@@ -54,7 +62,7 @@
     };
 
     std::vector<const wire::Presence*> candidates(const nodes::Targets& targets, const std::string& service,
-        const std::string& version, const std::set<std::string>& avoid) const;
+        const VersionChoice& versions, const std::set<std::string>& avoid) const;
     std::vector<const wire::Presence*> withoutEjected(
         const std::vector<const wire::Presence*>& all, base::Instant now) const;
     const wire::Presence* pickOfTwo(const std::vector<const wire::Presence*>& some, base::Instant now);
--- a/programs/pomelowind-control.cpp
+++ b/programs/pomelowind-control.cpp
@@ -1,8 +1,9 @@
 // pomelowind-control: one control host. It keeps the configuration log with its peers and feeds the nodes.
 
+#include "platform/OperatorCalls.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/control/ControlHost.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -22,19 +23,23 @@
         "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
         "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings or damaged storage");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         auto settings = control::readControlSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
-            return platform::EXIT_OK;
+            return host::EXIT_OK;
         }
         base::startLogging("control/" + settings.id, settings.logLevel);
-        platform::blockStopSignals();
-        auto emptyStart
-            = absl::GetFlag(FLAGS_bootstrap) ? members::EmptyStart::Bootstrap : members::EmptyStart::Recover;
-        control::ControlHost host(std::move(settings), emptyStart);
-        platform::waitForStopSignal();
+        host::blockStopSignals();
+        bool firstStart = settings.firstStart || absl::GetFlag(FLAGS_bootstrap);
+        auto emptyStart = firstStart ? members::EmptyStart::Bootstrap : members::EmptyStart::Recover;
+        operators::OperatorHandlerFactory operators;
+        if (settings.protocol == "platform")
+            operators = [share = settings.exposureShare](
+                            operators::ControlGateway& gateway) { return platform::makeOperatorCalls(gateway, share); };
+        control::ControlHost host(std::move(settings), emptyStart, operators);
+        host::waitForStopSignal([&host] { host.reload(control::readControlSettings(absl::GetFlag(FLAGS_settings))); });
         host.stop();
-        return platform::EXIT_OK;
+        return host::EXIT_OK;
     });
 }
--- a/programs/pomelowind-fault-proxy.cpp
+++ b/programs/pomelowind-fault-proxy.cpp
@@ -2,8 +2,8 @@
 
 #include "pomelowind/base/Duty.h"
 #include "pomelowind/base/Log.h"
-#include "pomelowind/platform/Metrics.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Metrics.h"
+#include "pomelowind/host/Program.h"
 #include "standins/FaultProxy.h"
 
 #include <absl/flags/flag.h>
@@ -21,7 +21,7 @@
     absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
                                  "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         auto reader = base::SettingsReader::fromFile(absl::GetFlag(FLAGS_settings));
         auto admin = reader.address("admin_address");
         auto metricsAddress = reader.address("metrics_address");
@@ -33,17 +33,17 @@
         reader.finish();
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
-            return platform::EXIT_OK;
+            return host::EXIT_OK;
         }
         base::startLogging("fault-proxy", "info");
-        platform::blockStopSignals();
-        auto metrics = platform::serveMetrics(metricsAddress);
+        host::blockStopSignals();
+        auto metrics = host::serveMetrics(metricsAddress);
         base::Duty duty("proxy");
         standins::FaultProxy proxy(duty.context(), links);
         auto server = http::makeHttpServer(duty.context(), admin, {}, proxy);
         duty.start();
-        platform::waitForStopSignal();
+        host::waitForStopSignal();
         duty.stop();
-        return platform::EXIT_OK;
+        return host::EXIT_OK;
     });
 }
--- a/programs/pomelowind-load.cpp
+++ b/programs/pomelowind-load.cpp
@@ -1,8 +1,8 @@
 // pomelowind-load: open-loop callers for tests, benchmarks and the quickstart. The last line is a JSON summary.
 
 #include "pomelowind/base/Errors.h"
-#include "pomelowind/platform/Metrics.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Metrics.h"
+#include "pomelowind/host/Program.h"
 #include "standins/Load.h"
 
 #include <absl/flags/flag.h>
@@ -31,7 +31,7 @@
     absl::SetProgramUsageMessage("pomelowind-load --addresses=IP:PORT,... [--rate=N] [--seconds=S]\n"
                                  "exit codes: 0 measured, 1 internal fault, 2 wrong arguments");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         standins::LoadOptions options;
         for (const auto& it : absl::GetFlag(FLAGS_addresses))
             options.addresses.push_back(base::parseAddress(it));
@@ -47,9 +47,9 @@
             || options.seconds > 3600)
             throw base::UserError(
                 base::ErrorKind::InvalidInput, "no address, or rate or duration out of range", "see --help");
-        std::unique_ptr<platform::Metrics> metrics;
+        std::unique_ptr<host::Metrics> metrics;
         if (!absl::GetFlag(FLAGS_metrics_address).empty())
-            metrics = platform::serveMetrics(base::parseAddress(absl::GetFlag(FLAGS_metrics_address)));
+            metrics = host::serveMetrics(base::parseAddress(absl::GetFlag(FLAGS_metrics_address)));
         boost::asio::io_context io;
         standins::Load load(io, options, absl::GetFlag(FLAGS_seed));
         load.run([&] { io.stop(); });
@@ -60,6 +60,6 @@
             { "wrong_bodies", it.wrongBodies }, { "resends", it.resends }, { "p50", it.quantile(0.5) },
             { "p99", it.quantile(0.99) }, { "p999", it.quantile(0.999) }, { "by_version", it.byVersion } };
         std::cout << out.dump() << std::endl;
-        return platform::EXIT_OK;
+        return host::EXIT_OK;
     });
 }
--- a/programs/pomelowind-node.cpp
+++ b/programs/pomelowind-node.cpp
@@ -1,8 +1,10 @@
 // pomelowind-node: the proxy beside a target. It takes callers' calls, guards its targets, and relays configuration.
 
+#include "platform/CallHeaders.h"
+#include "platform/TargetCalls.h"
 #include "pomelowind/base/Log.h"
+#include "pomelowind/host/Program.h"
 #include "pomelowind/node/NodeHost.h"
-#include "pomelowind/platform/Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -19,17 +21,20 @@
     absl::SetProgramUsageMessage("pomelowind-node --settings=FILE [--check_settings]\n"
                                  "exit codes: 0 stopped by signal, 1 internal fault, 2 wrong settings");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         auto settings = node::readNodeSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
-            return platform::EXIT_OK;
+            return host::EXIT_OK;
         }
+        node::NodeProtocols protocols;
+        if (settings.protocol == "platform")
+            protocols = { platform::makeCallProtocol(), platform::makeTargetCalls };
         base::startLogging("node/" + settings.id, settings.logLevel);
-        platform::blockStopSignals();
-        node::NodeHost host(std::move(settings));
-        platform::waitForStopSignal();
+        host::blockStopSignals();
+        node::NodeHost host(std::move(settings), std::move(protocols));
+        host::waitForStopSignal([&host] { host.reload(node::readNodeSettings(absl::GetFlag(FLAGS_settings))); });
         host.stop();
-        return platform::EXIT_OK;
+        return host::EXIT_OK;
     });
 }
--- a/programs/pomelowind-target.cpp
+++ b/programs/pomelowind-target.cpp
@@ -2,8 +2,8 @@
 
 #include "pomelowind/base/Duty.h"
 #include "pomelowind/base/Log.h"
-#include "pomelowind/platform/Metrics.h"
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Metrics.h"
+#include "pomelowind/host/Program.h"
 #include "standins/Target.h"
 
 #include <absl/flags/flag.h>
@@ -25,24 +25,24 @@
         "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
         "exit codes: 0 stopped by signal, 1 internal fault or crash on purpose, 2 wrong settings");
     absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([] {
+    return host::runProgram([] {
         auto settings = standins::readTargetSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
-            return platform::EXIT_OK;
+            return host::EXIT_OK;
         }
         base::startLogging("target/" + settings.id, settings.logLevel);
-        platform::blockStopSignals();
-        auto metrics = platform::serveMetrics(settings.metricsAddress);
+        host::blockStopSignals();
+        auto metrics = host::serveMetrics(settings.metricsAddress);
         base::Duty duty("target");
         standins::Target target(duty.context(), std::move(settings), absl::GetFlag(FLAGS_seed));
         target.announceNow();
         duty.start();
-        platform::waitForStopSignal();
+        host::waitForStopSignal();
         std::promise<void> left;
         boost::asio::post(duty.context(), [&] { target.leave([&] { left.set_value(); }); });
         left.get_future().wait_for(std::chrono::seconds(30));
         duty.stop();
-        return platform::EXIT_OK;
+        return host::EXIT_OK;
     });
 }
--- a/programs/pomelowindctl.cpp
+++ b/programs/pomelowindctl.cpp
@@ -1,7 +1,7 @@
 // pomelowindctl: the operators' command line.
 
+#include "pomelowind/host/Program.h"
 #include "pomelowind/operators/CommandLine.h"
-#include "pomelowind/platform/Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -31,7 +31,7 @@
 {
     absl::SetProgramUsageMessage(operators::COMMAND_LINE_HELP);
     auto words = absl::ParseCommandLine(argc, argv);
-    return platform::runProgram([&] {
+    return host::runProgram([&] {
         operators::CommandLineOptions options;
         for (size_t i = 1; i < words.size(); ++i)
             options.words.emplace_back(words[i]);
--- a/src/base/Listener.cpp
+++ b/src/base/Listener.cpp
@@ -2,6 +2,10 @@
 
 #include "pomelowind/base/Errors.h"
 
+#include <algorithm>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace pomelowind::base {
 
 void listenOn(boost::asio::ip::tcp::acceptor& acceptor, const Address& address)
@@ -18,4 +22,17 @@
     }
 }
 
+void noticeDeadPeer(boost::asio::ip::tcp::socket& socket, Millis timeout)
+{
+    auto set = [fd = socket.native_handle()](
+                   int level, int option, int value) { ::setsockopt(fd, level, option, &value, sizeof value); };
+    // The kernel counts probes in whole seconds: one after an idle second, lost when the next is due.
+    int seconds = std::max<int>(1, static_cast<int>(timeout.count() / 2000));
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 1);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
 } // namespace pomelowind::base
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -229,4 +229,17 @@
     throw UserError(ErrorKind::Settings, all, "correct these lines and start again");
 }
 
+std::vector<Address> seedAddresses(SettingsReader& reader, const std::string& key, uint16_t port)
+{
+    std::vector<Address> out;
+    for (const auto& it : reader.textsOr(key, {})) {
+        try {
+            out.push_back({ parseAddress(it).ip, port });
+        } catch (const UserError&) {
+            reader.problem(key, "holds '" + it + "', which is not an address", "write IP:PORT");
+        }
+    }
+    return out;
+}
+
 } // namespace pomelowind::base
--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -2,6 +2,7 @@
 
 #include "pomelowind/base/Errors.h"
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/config/Release.h"
 #include "pomelowind/moves/MoveMachine.h"
 
 #include <algorithm>
@@ -23,6 +24,8 @@
     constexpr size_t MAX_CLAIM_EPOCHS = 64;
     constexpr int64_t CLAIM_WINDOW_MS = 15LL * 60 * 1000;
     constexpr int64_t GRANT_MS = 30000;
+    // Operators send an unanswered order again for some seconds.
+    constexpr int64_t REPEATED_ORDER_MS = 10000;
     constexpr int64_t SHORTEST_WATCH_MS = 1000;
     constexpr int64_t LONGEST_MOVE_MS = 7LL * 24 * 3600 * 1000;
 
@@ -51,6 +54,8 @@
             return command.moveEvent.moveId;
         case CommandKind::CLAIM_EPOCH:
             return CLAIM_RING_KEY;
+        case CommandKind::SUBMIT_RELEASE:
+            return "release/" + std::to_string(command.release.header.number);
         default:
             return command.name;
         }
@@ -120,6 +125,8 @@
         return "denied";
     case CommandKind::SOURCE_UPDATE:
         return "source.update";
+    case CommandKind::SUBMIT_RELEASE:
+        return "release.submit";
     }
     return "unknown";
 }
@@ -190,6 +197,8 @@
     case CommandKind::SET_SERVICE:
     case CommandKind::REMOVE_SERVICE:
         return m_state.versionOf(serviceKey(command.name));
+    case CommandKind::SUBMIT_RELEASE:
+        return m_releaseNumber;
     default:
         return command.baseVersion;
     }
@@ -198,7 +207,7 @@
 CommandResult ConfigMachine::dispatch(const wire::Command& command)
 {
     int64_t base = baseVersion(command);
-    if (command.baseVersion != base)
+    if (command.baseVersion != base && command.baseVersion != ANY_BASE)
         return refuse(ResultCode::CONFLICT,
             "'" + subjectOf(command) + "' is at version " + std::to_string(base) + ", not "
                 + std::to_string(command.baseVersion),
@@ -225,6 +234,8 @@
             return claimEpoch(command);
         case CommandKind::SOURCE_UPDATE:
             return sourceUpdate(command);
+        case CommandKind::SUBMIT_RELEASE:
+            return submitRelease(command);
         case CommandKind::DENIED:
             return refuse(ResultCode::DENIED, command.body, "ask the team that owns it, or change this team's role");
         }
@@ -432,8 +443,34 @@
     return out;
 }
 
+// ---- releases ----
+
+// One release builds on the one before, so two operators who start from the same one cannot both succeed.
+CommandResult ConfigMachine::submitRelease(const wire::Command& command)
+{
+    const auto& release = command.release;
+    checkRelease(release);
+    if (release.header.number <= m_releaseNumber)
+        return refuse(ResultCode::INVALID,
+            "release " + std::to_string(release.header.number) + " is not above the current release "
+                + std::to_string(m_releaseNumber),
+            "use a higher number");
+    auto change = changeOf(release, m_state);
+    m_state = m_state.withChange(std::move(change.set), change.removed);
+    m_releaseNumber = release.header.number;
+    m_releaseDocument = release.document;
+    return accepted();
+}
+
 // ---- moves ----
 
+const wire::MoveRecord* ConfigMachine::latestMove(const std::string& service) const
+{
+    auto it = std::find_if(
+        m_moves.rbegin(), m_moves.rend(), [&](const wire::MoveRecord& move) { return move.serviceName == service; });
+    return it == m_moves.rend() ? nullptr : &*it;
+}
+
 const wire::MoveRecord* ConfigMachine::findMove(const std::string& id) const
 {
     auto it = std::find_if(m_moves.begin(), m_moves.end(), [&](const wire::MoveRecord& move) { return move.id == id; });
@@ -449,7 +486,18 @@
 
 CommandResult ConfigMachine::startMove(const wire::Command& command)
 {
-    const auto& ask = command.move;
+    auto ask = command.move;
+    // An order that names no id is the same order as the latest move to that version, unless that has long ended.
+    if (ask.id.empty()) {
+        const auto* latest = latestMove(ask.serviceName);
+        bool repeated = latest && latest->toVersion == ask.toVersion
+            && (!moves::isOver(*latest) || command.timeMs - latest->endedMs < REPEATED_ORDER_MS);
+        if (repeated)
+            return accepted();
+        ask.id = ask.serviceName + "." + ask.toVersion + "." + std::to_string(m_moves.size() + 1);
+    }
+    if (ask.durationMs > 0)
+        ask.deadlineMs = command.timeMs + ask.durationMs;
     const auto* service = m_state.service(ask.serviceName);
     if (!service)
         return refuse(ResultCode::NOT_FOUND, "service '" + ask.serviceName + "' does not exist",
@@ -461,12 +509,13 @@
     if (const auto* other = activeMove(ask.serviceName))
         return refuse(ResultCode::CONFLICT, "move '" + other->id + "' of this service is running",
             "wait for it, or take it back first");
-    if (service->stable == ask.toVersion)
+    if (!service->stable.empty() && service->stable == ask.toVersion)
         return refuse(ResultCode::INVALID,
             "service '" + ask.serviceName + "' runs version '" + ask.toVersion + "' already", "name another version");
     int64_t shortest = ask.watchMs + SHORTEST_RAMP_MS;
     int64_t given = ask.deadlineMs - command.timeMs;
-    if (ask.watchMs < SHORTEST_WATCH_MS || given < shortest || given > LONGEST_MOVE_MS)
+    bool tooShort = ask.exposurePermille == 0 && (ask.watchMs < SHORTEST_WATCH_MS || given < shortest);
+    if (tooShort || given > LONGEST_MOVE_MS)
         return refuse(ResultCode::INVALID,
             "the deadline is " + std::to_string(given) + " ms away with a watch of " + std::to_string(ask.watchMs)
                 + " ms",
@@ -479,6 +528,7 @@
     move.startedMs = command.timeMs;
     move.deadlineMs = ask.deadlineMs;
     move.watchMs = ask.watchMs;
+    move.exposurePermille = ask.exposurePermille;
     move.state = MoveState::PLANNED;
     move.actor = command.actor;
     m_moves.push_back(move);
@@ -506,6 +556,7 @@
     wire::ServiceResource service = *present;
     service.stable = move.state == MoveState::DONE ? move.toVersion : move.fromVersion;
     service.candidate = moves::isOver(move) ? "" : move.toVersion;
+    service.excluded = move.state == MoveState::TAKEN_BACK ? move.toVersion : "";
     service.permille = moves::isOver(move) ? 0 : move.permille;
     service.moveId = moves::isOver(move) ? "" : move.id;
     service.step = move.step;
@@ -575,7 +626,9 @@
 
 void ConfigMachine::remember(const wire::Command& command, const CommandResult& result)
 {
-    if (command.requestId.empty())
+    // A refused release may become valid when another one is accepted meanwhile, so only its acceptance is final.
+    bool mayChange = command.kind == CommandKind::SUBMIT_RELEASE && result.code != ResultCode::ACCEPTED;
+    if (command.requestId.empty() || mayChange)
         return;
     wire::RememberedResult known;
     known.requestId = command.requestId;
@@ -636,6 +689,8 @@
     image.moves = m_moves;
     image.audit.assign(m_audit.begin(), m_audit.end());
     image.auditCount = m_auditCount;
+    image.releaseNumber = m_releaseNumber;
+    image.releaseDocument = m_releaseDocument;
     for (const auto& it : m_rememberedOrder)
         image.remembered.push_back(m_remembered.at(it));
     return image;
@@ -654,6 +709,8 @@
     m_moves = image.moves;
     m_audit.assign(image.audit.begin(), image.audit.end());
     m_auditCount = image.auditCount;
+    m_releaseNumber = image.releaseNumber;
+    m_releaseDocument = image.releaseDocument;
     for (const auto& it : image.remembered) {
         m_remembered[it.requestId] = it;
         m_rememberedOrder.push_back(it.requestId);
--- a/src/config/ConfigSource.cpp
+++ b/src/config/ConfigSource.cpp
@@ -16,7 +16,7 @@
     class HttpSource final : public ConfigSource {
     public:
         HttpSource(boost::asio::io_context& io, const base::Address& address)
-            : m_client(http::makeHttpClient(io, address, 1))
+            : m_client(http::makeHttpClient(io, address, { 1 }))
             , m_host(address.text())
         {
         }
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -1,6 +1,7 @@
 #include "pomelowind/config/ConfigState.h"
 
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/config/Release.h"
 
 #include <algorithm>
 
@@ -23,7 +24,9 @@
 
     bool hasContent(const wire::Resource& it)
     {
-        return !it.key.empty() && (it.__isset.serviceResource || it.__isset.accountResource || it.__isset.claimRing);
+        return !it.key.empty()
+            && (it.__isset.serviceResource || it.__isset.accountResource || it.__isset.claimRing || it.__isset.route
+                || it.__isset.releaseResource);
     }
 
 }
@@ -69,6 +72,22 @@
     return resource ? &resource->claimRing : nullptr;
 }
 
+const wire::ReleaseResource* ConfigState::release() const
+{
+    const auto* resource = find(RELEASE_KEY);
+    return resource ? &resource->releaseResource : nullptr;
+}
+
+std::vector<const wire::Route*> ConfigState::routes() const
+{
+    std::vector<const wire::Route*> out;
+    for (const auto& [key, resource] : m_resources) {
+        if (resource->__isset.route)
+            out.push_back(&resource->route);
+    }
+    return out;
+}
+
 std::vector<const wire::ServiceResource*> ConfigState::services() const
 {
     std::vector<const wire::ServiceResource*> out;
@@ -156,6 +175,14 @@
                 return account->name + route.path + " -> " + route.serviceName;
         }
     }
+    for (const auto* route : routes()) {
+        if (route->split.empty() && !service(route->serviceName))
+            return route->name + " -> " + route->serviceName;
+        for (const auto& part : route->split) {
+            if (!service(part.serviceName))
+                return route->name + " -> " + part.serviceName;
+        }
+    }
     return std::nullopt;
 }
 
@@ -228,6 +255,20 @@
     return next;
 }
 
+ConfigState ConfigState::withChange(std::vector<wire::Resource> set, const std::vector<std::string>& removed) const
+{
+    ConfigState next = *this;
+    ++next.m_version;
+    for (const auto& it : removed)
+        next.erase(it, next.m_version);
+    for (auto& it : set) {
+        it.version = next.m_version;
+        next.set(std::move(it));
+    }
+    next.trimTombstones();
+    return next;
+}
+
 std::vector<wire::Resource> ConfigState::resources() const
 {
     std::vector<wire::Resource> out;
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -1,6 +1,7 @@
 #include "ControlCore.h"
 
 #include "pomelowind/base/Log.h"
+#include "pomelowind/members/MembershipPlanner.h"
 
 namespace pomelowind::control {
 
@@ -16,6 +17,12 @@
     constexpr auto BEACON_PERIOD = Millis(500);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
     constexpr auto GONE_RETENTION = Millis(600000);
+    constexpr auto GREET_PERIOD = Millis(500);
+    constexpr auto MEMBERSHIP_PERIOD = Millis(200);
+    // A voter that is silent this long is replaced, so that the group again bears the loss of another one before a
+    // successor counts as caught up.
+    constexpr auto REPLACE_AFTER = Millis(2500);
+    constexpr auto FORGET_AFTER = Millis(120000);
     constexpr char SYSTEM_ACTOR[] = "system";
 
     members::ReplicaOptions replicaOptions(const ControlSettings& settings, uint64_t seed)
@@ -25,6 +32,7 @@
         out.electionTimeout = settings.electionTimeout;
         out.heartbeat = settings.heartbeat;
         out.seed = seed;
+        out.keptEntries = static_cast<size_t>(settings.keptEntries);
         return out;
     }
 
@@ -85,6 +93,8 @@
 {
     if (const auto& snapshot = m_replica.snapshot())
         restoreSnapshot(*snapshot);
+    for (const auto& it : m_settings.members)
+        m_heard[it.id];
     publish();
 }
 
@@ -352,6 +362,7 @@
     const std::string& member, links::Kind kind, std::string_view payload, base::Instant now, int64_t wallMs)
 {
     advance(now, wallMs);
+    noteMember(member);
     switch (kind) {
     case FrameKind::VOTE_REQUEST:
         m_replica.receive(member, base::decode<wire::VoteRequest>(payload), now);
@@ -386,15 +397,74 @@
 
 void ControlCore::memberConnected(const std::string& member)
 {
+    noteMember(member);
     wire::MemberReport report;
+    report.members = memberList();
     report.report.nodes = m_directory.allNodes();
     report.report.targets = m_directory.allTargets();
     report.report.acks = m_acks.fresh(m_now, GONE_RETENTION);
     m_outputs.sendToMember(member, FrameKind::MEMBER_REPORT, base::encode(report));
 }
 
+void ControlCore::noteMember(const std::string& member)
+{
+    if (m_settings.discovers)
+        m_heard[member] = m_now;
+}
+
+std::vector<std::string> ControlCore::memberList() const
+{
+    std::vector<std::string> out = m_replica.membership().voters;
+    const auto& learners = m_replica.membership().learners;
+    out.insert(out.end(), learners.begin(), learners.end());
+    return out;
+}
+
+// A host that is not a member yet makes itself known; members tell it and each other whom to connect to.
+void ControlCore::greetMembers()
+{
+    if (!m_settings.discovers || m_now < m_greetDue)
+        return;
+    m_greetDue = m_now + GREET_PERIOD;
+    wire::MemberReport report;
+    report.members = memberList();
+    broadcastToMembers(report);
+}
+
+void ControlCore::driveMembership()
+{
+    if (!m_settings.discovers || m_now < m_membershipDue)
+        return;
+    m_membershipDue = m_now + MEMBERSHIP_PERIOD;
+    std::vector<members::HostStatus> hosts;
+    hosts.push_back({ m_settings.id, true, false, true, false });
+    for (const auto& [id, heard] : m_heard) {
+        if (id == m_settings.id)
+            continue;
+        members::HostStatus host;
+        host.id = id;
+        host.reachable = heard != base::Instant() && m_now - heard < REPLACE_AFTER;
+        host.forgotten = m_now - heard >= FORGET_AFTER;
+        if (auto status = m_replica.peerStatus(id)) {
+            host.caughtUp = status->caughtUp;
+            host.recovering = status->recovering;
+            host.reachable = host.reachable && m_now - status->lastAck < REPLACE_AFTER;
+        }
+        hosts.push_back(host);
+    }
+    auto next = members::planMembership(m_replica.membership(), hosts, m_settings.id,
+        members::votersFor(static_cast<size_t>(m_settings.toleratedLosses)));
+    if (next && m_replica.proposeMembership(*next, m_now))
+        base::logInfo("members.proposed",
+            { { "voters", next->voters.size() }, { "learners", next->learners.size() }, { "term", m_replica.term() } });
+}
+
 void ControlCore::memberReport(const wire::MemberReport& report)
 {
+    for (const auto& it : report.members) {
+        if (m_settings.discovers && it != m_settings.id && m_heard.emplace(it, base::Instant()).second)
+            m_outputs.connectMember(it);
+    }
     takeReport(report.report, false);
     if (!report.__isset.beacon)
         return;
@@ -411,10 +481,14 @@
 void ControlCore::broadcastToMembers(const wire::MemberReport& report)
 {
     std::string payload = base::encode(report);
-    for (const auto& it : m_settings.members) {
-        if (it.id != m_settings.id)
-            m_outputs.sendToMember(it.id, FrameKind::MEMBER_REPORT, payload);
-    }
+    std::set<std::string> to;
+    for (const auto& it : m_settings.members)
+        to.insert(it.id);
+    for (const auto& [id, heard] : m_heard)
+        to.insert(id);
+    to.erase(m_settings.id);
+    for (const auto& it : to)
+        m_outputs.sendToMember(it, FrameKind::MEMBER_REPORT, payload);
 }
 
 // ---- nodes ----
@@ -448,6 +522,8 @@
     answer.version = m_machine.state().version();
     answer.floor = m_acks.versionOf(node);
     answer.fresh = true;
+    if (m_settings.discovers)
+        answer.controlHosts = memberList();
     if (admission.admitted)
         answer.directory = m_directory.liveNodes(request.node.dataCentre);
     m_outputs.sendToNode(node, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
@@ -510,6 +586,7 @@
     expirePending();
     dropForwards();
     reportExpired();
+    greetMembers();
     m_directory.expire(now, GONE_RETENTION);
     if (now >= m_batchDue) {
         m_batchDue = now + EVIDENCE_PERIOD;
@@ -521,8 +598,10 @@
         sendBeacon();
         proposeEpoch();
     }
-    if (leads)
+    if (leads) {
         driveMoves();
+        driveMembership();
+    }
     pump();
 }
 
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -89,6 +89,10 @@
     void sendBeacon();
     void proposeEpoch();
     void driveMoves();
+    void noteMember(const std::string& member);
+    void driveMembership();
+    void greetMembers();
+    std::vector<std::string> memberList() const;
     void reportExpired();
 
     const ControlSettings& m_settings;
@@ -103,6 +107,10 @@
     MoveDriver m_moves;
     ClaimEpochPlanner m_epochs;
 
+    std::map<std::string, base::Instant> m_heard; // control hosts and when they were last heard
+    base::Instant m_greetDue;
+    base::Instant m_membershipDue;
+
     std::string m_loggedRole;
     std::map<int64_t, Pending> m_pending;
     std::map<int64_t, Pending> m_forwards;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -6,9 +6,10 @@
 #include "Views.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/TimerService.h"
+#include "pomelowind/host/Metrics.h"
 #include "pomelowind/operators/OperatorApi.h"
-#include "pomelowind/platform/Metrics.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdlib>
 #include <future>
@@ -26,7 +27,7 @@
     constexpr int STATUS_STALE = 503;
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
-    constexpr size_t MAX_BODY_BYTES = 512 * 1024;
+    constexpr size_t MAX_BODY_BYTES = 8 * 1024 * 1024;
 
     // The disk duty: makes batches durable in order and hands back what may then be sent.
     class DiskDuty {
@@ -91,9 +92,9 @@
 // decisions.
 class ControlHost::Impl final : public ControlOutputs, public operators::ControlGateway {
 public:
-    Impl(ControlSettings settings, members::EmptyStart emptyStart)
+    Impl(ControlSettings settings, members::EmptyStart emptyStart, const operators::OperatorHandlerFactory& operators)
         : m_settings(std::move(settings))
-        , m_folder(platform::openFolder(m_settings.dataFolder))
+        , m_folder(host::openFolder(m_settings.dataFolder))
         , m_store(*m_folder)
         , m_decisions("decisions")
         , m_api("api")
@@ -103,8 +104,8 @@
         , m_requests(m_decisions.context(), RING_CAPACITY, [](std::function<void()>&& request) { request(); })
         , m_network(m_settings, [this](NetworkEvent event) { return m_events.tryPut(std::move(event)); })
         , m_disk(m_store, [this](DiskDone done) { m_diskResults.tryPut(std::move(done)); })
-        , m_handler(m_settings.roles, *this)
-        , m_metrics(platform::serveMetrics(m_settings.metricsAddress))
+        , m_handler(operators ? operators(*this) : std::make_unique<operators::OperatorApi>(m_settings.roles, *this))
+        , m_metrics(host::serveMetrics(m_settings.metricsAddress))
         , m_versionGauge(m_metrics->gauge("config_version", "Version of the accepted configuration"))
         , m_leaderGauge(m_metrics->gauge("is_leader", "1 while this host leads"))
         , m_sentGauge(m_metrics->gauge("link_bytes_sent", "Bytes sent on links"))
@@ -118,7 +119,7 @@
             m_settings, std::move(durable), *this, m_clock.now(), m_clock.wallMs(), base::platformSeed());
         http::HttpLimits limits;
         limits.bodyBytes = MAX_BODY_BYTES;
-        m_server = http::makeHttpServer(m_api.context(), m_settings.operatorAddress, limits, m_handler);
+        m_server = http::makeHttpServer(m_api.context(), m_settings.operatorAddress, limits, *m_handler);
         m_timers = base::makeTimerService();
         m_tick = m_timers->subscribe(
             m_decisions.context(), TICK, [this] { m_core->tick(m_clock.now(), m_clock.wallMs()); });
@@ -151,6 +152,15 @@
         base::logInfo("control.stopped", { { "id", m_settings.id } });
     }
 
+    void reload(const ControlSettings& settings)
+    {
+        for (const auto& it : settings.members) {
+            if (settings.discovers && it.id != m_settings.id)
+                m_network.connectMember(it.id);
+        }
+        base::logInfo("settings.reloaded", { { "id", m_settings.id }, { "seeds", settings.members.size() } });
+    }
+
     // ---- ControlOutputs, on the decision duty ----
 
     void sendToMember(const std::string& member, links::Kind kind, std::string payload) override
@@ -163,6 +173,8 @@
         m_network.send({ false, node, kind, std::move(payload) });
     }
 
+    void connectMember(const std::string& member) override { m_network.connectMember(member); }
+
     bool persist(DiskWork work) override { return m_disk.put(std::move(work)); }
 
     // ---- ControlGateway, on the API duty ----
@@ -227,8 +239,10 @@
     wire::Membership bootstrapMembership() const
     {
         wire::Membership out;
+        // Seeds come in any order; every host has to begin with the same membership.
         for (const auto& it : m_settings.members)
             out.voters.push_back(it.id);
+        std::sort(out.voters.begin(), out.voters.end());
         return out;
     }
 
@@ -288,7 +302,7 @@
 
     ControlSettings m_settings;
     base::SystemClock m_clock;
-    std::unique_ptr<platform::Disk> m_folder;
+    std::unique_ptr<host::Disk> m_folder;
     members::LogStore m_store;
     base::Duty m_decisions;
     base::Duty m_api;
@@ -298,13 +312,13 @@
     std::unique_ptr<ControlCore> m_core;
     MemberNetwork m_network;
     DiskDuty m_disk;
-    operators::OperatorApi m_handler;
+    std::unique_ptr<http::HttpHandler> m_handler;
     std::unique_ptr<http::HttpServer> m_server;
-    std::unique_ptr<platform::Metrics> m_metrics;
-    std::shared_ptr<platform::Gauge> m_versionGauge;
-    std::shared_ptr<platform::Gauge> m_leaderGauge;
-    std::shared_ptr<platform::Gauge> m_sentGauge;
-    std::shared_ptr<platform::Gauge> m_receivedGauge;
+    std::unique_ptr<host::Metrics> m_metrics;
+    std::shared_ptr<host::Gauge> m_versionGauge;
+    std::shared_ptr<host::Gauge> m_leaderGauge;
+    std::shared_ptr<host::Gauge> m_sentGauge;
+    std::shared_ptr<host::Gauge> m_receivedGauge;
     std::unique_ptr<base::TimerService> m_timers;
     std::unique_ptr<base::Subscription> m_tick;
     std::unique_ptr<base::Subscription> m_gauges;
@@ -313,11 +327,14 @@
     bool m_stopped { false };
 };
 
-ControlHost::ControlHost(ControlSettings settings, members::EmptyStart emptyStart)
-    : m_impl(std::make_unique<Impl>(std::move(settings), emptyStart))
+ControlHost::ControlHost(
+    ControlSettings settings, members::EmptyStart emptyStart, const operators::OperatorHandlerFactory& operators)
+    : m_impl(std::make_unique<Impl>(std::move(settings), emptyStart, operators))
 {
 }
 
+void ControlHost::reload(const ControlSettings& settings) { m_impl->reload(settings); }
+
 ControlHost::~ControlHost() = default;
 
 void ControlHost::stop() { m_impl->stop(); }
--- a/src/control/ControlOutputs.h
+++ b/src/control/ControlOutputs.h
@@ -30,6 +30,8 @@
     virtual ~ControlOutputs() = default;
     virtual void sendToMember(const std::string& member, links::Kind kind, std::string payload) = 0;
     virtual void sendToNode(const std::string& node, links::Kind kind, std::string payload) = 0;
+    // Connects to a control host that was learned from a peer; nothing when it is connected already.
+    virtual void connectMember(const std::string& member) = 0;
     // Returns false when the disk's ring is full.
     virtual bool persist(DiskWork work) = 0;
 };
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -18,9 +18,13 @@
     ControlSettings out;
     out.mesh = reader.text("mesh");
     out.meshKey = reader.text("mesh_key");
-    out.id = reader.text("id");
+    out.discovers = reader.has("control_seeds");
     out.dataCentre = reader.text("data_centre");
     out.meshAddress = reader.address("mesh_address");
+    out.id = out.discovers ? out.meshAddress.text() : reader.text("id");
+    out.firstStart = reader.flag("first_start", false);
+    out.toleratedLosses = reader.integer("tolerated_losses", out.toleratedLosses, 0, 5);
+    out.keptEntries = reader.integer("kept_entries", out.keptEntries, 1, 100000);
     out.operatorAddress = reader.address("operator_address");
     out.metricsAddress = reader.address("metrics_address");
     out.dataFolder = reader.text("data_folder");
@@ -32,11 +36,22 @@
     if (reader.has("source_address"))
         out.sourceAddress = reader.address("source_address");
     out.sourcePeriod = reader.millis("source_period_ms", out.sourcePeriod, Millis(50), Millis(3600000));
-    for (auto& it : reader.items("members")) {
-        out.members.push_back({ it.text("id"), it.address("address") });
-        it.checkUnknownKeys();
+    if (out.discovers) {
+        for (const auto& it : base::seedAddresses(reader, "control_seeds", out.meshAddress.port))
+            out.members.push_back({ it.text(), it });
+    } else {
+        for (auto& it : reader.items("members")) {
+            out.members.push_back({ it.text("id"), it.address("address") });
+            it.checkUnknownKeys();
+        }
     }
-    out.roles = operators::Roles::fromSettings(reader);
+    out.protocol = reader.text("protocol", out.protocol);
+    if (out.protocol != "product" && out.protocol != "platform")
+        reader.problem("protocol", "is neither product nor platform", "use one of the two");
+    out.exposureShare = reader.real("exposure_share", out.exposureShare, 0.001, 1);
+    // The platform vouches for its operators; the product's own API has users and teams.
+    if (out.protocol == "product")
+        out.roles = operators::Roles::fromSettings(reader);
     if (out.meshKey.size() < LEAST_KEY_BYTES)
         reader.problem(
             "mesh_key", "is shorter than 16 characters", "use a random key, the same on all processes of the mesh");
@@ -45,7 +60,7 @@
             "heartbeat_ms", "is too long for the election timeout", "use at most a third of election_timeout_ms");
     bool self
         = std::any_of(out.members.begin(), out.members.end(), [&](const MemberAddress& it) { return it.id == out.id; });
-    if (!self)
+    if (!self && !out.discovers)
         reader.problem("members", "does not contain this host's id", "list all control hosts, this one included");
     reader.finish();
     return out;
--- a/src/control/MemberNetwork.cpp
+++ b/src/control/MemberNetwork.cpp
@@ -3,6 +3,7 @@
 #include "pomelowind/base/Log.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace pomelowind::control {
 
@@ -26,12 +27,30 @@
     for (const auto& it : settings.members) {
         if (it.id == settings.id)
             continue;
-        auto dialer = std::make_shared<links::LinkDialer>(m_duty.context(), it.address, m_identity, *this, m_traffic);
-        m_members[it.id] = dialer;
-        dialer->start();
+        dialMember(it.id, it.address);
     }
 }
 
+void MemberNetwork::dialMember(const std::string& id, const base::Address& address)
+{
+    auto& slot = m_members[id];
+    if (slot)
+        return;
+    slot = std::make_shared<links::LinkDialer>(m_duty.context(), address, m_identity, *this, m_traffic);
+    slot->start();
+}
+
+void MemberNetwork::connectMember(const std::string& id)
+{
+    boost::asio::post(m_duty.context(), [this, id] {
+        try {
+            dialMember(id, base::parseAddress(id));
+        } catch (const base::UserError& e) {
+            base::logWarn("member.bad_address", { { "member", id }, { "error", e.what() } });
+        }
+    });
+}
+
 MemberNetwork::~MemberNetwork() { stop(); }
 
 void MemberNetwork::start() { m_duty.start(); }
@@ -65,6 +84,9 @@
             old->close("the node has a newer link");
         return;
     }
+    // A host that is new to this one reached it first; the link for sending is dialed in turn.
+    if (m_settings.discovers && link->peerId() != m_settings.id && !m_members.count(link->peerId()))
+        connectMember(link->peerId());
     bool dialed
         = std::any_of(m_members.begin(), m_members.end(), [&](const auto& it) { return it.second->link() == link; });
     if (dialed) {
--- a/src/control/MemberNetwork.h
+++ b/src/control/MemberNetwork.h
@@ -43,6 +43,8 @@
     void stop();
     // Queues a frame; returns false when the ring is full. Frames to an unconnected peer are dropped.
     bool send(NetworkSend send);
+    // Connects to the control host whose id is its mesh address, unless that is done already.
+    void connectMember(const std::string& id);
     const links::Traffic& traffic() const { return m_traffic; }
 
     void linkReady(const std::shared_ptr<links::Link>& link) override;
@@ -51,6 +53,7 @@
 
 private:
     void transmit(NetworkSend send);
+    void dialMember(const std::string& id, const base::Address& address);
 
     const ControlSettings& m_settings;
     Sink m_sink;
--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -11,6 +11,8 @@
     using nlohmann::json;
     using operators::View;
 
+    // Longer than nearly all calls take; a target that stops before cuts off what still runs there.
+    constexpr int64_t SETTLE_MS = 1000;
     constexpr auto REACHABLE_WINDOW = base::Millis(6000);
 
     ViewAnswer notFound(const std::string& what, const std::string& name)
@@ -187,6 +189,36 @@
         return { 200, out.dump() };
     }
 
+    // The newest release, as its operator sent it.
+    ViewAnswer releaseView(const ControlCore& core)
+    {
+        const auto& machine = core.machine();
+        return machine.releaseNumber() ? ViewAnswer { 200, machine.releaseDocument() } : notFound("release", "current");
+    }
+
+    // True when every reachable node has had the move's end in force for long enough that no call still runs on
+    // targets of the version that was left.
+    bool isSettled(const ControlCore& core, const wire::MoveRecord& move)
+    {
+        int64_t needed = core.machine().state().versionOf(config::serviceKey(move.serviceName));
+        for (const auto& node : core.directory().liveNodes()) {
+            if (core.acks().isReachable(node.node, core.now(), REACHABLE_WINDOW)
+                && core.acks().versionOf(node.node) < needed)
+                return false;
+        }
+        return core.wallMs() - move.endedMs >= SETTLE_MS;
+    }
+
+    ViewAnswer serviceMoveView(const ControlCore& core, const std::string& service)
+    {
+        const auto* move = core.machine().latestMove(service);
+        if (!move)
+            return notFound("move", service);
+        auto out = moveJson(core, *move);
+        out["settled"] = moves::isOver(*move) && isSettled(core, *move);
+        return { 200, out.dump() };
+    }
+
 }
 
 ViewAnswer renderView(const ControlCore& core, View view, const std::string& name, size_t limit)
@@ -200,6 +232,10 @@
         return accountsView(core, name);
     case View::Moves:
         return movesView(core, name);
+    case View::Release:
+        return releaseView(core);
+    case View::ServiceMove:
+        return serviceMoveView(core, name);
     case View::Status:
         return { 200, statusJson(core).dump() };
     case View::History:
--- a/src/platform/Disk.cpp
+++ b/src/host/Disk.cpp
@@ -1,4 +1,4 @@
-#include "pomelowind/platform/Disk.h"
+#include "pomelowind/host/Disk.h"
 
 #include "pomelowind/base/Errors.h"
 
@@ -11,7 +11,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 namespace {
 
@@ -147,4 +147,4 @@
 
 std::unique_ptr<Disk> openFolder(const std::string& path) { return std::make_unique<PosixDisk>(path); }
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/src/platform/Metrics.cpp
+++ b/src/host/Metrics.cpp
@@ -1,4 +1,4 @@
-#include "pomelowind/platform/Metrics.h"
+#include "pomelowind/host/Metrics.h"
 
 #include "pomelowind/base/Errors.h"
 
@@ -7,7 +7,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 namespace {
 
@@ -73,4 +73,4 @@
     }
 }
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/src/platform/Program.cpp
+++ b/src/host/Program.cpp
@@ -1,11 +1,12 @@
-#include "pomelowind/platform/Program.h"
+#include "pomelowind/host/Program.h"
 
 #include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Log.h"
 
 #include <csignal>
 #include <iostream>
 
-namespace pomelowind::platform {
+namespace pomelowind::host {
 
 namespace {
 
@@ -15,6 +16,7 @@
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         return set;
     }
 
@@ -40,11 +42,18 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
-void waitForStopSignal()
+void waitForStopSignal(const std::function<void()>& reload)
 {
     sigset_t set = stopSignals();
     int signal = 0;
-    sigwait(&set, &signal);
+    for (sigwait(&set, &signal); signal == SIGHUP; sigwait(&set, &signal)) {
+        try {
+            if (reload)
+                reload();
+        } catch (const std::exception& e) {
+            base::logError("settings.reload_failed", { { "error", e.what() } });
+        }
+    }
 }
 
-} // namespace pomelowind::platform
+} // namespace pomelowind::host
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <optional>
 #include <unordered_set>
 
@@ -30,10 +31,11 @@
     // One kept connection. It carries one exchange at a time, so a late answer can only meet its own request.
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
-        Connection(boost::asio::io_context& io, std::weak_ptr<Pool> pool)
+        Connection(boost::asio::io_context& io, std::weak_ptr<Pool> pool, const HttpClientOptions& options)
             : m_socket(io)
             , m_timer(io)
             , m_pool(std::move(pool))
+            , m_options(options)
         {
         }
 
@@ -81,6 +83,8 @@
         // False when the target has already closed this idle connection or sent bytes that nobody asked for.
         bool isUsable()
         {
+            if (std::chrono::steady_clock::now() >= m_usableUntil)
+                return false;
             char c = 0;
             beast::error_code ec;
             m_socket.non_blocking(true, ec);
@@ -108,6 +112,8 @@
             m_request.body() = std::move(request.body);
             m_request.prepare_payload();
             m_request.keep_alive(true);
+            if (!m_options.echoHeader.empty())
+                m_expectedEcho = std::string(m_request[m_options.echoHeader]);
             m_headOnly = request.method == "HEAD";
         }
 
@@ -141,6 +147,10 @@
         void succeed()
         {
             auto message = m_parser->release();
+            bool isForeign = !m_options.echoHeader.empty() && message[m_options.echoHeader] != m_expectedEcho;
+            // A second response to an earlier request stands before the one that is due, or nothing follows at all.
+            if (isForeign)
+                return message.keep_alive() ? read() : fail(ExchangeEnd::Ambiguous, "response of another request");
             ExchangeResult result;
             result.end = ExchangeEnd::Answered;
             result.response.status = message.result_int();
@@ -148,6 +158,7 @@
                 result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
             result.response.body = std::move(message.body());
             bool keep = message.keep_alive() && !m_buffer.size();
+            m_usableUntil = std::chrono::steady_clock::now() + idleLifetime(message[beast::http::field::keep_alive]);
             m_timer.cancel();
             ++m_turn;
             auto done = std::move(m_done);
@@ -160,6 +171,19 @@
             done(std::move(result));
         }
 
+        // The server's own idle timeout less a second, in which its close may already be on the way.
+        base::Millis idleLifetime(std::string_view keepAlive) const
+        {
+            constexpr std::string_view KEY = "timeout=";
+            auto at = keepAlive.find(KEY);
+            if (at == keepAlive.npos)
+                return m_options.idleLifetime;
+            auto text = keepAlive.substr(at + KEY.size());
+            int seconds = 0;
+            std::from_chars(text.data(), text.data() + text.size(), seconds);
+            return std::min(m_options.idleLifetime, base::Millis(std::max(0, seconds - 1) * 1000));
+        }
+
         void fail(ExchangeEnd end, const std::string& error)
         {
             m_timer.cancel();
@@ -184,6 +208,9 @@
         bool m_open { false };
         bool m_bytesSent { false };
         bool m_headOnly { false };
+        const HttpClientOptions m_options;
+        std::string m_expectedEcho;
+        base::Instant m_usableUntil;
     };
 
     class ConnectionExchange final : public Exchange {
@@ -207,10 +234,10 @@
 
     class PooledClient final : public HttpClient, public Pool, public std::enable_shared_from_this<PooledClient> {
     public:
-        PooledClient(boost::asio::io_context& io, const base::Address& address, size_t connections)
+        PooledClient(boost::asio::io_context& io, const base::Address& address, HttpClientOptions options)
             : m_io(io)
             , m_endpoint(boost::asio::ip::make_address(address.ip), address.port)
-            , m_most(connections)
+            , m_options(std::move(options))
         {
         }
 
@@ -265,16 +292,16 @@
                     return connection;
                 connection->shut();
             }
-            if (m_closed || m_all.size() >= m_most)
+            if (m_closed || m_all.size() >= m_options.connections)
                 return nullptr;
-            auto connection = std::make_shared<Connection>(m_io, weak_from_this());
+            auto connection = std::make_shared<Connection>(m_io, weak_from_this(), m_options);
             m_all.insert(connection);
             return connection;
         }
 
         boost::asio::io_context& m_io;
         tcp::endpoint m_endpoint;
-        size_t m_most;
+        HttpClientOptions m_options;
         std::unordered_set<std::shared_ptr<Connection>> m_all;
         std::vector<std::shared_ptr<Connection>> m_idle;
         bool m_closed { false };
@@ -283,9 +310,9 @@
 }
 
 std::shared_ptr<HttpClient> makeHttpClient(
-    boost::asio::io_context& io, const base::Address& address, size_t connections)
+    boost::asio::io_context& io, const base::Address& address, HttpClientOptions options)
 {
-    return std::make_shared<PooledClient>(io, address, connections);
+    return std::make_shared<PooledClient>(io, address, std::move(options));
 }
 
 } // namespace pomelowind::http
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -332,6 +332,7 @@
         }
 
         size_t connectionCount() const override { return m_sessions.size(); }
+        void setLimits(HttpLimits limits) override { m_limits = limits; }
 
     private:
         const HttpLimits& limits() const override { return m_limits; }
--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -1,13 +1,12 @@
 #include "pomelowind/links/Link.h"
 
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Listener.h"
 #include "pomelowind/base/Log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace pomelowind::links {
 
@@ -21,23 +20,9 @@
     constexpr size_t KEPT_BUFFER_BYTES = 64 * 1024;
     constexpr auto HANDSHAKE_TIMEOUT = base::Millis(3000);
 
-    // A host that loses its power sends no end of stream. The kernel closes the link when sent bytes are not
-    // acknowledged or probes of an idle link are not answered for about this long.
-    constexpr int DEAD_PEER_TIMEOUT_MS = 4000;
-    constexpr int KEEPALIVE_IDLE_SECONDS = 2;
-    constexpr int KEEPALIVE_INTERVAL_SECONDS = 1;
-    constexpr int KEEPALIVE_PROBES = 2;
-
-    void noticeDeadPeer(int socket)
-    {
-        auto set
-            = [socket](int level, int option, int value) { ::setsockopt(socket, level, option, &value, sizeof value); };
-        set(SOL_SOCKET, SO_KEEPALIVE, 1);
-        set(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS);
-        set(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS);
-        set(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-        set(IPPROTO_TCP, TCP_USER_TIMEOUT, DEAD_PEER_TIMEOUT_MS);
-    }
+    // Twice the longest round trip between data centres with one lost packet, and well below the time in which a
+    // configuration has to be in force everywhere.
+    constexpr auto DEAD_PEER_TIMEOUT = base::Millis(1500);
 
     uint32_t readLength(const char* at)
     {
@@ -79,7 +64,7 @@
     m_ended = std::move(ended);
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    noticeDeadPeer(m_socket.native_handle());
+    base::noticeDeadPeer(m_socket, DEAD_PEER_TIMEOUT);
     m_handshakeTimer.expires_after(HANDSHAKE_TIMEOUT);
     m_handshakeTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error && !self->m_ready)
--- a/src/links/LinkDialer.cpp
+++ b/src/links/LinkDialer.cpp
@@ -5,8 +5,8 @@
 namespace {
 
     constexpr auto FIRST_BACKOFF = base::Millis(50);
-    constexpr auto LONGEST_BACKOFF = base::Millis(2000);
-    constexpr auto CONNECT_TIMEOUT = base::Millis(2000);
+    constexpr auto LONGEST_BACKOFF = base::Millis(600);
+    constexpr auto CONNECT_TIMEOUT = base::Millis(700);
 
 }
 
--- a/src/members/LogStore.cpp
+++ b/src/members/LogStore.cpp
@@ -98,7 +98,7 @@
 
 }
 
-LogStore::LogStore(platform::Disk& disk)
+LogStore::LogStore(host::Disk& disk)
     : m_disk(disk)
 {
 }
--- /dev/null
+++ b/src/members/MembershipPlanner.cpp
@@ -0,0 +1,103 @@
+#include "pomelowind/members/MembershipPlanner.h"
+
+#include <algorithm>
+
+namespace pomelowind::members {
+
+namespace {
+
+    using Names = std::vector<std::string>;
+
+    bool contains(const Names& names, const std::string& name)
+    {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    const HostStatus* find(const std::vector<HostStatus>& hosts, const std::string& id)
+    {
+        auto it = std::find_if(hosts.begin(), hosts.end(), [&](const HostStatus& host) { return host.id == id; });
+        return it == hosts.end() ? nullptr : &*it;
+    }
+
+    bool isReachable(const std::vector<HostStatus>& hosts, const std::string& id)
+    {
+        const auto* host = find(hosts, id);
+        return host && host->reachable;
+    }
+
+    size_t reachableVoters(const wire::Membership& membership, const std::vector<HostStatus>& hosts)
+    {
+        return static_cast<size_t>(std::count_if(membership.voters.begin(), membership.voters.end(),
+            [&](const std::string& it) { return isReachable(hosts, it); }));
+    }
+
+    wire::Membership promoted(wire::Membership membership, const std::string& id)
+    {
+        std::erase(membership.learners, id);
+        membership.voters.push_back(id);
+        return membership;
+    }
+
+    wire::Membership demoted(wire::Membership membership, const std::string& id)
+    {
+        std::erase(membership.voters, id);
+        membership.learners.push_back(id);
+        return membership;
+    }
+
+    std::optional<std::string> readyLearner(const wire::Membership& present, const std::vector<HostStatus>& hosts)
+    {
+        for (const auto& it : present.learners) {
+            const auto* host = find(hosts, it);
+            if (host && host->reachable && host->caughtUp && !host->recovering)
+                return it;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<std::string> lostVoter(
+        const wire::Membership& present, const std::vector<HostStatus>& hosts, const std::string& self)
+    {
+        for (const auto& it : present.voters) {
+            if (it != self && !isReachable(hosts, it))
+                return it;
+        }
+        return std::nullopt;
+    }
+
+}
+
+std::optional<wire::Membership> planMembership(
+    const wire::Membership& present, const std::vector<HostStatus>& hosts, const std::string& self, size_t wantedVoters)
+{
+    // A surplus voter goes first: with it a majority is larger than it has to be.
+    auto lost = lostVoter(present, hosts, self);
+    if (present.voters.size() > wantedVoters && lost) {
+        auto next = demoted(present, *lost);
+        if (reachableVoters(next, hosts) > next.voters.size() / 2)
+            return next;
+    }
+    if (present.voters.size() < wantedVoters || (lost && present.voters.size() == wantedVoters)) {
+        if (auto learner = readyLearner(present, hosts))
+            return promoted(present, *learner);
+    }
+    for (const auto& it : hosts) {
+        bool isMember = contains(present.voters, it.id) || contains(present.learners, it.id);
+        if (isMember || !it.reachable)
+            continue;
+        auto next = present;
+        next.learners.push_back(it.id);
+        return next;
+    }
+    for (const auto& it : present.learners) {
+        const auto* host = find(hosts, it);
+        if (host && !host->forgotten)
+            continue;
+        auto next = present;
+        std::erase(next.learners, it);
+        return next;
+    }
+    return std::nullopt;
+}
+
+} // namespace pomelowind::members
--- a/src/members/Replica.cpp
+++ b/src/members/Replica.cpp
@@ -92,6 +92,16 @@
 
 bool Replica::isVoter(const std::string& member) const { return contains(membership().voters, member); }
 
+bool Replica::isMember(const std::string& host) const { return isVoter(host) || contains(membership().learners, host); }
+
+std::optional<PeerStatus> Replica::peerStatus(const std::string& peer) const
+{
+    auto it = m_progress.find(peer);
+    if (it == m_progress.end() || !isMember(peer))
+        return std::nullopt;
+    return PeerStatus { it->second.match >= m_commit, it->second.recovering, it->second.lastAck };
+}
+
 size_t Replica::majority() const { return membership().voters.size() / 2 + 1; }
 
 std::vector<std::string> Replica::peers() const
@@ -569,7 +579,7 @@
 {
     bool caughtUp = progress.match >= m_commit && isCurrent();
     bool proposed = progress.reinstateProposed != Instant() && now - progress.reinstateProposed < REINSTATE_RETRY;
-    if (!progress.recovering || !isVoter(peer) || !caughtUp || proposed)
+    if (!progress.recovering || !isMember(peer) || !caughtUp || proposed)
         return;
     progress.reinstateProposed = now;
     wire::Reinstate reinstate;
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -20,22 +20,17 @@
 
     constexpr int64_t MOST_RETRIES = 2;
     constexpr int64_t MOST_DEPTH = 16;
+    // Gates that one call asks before it is refused: with more, a full service costs more messages than it serves.
+    constexpr int MOST_GATES = 3;
     // An attempt that may be repeated gets this part of the time that is left, so that the repeat has the rest.
     constexpr int FIRST_ATTEMPT_PERCENT = 60;
     constexpr auto NODE_SLACK = Millis(20);
-    constexpr double RETRY_RESERVE_PER_SECOND = 5;
-    constexpr double RETRY_BURST = 50;
     // A node decides alone only on evidence stronger than what the control hosts need for the whole mesh.
     constexpr double LOCAL_DECIDE_AT = 11.5;
     constexpr int FIRST_FAILURE_STATUS = 500;
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr int STATUS_TIMEOUT = 504;
 
-    std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy)
-    {
-        return nlohmann::json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump();
-    }
-
     wire::Header header(const std::string& name, const std::string& value)
     {
         wire::Header out;
@@ -44,8 +39,6 @@
         return out;
     }
 
-    std::string retryAfterSeconds(int64_t ms) { return std::to_string(std::max<int64_t>(1, (ms + 999) / 1000)); }
-
     const char* keyRemedy(KeyProblem problem)
     {
         switch (problem) {
@@ -66,6 +59,7 @@
 // One call of a caller, from its arrival to its answer.
 struct CallPath::Call {
     http::HttpRequest request;
+    CallTerms terms;
     std::shared_ptr<http::HttpReply> reply;
     MeshViewPtr view;
     const wire::Route* route { nullptr };
@@ -73,8 +67,9 @@
     const wire::ServiceResource* service { nullptr };
     Instant deadline;
     int64_t retriesLeft { 0 };
-    int64_t depth { 0 };
-    int attempts { 0 };
+    Instant arrived;
+    int attempts { 0 }; // targets that may have received it
+    int refusals { 0 }; // gates that had no room
     std::set<std::string> tried;
     std::optional<ClaimHandle> claim;
     std::string version;
@@ -84,17 +79,17 @@
     uint64_t localCall { 0 };
 };
 
-CallPath::CallPath(
-    boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock, Observe observe, uint64_t seed)
+CallPath::CallPath(boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol,
+    const base::Clock& clock, Observe observe, uint64_t seed)
     : m_settings(settings)
+    , m_protocol(protocol)
     , m_clock(clock)
     , m_observe(std::move(observe))
     , m_view(std::make_shared<MeshView>())
     , m_peers(io, settings, *this)
-    , m_local(io, settings, clock)
+    , m_local(io, settings, protocol, clock)
     , m_claimer(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed)
-    , m_retryBudget(RETRY_RESERVE_PER_SECOND, RETRY_BURST, clock.now())
 {
     http::HttpLimits limits;
     limits.bodyBytes = static_cast<size_t>(settings.maxBodyBytes);
@@ -105,6 +100,7 @@
 void CallPath::takeView(MeshViewPtr view)
 {
     m_view = std::move(view);
+    applyLimits();
     m_balancer.retain(*m_view->targets);
     for (const auto* service : m_view->config->services()) {
         auto& watch = m_watches[service->name];
@@ -119,6 +115,32 @@
     }
 }
 
+void CallPath::applyLimits()
+{
+    const auto* release = m_view->config->release();
+    if (!release || release->number == m_limitsRelease)
+        return;
+    m_limitsRelease = release->number;
+    http::HttpLimits limits;
+    limits.headerBytes = static_cast<size_t>(release->headerBytes);
+    limits.bodyBytes = static_cast<size_t>(std::min(release->bodyBytes, m_settings.maxBodyBytes));
+    limits.requestTimeout = m_settings.callerTimeout;
+    limits.headerTimeout = Millis(release->headerTimeoutMs);
+    limits.idleTimeout = Millis(release->idleTimeoutMs);
+    m_server->setLimits(limits);
+    base::logInfo("callers.limits", { { "release", release->number }, { "header_bytes", release->headerBytes } });
+}
+
+base::TokenBucket& CallPath::retryBudget(const std::string& service)
+{
+    auto it = m_retryBudgets.find(service);
+    if (it == m_retryBudgets.end())
+        it = m_retryBudgets
+                 .emplace(service, base::TokenBucket(m_settings.retryReserve, m_settings.retryBurst, m_clock.now()))
+                 .first;
+    return it->second;
+}
+
 // ---- arrival ----
 
 void CallPath::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
@@ -129,11 +151,13 @@
     call->request = std::move(request);
     call->reply = std::move(reply);
     call->view = m_view;
+    call->arrived = m_clock.now();
+    call->terms = m_protocol.readTerms(call->request);
     if (!admit(call))
         return;
     call->reply->onCancel([this, call] { cancelled(call); });
-    m_retryBudget.give(m_settings.retryShare);
-    if (!call->route->idempotent && !http::findHeader(call->request.headers, KEY_HEADER).empty())
+    retryBudget(call->service->name).give(m_settings.retryShare);
+    if (call->account && !call->route->idempotent && !http::findHeader(call->request.headers, KEY_HEADER).empty())
         return claim(call);
     dispatch(call);
 }
@@ -165,21 +189,22 @@
             call, 405, "invalid_input", "the route does not take " + call->request.method, "use a method of the route");
     call->route = match.route;
     call->account = match.account;
-    call->service = m_view->config->service(match.route->serviceName);
-    call->depth = headerNumber(headers, DEPTH_HEADER, 0);
-    if (call->depth >= MOST_DEPTH)
+    const auto& serviceName = match.route->split.empty() ? match.route->serviceName : m_weights.choose(*match.route);
+    call->service = m_view->config->service(serviceName);
+    const auto& terms = call->terms;
+    if (terms.depth >= MOST_DEPTH)
         return refuseEarly(
             call, 508, "invalid_input", "the call has passed too many nodes", "look for a loop between services");
-    bool isTop = call->depth == 0;
-    call->retriesLeft
-        = std::clamp<int64_t>(headerNumber(headers, RETRIES_HEADER, isTop ? MOST_RETRIES : 0), 0, MOST_RETRIES);
-    int64_t budget
-        = std::min<int64_t>(match.route->timeoutMs, headerNumber(headers, DEADLINE_HEADER, match.route->timeoutMs));
-    if (budget <= 0)
+    bool isTop = terms.depth == 0;
+    int64_t mostRetries = match.route->maxAttempts > 0 ? match.route->maxAttempts - 1 : MOST_RETRIES;
+    call->retriesLeft = std::clamp<int64_t>(terms.retriesLeft.value_or(isTop ? mostRetries : 0), 0, mostRetries);
+    Millis routeBudget(match.route->timeoutMs);
+    auto budget = std::min(routeBudget, terms.budget.value_or(routeBudget));
+    if (budget <= Millis(0))
         return refuseEarly(call, STATUS_TIMEOUT, "timeout", "the deadline has passed", "allow more time");
-    call->deadline = m_clock.now() + Millis(budget);
+    call->deadline = call->arrived + budget;
     // A limit counts what callers ask for, so calls that targets make on their behalf are not counted again.
-    if (!isTop || !m_settings.limitsEnabled)
+    if (!isTop || !call->account || !m_settings.limitsEnabled)
         return true;
     auto verdict = m_limiter.take(*call->account, m_clock.now());
     if (verdict.allowed)
@@ -271,19 +296,22 @@
     const auto& targets = *m_view->targets;
     auto now = m_clock.now();
     // Only a first attempt may go to a move's new version; what failed once goes where it is known to work.
-    std::string version = service.stable;
-    if (call->attempts == 0)
-        version = m_splitter.choose(service, m_view->beaconAt, now);
-    auto target = m_balancer.choose(targets, service.name, version, call->tried, now);
-    if (!target && version != service.stable) {
-        m_splitter.giveBack(service);
-        version = service.stable;
-        target = m_balancer.choose(targets, service.name, version, call->tried, now);
+    bool toCandidate = call->attempts == 0 && !service.candidate.empty()
+        && m_splitter.choose(service, m_view->beaconAt, now) == service.candidate;
+    std::optional<wire::Presence> target;
+    if (toCandidate) {
+        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, call->tried, now);
+        if (!target)
+            m_splitter.giveBack(service);
     }
+    targets::VersionChoice stable { service.stable, { service.candidate, service.excluded } };
+    if (!target)
+        target = m_balancer.choose(targets, service.name, stable, call->tried, now);
     // Rather a target that was tried than none, when all others are gone.
     if (!target && !call->tried.empty())
-        target = m_balancer.choose(targets, service.name, version, {}, now);
-    call->version = version;
+        target = m_balancer.choose(targets, service.name, stable, {}, now);
+    if (target)
+        call->version = target->version;
     return target;
 }
 
@@ -296,7 +324,6 @@
         answer.reason = "no target of service '" + call->service->name + "' can take the call";
         return finish(call, std::move(answer));
     }
-    ++call->attempts;
     call->tried.insert(target->target);
     call->target = target->target;
     send(call, *target);
@@ -312,15 +339,17 @@
     wire::CallRequest request;
     request.method = call->request.method;
     request.path = call->request.path;
-    request.headers = endToEndHeaders(call->request.headers);
-    request.headers.push_back(header(RETRIES_HEADER, std::to_string(call->retriesLeft)));
-    request.headers.push_back(header(DEPTH_HEADER, std::to_string(call->depth + 1)));
+    request.headers = m_protocol.forwardedHeaders(call->request, call->retriesLeft, call->terms.depth + 1);
     request.body = call->request.body;
     request.budgetMs = static_cast<int32_t>(left.count());
     request.serviceName = call->service->name;
     request.target = target.target;
-    request.account = call->account->name;
-    request.priority = call->account->priority;
+    request.account = call->account ? call->account->name : call->route->name;
+    request.priority = call->account ? call->account->priority : call->route->priority;
+    request.requestId = call->terms.requestId;
+    request.callerService = m_settings.localService;
+    request.incarnation = target.incarnation;
+    request.objectiveMs = static_cast<int32_t>(call->route->objectiveMs - base::toMillis(now - call->arrived));
     m_balancer.started(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { answered(call, target, now, std::move(answer)); };
     call->peerCall = 0;
@@ -344,7 +373,7 @@
         return;
     }
     if (answer.outcome != Outcome::RAN && mayRetry(call, answer)) {
-        --call->retriesLeft;
+        logCall(call, "call.retried", answer);
         ++m_counts.retries;
         return dispatch(call);
     }
@@ -365,7 +394,7 @@
     record.serviceName = call->service->name;
     record.version = target.version;
     record.route = call->route->path;
-    record.account = call->account->name;
+    record.account = call->account ? call->account->name : call->route->name;
     record.target = target.target;
     record.dataCentre = target.dataCentre;
     record.failed = answer.outcome != Outcome::RAN || answer.status >= FIRST_FAILURE_STATUS;
@@ -374,12 +403,21 @@
     m_evidence.record(record);
 }
 
-// What surely did not run may be sent elsewhere; what may have run only when running it twice does no harm.
+// What surely did not run may be sent elsewhere; what may have run only when running it twice does no harm. What
+// has not reached a target, because a gate refused it or its node could not be reached, has cost no target anything: it
+// neither counts as an attempt nor draws on the retry budget.
 bool CallPath::mayRetry(const CallPtr& call, const wire::CallAnswer& answer)
 {
     bool safe = answer.outcome == Outcome::NOT_RUN || call->route->idempotent;
-    bool hasTime = call->deadline - m_clock.now() > Millis(1);
-    return safe && hasTime && call->retriesLeft > 0 && m_retryBudget.tryTake(m_clock.now());
+    if (!safe || call->deadline - m_clock.now() <= Millis(1))
+        return false;
+    if (answer.outcome == Outcome::NOT_RUN && !answer.arrived)
+        return ++call->refusals <= MOST_GATES;
+    ++call->attempts;
+    if (call->retriesLeft <= 0 || !retryBudget(call->service->name).tryTake(m_clock.now()))
+        return false;
+    --call->retriesLeft;
+    return true;
 }
 
 // ---- the answer ----
@@ -401,27 +439,22 @@
 {
     m_counts.notRun += answer.outcome == Outcome::NOT_RUN ? 1 : 0;
     m_counts.unknown += answer.outcome == Outcome::UNKNOWN ? 1 : 0;
-    http::HttpResponse response;
-    response.status = answer.status;
-    for (const auto& it : answer.headers) {
-        if (!http::equalNames(it.name, OUTCOME_HEADER))
-            response.headers.push_back({ it.name, it.value });
-    }
-    response.body = answer.body;
-    if (!response.status || (answer.outcome == Outcome::UNKNOWN && response.status < 400)) {
-        bool notRun = answer.outcome == Outcome::NOT_RUN;
-        response.status = notRun ? STATUS_UNAVAILABLE : STATUS_TIMEOUT;
-        response.headers = { { "Content-Type", "application/json" } };
-        const char* remedy
-            = notRun ? "send it again" : "send it again if it is idempotent or carries an Idempotency-Key";
-        response.body = errorBody(notRun ? "unavailable" : "timeout", answer.reason, remedy);
-    }
-    if (answer.outcome == Outcome::NOT_RUN && (response.status == STATUS_UNAVAILABLE || response.status == 429))
-        response.headers.push_back({ "Retry-After", retryAfterSeconds(answer.retryAfterMs) });
-    response.headers.push_back({ OUTCOME_HEADER, outcomeText(answer.outcome) });
-    if (!call->version.empty() && answer.outcome == Outcome::RAN)
-        response.headers.push_back({ VERSION_HEADER, call->version });
-    call->reply->send(std::move(response));
+    if (answer.outcome != Outcome::RAN)
+        logCall(call, "call.failed", answer);
+    call->reply->send(m_protocol.callerResponse(answer, call->terms, call->version));
+}
+
+// One line for each call that did not go well; served calls are counted in the metrics only.
+void CallPath::logCall(const CallPtr& call, const char* event, const wire::CallAnswer& answer) const
+{
+    auto now = m_clock.now();
+    const auto* release = call->view->config->release();
+    base::logInfo(event,
+        { { "request", call->terms.requestId }, { "outcome", outcomeText(answer.outcome) }, { "status", answer.status },
+            { "reason", answer.reason }, { "route", call->route ? call->route->name : "" }, { "target", call->target },
+            { "attempts", call->attempts }, { "refusals", call->refusals },
+            { "age_ms", base::toMillis(now - call->arrived) }, { "left_ms", base::toMillis(call->deadline - now) },
+            { "release", release ? release->number : 0 }, { "retry_after_ms", answer.retryAfterMs } });
 }
 
 void CallPath::cancelled(const CallPtr& call)
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -10,8 +10,10 @@
 #include "pomelowind/callers/AccountLimiter.h"
 #include "pomelowind/callers/EvidenceRecorder.h"
 #include "pomelowind/callers/VersionSplitter.h"
+#include "pomelowind/callers/WeightedSplitter.h"
 #include "pomelowind/http/HttpServer.h"
 #include "pomelowind/moves/EvidenceBook.h"
+#include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/Balancer.h"
 
 #include <functional>
@@ -38,8 +40,8 @@
     using Observe = std::function<void(wire::Report)>;
 
     // Binds the caller and call addresses.
-    CallPath(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock, Observe observe,
-        uint64_t seed);
+    CallPath(boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol,
+        const base::Clock& clock, Observe observe, uint64_t seed);
 
     void takeView(MeshViewPtr view);
     void takeLocalTargets(const std::vector<Announcement>& targets) { m_local.update(targets); }
@@ -83,7 +85,12 @@
     void cancelled(const CallPtr& call);
     void judgeMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report);
 
+    void applyLimits();
+    base::TokenBucket& retryBudget(const std::string& service);
+    void logCall(const CallPtr& call, const char* event, const wire::CallAnswer& answer) const;
+
     const NodeSettings& m_settings;
+    const CallProtocol& m_protocol;
     const base::Clock& m_clock;
     Observe m_observe;
     MeshViewPtr m_view;
@@ -94,7 +101,9 @@
     callers::VersionSplitter m_splitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
-    base::TokenBucket m_retryBudget;
+    int64_t m_limitsRelease { 0 }; // release whose caller bounds the server applies
+    callers::WeightedSplitter m_weights;
+    std::map<std::string, base::TokenBucket> m_retryBudgets; // by service
     std::map<std::string, Watch> m_watches; // by service
     std::map<std::pair<const void*, int64_t>, uint64_t> m_remoteCalls;
     std::unique_ptr<http::HttpServer> m_server;
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -36,9 +36,8 @@
     }
 
     // Control hosts of the own data centre first; the others in an order that differs between nodes.
-    std::vector<nodes::Parent> controlParents(const NodeSettings& settings)
+    std::vector<nodes::Parent> controlParents(const NodeSettings& settings, std::vector<ControlAddress> hosts)
     {
-        auto hosts = settings.control;
         std::sort(hosts.begin(), hosts.end(), [&](const ControlAddress& a, const ControlAddress& b) {
             bool nearA = a.dataCentre == settings.dataCentre;
             bool nearB = b.dataCentre == settings.dataCentre;
@@ -59,7 +58,7 @@
     : m_settings(settings)
     , m_outputs(outputs)
     , m_random(seed)
-    , m_chooser(settings.id, settings.dataCentre, controlParents(settings), seed + 1)
+    , m_chooser(settings.id, settings.dataCentre, controlParents(settings, settings.control), seed + 1)
     , m_feeder(relayOptions(), now)
     , m_state(std::make_shared<config::ConfigState>())
     , m_active(m_state)
@@ -105,7 +104,8 @@
     if (now < m_chooseDue && m_parent)
         return;
     m_chooseDue = now + CHOOSE_PERIOD;
-    auto best = m_chooser.choose(m_directory.liveNodes(m_settings.dataCentre), now);
+    auto relays = m_settings.relays ? m_directory.liveNodes(m_settings.dataCentre) : std::vector<wire::NodeInfo>();
+    auto best = m_chooser.choose(relays, now);
     // While cut off nobody has a beacon; the present parent is then as good as any.
     if (!best || (m_parent && (*best == *m_parent || !m_admitted)))
         return;
@@ -160,6 +160,7 @@
     }
     m_admitted = true;
     m_attemptDue = now + BEACON_LIFETIME;
+    learnControlHosts(answer.controlHosts);
     m_chooser.succeeded(m_parent->id);
     if (answer.fresh || m_parent->isControl) {
         m_floorKnown = true;
@@ -174,6 +175,22 @@
     updateServing(now);
 }
 
+// The seeds may be gone by the time they are needed; the members of the control group are asked as well.
+void DistributionCore::learnControlHosts(const std::vector<std::string>& hosts)
+{
+    if (!m_settings.discovers || hosts.empty())
+        return;
+    auto all = m_settings.control;
+    for (const auto& it : hosts) {
+        auto address = base::parseAddress(it);
+        bool known
+            = std::any_of(all.begin(), all.end(), [&](const ControlAddress& host) { return host.address == address; });
+        if (!known)
+            all.push_back({ it, {}, address });
+    }
+    m_chooser.setControlHosts(controlParents(m_settings, std::move(all)));
+}
+
 void DistributionCore::parentFrame(links::Kind kind, std::string_view payload, Instant now)
 {
     switch (kind) {
@@ -464,8 +481,35 @@
 
 void DistributionCore::announced(const Announcement& announcement, Instant now)
 {
+    bool isForeign = (m_settings.targetAddress && announcement.address != *m_settings.targetAddress)
+        || (!m_settings.localService.empty() && announcement.serviceName != m_settings.localService);
+    if (isForeign)
+        throw base::UserError(base::ErrorKind::InvalidInput,
+            "target '" + announcement.target + "' at " + announcement.address.text() + " of service '"
+                + announcement.serviceName + "' is not this host's",
+            "announce it to the node of its own host");
+    for (const auto& [name, slot] : m_localTargets) {
+        const auto& known = slot.announcement;
+        bool sameLife = name == announcement.target && known.incarnation == announcement.incarnation;
+        bool isLate = (sameLife && announcement.sequence && announcement.sequence <= known.sequence)
+            || (sameLife && slot.departed)
+            || (known.address == announcement.address && known.incarnation > announcement.incarnation);
+        if (isLate) {
+            base::logInfo("target.late_announcement",
+                { { "target", announcement.target }, { "sequence", announcement.sequence },
+                    { "known_sequence", known.sequence } });
+            return;
+        }
+    }
+    retireOthersAt(announcement, now);
     auto& slot = m_localTargets[announcement.target];
-    bool changed = !(slot.announcement == announcement);
+    // Sequence numbers and the remaining cold time change with every announcement and are no news to others.
+    Announcement comparable = announcement;
+    comparable.sequence = slot.announcement.sequence;
+    comparable.coldLeft = slot.announcement.coldLeft;
+    bool changed = !(slot.announcement == comparable);
+    if (slot.announcement.incarnation != announcement.incarnation)
+        slot.departed = false;
     slot.announcement = announcement;
     slot.leaseEnd = now + m_settings.targetLease;
     if (!changed)
@@ -474,6 +518,32 @@
     publish();
 }
 
+// A newer target at an address means that the one before it is gone, whether or not it said so.
+void DistributionCore::retireOthersAt(const Announcement& announcement, Instant now)
+{
+    for (auto& [name, slot] : m_localTargets) {
+        bool replaced = name != announcement.target && slot.announcement.address == announcement.address
+            && slot.announcement.state != wire::TargetState::GONE;
+        if (!replaced)
+            continue;
+        base::logInfo("target.replaced", { { "target", name }, { "by", announcement.target } });
+        slot.announcement.state = wire::TargetState::GONE;
+        reportTarget(slot, now);
+    }
+}
+
+// A target that leaves without notice still answers what it has; only new work stops.
+void DistributionCore::departed(const std::string& target, Instant now)
+{
+    auto it = m_localTargets.find(target);
+    if (it == m_localTargets.end() || it->second.announcement.state == wire::TargetState::GONE)
+        return;
+    it->second.announcement.state = wire::TargetState::LEAVING;
+    it->second.departed = true;
+    reportTarget(it->second, now);
+    publish();
+}
+
 void DistributionCore::reportTarget(const LocalTarget& target, Instant now)
 {
     const auto& it = target.announcement;
@@ -489,6 +559,7 @@
     bool leaves = m_leaving && it.state != wire::TargetState::GONE;
     presence.state = leaves ? wire::TargetState::LEAVING : it.state;
     presence.slots = it.slots;
+    presence.coldLeftMs = static_cast<int32_t>(it.coldLeft.value_or(Millis(0)).count());
     base::logInfo("target.announced",
         { { "target", it.target }, { "service", it.serviceName }, { "version", it.version },
             { "state", static_cast<int>(presence.state) } });
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -9,6 +9,7 @@
 #include "pomelowind/links/Link.h"
 #include "pomelowind/node/MeshView.h"
 #include "pomelowind/node/NodeSettings.h"
+#include "pomelowind/node/TargetRegistry.h"
 #include "pomelowind/nodes/Acks.h"
 #include "pomelowind/nodes/Directory.h"
 #include "pomelowind/nodes/Feeder.h"
@@ -21,18 +22,6 @@
 
 namespace pomelowind::node {
 
-// A target's own announcement to its node.
-struct Announcement {
-    std::string target;
-    std::string serviceName;
-    std::string version;
-    base::Address address;
-    int slots { 0 };
-    int64_t incarnation { 0 };
-    wire::TargetState::type state { wire::TargetState::SERVING };
-    bool operator==(const Announcement&) const = default;
-};
-
 // Implemented by the threads; called on the distribution duty.
 class DistributionOutputs {
 public:
@@ -64,7 +53,11 @@
     void digestAnswered(std::string_view payload, base::Instant now);
     // The encoded answer to a peer's encoded digest. Throws UserError(Protocol).
     std::string answerDigest(std::string_view payload) const;
+    // Throws UserError(InvalidInput) when the announcement names no target of this host.
     void announced(const Announcement& announcement, base::Instant now);
+    void departed(const std::string& target, base::Instant now);
+    // Mesh addresses of control hosts that may feed this node, besides the configured ones.
+    void learnControlHosts(const std::vector<std::string>& hosts);
     // Evidence and alarms of this node's calls.
     void observed(const wire::Report& report);
     // The node is about to stop: its targets take no new work from elsewhere.
@@ -85,9 +78,11 @@
     struct LocalTarget {
         Announcement announcement;
         base::Instant leaseEnd;
+        bool departed { false }; // has said that it leaves for good; later announcements are late ones
     };
 
     void chooseParent(base::Instant now);
+    void retireOthersAt(const Announcement& announcement, base::Instant now);
     void subscribe(int64_t base);
     void subscribeAnswer(const wire::SubscribeAnswer& answer, base::Instant now);
     void takeDelta(const wire::Delta& delta, base::Instant now);
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -1,65 +1,17 @@
 #include "LocalTargets.h"
 
-#include "CallHeaders.h"
+#include "pomelowind/base/Log.h"
 
 namespace pomelowind::node {
 
-using http::ExchangeEnd;
 using targets::GateVerdict;
 using wire::Outcome;
 
-namespace {
-
-    constexpr int SERVICE_UNAVAILABLE = 503;
-
-    http::HttpRequest toHttp(const wire::CallRequest& request, base::Millis budget)
-    {
-        http::HttpRequest out;
-        out.method = request.method;
-        out.path = request.path;
-        for (const auto& it : request.headers)
-            out.headers.push_back({ it.name, it.value });
-        out.headers.push_back({ DEADLINE_HEADER, std::to_string(budget.count()) });
-        out.body = request.body;
-        return out;
-    }
-
-    // What a finished exchange says about whether the request ran.
-    wire::CallAnswer toAnswer(http::ExchangeResult result)
-    {
-        wire::CallAnswer out;
-        switch (result.end) {
-        case ExchangeEnd::Answered:
-            break;
-        case ExchangeEnd::NotSent:
-            out.outcome = Outcome::NOT_RUN;
-            out.reason = "the target cannot be reached: " + result.error;
-            out.fault = true;
-            return out;
-        case ExchangeEnd::Ambiguous:
-        case ExchangeEnd::TimedOut:
-        case ExchangeEnd::Cancelled:
-            out.outcome = Outcome::UNKNOWN;
-            out.reason = "the target did not answer: " + result.error;
-            out.fault = true;
-            return out;
-        }
-        // Only the target itself can know that a request it received did not run.
-        bool shed = http::findHeader(result.response.headers, OUTCOME_HEADER) == NOT_RUN;
-        out.outcome = shed ? Outcome::NOT_RUN : Outcome::RAN;
-        out.reason = shed ? "the target had no room" : "";
-        out.status = result.response.status;
-        out.fault = out.status == SERVICE_UNAVAILABLE;
-        out.headers = endToEndHeaders(result.response.headers);
-        out.body = std::move(result.response.body);
-        return out;
-    }
-
-}
-
-LocalTargets::LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock)
+LocalTargets::LocalTargets(
+    boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol, const base::Clock& clock)
     : m_io(io)
     , m_settings(settings)
+    , m_protocol(protocol)
     , m_clock(clock)
 {
 }
@@ -75,10 +27,13 @@
         if (!same) {
             targets::GateOptions options;
             options.slots = it.slots;
-            options.coldStart = m_settings.coldStart;
+            options.coldStart = it.coldLeft.value_or(m_settings.coldStart);
             options.limited = m_settings.limitsEnabled;
             target->gate = std::make_unique<targets::Gate>(options, m_clock.now());
-            target->client = http::makeHttpClient(m_io, it.address, static_cast<size_t>(m_settings.targetConnections));
+            http::HttpClientOptions client;
+            client.connections = static_cast<size_t>(m_settings.targetConnections);
+            client.echoHeader = m_protocol.echoHeader();
+            target->client = http::makeHttpClient(m_io, it.address, client);
         }
         target->announcement = it;
         target->gate->setSlots(it.slots);
@@ -88,6 +43,15 @@
         }
         next[it.target] = target;
     }
+    // Calls that wait for a target which is gone are refused; those that run keep their target until they end.
+    for (auto& [name, target] : m_targets) {
+        auto found = next.find(name);
+        if (found != next.end() && found->second == target)
+            continue;
+        target->isLeaving = true;
+        carryOut(*target, target->gate->leave());
+        target->client->close();
+    }
     m_targets = std::move(next);
 }
 
@@ -157,7 +121,7 @@
     call.running = true;
     call.started = m_clock.now();
     auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
-    auto request = toHttp(call.request, left);
+    auto request = m_protocol.targetRequest(call.request, left);
     call.request.body.clear();
     // The closure keeps the target's gate alive until the call has ended, also when the target is gone by then.
     auto target = m_targets.at(call.target);
@@ -179,7 +143,7 @@
         return;
     Call call = std::move(it->second);
     m_calls.erase(it);
-    auto answer = toAnswer(std::move(result));
+    auto answer = m_protocol.targetAnswer(call.request, std::move(result));
     addLoad(call.target, answer);
     call.done(std::move(answer));
 }
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -4,6 +4,7 @@
 #include "DistributionCore.h"
 #include "PeerCalls.h"
 #include "pomelowind/http/HttpClient.h"
+#include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/Gate.h"
 
 #include <map>
@@ -16,7 +17,8 @@
 // Thread safety: confined to the calls duty.
 class LocalTargets {
 public:
-    LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock);
+    LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol,
+        const base::Clock& clock);
 
     // Takes the targets that have announced themselves; others are forgotten once idle.
     void update(const std::vector<Announcement>& targets);
@@ -55,6 +57,7 @@
 
     boost::asio::io_context& m_io;
     const NodeSettings& m_settings;
+    const CallProtocol& m_protocol;
     const base::Clock& m_clock;
     std::map<std::string, std::shared_ptr<Target>> m_targets;
     std::unordered_map<uint64_t, Call> m_calls;
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -3,12 +3,14 @@
 #include "AnnounceApi.h"
 #include "CallPath.h"
 #include "DistributionNetwork.h"
+#include "ReadyApi.h"
 #include "pomelowind/base/Duty.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/Mailbox.h"
 #include "pomelowind/base/TimerService.h"
-#include "pomelowind/platform/Metrics.h"
+#include "pomelowind/host/Metrics.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <future>
 
@@ -21,7 +23,6 @@
     constexpr auto CALLS_TICK = base::Millis(20);
     constexpr auto EVIDENCE_PERIOD = base::Millis(250);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
-    constexpr auto STOP_TIMEOUT = std::chrono::seconds(60);
     constexpr auto FAREWELL = std::chrono::milliseconds(150);
 
     // Runs `task` on `duty` and waits for it.
@@ -38,10 +39,11 @@
 }
 
 // Joins the duties. Rings: distribution -> calls (views, local targets), calls -> distribution (evidence, alarms).
-class NodeHost::Impl {
+class NodeHost::Impl final : public TargetRegistry {
 public:
-    explicit Impl(NodeSettings settings)
+    Impl(NodeSettings settings, NodeProtocols protocols)
         : m_settings(std::move(settings))
+        , m_protocol(protocols.calls ? std::move(protocols.calls) : makeProductCallProtocol())
         , m_distribution("distribution")
         , m_callsDuty("calls")
         , m_views(
@@ -50,23 +52,29 @@
               [this](std::vector<Announcement>&& targets) { m_calls->takeLocalTargets(targets); })
         , m_observations(
               m_distribution.context(), RING_CAPACITY, [this](wire::Report&& report) { m_core->observed(report); })
-        , m_metrics(platform::serveMetrics(m_settings.metricsAddress))
+        , m_metrics(host::serveMetrics(m_settings.metricsAddress))
         , m_network(
               m_distribution.context(), m_settings, m_clock,
-              [this](MeshViewPtr view) { m_views.tryPut(std::move(view)); },
+              [this](MeshViewPtr view) {
+                  m_ready.setReady(view->serving && !m_stopped);
+                  m_views.tryPut(std::move(view));
+              },
               [this](std::vector<Announcement> targets) { m_localTargets.tryPut(std::move(targets)); })
         , m_core(std::make_unique<DistributionCore>(
               m_settings, m_network, m_clock.now(), m_clock.wallMs(), base::platformSeed()))
         , m_calls(std::make_unique<CallPath>(
-              m_callsDuty.context(), m_settings, m_clock,
+              m_callsDuty.context(), m_settings, *m_protocol, m_clock,
               [this](wire::Report report) { m_observations.tryPut(std::move(report)); }, base::platformSeed()))
-        , m_announceApi(m_settings, *m_core, m_clock)
+        , m_announceApi(protocols.announce ? protocols.announce(*this)
+                                           : std::make_unique<AnnounceApi>(m_settings, *m_core, m_clock))
         , m_announceServer(
-              http::makeHttpServer(m_distribution.context(), m_settings.announceAddress, {}, m_announceApi))
+              http::makeHttpServer(m_distribution.context(), m_settings.announceAddress, {}, *m_announceApi))
         , m_timers(base::makeTimerService())
     {
         m_network.attach(*m_core);
         makeGauges();
+        if (m_settings.readyAddress)
+            m_readyServer = http::makeHttpServer(m_distribution.context(), *m_settings.readyAddress, {}, m_ready);
         subscribeTimers();
         m_callsDuty.start();
         m_distribution.start();
@@ -75,19 +83,34 @@
                 { "mesh", m_settings.meshAddress.text() } });
     }
 
-    ~Impl() { stop(); }
+    ~Impl() override { stop(); }
+
+    void reload(const NodeSettings& settings)
+    {
+        std::vector<std::string> seeds;
+        for (const auto& it : settings.control)
+            seeds.push_back(it.address.text());
+        boost::asio::post(m_distribution.context(), [this, seeds] { m_core->learnControlHosts(seeds); });
+        base::logInfo("settings.reloaded", { { "id", m_settings.id }, { "seeds", seeds.size() } });
+    }
+
+    // ---- TargetRegistry, on the distribution duty ----
+
+    void announced(const Announcement& announcement) override { m_core->announced(announcement, m_clock.now()); }
+    void departed(const std::string& target) override { m_core->departed(target, m_clock.now()); }
 
     void stop()
     {
-        if (std::exchange(m_stopped, true))
+        if (m_stopped.exchange(true))
             return;
+        m_ready.setReady(false);
         base::logInfo("node.draining", { { "id", m_settings.id } });
         runOn(m_distribution, [this] { m_core->leave(m_clock.now()); });
         auto drained = std::make_shared<std::promise<void>>();
         auto future = drained->get_future();
         boost::asio::post(
             m_callsDuty.context(), [this, drained] { m_calls->drain([drained] { drained->set_value(); }); });
-        bool whole = future.wait_for(STOP_TIMEOUT) == std::future_status::ready;
+        bool whole = future.wait_for(m_settings.stopTimeout) == std::future_status::ready;
         runOn(m_distribution, [this] { m_core->gone(m_clock.now()); });
         std::this_thread::sleep_for(FAREWELL);
         m_subscriptions.clear();
@@ -95,6 +118,8 @@
         runOn(m_callsDuty, [this] { m_calls->close(); });
         runOn(m_distribution, [this] {
             m_announceServer->close();
+            if (m_readyServer)
+                m_readyServer->close();
             m_network.close();
         });
         m_callsDuty.stop();
@@ -140,30 +165,34 @@
     }
 
     NodeSettings m_settings;
+    std::unique_ptr<CallProtocol> m_protocol;
+    ReadyApi m_ready;
     base::SystemClock m_clock;
     base::Duty m_distribution;
     base::Duty m_callsDuty;
     base::Mailbox<MeshViewPtr> m_views;
     base::Mailbox<std::vector<Announcement>> m_localTargets;
     base::Mailbox<wire::Report> m_observations;
-    std::unique_ptr<platform::Metrics> m_metrics;
+    std::unique_ptr<host::Metrics> m_metrics;
     DistributionNetwork m_network;
     std::unique_ptr<DistributionCore> m_core;
     std::unique_ptr<CallPath> m_calls;
-    AnnounceApi m_announceApi;
+    std::unique_ptr<http::HttpHandler> m_announceApi;
     std::unique_ptr<http::HttpServer> m_announceServer;
+    std::unique_ptr<http::HttpServer> m_readyServer;
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::Subscription>> m_subscriptions;
-    std::shared_ptr<platform::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries,
-        m_limited;
-    bool m_stopped { false };
+    std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
+    std::atomic<bool> m_stopped { false };
 };
 
-NodeHost::NodeHost(NodeSettings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+NodeHost::NodeHost(NodeSettings settings, NodeProtocols protocols)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(protocols)))
 {
 }
 
+void NodeHost::reload(const NodeSettings& settings) { m_impl->reload(settings); }
+
 NodeHost::~NodeHost() = default;
 
 void NodeHost::stop() { m_impl->stop(); }
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -38,24 +38,42 @@
     NodeSettings out;
     out.mesh = reader.text("mesh");
     out.meshKey = reader.text("mesh_key");
-    out.id = reader.text("id");
+    out.discovers = reader.has("control_seeds");
     out.dataCentre = reader.text("data_centre");
     out.callerAddress = reader.address("caller_address");
     out.meshAddress = reader.address("mesh_address");
+    out.id = out.discovers ? out.meshAddress.text() : reader.text("id");
     out.callAddress = reader.address("call_address");
     out.announceAddress = reader.address("announce_address");
     out.metricsAddress = reader.address("metrics_address");
     out.meshAdvertised = reader.has("mesh_advertised") ? reader.address("mesh_advertised") : out.meshAddress;
     out.callAdvertised = reader.has("call_advertised") ? reader.address("call_advertised") : out.callAddress;
     out.logLevel = reader.text("log_level", "info");
-    readControlHosts(reader, out);
+    if (out.discovers) {
+        for (const auto& it : base::seedAddresses(reader, "control_seeds", out.meshAddress.port))
+            out.control.push_back({ it.text(), {}, it });
+    } else {
+        readControlHosts(reader, out);
+    }
+    out.relays = reader.flag("relays", true);
+    out.protocol = reader.text("protocol", out.protocol);
+    if (out.protocol != "product" && out.protocol != "platform")
+        reader.problem("protocol", "is neither product nor platform", "use one of the two");
+    if (reader.has("ready_address"))
+        out.readyAddress = reader.address("ready_address");
+    if (reader.has("target_address"))
+        out.targetAddress = reader.address("target_address");
+    out.localService = reader.text("local_service", "");
+    out.stopTimeout = reader.millis("stop_timeout_ms", out.stopTimeout, Millis(100), Millis(600000));
+    out.retryReserve = reader.real("retry_reserve", out.retryReserve, 0, 10000);
+    out.retryBurst = reader.real("retry_burst", out.retryBurst, 0.1, 10000);
     readSeeds(reader, out);
     for (const auto& it : reader.textsOr("services", {}))
         out.services.insert(it);
     out.targetLease = reader.millis("target_lease_ms", out.targetLease, Millis(500), Millis(60000));
     out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
     out.targetConnections = reader.integer("target_connections", out.targetConnections, 1, 10000);
-    out.maxBodyBytes = reader.integer("max_body_bytes", out.maxBodyBytes, 1024, 16 * MIB);
+    out.maxBodyBytes = reader.integer("max_body_bytes", out.maxBodyBytes, 1024, 128 * MIB);
     out.callerTimeout = reader.millis("caller_timeout_ms", out.callerTimeout, Millis(100), Millis(600000));
     out.drainGrace = reader.millis("drain_grace_ms", out.drainGrace, Millis(0), Millis(60000));
     out.claimMemoryBytes = reader.integer("claim_memory_bytes", out.claimMemoryBytes, MIB / 16, 1024 * MIB);
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -90,7 +90,7 @@
     m_pending.erase(it);
 }
 
-void PeerCalls::finish(int64_t id, wire::Outcome::type outcome, const std::string& reason)
+void PeerCalls::finish(int64_t id, wire::Outcome::type outcome, const std::string& reason, bool timedOut)
 {
     auto it = m_pending.find(id);
     if (it == m_pending.end())
@@ -104,6 +104,8 @@
     answer.outcome = outcome;
     answer.reason = reason;
     answer.fault = true;
+    answer.arrived = outcome != wire::Outcome::NOT_RUN;
+    answer.timedOut = timedOut;
     pending.callDone(std::move(answer));
 }
 
@@ -132,7 +134,7 @@
             }
         }
         finish(id, sent ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN,
-            sent ? "no answer from the target's node in time" : "the target's node could not be reached in time");
+            sent ? "no answer from the target's node in time" : "the target's node could not be reached in time", true);
     }
     for (auto& [address, it] : m_peers) {
         if (!it.waiting.empty() && it.dialer->failures() > 0 && !it.dialer->link())
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -74,7 +74,7 @@
     Peer& peer(const std::string& address);
     int64_t addPending(Pending pending);
     void submit(const std::string& address, links::Kind kind, std::string payload, int64_t id);
-    void finish(int64_t id, wire::Outcome::type outcome, const std::string& reason);
+    void finish(int64_t id, wire::Outcome::type outcome, const std::string& reason, bool timedOut = false);
     void failWaiting(Peer& peer, const std::string& reason);
 
     boost::asio::io_context& m_io;
--- /dev/null
+++ b/src/node/ProductCallProtocol.cpp
@@ -0,0 +1,135 @@
+#include "CallHeaders.h"
+#include "pomelowind/node/CallProtocol.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pomelowind::node {
+
+using http::ExchangeEnd;
+using wire::Outcome;
+
+namespace {
+
+    constexpr int STATUS_TOO_MANY = 429;
+    constexpr int STATUS_UNAVAILABLE = 503;
+    constexpr int STATUS_TIMEOUT = 504;
+    constexpr int FIRST_ERROR_STATUS = 400;
+
+    wire::Header header(const std::string& name, const std::string& value)
+    {
+        wire::Header out;
+        out.name = name;
+        out.value = value;
+        return out;
+    }
+
+    std::string retryAfterSeconds(int64_t ms) { return std::to_string(std::max<int64_t>(1, (ms + 999) / 1000)); }
+
+    class ProductCallProtocol final : public CallProtocol {
+    public:
+        CallTerms readTerms(const http::HttpRequest& request) const override
+        {
+            CallTerms out;
+            int64_t budget = headerNumber(request.headers, DEADLINE_HEADER, -1);
+            if (budget >= 0)
+                out.budget = base::Millis(budget);
+            int64_t retries = headerNumber(request.headers, RETRIES_HEADER, -1);
+            if (retries >= 0)
+                out.retriesLeft = retries;
+            out.depth = headerNumber(request.headers, DEPTH_HEADER, 0);
+            return out;
+        }
+
+        std::vector<wire::Header> forwardedHeaders(
+            const http::HttpRequest& request, int64_t retriesLeft, int64_t depth) const override
+        {
+            auto out = endToEndHeaders(request.headers);
+            out.push_back(header(RETRIES_HEADER, std::to_string(retriesLeft)));
+            out.push_back(header(DEPTH_HEADER, std::to_string(depth)));
+            return out;
+        }
+
+        http::HttpRequest targetRequest(const wire::CallRequest& request, base::Millis left) const override
+        {
+            http::HttpRequest out;
+            out.method = request.method;
+            out.path = request.path;
+            for (const auto& it : request.headers)
+                out.headers.push_back({ it.name, it.value });
+            out.headers.push_back({ DEADLINE_HEADER, std::to_string(left.count()) });
+            out.body = request.body;
+            return out;
+        }
+
+        wire::CallAnswer targetAnswer(const wire::CallRequest&, http::ExchangeResult result) const override
+        {
+            wire::CallAnswer out;
+            out.arrived = result.end != ExchangeEnd::NotSent;
+            switch (result.end) {
+            case ExchangeEnd::Answered:
+                break;
+            case ExchangeEnd::NotSent:
+                out.outcome = Outcome::NOT_RUN;
+                out.reason = "the target cannot be reached: " + result.error;
+                out.fault = true;
+                return out;
+            case ExchangeEnd::Ambiguous:
+            case ExchangeEnd::TimedOut:
+            case ExchangeEnd::Cancelled:
+                out.outcome = Outcome::UNKNOWN;
+                out.reason = "the target did not answer: " + result.error;
+                out.fault = true;
+                return out;
+            }
+            // Only the target itself can know that a request it received did not run.
+            bool shed = http::findHeader(result.response.headers, OUTCOME_HEADER) == NOT_RUN;
+            out.outcome = shed ? Outcome::NOT_RUN : Outcome::RAN;
+            out.reason = shed ? "the target had no room" : "";
+            out.status = result.response.status;
+            out.fault = out.status == STATUS_UNAVAILABLE;
+            out.headers = endToEndHeaders(result.response.headers);
+            out.body = std::move(result.response.body);
+            return out;
+        }
+
+        http::HttpResponse callerResponse(
+            const wire::CallAnswer& answer, const CallTerms&, const std::string& version) const override
+        {
+            http::HttpResponse response;
+            response.status = answer.status;
+            for (const auto& it : answer.headers) {
+                if (!http::equalNames(it.name, OUTCOME_HEADER))
+                    response.headers.push_back({ it.name, it.value });
+            }
+            response.body = answer.body;
+            if (!response.status || (answer.outcome == Outcome::UNKNOWN && response.status < FIRST_ERROR_STATUS)) {
+                bool notRun = answer.outcome == Outcome::NOT_RUN;
+                response.status = notRun ? STATUS_UNAVAILABLE : STATUS_TIMEOUT;
+                response.headers = { { "Content-Type", "application/json" } };
+                const char* remedy
+                    = notRun ? "send it again" : "send it again if it is idempotent or carries an Idempotency-Key";
+                response.body = errorBody(notRun ? "unavailable" : "timeout", answer.reason, remedy);
+            }
+            if (answer.outcome == Outcome::NOT_RUN
+                && (response.status == STATUS_UNAVAILABLE || response.status == STATUS_TOO_MANY))
+                response.headers.push_back({ "Retry-After", retryAfterSeconds(answer.retryAfterMs) });
+            response.headers.push_back({ OUTCOME_HEADER, outcomeText(answer.outcome) });
+            if (!version.empty() && answer.outcome == Outcome::RAN)
+                response.headers.push_back({ VERSION_HEADER, version });
+            return response;
+        }
+
+        std::string echoHeader() const override { return {}; }
+    };
+
+}
+
+std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy)
+{
+    return nlohmann::json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump();
+}
+
+std::unique_ptr<CallProtocol> makeProductCallProtocol() { return std::make_unique<ProductCallProtocol>(); }
+
+} // namespace pomelowind::node
--- a/src/node/RouteTable.cpp
+++ b/src/node/RouteTable.cpp
@@ -18,8 +18,11 @@
         return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
     }
 
+    // A route without a list of methods takes all.
     bool allows(const wire::Route& route, std::string_view method)
     {
+        if (route.methods.empty())
+            return true;
         return std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
     }
 
@@ -34,6 +37,10 @@
             ++m_size;
         }
     }
+    for (const auto* route : m_config->routes()) {
+        m_byHost[route->host].push_back({ route, nullptr });
+        ++m_size;
+    }
     for (auto& [host, entries] : m_byHost) {
         std::stable_sort(entries.begin(), entries.end(),
             [](const Entry& a, const Entry& b) { return a.route->path.size() > b.route->path.size(); });
--- a/src/operators/CommandLine.cpp
+++ b/src/operators/CommandLine.cpp
@@ -63,7 +63,7 @@
             const base::Address& address, const std::string& method, const std::string& path, const json& body)
         {
             boost::asio::io_context io;
-            auto client = http::makeHttpClient(io, address, 1);
+            auto client = http::makeHttpClient(io, address, { 1 });
             http::HttpRequest request { method, path,
                 { { "Host", address.text() }, { "Authorization", "Bearer " + m_options.token } },
                 body.is_null() ? "" : body.dump() };
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -20,6 +20,13 @@
 
 }
 
+bool VersionChoice::allows(const std::string& version) const
+{
+    if (!only.empty())
+        return version == only;
+    return std::find(barred.begin(), barred.end(), version) == barred.end();
+}
+
 Balancer::Balancer(std::string dataCentre, uint64_t seed)
     : m_dataCentre(std::move(dataCentre))
     , m_random(seed)
@@ -39,20 +46,20 @@
 }
 
 std::vector<const wire::Presence*> Balancer::candidates(const nodes::Targets& targets, const std::string& service,
-    const std::string& version, const std::set<std::string>& avoid) const
+    const VersionChoice& versions, const std::set<std::string>& avoid) const
 {
     std::vector<const wire::Presence*> out;
     for (const auto& it : targets) {
-        bool fits = it.serviceName == service && it.version == version && it.state == wire::TargetState::SERVING;
+        bool fits = it.serviceName == service && versions.allows(it.version) && it.state == wire::TargetState::SERVING;
         if (fits && !avoid.count(it.target))
             out.push_back(&it);
     }
     return out;
 }
 
-bool Balancer::hasTarget(const nodes::Targets& targets, const std::string& service, const std::string& version) const
+bool Balancer::hasTarget(const nodes::Targets& targets, const std::string& service, const VersionChoice& versions) const
 {
-    return !candidates(targets, service, version, {}).empty();
+    return !candidates(targets, service, versions, {}).empty();
 }
 
 std::vector<const wire::Presence*> Balancer::withoutEjected(
@@ -93,9 +100,9 @@
 }
 
 std::optional<wire::Presence> Balancer::choose(const nodes::Targets& targets, const std::string& service,
-    const std::string& version, const std::set<std::string>& avoid, base::Instant now)
+    const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now)
 {
-    auto usable = withoutEjected(candidates(targets, service, version, avoid), now);
+    auto usable = withoutEjected(candidates(targets, service, versions, avoid), now);
     std::vector<const wire::Presence*> near;
     std::vector<const wire::Presence*> far;
     for (const auto* it : usable)
--- a/standins/Load.cpp
+++ b/standins/Load.cpp
@@ -48,7 +48,7 @@
     , m_timer(io)
 {
     for (const auto& it : m_options.addresses)
-        m_clients.push_back(http::makeHttpClient(io, it, CONNECTIONS));
+        m_clients.push_back(http::makeHttpClient(io, it, { CONNECTIONS }));
     if (!m_options.log.empty())
         m_log.open(m_options.log, std::ios::app);
 }
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -88,13 +88,13 @@
     , m_random(seed)
     , m_started(steadyNow())
     , m_incarnation(wallMs())
-    , m_announcer(http::makeHttpClient(io, m_settings.announce, 2))
+    , m_announcer(http::makeHttpClient(io, m_settings.announce, { 2 }))
     , m_server(http::makeHttpServer(io, m_settings.address, {}, *this))
     , m_announceTimer(io)
     , m_leaveTimer(io)
 {
     if (!m_settings.downstreamHost.empty())
-        m_downstream = http::makeHttpClient(io, m_settings.downstreamAddress, CONNECTIONS);
+        m_downstream = http::makeHttpClient(io, m_settings.downstreamAddress, { CONNECTIONS });
     if (!m_settings.runsLog.empty())
         m_log.open(m_settings.runsLog, std::ios::app);
 }
--- a/tests/error/DamagedDiskIsNoticed.cpp
+++ b/tests/error/DamagedDiskIsNoticed.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 // A disk in memory with faults.
-class FakeDisk final : public platform::Disk {
+class FakeDisk final : public host::Disk {
 public:
-    class File final : public platform::AppendFile {
+    class File final : public host::AppendFile {
     public:
         File(FakeDisk& disk, std::string name)
             : m_disk(disk)
@@ -45,7 +45,7 @@
     }
     std::string read(const std::string& name) override { return files.at(name); }
     bool exists(const std::string& name) override { return files.count(name) > 0; }
-    std::unique_ptr<platform::AppendFile> open(const std::string& name) override
+    std::unique_ptr<host::AppendFile> open(const std::string& name) override
     {
         files[name];
         return std::make_unique<File>(*this, name);
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -17,9 +17,11 @@
 struct Proof { 1: string mac }
 
 // ---- configuration carried to nodes ----
+struct SplitPart { 1: string serviceName, 2: i32 weight }
 struct Route {
   1: string host, 2: string path, 3: list<string> methods, 4: string serviceName,
-  5: i32 timeoutMs, 6: bool idempotent
+  5: i32 timeoutMs, 6: bool idempotent,
+  7: string name, 8: i32 objectiveMs, 9: i32 priority, 10: i32 maxAttempts, 11: list<SplitPart> split
 }
 struct AccountResource {
   1: string name, 2: string templateName, 3: list<Route> routes,
@@ -27,14 +29,20 @@
 }
 struct ServiceResource {
   1: string name, 2: string stable, 3: string candidate, 4: i32 permille,
-  5: string moveId, 6: i32 step, 7: i32 grantMs
+  5: string moveId, 6: i32 step, 7: i32 grantMs, 8: string healthPath, 9: i32 maxConnections,
+  10: string excluded
+}
+// Bounds on what callers may send, and the number of the release that set them.
+struct ReleaseResource {
+  1: i64 number, 2: i64 headerBytes, 3: i64 bodyBytes, 4: i32 headerTimeoutMs, 5: i32 idleTimeoutMs
 }
 struct ClaimHolder { 1: string node, 2: string address, 3: string dataCentre }
 struct ClaimEpoch { 1: i64 epoch, 2: i64 fromMs, 3: list<ClaimHolder> holders }
 struct ClaimRing { 1: list<ClaimEpoch> epochs }
 struct Resource {
   1: string key, 2: i64 version,
-  3: optional ServiceResource serviceResource, 4: optional AccountResource accountResource, 5: optional ClaimRing claimRing
+  3: optional ServiceResource serviceResource, 4: optional AccountResource accountResource, 5: optional ClaimRing claimRing,
+  6: optional Route route, 7: optional ReleaseResource releaseResource
 }
 struct Tombstone { 1: string key, 2: i64 version }
 struct Delta {
@@ -67,20 +75,26 @@
 struct ForwardAnswer { 1: i64 id, 2: bool notLeader, 3: binary result }
 
 // ---- commands and what they leave behind ----
+struct ServiceSpec { 1: string name, 2: string healthPath, 3: i32 maxConnections }
+// A whole configuration in one submission. `document` is what the operator sent, kept for reading back.
+struct Release {
+  1: ReleaseResource header, 2: i64 baseNumber, 3: list<Route> routes, 4: list<ServiceSpec> services, 5: binary document
+}
 enum CommandKind {
   SET_SERVICE = 1, REMOVE_SERVICE = 2, SUBMIT_TEMPLATE = 3, SET_ACCOUNT = 4, REMOVE_ACCOUNT = 5,
-  START_MOVE = 6, TAKE_BACK_MOVE = 7, MOVE_EVENT = 8, CLAIM_EPOCH = 9, DENIED = 10, SOURCE_UPDATE = 11
+  START_MOVE = 6, TAKE_BACK_MOVE = 7, MOVE_EVENT = 8, CLAIM_EPOCH = 9, DENIED = 10, SOURCE_UPDATE = 11, SUBMIT_RELEASE = 12
 }
 enum MoveEventKind { RAISE = 1, REACHED_ALL = 2, BAD = 3, WATCH_ENDED = 4, LATE = 5, ASKED_BACK = 6, PAUSE = 7, RESUME = 8 }
 struct MoveEvent { 1: string moveId, 2: i32 step, 3: MoveEventKind kind, 4: i32 permille, 5: string reason, 6: i32 slotsNeeded }
 struct MoveAsk {
-  1: string id, 2: string serviceName, 3: string toVersion, 4: i64 deadlineMs, 5: i64 watchMs
+  1: string id, 2: string serviceName, 3: string toVersion, 4: i64 deadlineMs, 5: i64 watchMs,
+  6: i32 exposurePermille, 7: i64 durationMs
 }
 struct Command {
   1: CommandKind kind, 2: string requestId, 3: string actor, 4: string team, 5: i64 timeMs,
   6: i64 baseVersion, 7: string name, 8: string body, 9: map<string, string> parameters,
   10: optional MoveAsk move, 11: optional MoveEvent moveEvent, 12: optional ClaimEpoch claimEpoch,
-  13: string templateName, 14: i64 sourceSequence
+  13: string templateName, 14: i64 sourceSequence, 15: optional Release release
 }
 enum ResultCode {
   ACCEPTED = 0, CONFLICT = 1, INVALID = 2, NOT_FOUND = 3, DENIED = 4, BUSY = 5, UNAVAILABLE = 6, UNCHANGED = 7
@@ -98,19 +112,20 @@
   1: string id, 2: string serviceName, 3: string fromVersion, 4: string toVersion, 5: i64 startedMs,
   6: i64 deadlineMs, 7: i64 watchMs, 8: MoveState state, 9: i32 step, 10: i32 permille,
   11: i64 stepMs, 12: i64 reachedMs, 13: string reason, 14: bool late, 15: string actor, 16: i64 endedMs,
-  17: i32 slotsNeeded
+  17: i32 slotsNeeded, 18: i32 exposurePermille
 }
 struct MachineImage {
   1: i64 version, 2: list<Resource> resources, 3: list<Tombstone> tombstones, 4: list<TemplateRecord> templates,
   5: list<AccountRecord> accounts, 6: list<MoveRecord> moves, 7: list<AuditRecord> audit,
-  8: list<RememberedResult> remembered, 9: i64 tombstoneFloor, 10: i64 auditCount
+  8: list<RememberedResult> remembered, 9: i64 tombstoneFloor, 10: i64 auditCount,
+  11: i64 releaseNumber, 12: binary releaseDocument
 }
 
 // ---- presence and evidence ----
 enum TargetState { STARTING = 0, SERVING = 1, LEAVING = 2, GONE = 3 }
 struct Presence {
   1: string target, 2: string serviceName, 3: string version, 4: string dataCentre, 5: string node,
-  6: string callAddress, 7: i64 incarnation, 8: i64 sequence, 9: TargetState state, 10: i32 slots
+  6: string callAddress, 7: i64 incarnation, 8: i64 sequence, 9: TargetState state, 10: i32 slots, 11: i32 coldLeftMs
 }
 struct NodeInfo {
   1: string node, 2: string dataCentre, 3: string meshAddress, 4: string callAddress, 5: i64 incarnation,
@@ -129,14 +144,14 @@
 struct Subscribe { 1: NodeInfo node, 2: i64 base, 3: i64 hash }
 struct SubscribeAnswer {
   1: bool admitted, 2: i32 retryAfterMs, 3: i64 version, 4: i64 floor, 5: list<NodeInfo> directory,
-  6: bool fresh
+  6: bool fresh, 7: list<string> controlHosts
 }
 struct Report {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: list<EvidenceCell> evidence, 4: list<Alarm> alarms,
   5: list<NodeAck> acks
 }
-struct MemberReport { 1: Report report, 2: optional Beacon beacon }
-struct Spread { 1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon }
+struct MemberReport { 1: Report report, 2: optional Beacon beacon, 3: list<string> members }
+struct Spread { 1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts }
 struct Digest { 1: i64 version, 2: i64 hash, 3: list<i64> buckets }
 struct DigestAnswer { 1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes }
 
@@ -145,11 +160,12 @@
 struct Header { 1: string name, 2: string value }
 struct CallRequest {
   1: i64 id, 2: string method, 3: string path, 4: list<Header> headers, 5: binary body, 6: i32 budgetMs,
-  7: string serviceName, 8: string target, 9: string account, 10: i32 priority
+  7: string serviceName, 8: string target, 9: string account, 10: i32 priority,
+  11: i64 incarnation, 12: string requestId, 13: string callerService, 14: i32 objectiveMs
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
-  6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold
+  6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut
 }
 struct CallCancel { 1: i64 id }
 enum ClaimStep { TAKE = 0, COMPLETE = 1, RELEASE = 2, LOOK = 3 }
