--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -126,7 +126,8 @@
   CommandKind::MOVE_EVENT,
   CommandKind::CLAIM_EPOCH,
   CommandKind::DENIED,
-  CommandKind::SOURCE_UPDATE
+  CommandKind::SOURCE_UPDATE,
+  CommandKind::SUBMIT_RELEASE
 };
 const char* _kCommandKindNames[] = {
   "SET_SERVICE",
@@ -139,9 +140,10 @@
   "MOVE_EVENT",
   "CLAIM_EPOCH",
   "DENIED",
-  "SOURCE_UPDATE"
+  "SOURCE_UPDATE",
+  "SUBMIT_RELEASE"
 };
-const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(11, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(12, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CommandKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CommandKind_VALUES_TO_NAMES.find(val);
@@ -719,6 +721,129 @@
 }
 
 
+SplitPart::~SplitPart() noexcept {
+}
+
+
+void SplitPart::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void SplitPart::__set_weight(const int32_t val) {
+  this->weight = val;
+}
+std::ostream& operator<<(std::ostream& out, const SplitPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SplitPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->weight);
+          this->__isset.weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SplitPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SplitPart");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->weight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SplitPart &a, SplitPart &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.weight, b.weight);
+  swap(a.__isset, b.__isset);
+}
+
+SplitPart::SplitPart(const SplitPart& other8) {
+  serviceName = other8.serviceName;
+  weight = other8.weight;
+  __isset = other8.__isset;
+}
+SplitPart::SplitPart(SplitPart&& other9) noexcept {
+  serviceName = std::move(other9.serviceName);
+  weight = other9.weight;
+  __isset = other9.__isset;
+}
+SplitPart& SplitPart::operator=(const SplitPart& other10) {
+  serviceName = other10.serviceName;
+  weight = other10.weight;
+  __isset = other10.__isset;
+  return *this;
+}
+SplitPart& SplitPart::operator=(SplitPart&& other11) noexcept {
+  serviceName = std::move(other11.serviceName);
+  weight = other11.weight;
+  __isset = other11.__isset;
+  return *this;
+}
+void SplitPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SplitPart(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "weight=" << to_string(weight);
+  out << ")";
+}
+
+
 Route::~Route() noexcept {
 }
 
@@ -746,6 +871,26 @@
 void Route::__set_idempotent(const bool val) {
   this->idempotent = val;
 }
+
+void Route::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Route::__set_objectiveMs(const int32_t val) {
+  this->objectiveMs = val;
+}
+
+void Route::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void Route::__set_maxAttempts(const int32_t val) {
+  this->maxAttempts = val;
+}
+
+void Route::__set_split(const std::vector<SplitPart> & val) {
+  this->split = val;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -794,14 +939,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->methods.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->methods.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->methods.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += iprot->readString(this->methods[_i12]);
+              xfer += iprot->readString(this->methods[_i16]);
             }
             xfer += iprot->readListEnd();
           }
@@ -834,6 +979,58 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveMs);
+          this->__isset.objectiveMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxAttempts);
+          this->__isset.maxAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->split.clear();
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->split.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
+            {
+              xfer += this->split[_i21].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.split = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -862,10 +1059,10 @@
   xfer += oprot->writeFieldBegin("methods", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->methods.size()));
-    std::vector<std::string> ::const_iterator _iter13;
-    for (_iter13 = this->methods.begin(); _iter13 != this->methods.end(); ++_iter13)
+    std::vector<std::string> ::const_iterator _iter22;
+    for (_iter22 = this->methods.begin(); _iter22 != this->methods.end(); ++_iter22)
     {
-      xfer += oprot->writeString((*_iter13));
+      xfer += oprot->writeString((*_iter22));
     }
     xfer += oprot->writeListEnd();
   }
@@ -883,6 +1080,34 @@
   xfer += oprot->writeBool(this->idempotent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->objectiveMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxAttempts", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->maxAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("split", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->split.size()));
+    std::vector<SplitPart> ::const_iterator _iter23;
+    for (_iter23 = this->split.begin(); _iter23 != this->split.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -896,45 +1121,70 @@
   swap(a.serviceName, b.serviceName);
   swap(a.timeoutMs, b.timeoutMs);
   swap(a.idempotent, b.idempotent);
+  swap(a.name, b.name);
+  swap(a.objectiveMs, b.objectiveMs);
+  swap(a.priority, b.priority);
+  swap(a.maxAttempts, b.maxAttempts);
+  swap(a.split, b.split);
   swap(a.__isset, b.__isset);
 }
 
-Route::Route(const Route& other14) {
-  host = other14.host;
-  path = other14.path;
-  methods = other14.methods;
-  serviceName = other14.serviceName;
-  timeoutMs = other14.timeoutMs;
-  idempotent = other14.idempotent;
-  __isset = other14.__isset;
-}
-Route::Route(Route&& other15) noexcept {
-  host = std::move(other15.host);
-  path = std::move(other15.path);
-  methods = std::move(other15.methods);
-  serviceName = std::move(other15.serviceName);
-  timeoutMs = other15.timeoutMs;
-  idempotent = other15.idempotent;
-  __isset = other15.__isset;
-}
-Route& Route::operator=(const Route& other16) {
-  host = other16.host;
-  path = other16.path;
-  methods = other16.methods;
-  serviceName = other16.serviceName;
-  timeoutMs = other16.timeoutMs;
-  idempotent = other16.idempotent;
-  __isset = other16.__isset;
+Route::Route(const Route& other24) {
+  host = other24.host;
+  path = other24.path;
+  methods = other24.methods;
+  serviceName = other24.serviceName;
+  timeoutMs = other24.timeoutMs;
+  idempotent = other24.idempotent;
+  name = other24.name;
+  objectiveMs = other24.objectiveMs;
+  priority = other24.priority;
+  maxAttempts = other24.maxAttempts;
+  split = other24.split;
+  __isset = other24.__isset;
+}
+Route::Route(Route&& other25) noexcept {
+  host = std::move(other25.host);
+  path = std::move(other25.path);
+  methods = std::move(other25.methods);
+  serviceName = std::move(other25.serviceName);
+  timeoutMs = other25.timeoutMs;
+  idempotent = other25.idempotent;
+  name = std::move(other25.name);
+  objectiveMs = other25.objectiveMs;
+  priority = other25.priority;
+  maxAttempts = other25.maxAttempts;
+  split = std::move(other25.split);
+  __isset = other25.__isset;
+}
+Route& Route::operator=(const Route& other26) {
+  host = other26.host;
+  path = other26.path;
+  methods = other26.methods;
+  serviceName = other26.serviceName;
+  timeoutMs = other26.timeoutMs;
+  idempotent = other26.idempotent;
+  name = other26.name;
+  objectiveMs = other26.objectiveMs;
+  priority = other26.priority;
+  maxAttempts = other26.maxAttempts;
+  split = other26.split;
+  __isset = other26.__isset;
   return *this;
 }
-Route& Route::operator=(Route&& other17) noexcept {
-  host = std::move(other17.host);
-  path = std::move(other17.path);
-  methods = std::move(other17.methods);
-  serviceName = std::move(other17.serviceName);
-  timeoutMs = other17.timeoutMs;
-  idempotent = other17.idempotent;
-  __isset = other17.__isset;
+Route& Route::operator=(Route&& other27) noexcept {
+  host = std::move(other27.host);
+  path = std::move(other27.path);
+  methods = std::move(other27.methods);
+  serviceName = std::move(other27.serviceName);
+  timeoutMs = other27.timeoutMs;
+  idempotent = other27.idempotent;
+  name = std::move(other27.name);
+  objectiveMs = other27.objectiveMs;
+  priority = other27.priority;
+  maxAttempts = other27.maxAttempts;
+  split = std::move(other27.split);
+  __isset = other27.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -946,6 +1196,11 @@
   out << ", " << "serviceName=" << to_string(serviceName);
   out << ", " << "timeoutMs=" << to_string(timeoutMs);
   out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "objectiveMs=" << to_string(objectiveMs);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ", " << "split=" << to_string(split);
   out << ")";
 }
 
@@ -1025,14 +1280,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->routes.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->routes.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->routes[_i22].read(iprot);
+              xfer += this->routes[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1093,10 +1348,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter23;
-    for (_iter23 = this->routes.begin(); _iter23 != this->routes.end(); ++_iter23)
+    std::vector<Route> ::const_iterator _iter33;
+    for (_iter33 = this->routes.begin(); _iter33 != this->routes.end(); ++_iter33)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1130,42 +1385,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountResource::AccountResource(const AccountResource& other24) {
-  name = other24.name;
-  templateName = other24.templateName;
-  routes = other24.routes;
-  ratePerSecond = other24.ratePerSecond;
-  burst = other24.burst;
-  priority = other24.priority;
-  __isset = other24.__isset;
+AccountResource::AccountResource(const AccountResource& other34) {
+  name = other34.name;
+  templateName = other34.templateName;
+  routes = other34.routes;
+  ratePerSecond = other34.ratePerSecond;
+  burst = other34.burst;
+  priority = other34.priority;
+  __isset = other34.__isset;
 }
-AccountResource::AccountResource(AccountResource&& other25) noexcept {
-  name = std::move(other25.name);
-  templateName = std::move(other25.templateName);
-  routes = std::move(other25.routes);
-  ratePerSecond = other25.ratePerSecond;
-  burst = other25.burst;
-  priority = other25.priority;
-  __isset = other25.__isset;
+AccountResource::AccountResource(AccountResource&& other35) noexcept {
+  name = std::move(other35.name);
+  templateName = std::move(other35.templateName);
+  routes = std::move(other35.routes);
+  ratePerSecond = other35.ratePerSecond;
+  burst = other35.burst;
+  priority = other35.priority;
+  __isset = other35.__isset;
 }
-AccountResource& AccountResource::operator=(const AccountResource& other26) {
-  name = other26.name;
-  templateName = other26.templateName;
-  routes = other26.routes;
-  ratePerSecond = other26.ratePerSecond;
-  burst = other26.burst;
-  priority = other26.priority;
-  __isset = other26.__isset;
+AccountResource& AccountResource::operator=(const AccountResource& other36) {
+  name = other36.name;
+  templateName = other36.templateName;
+  routes = other36.routes;
+  ratePerSecond = other36.ratePerSecond;
+  burst = other36.burst;
+  priority = other36.priority;
+  __isset = other36.__isset;
   return *this;
 }
-AccountResource& AccountResource::operator=(AccountResource&& other27) noexcept {
-  name = std::move(other27.name);
-  templateName = std::move(other27.templateName);
-  routes = std::move(other27.routes);
-  ratePerSecond = other27.ratePerSecond;
-  burst = other27.burst;
-  priority = other27.priority;
-  __isset = other27.__isset;
+AccountResource& AccountResource::operator=(AccountResource&& other37) noexcept {
+  name = std::move(other37.name);
+  templateName = std::move(other37.templateName);
+  routes = std::move(other37.routes);
+  ratePerSecond = other37.ratePerSecond;
+  burst = other37.burst;
+  priority = other37.priority;
+  __isset = other37.__isset;
   return *this;
 }
 void AccountResource::printTo(std::ostream& out) const {
@@ -1212,6 +1467,18 @@
 void ServiceResource::__set_grantMs(const int32_t val) {
   this->grantMs = val;
 }
+
+void ServiceResource::__set_healthPath(const std::string& val) {
+  this->healthPath = val;
+}
+
+void ServiceResource::__set_maxConnections(const int32_t val) {
+  this->maxConnections = val;
+}
+
+void ServiceResource::__set_excluded(const std::string& val) {
+  this->excluded = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceResource& obj)
 {
   obj.printTo(out);
@@ -1296,6 +1563,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->healthPath);
+          this->__isset.healthPath = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxConnections);
+          this->__isset.maxConnections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->excluded);
+          this->__isset.excluded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1341,6 +1632,18 @@
   xfer += oprot->writeI32(this->grantMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->healthPath);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->maxConnections);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("excluded", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->excluded);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1355,49 +1658,64 @@
   swap(a.moveId, b.moveId);
   swap(a.step, b.step);
   swap(a.grantMs, b.grantMs);
+  swap(a.healthPath, b.healthPath);
+  swap(a.maxConnections, b.maxConnections);
+  swap(a.excluded, b.excluded);
   swap(a.__isset, b.__isset);
 }
 
-ServiceResource::ServiceResource(const ServiceResource& other28) {
-  name = other28.name;
-  stable = other28.stable;
-  candidate = other28.candidate;
-  permille = other28.permille;
-  moveId = other28.moveId;
-  step = other28.step;
-  grantMs = other28.grantMs;
-  __isset = other28.__isset;
-}
-ServiceResource::ServiceResource(ServiceResource&& other29) noexcept {
-  name = std::move(other29.name);
-  stable = std::move(other29.stable);
-  candidate = std::move(other29.candidate);
-  permille = other29.permille;
-  moveId = std::move(other29.moveId);
-  step = other29.step;
-  grantMs = other29.grantMs;
-  __isset = other29.__isset;
-}
-ServiceResource& ServiceResource::operator=(const ServiceResource& other30) {
-  name = other30.name;
-  stable = other30.stable;
-  candidate = other30.candidate;
-  permille = other30.permille;
-  moveId = other30.moveId;
-  step = other30.step;
-  grantMs = other30.grantMs;
-  __isset = other30.__isset;
+ServiceResource::ServiceResource(const ServiceResource& other38) {
+  name = other38.name;
+  stable = other38.stable;
+  candidate = other38.candidate;
+  permille = other38.permille;
+  moveId = other38.moveId;
+  step = other38.step;
+  grantMs = other38.grantMs;
+  healthPath = other38.healthPath;
+  maxConnections = other38.maxConnections;
+  excluded = other38.excluded;
+  __isset = other38.__isset;
+}
+ServiceResource::ServiceResource(ServiceResource&& other39) noexcept {
+  name = std::move(other39.name);
+  stable = std::move(other39.stable);
+  candidate = std::move(other39.candidate);
+  permille = other39.permille;
+  moveId = std::move(other39.moveId);
+  step = other39.step;
+  grantMs = other39.grantMs;
+  healthPath = std::move(other39.healthPath);
+  maxConnections = other39.maxConnections;
+  excluded = std::move(other39.excluded);
+  __isset = other39.__isset;
+}
+ServiceResource& ServiceResource::operator=(const ServiceResource& other40) {
+  name = other40.name;
+  stable = other40.stable;
+  candidate = other40.candidate;
+  permille = other40.permille;
+  moveId = other40.moveId;
+  step = other40.step;
+  grantMs = other40.grantMs;
+  healthPath = other40.healthPath;
+  maxConnections = other40.maxConnections;
+  excluded = other40.excluded;
+  __isset = other40.__isset;
   return *this;
 }
-ServiceResource& ServiceResource::operator=(ServiceResource&& other31) noexcept {
-  name = std::move(other31.name);
-  stable = std::move(other31.stable);
-  candidate = std::move(other31.candidate);
-  permille = other31.permille;
-  moveId = std::move(other31.moveId);
-  step = other31.step;
-  grantMs = other31.grantMs;
-  __isset = other31.__isset;
+ServiceResource& ServiceResource::operator=(ServiceResource&& other41) noexcept {
+  name = std::move(other41.name);
+  stable = std::move(other41.stable);
+  candidate = std::move(other41.candidate);
+  permille = other41.permille;
+  moveId = std::move(other41.moveId);
+  step = other41.step;
+  grantMs = other41.grantMs;
+  healthPath = std::move(other41.healthPath);
+  maxConnections = other41.maxConnections;
+  excluded = std::move(other41.excluded);
+  __isset = other41.__isset;
   return *this;
 }
 void ServiceResource::printTo(std::ostream& out) const {
@@ -1410,33 +1728,44 @@
   out << ", " << "moveId=" << to_string(moveId);
   out << ", " << "step=" << to_string(step);
   out << ", " << "grantMs=" << to_string(grantMs);
+  out << ", " << "healthPath=" << to_string(healthPath);
+  out << ", " << "maxConnections=" << to_string(maxConnections);
+  out << ", " << "excluded=" << to_string(excluded);
   out << ")";
 }
 
 
-ClaimHolder::~ClaimHolder() noexcept {
+ReleaseResource::~ReleaseResource() noexcept {
 }
 
 
-void ClaimHolder::__set_node(const std::string& val) {
-  this->node = val;
+void ReleaseResource::__set_number(const int64_t val) {
+  this->number = val;
 }
 
-void ClaimHolder::__set_address(const std::string& val) {
-  this->address = val;
+void ReleaseResource::__set_headerBytes(const int64_t val) {
+  this->headerBytes = val;
 }
 
-void ClaimHolder::__set_dataCentre(const std::string& val) {
-  this->dataCentre = val;
+void ReleaseResource::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimHolder& obj)
+
+void ReleaseResource::__set_headerTimeoutMs(const int32_t val) {
+  this->headerTimeoutMs = val;
+}
+
+void ReleaseResource::__set_idleTimeoutMs(const int32_t val) {
+  this->idleTimeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleaseResource& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReleaseResource::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1458,33 +1787,214 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->headerBytes);
+          this->__isset.headerBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataCentre);
-          this->__isset.dataCentre = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          this->__isset.bodyBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->headerTimeoutMs);
+          this->__isset.headerTimeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->idleTimeoutMs);
+          this->__isset.idleTimeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReleaseResource::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReleaseResource");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headerBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->headerBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headerTimeoutMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->headerTimeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleTimeoutMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->idleTimeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReleaseResource &a, ReleaseResource &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.headerBytes, b.headerBytes);
+  swap(a.bodyBytes, b.bodyBytes);
+  swap(a.headerTimeoutMs, b.headerTimeoutMs);
+  swap(a.idleTimeoutMs, b.idleTimeoutMs);
+  swap(a.__isset, b.__isset);
+}
+
+ReleaseResource::ReleaseResource(const ReleaseResource& other42) noexcept {
+  number = other42.number;
+  headerBytes = other42.headerBytes;
+  bodyBytes = other42.bodyBytes;
+  headerTimeoutMs = other42.headerTimeoutMs;
+  idleTimeoutMs = other42.idleTimeoutMs;
+  __isset = other42.__isset;
+}
+ReleaseResource::ReleaseResource(ReleaseResource&& other43) noexcept {
+  number = other43.number;
+  headerBytes = other43.headerBytes;
+  bodyBytes = other43.bodyBytes;
+  headerTimeoutMs = other43.headerTimeoutMs;
+  idleTimeoutMs = other43.idleTimeoutMs;
+  __isset = other43.__isset;
+}
+ReleaseResource& ReleaseResource::operator=(const ReleaseResource& other44) noexcept {
+  number = other44.number;
+  headerBytes = other44.headerBytes;
+  bodyBytes = other44.bodyBytes;
+  headerTimeoutMs = other44.headerTimeoutMs;
+  idleTimeoutMs = other44.idleTimeoutMs;
+  __isset = other44.__isset;
+  return *this;
+}
+ReleaseResource& ReleaseResource::operator=(ReleaseResource&& other45) noexcept {
+  number = other45.number;
+  headerBytes = other45.headerBytes;
+  bodyBytes = other45.bodyBytes;
+  headerTimeoutMs = other45.headerTimeoutMs;
+  idleTimeoutMs = other45.idleTimeoutMs;
+  __isset = other45.__isset;
+  return *this;
+}
+void ReleaseResource::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReleaseResource(";
+  out << "number=" << to_string(number);
+  out << ", " << "headerBytes=" << to_string(headerBytes);
+  out << ", " << "bodyBytes=" << to_string(bodyBytes);
+  out << ", " << "headerTimeoutMs=" << to_string(headerTimeoutMs);
+  out << ", " << "idleTimeoutMs=" << to_string(idleTimeoutMs);
+  out << ")";
+}
+
+
+ClaimHolder::~ClaimHolder() noexcept {
+}
+
+
+void ClaimHolder::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void ClaimHolder::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ClaimHolder::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimHolder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -1523,30 +2033,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimHolder::ClaimHolder(const ClaimHolder& other32) {
-  node = other32.node;
-  address = other32.address;
-  dataCentre = other32.dataCentre;
-  __isset = other32.__isset;
+ClaimHolder::ClaimHolder(const ClaimHolder& other46) {
+  node = other46.node;
+  address = other46.address;
+  dataCentre = other46.dataCentre;
+  __isset = other46.__isset;
 }
-ClaimHolder::ClaimHolder(ClaimHolder&& other33) noexcept {
-  node = std::move(other33.node);
-  address = std::move(other33.address);
-  dataCentre = std::move(other33.dataCentre);
-  __isset = other33.__isset;
+ClaimHolder::ClaimHolder(ClaimHolder&& other47) noexcept {
+  node = std::move(other47.node);
+  address = std::move(other47.address);
+  dataCentre = std::move(other47.dataCentre);
+  __isset = other47.__isset;
 }
-ClaimHolder& ClaimHolder::operator=(const ClaimHolder& other34) {
-  node = other34.node;
-  address = other34.address;
-  dataCentre = other34.dataCentre;
-  __isset = other34.__isset;
+ClaimHolder& ClaimHolder::operator=(const ClaimHolder& other48) {
+  node = other48.node;
+  address = other48.address;
+  dataCentre = other48.dataCentre;
+  __isset = other48.__isset;
   return *this;
 }
-ClaimHolder& ClaimHolder::operator=(ClaimHolder&& other35) noexcept {
-  node = std::move(other35.node);
-  address = std::move(other35.address);
-  dataCentre = std::move(other35.dataCentre);
-  __isset = other35.__isset;
+ClaimHolder& ClaimHolder::operator=(ClaimHolder&& other49) noexcept {
+  node = std::move(other49.node);
+  address = std::move(other49.address);
+  dataCentre = std::move(other49.dataCentre);
+  __isset = other49.__isset;
   return *this;
 }
 void ClaimHolder::printTo(std::ostream& out) const {
@@ -1622,14 +2132,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->holders.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->holders.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->holders[_i40].read(iprot);
+              xfer += this->holders[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1666,10 +2176,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<ClaimHolder> ::const_iterator _iter41;
-    for (_iter41 = this->holders.begin(); _iter41 != this->holders.end(); ++_iter41)
+    std::vector<ClaimHolder> ::const_iterator _iter55;
+    for (_iter55 = this->holders.begin(); _iter55 != this->holders.end(); ++_iter55)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1688,30 +2198,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimEpoch::ClaimEpoch(const ClaimEpoch& other42) {
-  epoch = other42.epoch;
-  fromMs = other42.fromMs;
-  holders = other42.holders;
-  __isset = other42.__isset;
+ClaimEpoch::ClaimEpoch(const ClaimEpoch& other56) {
+  epoch = other56.epoch;
+  fromMs = other56.fromMs;
+  holders = other56.holders;
+  __isset = other56.__isset;
 }
-ClaimEpoch::ClaimEpoch(ClaimEpoch&& other43) noexcept {
-  epoch = other43.epoch;
-  fromMs = other43.fromMs;
-  holders = std::move(other43.holders);
-  __isset = other43.__isset;
+ClaimEpoch::ClaimEpoch(ClaimEpoch&& other57) noexcept {
+  epoch = other57.epoch;
+  fromMs = other57.fromMs;
+  holders = std::move(other57.holders);
+  __isset = other57.__isset;
 }
-ClaimEpoch& ClaimEpoch::operator=(const ClaimEpoch& other44) {
-  epoch = other44.epoch;
-  fromMs = other44.fromMs;
-  holders = other44.holders;
-  __isset = other44.__isset;
+ClaimEpoch& ClaimEpoch::operator=(const ClaimEpoch& other58) {
+  epoch = other58.epoch;
+  fromMs = other58.fromMs;
+  holders = other58.holders;
+  __isset = other58.__isset;
   return *this;
 }
-ClaimEpoch& ClaimEpoch::operator=(ClaimEpoch&& other45) noexcept {
-  epoch = other45.epoch;
-  fromMs = other45.fromMs;
-  holders = std::move(other45.holders);
-  __isset = other45.__isset;
+ClaimEpoch& ClaimEpoch::operator=(ClaimEpoch&& other59) noexcept {
+  epoch = other59.epoch;
+  fromMs = other59.fromMs;
+  holders = std::move(other59.holders);
+  __isset = other59.__isset;
   return *this;
 }
 void ClaimEpoch::printTo(std::ostream& out) const {
@@ -1763,14 +2273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->epochs.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->epochs.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->epochs.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->epochs[_i50].read(iprot);
+              xfer += this->epochs[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1799,10 +2309,10 @@
   xfer += oprot->writeFieldBegin("epochs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->epochs.size()));
-    std::vector<ClaimEpoch> ::const_iterator _iter51;
-    for (_iter51 = this->epochs.begin(); _iter51 != this->epochs.end(); ++_iter51)
+    std::vector<ClaimEpoch> ::const_iterator _iter65;
+    for (_iter65 = this->epochs.begin(); _iter65 != this->epochs.end(); ++_iter65)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1819,22 +2329,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRing::ClaimRing(const ClaimRing& other52) {
-  epochs = other52.epochs;
-  __isset = other52.__isset;
+ClaimRing::ClaimRing(const ClaimRing& other66) {
+  epochs = other66.epochs;
+  __isset = other66.__isset;
 }
-ClaimRing::ClaimRing(ClaimRing&& other53) noexcept {
-  epochs = std::move(other53.epochs);
-  __isset = other53.__isset;
+ClaimRing::ClaimRing(ClaimRing&& other67) noexcept {
+  epochs = std::move(other67.epochs);
+  __isset = other67.__isset;
 }
-ClaimRing& ClaimRing::operator=(const ClaimRing& other54) {
-  epochs = other54.epochs;
-  __isset = other54.__isset;
+ClaimRing& ClaimRing::operator=(const ClaimRing& other68) {
+  epochs = other68.epochs;
+  __isset = other68.__isset;
   return *this;
 }
-ClaimRing& ClaimRing::operator=(ClaimRing&& other55) noexcept {
-  epochs = std::move(other55.epochs);
-  __isset = other55.__isset;
+ClaimRing& ClaimRing::operator=(ClaimRing&& other69) noexcept {
+  epochs = std::move(other69.epochs);
+  __isset = other69.__isset;
   return *this;
 }
 void ClaimRing::printTo(std::ostream& out) const {
@@ -1871,6 +2381,16 @@
   this->claimRing = val;
 __isset.claimRing = true;
 }
+
+void Resource::__set_route(const Route& val) {
+  this->route = val;
+__isset.route = true;
+}
+
+void Resource::__set_releaseResource(const ReleaseResource& val) {
+  this->releaseResource = val;
+__isset.releaseResource = true;
+}
 std::ostream& operator<<(std::ostream& out, const Resource& obj)
 {
   obj.printTo(out);
@@ -1939,6 +2459,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->route.read(iprot);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->releaseResource.read(iprot);
+          this->__isset.releaseResource = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1979,6 +2515,16 @@
     xfer += this->claimRing.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.route) {
+    xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->route.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.releaseResource) {
+    xfer += oprot->writeFieldBegin("releaseResource", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->releaseResource.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1991,41 +2537,51 @@
   swap(a.serviceResource, b.serviceResource);
   swap(a.accountResource, b.accountResource);
   swap(a.claimRing, b.claimRing);
+  swap(a.route, b.route);
+  swap(a.releaseResource, b.releaseResource);
   swap(a.__isset, b.__isset);
 }
 
-Resource::Resource(const Resource& other56) {
-  key = other56.key;
-  version = other56.version;
-  serviceResource = other56.serviceResource;
-  accountResource = other56.accountResource;
-  claimRing = other56.claimRing;
-  __isset = other56.__isset;
-}
-Resource::Resource(Resource&& other57) noexcept {
-  key = std::move(other57.key);
-  version = other57.version;
-  serviceResource = std::move(other57.serviceResource);
-  accountResource = std::move(other57.accountResource);
-  claimRing = std::move(other57.claimRing);
-  __isset = other57.__isset;
-}
-Resource& Resource::operator=(const Resource& other58) {
-  key = other58.key;
-  version = other58.version;
-  serviceResource = other58.serviceResource;
-  accountResource = other58.accountResource;
-  claimRing = other58.claimRing;
-  __isset = other58.__isset;
+Resource::Resource(const Resource& other70) {
+  key = other70.key;
+  version = other70.version;
+  serviceResource = other70.serviceResource;
+  accountResource = other70.accountResource;
+  claimRing = other70.claimRing;
+  route = other70.route;
+  releaseResource = other70.releaseResource;
+  __isset = other70.__isset;
+}
+Resource::Resource(Resource&& other71) noexcept {
+  key = std::move(other71.key);
+  version = other71.version;
+  serviceResource = std::move(other71.serviceResource);
+  accountResource = std::move(other71.accountResource);
+  claimRing = std::move(other71.claimRing);
+  route = std::move(other71.route);
+  releaseResource = std::move(other71.releaseResource);
+  __isset = other71.__isset;
+}
+Resource& Resource::operator=(const Resource& other72) {
+  key = other72.key;
+  version = other72.version;
+  serviceResource = other72.serviceResource;
+  accountResource = other72.accountResource;
+  claimRing = other72.claimRing;
+  route = other72.route;
+  releaseResource = other72.releaseResource;
+  __isset = other72.__isset;
   return *this;
 }
-Resource& Resource::operator=(Resource&& other59) noexcept {
-  key = std::move(other59.key);
-  version = other59.version;
-  serviceResource = std::move(other59.serviceResource);
-  accountResource = std::move(other59.accountResource);
-  claimRing = std::move(other59.claimRing);
-  __isset = other59.__isset;
+Resource& Resource::operator=(Resource&& other73) noexcept {
+  key = std::move(other73.key);
+  version = other73.version;
+  serviceResource = std::move(other73.serviceResource);
+  accountResource = std::move(other73.accountResource);
+  claimRing = std::move(other73.claimRing);
+  route = std::move(other73.route);
+  releaseResource = std::move(other73.releaseResource);
+  __isset = other73.__isset;
   return *this;
 }
 void Resource::printTo(std::ostream& out) const {
@@ -2036,6 +2592,8 @@
   out << ", " << "serviceResource="; (__isset.serviceResource ? (out << to_string(serviceResource)) : (out << "<null>"));
   out << ", " << "accountResource="; (__isset.accountResource ? (out << to_string(accountResource)) : (out << "<null>"));
   out << ", " << "claimRing="; (__isset.claimRing ? (out << to_string(claimRing)) : (out << "<null>"));
+  out << ", " << "route="; (__isset.route ? (out << to_string(route)) : (out << "<null>"));
+  out << ", " << "releaseResource="; (__isset.releaseResource ? (out << to_string(releaseResource)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2132,26 +2690,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Tombstone::Tombstone(const Tombstone& other60) {
-  key = other60.key;
-  version = other60.version;
-  __isset = other60.__isset;
+Tombstone::Tombstone(const Tombstone& other74) {
+  key = other74.key;
+  version = other74.version;
+  __isset = other74.__isset;
 }
-Tombstone::Tombstone(Tombstone&& other61) noexcept {
-  key = std::move(other61.key);
-  version = other61.version;
-  __isset = other61.__isset;
+Tombstone::Tombstone(Tombstone&& other75) noexcept {
+  key = std::move(other75.key);
+  version = other75.version;
+  __isset = other75.__isset;
 }
-Tombstone& Tombstone::operator=(const Tombstone& other62) {
-  key = other62.key;
-  version = other62.version;
-  __isset = other62.__isset;
+Tombstone& Tombstone::operator=(const Tombstone& other76) {
+  key = other76.key;
+  version = other76.version;
+  __isset = other76.__isset;
   return *this;
 }
-Tombstone& Tombstone::operator=(Tombstone&& other63) noexcept {
-  key = std::move(other63.key);
-  version = other63.version;
-  __isset = other63.__isset;
+Tombstone& Tombstone::operator=(Tombstone&& other77) noexcept {
+  key = std::move(other77.key);
+  version = other77.version;
+  __isset = other77.__isset;
   return *this;
 }
 void Tombstone::printTo(std::ostream& out) const {
@@ -2234,14 +2792,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->changed.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->changed.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->changed[_i68].read(iprot);
+              xfer += this->changed[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2254,14 +2812,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->removed.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->removed.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->removed[_i73].read(iprot);
+              xfer += this->removed[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2306,10 +2864,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Resource> ::const_iterator _iter74;
-    for (_iter74 = this->changed.begin(); _iter74 != this->changed.end(); ++_iter74)
+    std::vector<Resource> ::const_iterator _iter88;
+    for (_iter88 = this->changed.begin(); _iter88 != this->changed.end(); ++_iter88)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2318,10 +2876,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
-    std::vector<Tombstone> ::const_iterator _iter75;
-    for (_iter75 = this->removed.begin(); _iter75 != this->removed.end(); ++_iter75)
+    std::vector<Tombstone> ::const_iterator _iter89;
+    for (_iter89 = this->removed.begin(); _iter89 != this->removed.end(); ++_iter89)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2346,38 +2904,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Delta::Delta(const Delta& other76) {
-  base = other76.base;
-  version = other76.version;
-  changed = other76.changed;
-  removed = other76.removed;
-  hash = other76.hash;
-  __isset = other76.__isset;
-}
-Delta::Delta(Delta&& other77) noexcept {
-  base = other77.base;
-  version = other77.version;
-  changed = std::move(other77.changed);
-  removed = std::move(other77.removed);
-  hash = other77.hash;
-  __isset = other77.__isset;
-}
-Delta& Delta::operator=(const Delta& other78) {
-  base = other78.base;
-  version = other78.version;
-  changed = other78.changed;
-  removed = other78.removed;
-  hash = other78.hash;
-  __isset = other78.__isset;
+Delta::Delta(const Delta& other90) {
+  base = other90.base;
+  version = other90.version;
+  changed = other90.changed;
+  removed = other90.removed;
+  hash = other90.hash;
+  __isset = other90.__isset;
+}
+Delta::Delta(Delta&& other91) noexcept {
+  base = other91.base;
+  version = other91.version;
+  changed = std::move(other91.changed);
+  removed = std::move(other91.removed);
+  hash = other91.hash;
+  __isset = other91.__isset;
+}
+Delta& Delta::operator=(const Delta& other92) {
+  base = other92.base;
+  version = other92.version;
+  changed = other92.changed;
+  removed = other92.removed;
+  hash = other92.hash;
+  __isset = other92.__isset;
   return *this;
 }
-Delta& Delta::operator=(Delta&& other79) noexcept {
-  base = other79.base;
-  version = other79.version;
-  changed = std::move(other79.changed);
-  removed = std::move(other79.removed);
-  hash = other79.hash;
-  __isset = other79.__isset;
+Delta& Delta::operator=(Delta&& other93) noexcept {
+  base = other93.base;
+  version = other93.version;
+  changed = std::move(other93.changed);
+  removed = std::move(other93.removed);
+  hash = other93.hash;
+  __isset = other93.__isset;
   return *this;
 }
 void Delta::printTo(std::ostream& out) const {
@@ -2435,14 +2993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->voters.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->voters.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += iprot->readString(this->voters[_i84]);
+              xfer += iprot->readString(this->voters[_i98]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2455,14 +3013,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->learners.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->learners.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->learners[_i89]);
+              xfer += iprot->readString(this->learners[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2491,10 +3049,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter90;
-    for (_iter90 = this->voters.begin(); _iter90 != this->voters.end(); ++_iter90)
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->voters.begin(); _iter104 != this->voters.end(); ++_iter104)
     {
-      xfer += oprot->writeString((*_iter90));
+      xfer += oprot->writeString((*_iter104));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2503,10 +3061,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter91;
-    for (_iter91 = this->learners.begin(); _iter91 != this->learners.end(); ++_iter91)
+    std::vector<std::string> ::const_iterator _iter105;
+    for (_iter105 = this->learners.begin(); _iter105 != this->learners.end(); ++_iter105)
     {
-      xfer += oprot->writeString((*_iter91));
+      xfer += oprot->writeString((*_iter105));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2524,26 +3082,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other92) {
-  voters = other92.voters;
-  learners = other92.learners;
-  __isset = other92.__isset;
+Membership::Membership(const Membership& other106) {
+  voters = other106.voters;
+  learners = other106.learners;
+  __isset = other106.__isset;
 }
-Membership::Membership(Membership&& other93) noexcept {
-  voters = std::move(other93.voters);
-  learners = std::move(other93.learners);
-  __isset = other93.__isset;
+Membership::Membership(Membership&& other107) noexcept {
+  voters = std::move(other107.voters);
+  learners = std::move(other107.learners);
+  __isset = other107.__isset;
 }
-Membership& Membership::operator=(const Membership& other94) {
-  voters = other94.voters;
-  learners = other94.learners;
-  __isset = other94.__isset;
+Membership& Membership::operator=(const Membership& other108) {
+  voters = other108.voters;
+  learners = other108.learners;
+  __isset = other108.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other95) noexcept {
-  voters = std::move(other95.voters);
-  learners = std::move(other95.learners);
-  __isset = other95.__isset;
+Membership& Membership::operator=(Membership&& other109) noexcept {
+  voters = std::move(other109.voters);
+  learners = std::move(other109.learners);
+  __isset = other109.__isset;
   return *this;
 }
 void Membership::printTo(std::ostream& out) const {
@@ -2647,26 +3205,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Reinstate::Reinstate(const Reinstate& other96) {
-  member = other96.member;
-  diskId = other96.diskId;
-  __isset = other96.__isset;
+Reinstate::Reinstate(const Reinstate& other110) {
+  member = other110.member;
+  diskId = other110.diskId;
+  __isset = other110.__isset;
 }
-Reinstate::Reinstate(Reinstate&& other97) noexcept {
-  member = std::move(other97.member);
-  diskId = std::move(other97.diskId);
-  __isset = other97.__isset;
+Reinstate::Reinstate(Reinstate&& other111) noexcept {
+  member = std::move(other111.member);
+  diskId = std::move(other111.diskId);
+  __isset = other111.__isset;
 }
-Reinstate& Reinstate::operator=(const Reinstate& other98) {
-  member = other98.member;
-  diskId = other98.diskId;
-  __isset = other98.__isset;
+Reinstate& Reinstate::operator=(const Reinstate& other112) {
+  member = other112.member;
+  diskId = other112.diskId;
+  __isset = other112.__isset;
   return *this;
 }
-Reinstate& Reinstate::operator=(Reinstate&& other99) noexcept {
-  member = std::move(other99.member);
-  diskId = std::move(other99.diskId);
-  __isset = other99.__isset;
+Reinstate& Reinstate::operator=(Reinstate&& other113) noexcept {
+  member = std::move(other113.member);
+  diskId = std::move(other113.diskId);
+  __isset = other113.__isset;
   return *this;
 }
 void Reinstate::printTo(std::ostream& out) const {
@@ -2743,9 +3301,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast100;
-          xfer += iprot->readI32(ecast100);
-          this->kind = static_cast<EntryKind::type>(ecast100);
+          int32_t ecast114;
+          xfer += iprot->readI32(ecast114);
+          this->kind = static_cast<EntryKind::type>(ecast114);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2806,34 +3364,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Entry::Entry(const Entry& other101) {
-  index = other101.index;
-  term = other101.term;
-  kind = other101.kind;
-  data = other101.data;
-  __isset = other101.__isset;
-}
-Entry::Entry(Entry&& other102) noexcept {
-  index = other102.index;
-  term = other102.term;
-  kind = other102.kind;
-  data = std::move(other102.data);
-  __isset = other102.__isset;
-}
-Entry& Entry::operator=(const Entry& other103) {
-  index = other103.index;
-  term = other103.term;
-  kind = other103.kind;
-  data = other103.data;
-  __isset = other103.__isset;
+Entry::Entry(const Entry& other115) {
+  index = other115.index;
+  term = other115.term;
+  kind = other115.kind;
+  data = other115.data;
+  __isset = other115.__isset;
+}
+Entry::Entry(Entry&& other116) noexcept {
+  index = other116.index;
+  term = other116.term;
+  kind = other116.kind;
+  data = std::move(other116.data);
+  __isset = other116.__isset;
+}
+Entry& Entry::operator=(const Entry& other117) {
+  index = other117.index;
+  term = other117.term;
+  kind = other117.kind;
+  data = other117.data;
+  __isset = other117.__isset;
   return *this;
 }
-Entry& Entry::operator=(Entry&& other104) noexcept {
-  index = other104.index;
-  term = other104.term;
-  kind = other104.kind;
-  data = std::move(other104.data);
-  __isset = other104.__isset;
+Entry& Entry::operator=(Entry&& other118) noexcept {
+  index = other118.index;
+  term = other118.term;
+  kind = other118.kind;
+  data = std::move(other118.data);
+  __isset = other118.__isset;
   return *this;
 }
 void Entry::printTo(std::ostream& out) const {
@@ -2939,26 +3497,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other105) {
-  term = other105.term;
-  votedFor = other105.votedFor;
-  __isset = other105.__isset;
+HardState::HardState(const HardState& other119) {
+  term = other119.term;
+  votedFor = other119.votedFor;
+  __isset = other119.__isset;
 }
-HardState::HardState(HardState&& other106) noexcept {
-  term = other106.term;
-  votedFor = std::move(other106.votedFor);
-  __isset = other106.__isset;
+HardState::HardState(HardState&& other120) noexcept {
+  term = other120.term;
+  votedFor = std::move(other120.votedFor);
+  __isset = other120.__isset;
 }
-HardState& HardState::operator=(const HardState& other107) {
-  term = other107.term;
-  votedFor = other107.votedFor;
-  __isset = other107.__isset;
+HardState& HardState::operator=(const HardState& other121) {
+  term = other121.term;
+  votedFor = other121.votedFor;
+  __isset = other121.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other108) noexcept {
-  term = other108.term;
-  votedFor = std::move(other108.votedFor);
-  __isset = other108.__isset;
+HardState& HardState::operator=(HardState&& other122) noexcept {
+  term = other122.term;
+  votedFor = std::move(other122.votedFor);
+  __isset = other122.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -3096,34 +3654,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other109) {
-  index = other109.index;
-  term = other109.term;
-  membership = other109.membership;
-  state = other109.state;
-  __isset = other109.__isset;
-}
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other110) noexcept {
-  index = other110.index;
-  term = other110.term;
-  membership = std::move(other110.membership);
-  state = std::move(other110.state);
-  __isset = other110.__isset;
-}
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other111) {
-  index = other111.index;
-  term = other111.term;
-  membership = other111.membership;
-  state = other111.state;
-  __isset = other111.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other123) {
+  index = other123.index;
+  term = other123.term;
+  membership = other123.membership;
+  state = other123.state;
+  __isset = other123.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other124) noexcept {
+  index = other124.index;
+  term = other124.term;
+  membership = std::move(other124.membership);
+  state = std::move(other124.state);
+  __isset = other124.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other125) {
+  index = other125.index;
+  term = other125.term;
+  membership = other125.membership;
+  state = other125.state;
+  __isset = other125.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other112) noexcept {
-  index = other112.index;
-  term = other112.term;
-  membership = std::move(other112.membership);
-  state = std::move(other112.state);
-  __isset = other112.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other126) noexcept {
+  index = other126.index;
+  term = other126.term;
+  membership = std::move(other126.membership);
+  state = std::move(other126.state);
+  __isset = other126.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -3263,34 +3821,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other113) noexcept {
-  term = other113.term;
-  preVote = other113.preVote;
-  lastIndex = other113.lastIndex;
-  lastTerm = other113.lastTerm;
-  __isset = other113.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other127) noexcept {
+  term = other127.term;
+  preVote = other127.preVote;
+  lastIndex = other127.lastIndex;
+  lastTerm = other127.lastTerm;
+  __isset = other127.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other114) noexcept {
-  term = other114.term;
-  preVote = other114.preVote;
-  lastIndex = other114.lastIndex;
-  lastTerm = other114.lastTerm;
-  __isset = other114.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other128) noexcept {
+  term = other128.term;
+  preVote = other128.preVote;
+  lastIndex = other128.lastIndex;
+  lastTerm = other128.lastTerm;
+  __isset = other128.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other115) noexcept {
-  term = other115.term;
-  preVote = other115.preVote;
-  lastIndex = other115.lastIndex;
-  lastTerm = other115.lastTerm;
-  __isset = other115.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other129) noexcept {
+  term = other129.term;
+  preVote = other129.preVote;
+  lastIndex = other129.lastIndex;
+  lastTerm = other129.lastTerm;
+  __isset = other129.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other116) noexcept {
-  term = other116.term;
-  preVote = other116.preVote;
-  lastIndex = other116.lastIndex;
-  lastTerm = other116.lastTerm;
-  __isset = other116.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other130) noexcept {
+  term = other130.term;
+  preVote = other130.preVote;
+  lastIndex = other130.lastIndex;
+  lastTerm = other130.lastTerm;
+  __isset = other130.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -3413,30 +3971,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteAnswer::VoteAnswer(const VoteAnswer& other117) noexcept {
-  term = other117.term;
-  preVote = other117.preVote;
-  granted = other117.granted;
-  __isset = other117.__isset;
+VoteAnswer::VoteAnswer(const VoteAnswer& other131) noexcept {
+  term = other131.term;
+  preVote = other131.preVote;
+  granted = other131.granted;
+  __isset = other131.__isset;
 }
-VoteAnswer::VoteAnswer(VoteAnswer&& other118) noexcept {
-  term = other118.term;
-  preVote = other118.preVote;
-  granted = other118.granted;
-  __isset = other118.__isset;
+VoteAnswer::VoteAnswer(VoteAnswer&& other132) noexcept {
+  term = other132.term;
+  preVote = other132.preVote;
+  granted = other132.granted;
+  __isset = other132.__isset;
 }
-VoteAnswer& VoteAnswer::operator=(const VoteAnswer& other119) noexcept {
-  term = other119.term;
-  preVote = other119.preVote;
-  granted = other119.granted;
-  __isset = other119.__isset;
+VoteAnswer& VoteAnswer::operator=(const VoteAnswer& other133) noexcept {
+  term = other133.term;
+  preVote = other133.preVote;
+  granted = other133.granted;
+  __isset = other133.__isset;
   return *this;
 }
-VoteAnswer& VoteAnswer::operator=(VoteAnswer&& other120) noexcept {
-  term = other120.term;
-  preVote = other120.preVote;
-  granted = other120.granted;
-  __isset = other120.__isset;
+VoteAnswer& VoteAnswer::operator=(VoteAnswer&& other134) noexcept {
+  term = other134.term;
+  preVote = other134.preVote;
+  granted = other134.granted;
+  __isset = other134.__isset;
   return *this;
 }
 void VoteAnswer::printTo(std::ostream& out) const {
@@ -3532,14 +4090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->entries.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->entries.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->entries[_i125].read(iprot);
+              xfer += this->entries[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3596,10 +4154,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<Entry> ::const_iterator _iter126;
-    for (_iter126 = this->entries.begin(); _iter126 != this->entries.end(); ++_iter126)
+    std::vector<Entry> ::const_iterator _iter140;
+    for (_iter140 = this->entries.begin(); _iter140 != this->entries.end(); ++_iter140)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3629,42 +4187,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other127) {
-  term = other127.term;
-  prevIndex = other127.prevIndex;
-  prevTerm = other127.prevTerm;
-  entries = other127.entries;
-  commit = other127.commit;
-  round = other127.round;
-  __isset = other127.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other141) {
+  term = other141.term;
+  prevIndex = other141.prevIndex;
+  prevTerm = other141.prevTerm;
+  entries = other141.entries;
+  commit = other141.commit;
+  round = other141.round;
+  __isset = other141.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other128) noexcept {
-  term = other128.term;
-  prevIndex = other128.prevIndex;
-  prevTerm = other128.prevTerm;
-  entries = std::move(other128.entries);
-  commit = other128.commit;
-  round = other128.round;
-  __isset = other128.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other142) noexcept {
+  term = other142.term;
+  prevIndex = other142.prevIndex;
+  prevTerm = other142.prevTerm;
+  entries = std::move(other142.entries);
+  commit = other142.commit;
+  round = other142.round;
+  __isset = other142.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other129) {
-  term = other129.term;
-  prevIndex = other129.prevIndex;
-  prevTerm = other129.prevTerm;
-  entries = other129.entries;
-  commit = other129.commit;
-  round = other129.round;
-  __isset = other129.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other143) {
+  term = other143.term;
+  prevIndex = other143.prevIndex;
+  prevTerm = other143.prevTerm;
+  entries = other143.entries;
+  commit = other143.commit;
+  round = other143.round;
+  __isset = other143.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other130) noexcept {
-  term = other130.term;
-  prevIndex = other130.prevIndex;
-  prevTerm = other130.prevTerm;
-  entries = std::move(other130.entries);
-  commit = other130.commit;
-  round = other130.round;
-  __isset = other130.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other144) noexcept {
+  term = other144.term;
+  prevIndex = other144.prevIndex;
+  prevTerm = other144.prevTerm;
+  entries = std::move(other144.entries);
+  commit = other144.commit;
+  round = other144.round;
+  __isset = other144.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -3840,42 +4398,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendAnswer::AppendAnswer(const AppendAnswer& other131) {
-  term = other131.term;
-  success = other131.success;
-  match = other131.match;
-  round = other131.round;
-  recovering = other131.recovering;
-  diskId = other131.diskId;
-  __isset = other131.__isset;
+AppendAnswer::AppendAnswer(const AppendAnswer& other145) {
+  term = other145.term;
+  success = other145.success;
+  match = other145.match;
+  round = other145.round;
+  recovering = other145.recovering;
+  diskId = other145.diskId;
+  __isset = other145.__isset;
 }
-AppendAnswer::AppendAnswer(AppendAnswer&& other132) noexcept {
-  term = other132.term;
-  success = other132.success;
-  match = other132.match;
-  round = other132.round;
-  recovering = other132.recovering;
-  diskId = std::move(other132.diskId);
-  __isset = other132.__isset;
+AppendAnswer::AppendAnswer(AppendAnswer&& other146) noexcept {
+  term = other146.term;
+  success = other146.success;
+  match = other146.match;
+  round = other146.round;
+  recovering = other146.recovering;
+  diskId = std::move(other146.diskId);
+  __isset = other146.__isset;
 }
-AppendAnswer& AppendAnswer::operator=(const AppendAnswer& other133) {
-  term = other133.term;
-  success = other133.success;
-  match = other133.match;
-  round = other133.round;
-  recovering = other133.recovering;
-  diskId = other133.diskId;
-  __isset = other133.__isset;
+AppendAnswer& AppendAnswer::operator=(const AppendAnswer& other147) {
+  term = other147.term;
+  success = other147.success;
+  match = other147.match;
+  round = other147.round;
+  recovering = other147.recovering;
+  diskId = other147.diskId;
+  __isset = other147.__isset;
   return *this;
 }
-AppendAnswer& AppendAnswer::operator=(AppendAnswer&& other134) noexcept {
-  term = other134.term;
-  success = other134.success;
-  match = other134.match;
-  round = other134.round;
-  recovering = other134.recovering;
-  diskId = std::move(other134.diskId);
-  __isset = other134.__isset;
+AppendAnswer& AppendAnswer::operator=(AppendAnswer&& other148) noexcept {
+  term = other148.term;
+  success = other148.success;
+  match = other148.match;
+  round = other148.round;
+  recovering = other148.recovering;
+  diskId = std::move(other148.diskId);
+  __isset = other148.__isset;
   return *this;
 }
 void AppendAnswer::printTo(std::ostream& out) const {
@@ -3913,7 +4471,275 @@
 }
 
 
-uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotRequest");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->snapshot.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotRequest &a, SnapshotRequest &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.snapshot, b.snapshot);
+  swap(a.round, b.round);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other149) {
+  term = other149.term;
+  snapshot = other149.snapshot;
+  round = other149.round;
+  __isset = other149.__isset;
+}
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other150) noexcept {
+  term = other150.term;
+  snapshot = std::move(other150.snapshot);
+  round = other150.round;
+  __isset = other150.__isset;
+}
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other151) {
+  term = other151.term;
+  snapshot = other151.snapshot;
+  round = other151.round;
+  __isset = other151.__isset;
+  return *this;
+}
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other152) noexcept {
+  term = other152.term;
+  snapshot = std::move(other152.snapshot);
+  round = other152.round;
+  __isset = other152.__isset;
+  return *this;
+}
+void SnapshotRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotRequest(";
+  out << "term=" << to_string(term);
+  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "round=" << to_string(round);
+  out << ")";
+}
+
+
+ForwardRequest::~ForwardRequest() noexcept {
+}
+
+
+void ForwardRequest::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void ForwardRequest::__set_command(const std::string& val) {
+  this->command = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->command);
+          this->__isset.command = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardRequest");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->command);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardRequest &a, ForwardRequest &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.command, b.command);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardRequest::ForwardRequest(const ForwardRequest& other153) {
+  id = other153.id;
+  command = other153.command;
+  __isset = other153.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other154) noexcept {
+  id = other154.id;
+  command = std::move(other154.command);
+  __isset = other154.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other155) {
+  id = other155.id;
+  command = other155.command;
+  __isset = other155.__isset;
+  return *this;
+}
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other156) noexcept {
+  id = other156.id;
+  command = std::move(other156.command);
+  __isset = other156.__isset;
+  return *this;
+}
+void ForwardRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "command=" << to_string(command);
+  out << ")";
+}
+
+
+ForwardAnswer::~ForwardAnswer() noexcept {
+}
+
+
+void ForwardAnswer::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void ForwardAnswer::__set_notLeader(const bool val) {
+  this->notLeader = val;
+}
+
+void ForwardAnswer::__set_result(const std::string& val) {
+  this->result = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3936,24 +4762,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->notLeader);
+          this->__isset.notLeader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->round);
-          this->__isset.round = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->result);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3970,21 +4796,21 @@
   return xfer;
 }
 
-uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRequest");
+  xfer += oprot->writeStructBegin("ForwardAnswer");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->snapshot.write(oprot);
+  xfer += oprot->writeFieldBegin("notLeader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->notLeader);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->result);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3992,69 +4818,73 @@
   return xfer;
 }
 
-void swap(SnapshotRequest &a, SnapshotRequest &b) {
+void swap(ForwardAnswer &a, ForwardAnswer &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.snapshot, b.snapshot);
-  swap(a.round, b.round);
+  swap(a.id, b.id);
+  swap(a.notLeader, b.notLeader);
+  swap(a.result, b.result);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other135) {
-  term = other135.term;
-  snapshot = other135.snapshot;
-  round = other135.round;
-  __isset = other135.__isset;
+ForwardAnswer::ForwardAnswer(const ForwardAnswer& other157) {
+  id = other157.id;
+  notLeader = other157.notLeader;
+  result = other157.result;
+  __isset = other157.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other136) noexcept {
-  term = other136.term;
-  snapshot = std::move(other136.snapshot);
-  round = other136.round;
-  __isset = other136.__isset;
+ForwardAnswer::ForwardAnswer(ForwardAnswer&& other158) noexcept {
+  id = other158.id;
+  notLeader = other158.notLeader;
+  result = std::move(other158.result);
+  __isset = other158.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other137) {
-  term = other137.term;
-  snapshot = other137.snapshot;
-  round = other137.round;
-  __isset = other137.__isset;
+ForwardAnswer& ForwardAnswer::operator=(const ForwardAnswer& other159) {
+  id = other159.id;
+  notLeader = other159.notLeader;
+  result = other159.result;
+  __isset = other159.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other138) noexcept {
-  term = other138.term;
-  snapshot = std::move(other138.snapshot);
-  round = other138.round;
-  __isset = other138.__isset;
+ForwardAnswer& ForwardAnswer::operator=(ForwardAnswer&& other160) noexcept {
+  id = other160.id;
+  notLeader = other160.notLeader;
+  result = std::move(other160.result);
+  __isset = other160.__isset;
   return *this;
 }
-void SnapshotRequest::printTo(std::ostream& out) const {
+void ForwardAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRequest(";
-  out << "term=" << to_string(term);
-  out << ", " << "snapshot=" << to_string(snapshot);
-  out << ", " << "round=" << to_string(round);
+  out << "ForwardAnswer(";
+  out << "id=" << to_string(id);
+  out << ", " << "notLeader=" << to_string(notLeader);
+  out << ", " << "result=" << to_string(result);
   out << ")";
 }
 
 
-ForwardRequest::~ForwardRequest() noexcept {
+ServiceSpec::~ServiceSpec() noexcept {
 }
 
 
-void ForwardRequest::__set_id(const int64_t val) {
-  this->id = val;
+void ServiceSpec::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void ForwardRequest::__set_command(const std::string& val) {
-  this->command = val;
+void ServiceSpec::__set_healthPath(const std::string& val) {
+  this->healthPath = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
+
+void ServiceSpec::__set_maxConnections(const int32_t val) {
+  this->maxConnections = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceSpec& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServiceSpec::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4076,17 +4906,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->command);
-          this->__isset.command = true;
+          xfer += iprot->readString(this->healthPath);
+          this->__isset.healthPath = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxConnections);
+          this->__isset.maxConnections = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4103,17 +4941,21 @@
   return xfer;
 }
 
-uint32_t ForwardRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServiceSpec::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardRequest");
+  xfer += oprot->writeStructBegin("ServiceSpec");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->command);
+  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->healthPath);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->maxConnections);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4121,67 +4963,81 @@
   return xfer;
 }
 
-void swap(ForwardRequest &a, ForwardRequest &b) {
+void swap(ServiceSpec &a, ServiceSpec &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.command, b.command);
+  swap(a.name, b.name);
+  swap(a.healthPath, b.healthPath);
+  swap(a.maxConnections, b.maxConnections);
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other139) {
-  id = other139.id;
-  command = other139.command;
-  __isset = other139.__isset;
+ServiceSpec::ServiceSpec(const ServiceSpec& other161) {
+  name = other161.name;
+  healthPath = other161.healthPath;
+  maxConnections = other161.maxConnections;
+  __isset = other161.__isset;
 }
-ForwardRequest::ForwardRequest(ForwardRequest&& other140) noexcept {
-  id = other140.id;
-  command = std::move(other140.command);
-  __isset = other140.__isset;
+ServiceSpec::ServiceSpec(ServiceSpec&& other162) noexcept {
+  name = std::move(other162.name);
+  healthPath = std::move(other162.healthPath);
+  maxConnections = other162.maxConnections;
+  __isset = other162.__isset;
 }
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other141) {
-  id = other141.id;
-  command = other141.command;
-  __isset = other141.__isset;
+ServiceSpec& ServiceSpec::operator=(const ServiceSpec& other163) {
+  name = other163.name;
+  healthPath = other163.healthPath;
+  maxConnections = other163.maxConnections;
+  __isset = other163.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other142) noexcept {
-  id = other142.id;
-  command = std::move(other142.command);
-  __isset = other142.__isset;
+ServiceSpec& ServiceSpec::operator=(ServiceSpec&& other164) noexcept {
+  name = std::move(other164.name);
+  healthPath = std::move(other164.healthPath);
+  maxConnections = other164.maxConnections;
+  __isset = other164.__isset;
   return *this;
 }
-void ForwardRequest::printTo(std::ostream& out) const {
+void ServiceSpec::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardRequest(";
-  out << "id=" << to_string(id);
-  out << ", " << "command=" << to_string(command);
+  out << "ServiceSpec(";
+  out << "name=" << to_string(name);
+  out << ", " << "healthPath=" << to_string(healthPath);
+  out << ", " << "maxConnections=" << to_string(maxConnections);
   out << ")";
 }
 
 
-ForwardAnswer::~ForwardAnswer() noexcept {
+Release::~Release() noexcept {
 }
 
 
-void ForwardAnswer::__set_id(const int64_t val) {
-  this->id = val;
+void Release::__set_header(const ReleaseResource& val) {
+  this->header = val;
 }
 
-void ForwardAnswer::__set_notLeader(const bool val) {
-  this->notLeader = val;
+void Release::__set_baseNumber(const int64_t val) {
+  this->baseNumber = val;
 }
 
-void ForwardAnswer::__set_result(const std::string& val) {
-  this->result = val;
+void Release::__set_routes(const std::vector<Route> & val) {
+  this->routes = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj)
+
+void Release::__set_services(const std::vector<ServiceSpec> & val) {
+  this->services = val;
+}
+
+void Release::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const Release& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Release::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4203,25 +5059,65 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->notLeader);
-          this->__isset.notLeader = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseNumber);
+          this->__isset.baseNumber = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->routes.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
+              xfer += this->routes[_i169].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->services.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
+            {
+              xfer += this->services[_i174].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->result);
-          this->__isset.result = true;
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4238,21 +5134,45 @@
   return xfer;
 }
 
-uint32_t ForwardAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Release::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardAnswer");
+  xfer += oprot->writeStructBegin("Release");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("notLeader", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->notLeader);
+  xfer += oprot->writeFieldBegin("baseNumber", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseNumber);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->result);
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<Route> ::const_iterator _iter175;
+    for (_iter175 = this->routes.begin(); _iter175 != this->routes.end(); ++_iter175)
+    {
+      xfer += (*_iter175).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceSpec> ::const_iterator _iter176;
+    for (_iter176 = this->services.begin(); _iter176 != this->services.end(); ++_iter176)
+    {
+      xfer += (*_iter176).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->document);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4260,46 +5180,58 @@
   return xfer;
 }
 
-void swap(ForwardAnswer &a, ForwardAnswer &b) {
+void swap(Release &a, Release &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.notLeader, b.notLeader);
-  swap(a.result, b.result);
+  swap(a.header, b.header);
+  swap(a.baseNumber, b.baseNumber);
+  swap(a.routes, b.routes);
+  swap(a.services, b.services);
+  swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
-ForwardAnswer::ForwardAnswer(const ForwardAnswer& other143) {
-  id = other143.id;
-  notLeader = other143.notLeader;
-  result = other143.result;
-  __isset = other143.__isset;
+Release::Release(const Release& other177) {
+  header = other177.header;
+  baseNumber = other177.baseNumber;
+  routes = other177.routes;
+  services = other177.services;
+  document = other177.document;
+  __isset = other177.__isset;
 }
-ForwardAnswer::ForwardAnswer(ForwardAnswer&& other144) noexcept {
-  id = other144.id;
-  notLeader = other144.notLeader;
-  result = std::move(other144.result);
-  __isset = other144.__isset;
+Release::Release(Release&& other178) noexcept {
+  header = std::move(other178.header);
+  baseNumber = other178.baseNumber;
+  routes = std::move(other178.routes);
+  services = std::move(other178.services);
+  document = std::move(other178.document);
+  __isset = other178.__isset;
 }
-ForwardAnswer& ForwardAnswer::operator=(const ForwardAnswer& other145) {
-  id = other145.id;
-  notLeader = other145.notLeader;
-  result = other145.result;
-  __isset = other145.__isset;
+Release& Release::operator=(const Release& other179) {
+  header = other179.header;
+  baseNumber = other179.baseNumber;
+  routes = other179.routes;
+  services = other179.services;
+  document = other179.document;
+  __isset = other179.__isset;
   return *this;
 }
-ForwardAnswer& ForwardAnswer::operator=(ForwardAnswer&& other146) noexcept {
-  id = other146.id;
-  notLeader = other146.notLeader;
-  result = std::move(other146.result);
-  __isset = other146.__isset;
+Release& Release::operator=(Release&& other180) noexcept {
+  header = std::move(other180.header);
+  baseNumber = other180.baseNumber;
+  routes = std::move(other180.routes);
+  services = std::move(other180.services);
+  document = std::move(other180.document);
+  __isset = other180.__isset;
   return *this;
 }
-void ForwardAnswer::printTo(std::ostream& out) const {
+void Release::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardAnswer(";
-  out << "id=" << to_string(id);
-  out << ", " << "notLeader=" << to_string(notLeader);
-  out << ", " << "result=" << to_string(result);
+  out << "Release(";
+  out << "header=" << to_string(header);
+  out << ", " << "baseNumber=" << to_string(baseNumber);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "document=" << to_string(document);
   out << ")";
 }
 
@@ -4377,9 +5309,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast147;
-          xfer += iprot->readI32(ecast147);
-          this->kind = static_cast<MoveEventKind::type>(ecast147);
+          int32_t ecast181;
+          xfer += iprot->readI32(ecast181);
+          this->kind = static_cast<MoveEventKind::type>(ecast181);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4466,42 +5398,42 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveEvent::MoveEvent(const MoveEvent& other148) {
-  moveId = other148.moveId;
-  step = other148.step;
-  kind = other148.kind;
-  permille = other148.permille;
-  reason = other148.reason;
-  slotsNeeded = other148.slotsNeeded;
-  __isset = other148.__isset;
+MoveEvent::MoveEvent(const MoveEvent& other182) {
+  moveId = other182.moveId;
+  step = other182.step;
+  kind = other182.kind;
+  permille = other182.permille;
+  reason = other182.reason;
+  slotsNeeded = other182.slotsNeeded;
+  __isset = other182.__isset;
 }
-MoveEvent::MoveEvent(MoveEvent&& other149) noexcept {
-  moveId = std::move(other149.moveId);
-  step = other149.step;
-  kind = other149.kind;
-  permille = other149.permille;
-  reason = std::move(other149.reason);
-  slotsNeeded = other149.slotsNeeded;
-  __isset = other149.__isset;
+MoveEvent::MoveEvent(MoveEvent&& other183) noexcept {
+  moveId = std::move(other183.moveId);
+  step = other183.step;
+  kind = other183.kind;
+  permille = other183.permille;
+  reason = std::move(other183.reason);
+  slotsNeeded = other183.slotsNeeded;
+  __isset = other183.__isset;
 }
-MoveEvent& MoveEvent::operator=(const MoveEvent& other150) {
-  moveId = other150.moveId;
-  step = other150.step;
-  kind = other150.kind;
-  permille = other150.permille;
-  reason = other150.reason;
-  slotsNeeded = other150.slotsNeeded;
-  __isset = other150.__isset;
+MoveEvent& MoveEvent::operator=(const MoveEvent& other184) {
+  moveId = other184.moveId;
+  step = other184.step;
+  kind = other184.kind;
+  permille = other184.permille;
+  reason = other184.reason;
+  slotsNeeded = other184.slotsNeeded;
+  __isset = other184.__isset;
   return *this;
 }
-MoveEvent& MoveEvent::operator=(MoveEvent&& other151) noexcept {
-  moveId = std::move(other151.moveId);
-  step = other151.step;
-  kind = other151.kind;
-  permille = other151.permille;
-  reason = std::move(other151.reason);
-  slotsNeeded = other151.slotsNeeded;
-  __isset = other151.__isset;
+MoveEvent& MoveEvent::operator=(MoveEvent&& other185) noexcept {
+  moveId = std::move(other185.moveId);
+  step = other185.step;
+  kind = other185.kind;
+  permille = other185.permille;
+  reason = std::move(other185.reason);
+  slotsNeeded = other185.slotsNeeded;
+  __isset = other185.__isset;
   return *this;
 }
 void MoveEvent::printTo(std::ostream& out) const {
@@ -4540,6 +5472,14 @@
 void MoveAsk::__set_watchMs(const int64_t val) {
   this->watchMs = val;
 }
+
+void MoveAsk::__set_exposurePermille(const int32_t val) {
+  this->exposurePermille = val;
+}
+
+void MoveAsk::__set_durationMs(const int64_t val) {
+  this->durationMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MoveAsk& obj)
 {
   obj.printTo(out);
@@ -4608,6 +5548,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->exposurePermille);
+          this->__isset.exposurePermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMs);
+          this->__isset.durationMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4645,6 +5601,14 @@
   xfer += oprot->writeI64(this->watchMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("exposurePermille", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->exposurePermille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->durationMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4657,41 +5621,51 @@
   swap(a.toVersion, b.toVersion);
   swap(a.deadlineMs, b.deadlineMs);
   swap(a.watchMs, b.watchMs);
+  swap(a.exposurePermille, b.exposurePermille);
+  swap(a.durationMs, b.durationMs);
   swap(a.__isset, b.__isset);
 }
 
-MoveAsk::MoveAsk(const MoveAsk& other152) {
-  id = other152.id;
-  serviceName = other152.serviceName;
-  toVersion = other152.toVersion;
-  deadlineMs = other152.deadlineMs;
-  watchMs = other152.watchMs;
-  __isset = other152.__isset;
-}
-MoveAsk::MoveAsk(MoveAsk&& other153) noexcept {
-  id = std::move(other153.id);
-  serviceName = std::move(other153.serviceName);
-  toVersion = std::move(other153.toVersion);
-  deadlineMs = other153.deadlineMs;
-  watchMs = other153.watchMs;
-  __isset = other153.__isset;
+MoveAsk::MoveAsk(const MoveAsk& other186) {
+  id = other186.id;
+  serviceName = other186.serviceName;
+  toVersion = other186.toVersion;
+  deadlineMs = other186.deadlineMs;
+  watchMs = other186.watchMs;
+  exposurePermille = other186.exposurePermille;
+  durationMs = other186.durationMs;
+  __isset = other186.__isset;
 }
-MoveAsk& MoveAsk::operator=(const MoveAsk& other154) {
-  id = other154.id;
-  serviceName = other154.serviceName;
-  toVersion = other154.toVersion;
-  deadlineMs = other154.deadlineMs;
-  watchMs = other154.watchMs;
-  __isset = other154.__isset;
+MoveAsk::MoveAsk(MoveAsk&& other187) noexcept {
+  id = std::move(other187.id);
+  serviceName = std::move(other187.serviceName);
+  toVersion = std::move(other187.toVersion);
+  deadlineMs = other187.deadlineMs;
+  watchMs = other187.watchMs;
+  exposurePermille = other187.exposurePermille;
+  durationMs = other187.durationMs;
+  __isset = other187.__isset;
+}
+MoveAsk& MoveAsk::operator=(const MoveAsk& other188) {
+  id = other188.id;
+  serviceName = other188.serviceName;
+  toVersion = other188.toVersion;
+  deadlineMs = other188.deadlineMs;
+  watchMs = other188.watchMs;
+  exposurePermille = other188.exposurePermille;
+  durationMs = other188.durationMs;
+  __isset = other188.__isset;
   return *this;
 }
-MoveAsk& MoveAsk::operator=(MoveAsk&& other155) noexcept {
-  id = std::move(other155.id);
-  serviceName = std::move(other155.serviceName);
-  toVersion = std::move(other155.toVersion);
-  deadlineMs = other155.deadlineMs;
-  watchMs = other155.watchMs;
-  __isset = other155.__isset;
+MoveAsk& MoveAsk::operator=(MoveAsk&& other189) noexcept {
+  id = std::move(other189.id);
+  serviceName = std::move(other189.serviceName);
+  toVersion = std::move(other189.toVersion);
+  deadlineMs = other189.deadlineMs;
+  watchMs = other189.watchMs;
+  exposurePermille = other189.exposurePermille;
+  durationMs = other189.durationMs;
+  __isset = other189.__isset;
   return *this;
 }
 void MoveAsk::printTo(std::ostream& out) const {
@@ -4702,6 +5676,8 @@
   out << ", " << "toVersion=" << to_string(toVersion);
   out << ", " << "deadlineMs=" << to_string(deadlineMs);
   out << ", " << "watchMs=" << to_string(watchMs);
+  out << ", " << "exposurePermille=" << to_string(exposurePermille);
+  out << ", " << "durationMs=" << to_string(durationMs);
   out << ")";
 }
 
@@ -4768,6 +5744,11 @@
 void Command::__set_sourceSequence(const int64_t val) {
   this->sourceSequence = val;
 }
+
+void Command::__set_release(const Release& val) {
+  this->release = val;
+__isset.release = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -4798,9 +5779,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast156;
-          xfer += iprot->readI32(ecast156);
-          this->kind = static_cast<CommandKind::type>(ecast156);
+          int32_t ecast190;
+          xfer += iprot->readI32(ecast190);
+          this->kind = static_cast<CommandKind::type>(ecast190);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4866,17 +5847,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->parameters.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _ktype158;
-            ::apache::thrift::protocol::TType _vtype159;
-            xfer += iprot->readMapBegin(_ktype158, _vtype159, _size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _ktype192;
+            ::apache::thrift::protocol::TType _vtype193;
+            xfer += iprot->readMapBegin(_ktype192, _vtype193, _size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              std::string _key162;
-              xfer += iprot->readString(_key162);
-              std::string& _val163 = this->parameters[_key162];
-              xfer += iprot->readString(_val163);
+              std::string _key196;
+              xfer += iprot->readString(_key196);
+              std::string& _val197 = this->parameters[_key196];
+              xfer += iprot->readString(_val197);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4925,6 +5906,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->release.read(iprot);
+          this->__isset.release = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4977,11 +5966,11 @@
   xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter164;
-    for (_iter164 = this->parameters.begin(); _iter164 != this->parameters.end(); ++_iter164)
+    std::map<std::string, std::string> ::const_iterator _iter198;
+    for (_iter198 = this->parameters.begin(); _iter198 != this->parameters.end(); ++_iter198)
     {
-      xfer += oprot->writeString(_iter164->first);
-      xfer += oprot->writeString(_iter164->second);
+      xfer += oprot->writeString(_iter198->first);
+      xfer += oprot->writeString(_iter198->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5010,6 +5999,11 @@
   xfer += oprot->writeI64(this->sourceSequence);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.release) {
+    xfer += oprot->writeFieldBegin("release", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->release.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5031,77 +6025,82 @@
   swap(a.claimEpoch, b.claimEpoch);
   swap(a.templateName, b.templateName);
   swap(a.sourceSequence, b.sourceSequence);
+  swap(a.release, b.release);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other165) {
-  kind = other165.kind;
-  requestId = other165.requestId;
-  actor = other165.actor;
-  team = other165.team;
-  timeMs = other165.timeMs;
-  baseVersion = other165.baseVersion;
-  name = other165.name;
-  body = other165.body;
-  parameters = other165.parameters;
-  move = other165.move;
-  moveEvent = other165.moveEvent;
-  claimEpoch = other165.claimEpoch;
-  templateName = other165.templateName;
-  sourceSequence = other165.sourceSequence;
-  __isset = other165.__isset;
-}
-Command::Command(Command&& other166) noexcept {
-  kind = other166.kind;
-  requestId = std::move(other166.requestId);
-  actor = std::move(other166.actor);
-  team = std::move(other166.team);
-  timeMs = other166.timeMs;
-  baseVersion = other166.baseVersion;
-  name = std::move(other166.name);
-  body = std::move(other166.body);
-  parameters = std::move(other166.parameters);
-  move = std::move(other166.move);
-  moveEvent = std::move(other166.moveEvent);
-  claimEpoch = std::move(other166.claimEpoch);
-  templateName = std::move(other166.templateName);
-  sourceSequence = other166.sourceSequence;
-  __isset = other166.__isset;
-}
-Command& Command::operator=(const Command& other167) {
-  kind = other167.kind;
-  requestId = other167.requestId;
-  actor = other167.actor;
-  team = other167.team;
-  timeMs = other167.timeMs;
-  baseVersion = other167.baseVersion;
-  name = other167.name;
-  body = other167.body;
-  parameters = other167.parameters;
-  move = other167.move;
-  moveEvent = other167.moveEvent;
-  claimEpoch = other167.claimEpoch;
-  templateName = other167.templateName;
-  sourceSequence = other167.sourceSequence;
-  __isset = other167.__isset;
+Command::Command(const Command& other199) {
+  kind = other199.kind;
+  requestId = other199.requestId;
+  actor = other199.actor;
+  team = other199.team;
+  timeMs = other199.timeMs;
+  baseVersion = other199.baseVersion;
+  name = other199.name;
+  body = other199.body;
+  parameters = other199.parameters;
+  move = other199.move;
+  moveEvent = other199.moveEvent;
+  claimEpoch = other199.claimEpoch;
+  templateName = other199.templateName;
+  sourceSequence = other199.sourceSequence;
+  release = other199.release;
+  __isset = other199.__isset;
+}
+Command::Command(Command&& other200) noexcept {
+  kind = other200.kind;
+  requestId = std::move(other200.requestId);
+  actor = std::move(other200.actor);
+  team = std::move(other200.team);
+  timeMs = other200.timeMs;
+  baseVersion = other200.baseVersion;
+  name = std::move(other200.name);
+  body = std::move(other200.body);
+  parameters = std::move(other200.parameters);
+  move = std::move(other200.move);
+  moveEvent = std::move(other200.moveEvent);
+  claimEpoch = std::move(other200.claimEpoch);
+  templateName = std::move(other200.templateName);
+  sourceSequence = other200.sourceSequence;
+  release = std::move(other200.release);
+  __isset = other200.__isset;
+}
+Command& Command::operator=(const Command& other201) {
+  kind = other201.kind;
+  requestId = other201.requestId;
+  actor = other201.actor;
+  team = other201.team;
+  timeMs = other201.timeMs;
+  baseVersion = other201.baseVersion;
+  name = other201.name;
+  body = other201.body;
+  parameters = other201.parameters;
+  move = other201.move;
+  moveEvent = other201.moveEvent;
+  claimEpoch = other201.claimEpoch;
+  templateName = other201.templateName;
+  sourceSequence = other201.sourceSequence;
+  release = other201.release;
+  __isset = other201.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other168) noexcept {
-  kind = other168.kind;
-  requestId = std::move(other168.requestId);
-  actor = std::move(other168.actor);
-  team = std::move(other168.team);
-  timeMs = other168.timeMs;
-  baseVersion = other168.baseVersion;
-  name = std::move(other168.name);
-  body = std::move(other168.body);
-  parameters = std::move(other168.parameters);
-  move = std::move(other168.move);
-  moveEvent = std::move(other168.moveEvent);
-  claimEpoch = std::move(other168.claimEpoch);
-  templateName = std::move(other168.templateName);
-  sourceSequence = other168.sourceSequence;
-  __isset = other168.__isset;
+Command& Command::operator=(Command&& other202) noexcept {
+  kind = other202.kind;
+  requestId = std::move(other202.requestId);
+  actor = std::move(other202.actor);
+  team = std::move(other202.team);
+  timeMs = other202.timeMs;
+  baseVersion = other202.baseVersion;
+  name = std::move(other202.name);
+  body = std::move(other202.body);
+  parameters = std::move(other202.parameters);
+  move = std::move(other202.move);
+  moveEvent = std::move(other202.moveEvent);
+  claimEpoch = std::move(other202.claimEpoch);
+  templateName = std::move(other202.templateName);
+  sourceSequence = other202.sourceSequence;
+  release = std::move(other202.release);
+  __isset = other202.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -5121,6 +6120,7 @@
   out << ", " << "claimEpoch="; (__isset.claimEpoch ? (out << to_string(claimEpoch)) : (out << "<null>"));
   out << ", " << "templateName=" << to_string(templateName);
   out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << ", " << "release="; (__isset.release ? (out << to_string(release)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5174,9 +6174,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast169;
-          xfer += iprot->readI32(ecast169);
-          this->code = static_cast<ResultCode::type>(ecast169);
+          int32_t ecast203;
+          xfer += iprot->readI32(ecast203);
+          this->code = static_cast<ResultCode::type>(ecast203);
           this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5253,34 +6253,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other170) {
-  code = other170.code;
-  version = other170.version;
-  message = other170.message;
-  remedy = other170.remedy;
-  __isset = other170.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other171) noexcept {
-  code = other171.code;
-  version = other171.version;
-  message = std::move(other171.message);
-  remedy = std::move(other171.remedy);
-  __isset = other171.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other172) {
-  code = other172.code;
-  version = other172.version;
-  message = other172.message;
-  remedy = other172.remedy;
-  __isset = other172.__isset;
+CommandResult::CommandResult(const CommandResult& other204) {
+  code = other204.code;
+  version = other204.version;
+  message = other204.message;
+  remedy = other204.remedy;
+  __isset = other204.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other205) noexcept {
+  code = other205.code;
+  version = other205.version;
+  message = std::move(other205.message);
+  remedy = std::move(other205.remedy);
+  __isset = other205.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other206) {
+  code = other206.code;
+  version = other206.version;
+  message = other206.message;
+  remedy = other206.remedy;
+  __isset = other206.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other173) noexcept {
-  code = other173.code;
-  version = other173.version;
-  message = std::move(other173.message);
-  remedy = std::move(other173.remedy);
-  __isset = other173.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other207) noexcept {
+  code = other207.code;
+  version = other207.version;
+  message = std::move(other207.message);
+  remedy = std::move(other207.remedy);
+  __isset = other207.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -5435,9 +6435,9 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast174;
-          xfer += iprot->readI32(ecast174);
-          this->code = static_cast<ResultCode::type>(ecast174);
+          int32_t ecast208;
+          xfer += iprot->readI32(ecast208);
+          this->code = static_cast<ResultCode::type>(ecast208);
           this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5541,62 +6541,62 @@
   swap(a.__isset, b.__isset);
 }
 
-AuditRecord::AuditRecord(const AuditRecord& other175) {
-  index = other175.index;
-  timeMs = other175.timeMs;
-  actor = other175.actor;
-  team = other175.team;
-  action = other175.action;
-  subject = other175.subject;
-  fromVersion = other175.fromVersion;
-  toVersion = other175.toVersion;
-  code = other175.code;
-  message = other175.message;
-  requestId = other175.requestId;
-  __isset = other175.__isset;
-}
-AuditRecord::AuditRecord(AuditRecord&& other176) noexcept {
-  index = other176.index;
-  timeMs = other176.timeMs;
-  actor = std::move(other176.actor);
-  team = std::move(other176.team);
-  action = std::move(other176.action);
-  subject = std::move(other176.subject);
-  fromVersion = other176.fromVersion;
-  toVersion = other176.toVersion;
-  code = other176.code;
-  message = std::move(other176.message);
-  requestId = std::move(other176.requestId);
-  __isset = other176.__isset;
-}
-AuditRecord& AuditRecord::operator=(const AuditRecord& other177) {
-  index = other177.index;
-  timeMs = other177.timeMs;
-  actor = other177.actor;
-  team = other177.team;
-  action = other177.action;
-  subject = other177.subject;
-  fromVersion = other177.fromVersion;
-  toVersion = other177.toVersion;
-  code = other177.code;
-  message = other177.message;
-  requestId = other177.requestId;
-  __isset = other177.__isset;
+AuditRecord::AuditRecord(const AuditRecord& other209) {
+  index = other209.index;
+  timeMs = other209.timeMs;
+  actor = other209.actor;
+  team = other209.team;
+  action = other209.action;
+  subject = other209.subject;
+  fromVersion = other209.fromVersion;
+  toVersion = other209.toVersion;
+  code = other209.code;
+  message = other209.message;
+  requestId = other209.requestId;
+  __isset = other209.__isset;
+}
+AuditRecord::AuditRecord(AuditRecord&& other210) noexcept {
+  index = other210.index;
+  timeMs = other210.timeMs;
+  actor = std::move(other210.actor);
+  team = std::move(other210.team);
+  action = std::move(other210.action);
+  subject = std::move(other210.subject);
+  fromVersion = other210.fromVersion;
+  toVersion = other210.toVersion;
+  code = other210.code;
+  message = std::move(other210.message);
+  requestId = std::move(other210.requestId);
+  __isset = other210.__isset;
+}
+AuditRecord& AuditRecord::operator=(const AuditRecord& other211) {
+  index = other211.index;
+  timeMs = other211.timeMs;
+  actor = other211.actor;
+  team = other211.team;
+  action = other211.action;
+  subject = other211.subject;
+  fromVersion = other211.fromVersion;
+  toVersion = other211.toVersion;
+  code = other211.code;
+  message = other211.message;
+  requestId = other211.requestId;
+  __isset = other211.__isset;
   return *this;
 }
-AuditRecord& AuditRecord::operator=(AuditRecord&& other178) noexcept {
-  index = other178.index;
-  timeMs = other178.timeMs;
-  actor = std::move(other178.actor);
-  team = std::move(other178.team);
-  action = std::move(other178.action);
-  subject = std::move(other178.subject);
-  fromVersion = other178.fromVersion;
-  toVersion = other178.toVersion;
-  code = other178.code;
-  message = std::move(other178.message);
-  requestId = std::move(other178.requestId);
-  __isset = other178.__isset;
+AuditRecord& AuditRecord::operator=(AuditRecord&& other212) noexcept {
+  index = other212.index;
+  timeMs = other212.timeMs;
+  actor = std::move(other212.actor);
+  team = std::move(other212.team);
+  action = std::move(other212.action);
+  subject = std::move(other212.subject);
+  fromVersion = other212.fromVersion;
+  toVersion = other212.toVersion;
+  code = other212.code;
+  message = std::move(other212.message);
+  requestId = std::move(other212.requestId);
+  __isset = other212.__isset;
   return *this;
 }
 void AuditRecord::printTo(std::ostream& out) const {
@@ -5743,34 +6743,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedResult::RememberedResult(const RememberedResult& other179) {
-  requestId = other179.requestId;
-  timeMs = other179.timeMs;
-  result = other179.result;
-  fingerprint = other179.fingerprint;
-  __isset = other179.__isset;
-}
-RememberedResult::RememberedResult(RememberedResult&& other180) noexcept {
-  requestId = std::move(other180.requestId);
-  timeMs = other180.timeMs;
-  result = std::move(other180.result);
-  fingerprint = other180.fingerprint;
-  __isset = other180.__isset;
-}
-RememberedResult& RememberedResult::operator=(const RememberedResult& other181) {
-  requestId = other181.requestId;
-  timeMs = other181.timeMs;
-  result = other181.result;
-  fingerprint = other181.fingerprint;
-  __isset = other181.__isset;
+RememberedResult::RememberedResult(const RememberedResult& other213) {
+  requestId = other213.requestId;
+  timeMs = other213.timeMs;
+  result = other213.result;
+  fingerprint = other213.fingerprint;
+  __isset = other213.__isset;
+}
+RememberedResult::RememberedResult(RememberedResult&& other214) noexcept {
+  requestId = std::move(other214.requestId);
+  timeMs = other214.timeMs;
+  result = std::move(other214.result);
+  fingerprint = other214.fingerprint;
+  __isset = other214.__isset;
+}
+RememberedResult& RememberedResult::operator=(const RememberedResult& other215) {
+  requestId = other215.requestId;
+  timeMs = other215.timeMs;
+  result = other215.result;
+  fingerprint = other215.fingerprint;
+  __isset = other215.__isset;
   return *this;
 }
-RememberedResult& RememberedResult::operator=(RememberedResult&& other182) noexcept {
-  requestId = std::move(other182.requestId);
-  timeMs = other182.timeMs;
-  result = std::move(other182.result);
-  fingerprint = other182.fingerprint;
-  __isset = other182.__isset;
+RememberedResult& RememberedResult::operator=(RememberedResult&& other216) noexcept {
+  requestId = std::move(other216.requestId);
+  timeMs = other216.timeMs;
+  result = std::move(other216.result);
+  fingerprint = other216.fingerprint;
+  __isset = other216.__isset;
   return *this;
 }
 void RememberedResult::printTo(std::ostream& out) const {
@@ -5910,34 +6910,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TemplateRecord::TemplateRecord(const TemplateRecord& other183) {
-  name = other183.name;
-  version = other183.version;
-  body = other183.body;
-  sourceSequence = other183.sourceSequence;
-  __isset = other183.__isset;
-}
-TemplateRecord::TemplateRecord(TemplateRecord&& other184) noexcept {
-  name = std::move(other184.name);
-  version = other184.version;
-  body = std::move(other184.body);
-  sourceSequence = other184.sourceSequence;
-  __isset = other184.__isset;
-}
-TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other185) {
-  name = other185.name;
-  version = other185.version;
-  body = other185.body;
-  sourceSequence = other185.sourceSequence;
-  __isset = other185.__isset;
+TemplateRecord::TemplateRecord(const TemplateRecord& other217) {
+  name = other217.name;
+  version = other217.version;
+  body = other217.body;
+  sourceSequence = other217.sourceSequence;
+  __isset = other217.__isset;
+}
+TemplateRecord::TemplateRecord(TemplateRecord&& other218) noexcept {
+  name = std::move(other218.name);
+  version = other218.version;
+  body = std::move(other218.body);
+  sourceSequence = other218.sourceSequence;
+  __isset = other218.__isset;
+}
+TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other219) {
+  name = other219.name;
+  version = other219.version;
+  body = other219.body;
+  sourceSequence = other219.sourceSequence;
+  __isset = other219.__isset;
   return *this;
 }
-TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other186) noexcept {
-  name = std::move(other186.name);
-  version = other186.version;
-  body = std::move(other186.body);
-  sourceSequence = other186.sourceSequence;
-  __isset = other186.__isset;
+TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other220) noexcept {
+  name = std::move(other220.name);
+  version = other220.version;
+  body = std::move(other220.body);
+  sourceSequence = other220.sourceSequence;
+  __isset = other220.__isset;
   return *this;
 }
 void TemplateRecord::printTo(std::ostream& out) const {
@@ -6030,17 +7030,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->parameters.clear();
-            uint32_t _size187;
-            ::apache::thrift::protocol::TType _ktype188;
-            ::apache::thrift::protocol::TType _vtype189;
-            xfer += iprot->readMapBegin(_ktype188, _vtype189, _size187);
-            uint32_t _i191;
-            for (_i191 = 0; _i191 < _size187; ++_i191)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _ktype222;
+            ::apache::thrift::protocol::TType _vtype223;
+            xfer += iprot->readMapBegin(_ktype222, _vtype223, _size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              std::string _key192;
-              xfer += iprot->readString(_key192);
-              std::string& _val193 = this->parameters[_key192];
-              xfer += iprot->readString(_val193);
+              std::string _key226;
+              xfer += iprot->readString(_key226);
+              std::string& _val227 = this->parameters[_key226];
+              xfer += iprot->readString(_val227);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6089,11 +7089,11 @@
   xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter194;
-    for (_iter194 = this->parameters.begin(); _iter194 != this->parameters.end(); ++_iter194)
+    std::map<std::string, std::string> ::const_iterator _iter228;
+    for (_iter228 = this->parameters.begin(); _iter228 != this->parameters.end(); ++_iter228)
     {
-      xfer += oprot->writeString(_iter194->first);
-      xfer += oprot->writeString(_iter194->second);
+      xfer += oprot->writeString(_iter228->first);
+      xfer += oprot->writeString(_iter228->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6118,38 +7118,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountRecord::AccountRecord(const AccountRecord& other195) {
-  name = other195.name;
-  version = other195.version;
-  templateName = other195.templateName;
-  parameters = other195.parameters;
-  sourceSequence = other195.sourceSequence;
-  __isset = other195.__isset;
-}
-AccountRecord::AccountRecord(AccountRecord&& other196) noexcept {
-  name = std::move(other196.name);
-  version = other196.version;
-  templateName = std::move(other196.templateName);
-  parameters = std::move(other196.parameters);
-  sourceSequence = other196.sourceSequence;
-  __isset = other196.__isset;
-}
-AccountRecord& AccountRecord::operator=(const AccountRecord& other197) {
-  name = other197.name;
-  version = other197.version;
-  templateName = other197.templateName;
-  parameters = other197.parameters;
-  sourceSequence = other197.sourceSequence;
-  __isset = other197.__isset;
+AccountRecord::AccountRecord(const AccountRecord& other229) {
+  name = other229.name;
+  version = other229.version;
+  templateName = other229.templateName;
+  parameters = other229.parameters;
+  sourceSequence = other229.sourceSequence;
+  __isset = other229.__isset;
+}
+AccountRecord::AccountRecord(AccountRecord&& other230) noexcept {
+  name = std::move(other230.name);
+  version = other230.version;
+  templateName = std::move(other230.templateName);
+  parameters = std::move(other230.parameters);
+  sourceSequence = other230.sourceSequence;
+  __isset = other230.__isset;
+}
+AccountRecord& AccountRecord::operator=(const AccountRecord& other231) {
+  name = other231.name;
+  version = other231.version;
+  templateName = other231.templateName;
+  parameters = other231.parameters;
+  sourceSequence = other231.sourceSequence;
+  __isset = other231.__isset;
   return *this;
 }
-AccountRecord& AccountRecord::operator=(AccountRecord&& other198) noexcept {
-  name = std::move(other198.name);
-  version = other198.version;
-  templateName = std::move(other198.templateName);
-  parameters = std::move(other198.parameters);
-  sourceSequence = other198.sourceSequence;
-  __isset = other198.__isset;
+AccountRecord& AccountRecord::operator=(AccountRecord&& other232) noexcept {
+  name = std::move(other232.name);
+  version = other232.version;
+  templateName = std::move(other232.templateName);
+  parameters = std::move(other232.parameters);
+  sourceSequence = other232.sourceSequence;
+  __isset = other232.__isset;
   return *this;
 }
 void AccountRecord::printTo(std::ostream& out) const {
@@ -6235,6 +7235,10 @@
 void MoveRecord::__set_slotsNeeded(const int32_t val) {
   this->slotsNeeded = val;
 }
+
+void MoveRecord::__set_exposurePermille(const int32_t val) {
+  this->exposurePermille = val;
+}
 std::ostream& operator<<(std::ostream& out, const MoveRecord& obj)
 {
   obj.printTo(out);
@@ -6321,9 +7325,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast199;
-          xfer += iprot->readI32(ecast199);
-          this->state = static_cast<MoveState::type>(ecast199);
+          int32_t ecast233;
+          xfer += iprot->readI32(ecast233);
+          this->state = static_cast<MoveState::type>(ecast233);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6401,6 +7405,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->exposurePermille);
+          this->__isset.exposurePermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6486,6 +7498,10 @@
   xfer += oprot->writeI32(this->slotsNeeded);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("exposurePermille", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->exposurePermille);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6510,89 +7526,94 @@
   swap(a.actor, b.actor);
   swap(a.endedMs, b.endedMs);
   swap(a.slotsNeeded, b.slotsNeeded);
+  swap(a.exposurePermille, b.exposurePermille);
   swap(a.__isset, b.__isset);
 }
 
-MoveRecord::MoveRecord(const MoveRecord& other200) {
-  id = other200.id;
-  serviceName = other200.serviceName;
-  fromVersion = other200.fromVersion;
-  toVersion = other200.toVersion;
-  startedMs = other200.startedMs;
-  deadlineMs = other200.deadlineMs;
-  watchMs = other200.watchMs;
-  state = other200.state;
-  step = other200.step;
-  permille = other200.permille;
-  stepMs = other200.stepMs;
-  reachedMs = other200.reachedMs;
-  reason = other200.reason;
-  late = other200.late;
-  actor = other200.actor;
-  endedMs = other200.endedMs;
-  slotsNeeded = other200.slotsNeeded;
-  __isset = other200.__isset;
-}
-MoveRecord::MoveRecord(MoveRecord&& other201) noexcept {
-  id = std::move(other201.id);
-  serviceName = std::move(other201.serviceName);
-  fromVersion = std::move(other201.fromVersion);
-  toVersion = std::move(other201.toVersion);
-  startedMs = other201.startedMs;
-  deadlineMs = other201.deadlineMs;
-  watchMs = other201.watchMs;
-  state = other201.state;
-  step = other201.step;
-  permille = other201.permille;
-  stepMs = other201.stepMs;
-  reachedMs = other201.reachedMs;
-  reason = std::move(other201.reason);
-  late = other201.late;
-  actor = std::move(other201.actor);
-  endedMs = other201.endedMs;
-  slotsNeeded = other201.slotsNeeded;
-  __isset = other201.__isset;
-}
-MoveRecord& MoveRecord::operator=(const MoveRecord& other202) {
-  id = other202.id;
-  serviceName = other202.serviceName;
-  fromVersion = other202.fromVersion;
-  toVersion = other202.toVersion;
-  startedMs = other202.startedMs;
-  deadlineMs = other202.deadlineMs;
-  watchMs = other202.watchMs;
-  state = other202.state;
-  step = other202.step;
-  permille = other202.permille;
-  stepMs = other202.stepMs;
-  reachedMs = other202.reachedMs;
-  reason = other202.reason;
-  late = other202.late;
-  actor = other202.actor;
-  endedMs = other202.endedMs;
-  slotsNeeded = other202.slotsNeeded;
-  __isset = other202.__isset;
+MoveRecord::MoveRecord(const MoveRecord& other234) {
+  id = other234.id;
+  serviceName = other234.serviceName;
+  fromVersion = other234.fromVersion;
+  toVersion = other234.toVersion;
+  startedMs = other234.startedMs;
+  deadlineMs = other234.deadlineMs;
+  watchMs = other234.watchMs;
+  state = other234.state;
+  step = other234.step;
+  permille = other234.permille;
+  stepMs = other234.stepMs;
+  reachedMs = other234.reachedMs;
+  reason = other234.reason;
+  late = other234.late;
+  actor = other234.actor;
+  endedMs = other234.endedMs;
+  slotsNeeded = other234.slotsNeeded;
+  exposurePermille = other234.exposurePermille;
+  __isset = other234.__isset;
+}
+MoveRecord::MoveRecord(MoveRecord&& other235) noexcept {
+  id = std::move(other235.id);
+  serviceName = std::move(other235.serviceName);
+  fromVersion = std::move(other235.fromVersion);
+  toVersion = std::move(other235.toVersion);
+  startedMs = other235.startedMs;
+  deadlineMs = other235.deadlineMs;
+  watchMs = other235.watchMs;
+  state = other235.state;
+  step = other235.step;
+  permille = other235.permille;
+  stepMs = other235.stepMs;
+  reachedMs = other235.reachedMs;
+  reason = std::move(other235.reason);
+  late = other235.late;
+  actor = std::move(other235.actor);
+  endedMs = other235.endedMs;
+  slotsNeeded = other235.slotsNeeded;
+  exposurePermille = other235.exposurePermille;
+  __isset = other235.__isset;
+}
+MoveRecord& MoveRecord::operator=(const MoveRecord& other236) {
+  id = other236.id;
+  serviceName = other236.serviceName;
+  fromVersion = other236.fromVersion;
+  toVersion = other236.toVersion;
+  startedMs = other236.startedMs;
+  deadlineMs = other236.deadlineMs;
+  watchMs = other236.watchMs;
+  state = other236.state;
+  step = other236.step;
+  permille = other236.permille;
+  stepMs = other236.stepMs;
+  reachedMs = other236.reachedMs;
+  reason = other236.reason;
+  late = other236.late;
+  actor = other236.actor;
+  endedMs = other236.endedMs;
+  slotsNeeded = other236.slotsNeeded;
+  exposurePermille = other236.exposurePermille;
+  __isset = other236.__isset;
   return *this;
 }
-MoveRecord& MoveRecord::operator=(MoveRecord&& other203) noexcept {
-  id = std::move(other203.id);
-  serviceName = std::move(other203.serviceName);
-  fromVersion = std::move(other203.fromVersion);
-  toVersion = std::move(other203.toVersion);
-  startedMs = other203.startedMs;
-  deadlineMs = other203.deadlineMs;
-  watchMs = other203.watchMs;
-  state = other203.state;
-  step = other203.step;
-  permille = other203.permille;
-  stepMs = other203.stepMs;
-  reachedMs = other203.reachedMs;
-  reason = std::move(other203.reason);
-  late = other203.late;
-  actor = std::move(other203.actor);
-  endedMs = other203.endedMs;
-  slotsNeeded = other203.slotsNeeded;
-  __isset = other203.__isset;
+MoveRecord& MoveRecord::operator=(MoveRecord&& other237) noexcept {
+  id = std::move(other237.id);
+  serviceName = std::move(other237.serviceName);
+  fromVersion = std::move(other237.fromVersion);
+  toVersion = std::move(other237.toVersion);
+  startedMs = other237.startedMs;
+  deadlineMs = other237.deadlineMs;
+  watchMs = other237.watchMs;
+  state = other237.state;
+  step = other237.step;
+  permille = other237.permille;
+  stepMs = other237.stepMs;
+  reachedMs = other237.reachedMs;
+  reason = std::move(other237.reason);
+  late = other237.late;
+  actor = std::move(other237.actor);
+  endedMs = other237.endedMs;
+  slotsNeeded = other237.slotsNeeded;
+  exposurePermille = other237.exposurePermille;
+  __isset = other237.__isset;
   return *this;
 }
 void MoveRecord::printTo(std::ostream& out) const {
@@ -6615,6 +7636,7 @@
   out << ", " << "actor=" << to_string(actor);
   out << ", " << "endedMs=" << to_string(endedMs);
   out << ", " << "slotsNeeded=" << to_string(slotsNeeded);
+  out << ", " << "exposurePermille=" << to_string(exposurePermille);
   out << ")";
 }
 
@@ -6662,6 +7684,14 @@
 void MachineImage::__set_auditCount(const int64_t val) {
   this->auditCount = val;
 }
+
+void MachineImage::__set_releaseNumber(const int64_t val) {
+  this->releaseNumber = val;
+}
+
+void MachineImage::__set_releaseDocument(const std::string& val) {
+  this->releaseDocument = val;
+}
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj)
 {
   obj.printTo(out);
@@ -6702,14 +7732,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resources.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->resources.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->resources.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->resources[_i208].read(iprot);
+              xfer += this->resources[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6722,14 +7752,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->tombstones.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->tombstones.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->tombstones[_i213].read(iprot);
+              xfer += this->tombstones[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6742,14 +7772,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->templates.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->templates.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->templates.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += this->templates[_i218].read(iprot);
+              xfer += this->templates[_i252].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6762,14 +7792,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->accounts.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->accounts.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
             {
-              xfer += this->accounts[_i223].read(iprot);
+              xfer += this->accounts[_i257].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6782,14 +7812,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->moves.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->moves.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->moves[_i228].read(iprot);
+              xfer += this->moves[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6802,14 +7832,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->audit.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->audit.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->audit[_i233].read(iprot);
+              xfer += this->audit[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6822,14 +7852,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->remembered.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->remembered.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->remembered.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->remembered[_i238].read(iprot);
+              xfer += this->remembered[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6854,6 +7884,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->releaseNumber);
+          this->__isset.releaseNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->releaseDocument);
+          this->__isset.releaseDocument = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6878,10 +7924,10 @@
   xfer += oprot->writeFieldBegin("resources", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resources.size()));
-    std::vector<Resource> ::const_iterator _iter239;
-    for (_iter239 = this->resources.begin(); _iter239 != this->resources.end(); ++_iter239)
+    std::vector<Resource> ::const_iterator _iter273;
+    for (_iter273 = this->resources.begin(); _iter273 != this->resources.end(); ++_iter273)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6890,10 +7936,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<Tombstone> ::const_iterator _iter240;
-    for (_iter240 = this->tombstones.begin(); _iter240 != this->tombstones.end(); ++_iter240)
+    std::vector<Tombstone> ::const_iterator _iter274;
+    for (_iter274 = this->tombstones.begin(); _iter274 != this->tombstones.end(); ++_iter274)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6902,10 +7948,10 @@
   xfer += oprot->writeFieldBegin("templates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->templates.size()));
-    std::vector<TemplateRecord> ::const_iterator _iter241;
-    for (_iter241 = this->templates.begin(); _iter241 != this->templates.end(); ++_iter241)
+    std::vector<TemplateRecord> ::const_iterator _iter275;
+    for (_iter275 = this->templates.begin(); _iter275 != this->templates.end(); ++_iter275)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter275).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6914,10 +7960,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountRecord> ::const_iterator _iter242;
-    for (_iter242 = this->accounts.begin(); _iter242 != this->accounts.end(); ++_iter242)
+    std::vector<AccountRecord> ::const_iterator _iter276;
+    for (_iter276 = this->accounts.begin(); _iter276 != this->accounts.end(); ++_iter276)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter276).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6926,10 +7972,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveRecord> ::const_iterator _iter243;
-    for (_iter243 = this->moves.begin(); _iter243 != this->moves.end(); ++_iter243)
+    std::vector<MoveRecord> ::const_iterator _iter277;
+    for (_iter277 = this->moves.begin(); _iter277 != this->moves.end(); ++_iter277)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter277).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6938,10 +7984,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter244;
-    for (_iter244 = this->audit.begin(); _iter244 != this->audit.end(); ++_iter244)
+    std::vector<AuditRecord> ::const_iterator _iter278;
+    for (_iter278 = this->audit.begin(); _iter278 != this->audit.end(); ++_iter278)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter278).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6950,10 +7996,10 @@
   xfer += oprot->writeFieldBegin("remembered", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->remembered.size()));
-    std::vector<RememberedResult> ::const_iterator _iter245;
-    for (_iter245 = this->remembered.begin(); _iter245 != this->remembered.end(); ++_iter245)
+    std::vector<RememberedResult> ::const_iterator _iter279;
+    for (_iter279 = this->remembered.begin(); _iter279 != this->remembered.end(); ++_iter279)
     {
-      xfer += (*_iter245).write(oprot);
+      xfer += (*_iter279).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6967,6 +8013,14 @@
   xfer += oprot->writeI64(this->auditCount);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("releaseNumber", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->releaseNumber);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("releaseDocument", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeBinary(this->releaseDocument);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6984,61 +8038,71 @@
   swap(a.remembered, b.remembered);
   swap(a.tombstoneFloor, b.tombstoneFloor);
   swap(a.auditCount, b.auditCount);
+  swap(a.releaseNumber, b.releaseNumber);
+  swap(a.releaseDocument, b.releaseDocument);
   swap(a.__isset, b.__isset);
 }
 
-MachineImage::MachineImage(const MachineImage& other246) {
-  version = other246.version;
-  resources = other246.resources;
-  tombstones = other246.tombstones;
-  templates = other246.templates;
-  accounts = other246.accounts;
-  moves = other246.moves;
-  audit = other246.audit;
-  remembered = other246.remembered;
-  tombstoneFloor = other246.tombstoneFloor;
-  auditCount = other246.auditCount;
-  __isset = other246.__isset;
-}
-MachineImage::MachineImage(MachineImage&& other247) noexcept {
-  version = other247.version;
-  resources = std::move(other247.resources);
-  tombstones = std::move(other247.tombstones);
-  templates = std::move(other247.templates);
-  accounts = std::move(other247.accounts);
-  moves = std::move(other247.moves);
-  audit = std::move(other247.audit);
-  remembered = std::move(other247.remembered);
-  tombstoneFloor = other247.tombstoneFloor;
-  auditCount = other247.auditCount;
-  __isset = other247.__isset;
-}
-MachineImage& MachineImage::operator=(const MachineImage& other248) {
-  version = other248.version;
-  resources = other248.resources;
-  tombstones = other248.tombstones;
-  templates = other248.templates;
-  accounts = other248.accounts;
-  moves = other248.moves;
-  audit = other248.audit;
-  remembered = other248.remembered;
-  tombstoneFloor = other248.tombstoneFloor;
-  auditCount = other248.auditCount;
-  __isset = other248.__isset;
+MachineImage::MachineImage(const MachineImage& other280) {
+  version = other280.version;
+  resources = other280.resources;
+  tombstones = other280.tombstones;
+  templates = other280.templates;
+  accounts = other280.accounts;
+  moves = other280.moves;
+  audit = other280.audit;
+  remembered = other280.remembered;
+  tombstoneFloor = other280.tombstoneFloor;
+  auditCount = other280.auditCount;
+  releaseNumber = other280.releaseNumber;
+  releaseDocument = other280.releaseDocument;
+  __isset = other280.__isset;
+}
+MachineImage::MachineImage(MachineImage&& other281) noexcept {
+  version = other281.version;
+  resources = std::move(other281.resources);
+  tombstones = std::move(other281.tombstones);
+  templates = std::move(other281.templates);
+  accounts = std::move(other281.accounts);
+  moves = std::move(other281.moves);
+  audit = std::move(other281.audit);
+  remembered = std::move(other281.remembered);
+  tombstoneFloor = other281.tombstoneFloor;
+  auditCount = other281.auditCount;
+  releaseNumber = other281.releaseNumber;
+  releaseDocument = std::move(other281.releaseDocument);
+  __isset = other281.__isset;
+}
+MachineImage& MachineImage::operator=(const MachineImage& other282) {
+  version = other282.version;
+  resources = other282.resources;
+  tombstones = other282.tombstones;
+  templates = other282.templates;
+  accounts = other282.accounts;
+  moves = other282.moves;
+  audit = other282.audit;
+  remembered = other282.remembered;
+  tombstoneFloor = other282.tombstoneFloor;
+  auditCount = other282.auditCount;
+  releaseNumber = other282.releaseNumber;
+  releaseDocument = other282.releaseDocument;
+  __isset = other282.__isset;
   return *this;
 }
-MachineImage& MachineImage::operator=(MachineImage&& other249) noexcept {
-  version = other249.version;
-  resources = std::move(other249.resources);
-  tombstones = std::move(other249.tombstones);
-  templates = std::move(other249.templates);
-  accounts = std::move(other249.accounts);
-  moves = std::move(other249.moves);
-  audit = std::move(other249.audit);
-  remembered = std::move(other249.remembered);
-  tombstoneFloor = other249.tombstoneFloor;
-  auditCount = other249.auditCount;
-  __isset = other249.__isset;
+MachineImage& MachineImage::operator=(MachineImage&& other283) noexcept {
+  version = other283.version;
+  resources = std::move(other283.resources);
+  tombstones = std::move(other283.tombstones);
+  templates = std::move(other283.templates);
+  accounts = std::move(other283.accounts);
+  moves = std::move(other283.moves);
+  audit = std::move(other283.audit);
+  remembered = std::move(other283.remembered);
+  tombstoneFloor = other283.tombstoneFloor;
+  auditCount = other283.auditCount;
+  releaseNumber = other283.releaseNumber;
+  releaseDocument = std::move(other283.releaseDocument);
+  __isset = other283.__isset;
   return *this;
 }
 void MachineImage::printTo(std::ostream& out) const {
@@ -7054,6 +8118,8 @@
   out << ", " << "remembered=" << to_string(remembered);
   out << ", " << "tombstoneFloor=" << to_string(tombstoneFloor);
   out << ", " << "auditCount=" << to_string(auditCount);
+  out << ", " << "releaseNumber=" << to_string(releaseNumber);
+  out << ", " << "releaseDocument=" << to_string(releaseDocument);
   out << ")";
 }
 
@@ -7101,6 +8167,10 @@
 void Presence::__set_slots(const int32_t val) {
   this->slots = val;
 }
+
+void Presence::__set_coldLeftMs(const int32_t val) {
+  this->coldLeftMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -7195,9 +8265,9 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast250;
-          xfer += iprot->readI32(ecast250);
-          this->state = static_cast<TargetState::type>(ecast250);
+          int32_t ecast284;
+          xfer += iprot->readI32(ecast284);
+          this->state = static_cast<TargetState::type>(ecast284);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7211,6 +8281,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldLeftMs);
+          this->__isset.coldLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7268,6 +8346,10 @@
   xfer += oprot->writeI32(this->slots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->coldLeftMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7285,61 +8367,66 @@
   swap(a.sequence, b.sequence);
   swap(a.state, b.state);
   swap(a.slots, b.slots);
+  swap(a.coldLeftMs, b.coldLeftMs);
   swap(a.__isset, b.__isset);
 }
 
-Presence::Presence(const Presence& other251) {
-  target = other251.target;
-  serviceName = other251.serviceName;
-  version = other251.version;
-  dataCentre = other251.dataCentre;
-  node = other251.node;
-  callAddress = other251.callAddress;
-  incarnation = other251.incarnation;
-  sequence = other251.sequence;
-  state = other251.state;
-  slots = other251.slots;
-  __isset = other251.__isset;
-}
-Presence::Presence(Presence&& other252) noexcept {
-  target = std::move(other252.target);
-  serviceName = std::move(other252.serviceName);
-  version = std::move(other252.version);
-  dataCentre = std::move(other252.dataCentre);
-  node = std::move(other252.node);
-  callAddress = std::move(other252.callAddress);
-  incarnation = other252.incarnation;
-  sequence = other252.sequence;
-  state = other252.state;
-  slots = other252.slots;
-  __isset = other252.__isset;
-}
-Presence& Presence::operator=(const Presence& other253) {
-  target = other253.target;
-  serviceName = other253.serviceName;
-  version = other253.version;
-  dataCentre = other253.dataCentre;
-  node = other253.node;
-  callAddress = other253.callAddress;
-  incarnation = other253.incarnation;
-  sequence = other253.sequence;
-  state = other253.state;
-  slots = other253.slots;
-  __isset = other253.__isset;
+Presence::Presence(const Presence& other285) {
+  target = other285.target;
+  serviceName = other285.serviceName;
+  version = other285.version;
+  dataCentre = other285.dataCentre;
+  node = other285.node;
+  callAddress = other285.callAddress;
+  incarnation = other285.incarnation;
+  sequence = other285.sequence;
+  state = other285.state;
+  slots = other285.slots;
+  coldLeftMs = other285.coldLeftMs;
+  __isset = other285.__isset;
+}
+Presence::Presence(Presence&& other286) noexcept {
+  target = std::move(other286.target);
+  serviceName = std::move(other286.serviceName);
+  version = std::move(other286.version);
+  dataCentre = std::move(other286.dataCentre);
+  node = std::move(other286.node);
+  callAddress = std::move(other286.callAddress);
+  incarnation = other286.incarnation;
+  sequence = other286.sequence;
+  state = other286.state;
+  slots = other286.slots;
+  coldLeftMs = other286.coldLeftMs;
+  __isset = other286.__isset;
+}
+Presence& Presence::operator=(const Presence& other287) {
+  target = other287.target;
+  serviceName = other287.serviceName;
+  version = other287.version;
+  dataCentre = other287.dataCentre;
+  node = other287.node;
+  callAddress = other287.callAddress;
+  incarnation = other287.incarnation;
+  sequence = other287.sequence;
+  state = other287.state;
+  slots = other287.slots;
+  coldLeftMs = other287.coldLeftMs;
+  __isset = other287.__isset;
   return *this;
 }
-Presence& Presence::operator=(Presence&& other254) noexcept {
-  target = std::move(other254.target);
-  serviceName = std::move(other254.serviceName);
-  version = std::move(other254.version);
-  dataCentre = std::move(other254.dataCentre);
-  node = std::move(other254.node);
-  callAddress = std::move(other254.callAddress);
-  incarnation = other254.incarnation;
-  sequence = other254.sequence;
-  state = other254.state;
-  slots = other254.slots;
-  __isset = other254.__isset;
+Presence& Presence::operator=(Presence&& other288) noexcept {
+  target = std::move(other288.target);
+  serviceName = std::move(other288.serviceName);
+  version = std::move(other288.version);
+  dataCentre = std::move(other288.dataCentre);
+  node = std::move(other288.node);
+  callAddress = std::move(other288.callAddress);
+  incarnation = other288.incarnation;
+  sequence = other288.sequence;
+  state = other288.state;
+  slots = other288.slots;
+  coldLeftMs = other288.coldLeftMs;
+  __isset = other288.__isset;
   return *this;
 }
 void Presence::printTo(std::ostream& out) const {
@@ -7355,6 +8442,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "state=" << to_string(state);
   out << ", " << "slots=" << to_string(slots);
+  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
   out << ")";
 }
 
@@ -7536,46 +8624,46 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeInfo::NodeInfo(const NodeInfo& other255) {
-  node = other255.node;
-  dataCentre = other255.dataCentre;
-  meshAddress = other255.meshAddress;
-  callAddress = other255.callAddress;
-  incarnation = other255.incarnation;
-  sequence = other255.sequence;
-  gone = other255.gone;
-  __isset = other255.__isset;
-}
-NodeInfo::NodeInfo(NodeInfo&& other256) noexcept {
-  node = std::move(other256.node);
-  dataCentre = std::move(other256.dataCentre);
-  meshAddress = std::move(other256.meshAddress);
-  callAddress = std::move(other256.callAddress);
-  incarnation = other256.incarnation;
-  sequence = other256.sequence;
-  gone = other256.gone;
-  __isset = other256.__isset;
-}
-NodeInfo& NodeInfo::operator=(const NodeInfo& other257) {
-  node = other257.node;
-  dataCentre = other257.dataCentre;
-  meshAddress = other257.meshAddress;
-  callAddress = other257.callAddress;
-  incarnation = other257.incarnation;
-  sequence = other257.sequence;
-  gone = other257.gone;
-  __isset = other257.__isset;
+NodeInfo::NodeInfo(const NodeInfo& other289) {
+  node = other289.node;
+  dataCentre = other289.dataCentre;
+  meshAddress = other289.meshAddress;
+  callAddress = other289.callAddress;
+  incarnation = other289.incarnation;
+  sequence = other289.sequence;
+  gone = other289.gone;
+  __isset = other289.__isset;
+}
+NodeInfo::NodeInfo(NodeInfo&& other290) noexcept {
+  node = std::move(other290.node);
+  dataCentre = std::move(other290.dataCentre);
+  meshAddress = std::move(other290.meshAddress);
+  callAddress = std::move(other290.callAddress);
+  incarnation = other290.incarnation;
+  sequence = other290.sequence;
+  gone = other290.gone;
+  __isset = other290.__isset;
+}
+NodeInfo& NodeInfo::operator=(const NodeInfo& other291) {
+  node = other291.node;
+  dataCentre = other291.dataCentre;
+  meshAddress = other291.meshAddress;
+  callAddress = other291.callAddress;
+  incarnation = other291.incarnation;
+  sequence = other291.sequence;
+  gone = other291.gone;
+  __isset = other291.__isset;
   return *this;
 }
-NodeInfo& NodeInfo::operator=(NodeInfo&& other258) noexcept {
-  node = std::move(other258.node);
-  dataCentre = std::move(other258.dataCentre);
-  meshAddress = std::move(other258.meshAddress);
-  callAddress = std::move(other258.callAddress);
-  incarnation = other258.incarnation;
-  sequence = other258.sequence;
-  gone = other258.gone;
-  __isset = other258.__isset;
+NodeInfo& NodeInfo::operator=(NodeInfo&& other292) noexcept {
+  node = std::move(other292.node);
+  dataCentre = std::move(other292.dataCentre);
+  meshAddress = std::move(other292.meshAddress);
+  callAddress = std::move(other292.callAddress);
+  incarnation = other292.incarnation;
+  sequence = other292.sequence;
+  gone = other292.gone;
+  __isset = other292.__isset;
   return *this;
 }
 void NodeInfo::printTo(std::ostream& out) const {
@@ -7701,30 +8789,30 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeAck::NodeAck(const NodeAck& other259) {
-  node = other259.node;
-  version = other259.version;
-  rejection = other259.rejection;
-  __isset = other259.__isset;
+NodeAck::NodeAck(const NodeAck& other293) {
+  node = other293.node;
+  version = other293.version;
+  rejection = other293.rejection;
+  __isset = other293.__isset;
 }
-NodeAck::NodeAck(NodeAck&& other260) noexcept {
-  node = std::move(other260.node);
-  version = other260.version;
-  rejection = std::move(other260.rejection);
-  __isset = other260.__isset;
+NodeAck::NodeAck(NodeAck&& other294) noexcept {
+  node = std::move(other294.node);
+  version = other294.version;
+  rejection = std::move(other294.rejection);
+  __isset = other294.__isset;
 }
-NodeAck& NodeAck::operator=(const NodeAck& other261) {
-  node = other261.node;
-  version = other261.version;
-  rejection = other261.rejection;
-  __isset = other261.__isset;
+NodeAck& NodeAck::operator=(const NodeAck& other295) {
+  node = other295.node;
+  version = other295.version;
+  rejection = other295.rejection;
+  __isset = other295.__isset;
   return *this;
 }
-NodeAck& NodeAck::operator=(NodeAck&& other262) noexcept {
-  node = std::move(other262.node);
-  version = other262.version;
-  rejection = std::move(other262.rejection);
-  __isset = other262.__isset;
+NodeAck& NodeAck::operator=(NodeAck&& other296) noexcept {
+  node = std::move(other296.node);
+  version = other296.version;
+  rejection = std::move(other296.rejection);
+  __isset = other296.__isset;
   return *this;
 }
 void NodeAck::printTo(std::ostream& out) const {
@@ -7818,9 +8906,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast263;
-          xfer += iprot->readI32(ecast263);
-          this->dimension = static_cast<EvidenceDimension::type>(ecast263);
+          int32_t ecast297;
+          xfer += iprot->readI32(ecast297);
+          this->dimension = static_cast<EvidenceDimension::type>(ecast297);
           this->__isset.dimension = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7862,17 +8950,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->latency.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _ktype265;
-            ::apache::thrift::protocol::TType _vtype266;
-            xfer += iprot->readMapBegin(_ktype265, _vtype266, _size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _ktype299;
+            ::apache::thrift::protocol::TType _vtype300;
+            xfer += iprot->readMapBegin(_ktype299, _vtype300, _size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              int16_t _key269;
-              xfer += iprot->readI16(_key269);
-              int64_t& _val270 = this->latency[_key269];
-              xfer += iprot->readI64(_val270);
+              int16_t _key303;
+              xfer += iprot->readI16(_key303);
+              int64_t& _val304 = this->latency[_key303];
+              xfer += iprot->readI64(_val304);
             }
             xfer += iprot->readMapEnd();
           }
@@ -7929,11 +9017,11 @@
   xfer += oprot->writeFieldBegin("latency", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->latency.size()));
-    std::map<int16_t, int64_t> ::const_iterator _iter271;
-    for (_iter271 = this->latency.begin(); _iter271 != this->latency.end(); ++_iter271)
+    std::map<int16_t, int64_t> ::const_iterator _iter305;
+    for (_iter305 = this->latency.begin(); _iter305 != this->latency.end(); ++_iter305)
     {
-      xfer += oprot->writeI16(_iter271->first);
-      xfer += oprot->writeI64(_iter271->second);
+      xfer += oprot->writeI16(_iter305->first);
+      xfer += oprot->writeI64(_iter305->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7957,50 +9045,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EvidenceCell::EvidenceCell(const EvidenceCell& other272) {
-  serviceName = other272.serviceName;
-  version = other272.version;
-  dimension = other272.dimension;
-  value = other272.value;
-  dataCentre = other272.dataCentre;
-  calls = other272.calls;
-  failures = other272.failures;
-  latency = other272.latency;
-  __isset = other272.__isset;
-}
-EvidenceCell::EvidenceCell(EvidenceCell&& other273) noexcept {
-  serviceName = std::move(other273.serviceName);
-  version = std::move(other273.version);
-  dimension = other273.dimension;
-  value = std::move(other273.value);
-  dataCentre = std::move(other273.dataCentre);
-  calls = other273.calls;
-  failures = other273.failures;
-  latency = std::move(other273.latency);
-  __isset = other273.__isset;
-}
-EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other274) {
-  serviceName = other274.serviceName;
-  version = other274.version;
-  dimension = other274.dimension;
-  value = other274.value;
-  dataCentre = other274.dataCentre;
-  calls = other274.calls;
-  failures = other274.failures;
-  latency = other274.latency;
-  __isset = other274.__isset;
+EvidenceCell::EvidenceCell(const EvidenceCell& other306) {
+  serviceName = other306.serviceName;
+  version = other306.version;
+  dimension = other306.dimension;
+  value = other306.value;
+  dataCentre = other306.dataCentre;
+  calls = other306.calls;
+  failures = other306.failures;
+  latency = other306.latency;
+  __isset = other306.__isset;
+}
+EvidenceCell::EvidenceCell(EvidenceCell&& other307) noexcept {
+  serviceName = std::move(other307.serviceName);
+  version = std::move(other307.version);
+  dimension = other307.dimension;
+  value = std::move(other307.value);
+  dataCentre = std::move(other307.dataCentre);
+  calls = other307.calls;
+  failures = other307.failures;
+  latency = std::move(other307.latency);
+  __isset = other307.__isset;
+}
+EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other308) {
+  serviceName = other308.serviceName;
+  version = other308.version;
+  dimension = other308.dimension;
+  value = other308.value;
+  dataCentre = other308.dataCentre;
+  calls = other308.calls;
+  failures = other308.failures;
+  latency = other308.latency;
+  __isset = other308.__isset;
   return *this;
 }
-EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other275) noexcept {
-  serviceName = std::move(other275.serviceName);
-  version = std::move(other275.version);
-  dimension = other275.dimension;
-  value = std::move(other275.value);
-  dataCentre = std::move(other275.dataCentre);
-  calls = other275.calls;
-  failures = other275.failures;
-  latency = std::move(other275.latency);
-  __isset = other275.__isset;
+EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other309) noexcept {
+  serviceName = std::move(other309.serviceName);
+  version = std::move(other309.version);
+  dimension = other309.dimension;
+  value = std::move(other309.value);
+  dataCentre = std::move(other309.dataCentre);
+  calls = other309.calls;
+  failures = other309.failures;
+  latency = std::move(other309.latency);
+  __isset = other309.__isset;
   return *this;
 }
 void EvidenceCell::printTo(std::ostream& out) const {
@@ -8144,34 +9232,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Alarm::Alarm(const Alarm& other276) {
-  moveId = other276.moveId;
-  step = other276.step;
-  node = other276.node;
-  reason = other276.reason;
-  __isset = other276.__isset;
-}
-Alarm::Alarm(Alarm&& other277) noexcept {
-  moveId = std::move(other277.moveId);
-  step = other277.step;
-  node = std::move(other277.node);
-  reason = std::move(other277.reason);
-  __isset = other277.__isset;
-}
-Alarm& Alarm::operator=(const Alarm& other278) {
-  moveId = other278.moveId;
-  step = other278.step;
-  node = other278.node;
-  reason = other278.reason;
-  __isset = other278.__isset;
+Alarm::Alarm(const Alarm& other310) {
+  moveId = other310.moveId;
+  step = other310.step;
+  node = other310.node;
+  reason = other310.reason;
+  __isset = other310.__isset;
+}
+Alarm::Alarm(Alarm&& other311) noexcept {
+  moveId = std::move(other311.moveId);
+  step = other311.step;
+  node = std::move(other311.node);
+  reason = std::move(other311.reason);
+  __isset = other311.__isset;
+}
+Alarm& Alarm::operator=(const Alarm& other312) {
+  moveId = other312.moveId;
+  step = other312.step;
+  node = other312.node;
+  reason = other312.reason;
+  __isset = other312.__isset;
   return *this;
 }
-Alarm& Alarm::operator=(Alarm&& other279) noexcept {
-  moveId = std::move(other279.moveId);
-  step = other279.step;
-  node = std::move(other279.node);
-  reason = std::move(other279.reason);
-  __isset = other279.__isset;
+Alarm& Alarm::operator=(Alarm&& other313) noexcept {
+  moveId = std::move(other313.moveId);
+  step = other313.step;
+  node = std::move(other313.node);
+  reason = std::move(other313.reason);
+  __isset = other313.__isset;
   return *this;
 }
 void Alarm::printTo(std::ostream& out) const {
@@ -8311,34 +9399,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Beacon::Beacon(const Beacon& other280) noexcept {
-  term = other280.term;
-  sequence = other280.sequence;
-  version = other280.version;
-  claimsThroughMs = other280.claimsThroughMs;
-  __isset = other280.__isset;
-}
-Beacon::Beacon(Beacon&& other281) noexcept {
-  term = other281.term;
-  sequence = other281.sequence;
-  version = other281.version;
-  claimsThroughMs = other281.claimsThroughMs;
-  __isset = other281.__isset;
-}
-Beacon& Beacon::operator=(const Beacon& other282) noexcept {
-  term = other282.term;
-  sequence = other282.sequence;
-  version = other282.version;
-  claimsThroughMs = other282.claimsThroughMs;
-  __isset = other282.__isset;
+Beacon::Beacon(const Beacon& other314) noexcept {
+  term = other314.term;
+  sequence = other314.sequence;
+  version = other314.version;
+  claimsThroughMs = other314.claimsThroughMs;
+  __isset = other314.__isset;
+}
+Beacon::Beacon(Beacon&& other315) noexcept {
+  term = other315.term;
+  sequence = other315.sequence;
+  version = other315.version;
+  claimsThroughMs = other315.claimsThroughMs;
+  __isset = other315.__isset;
+}
+Beacon& Beacon::operator=(const Beacon& other316) noexcept {
+  term = other316.term;
+  sequence = other316.sequence;
+  version = other316.version;
+  claimsThroughMs = other316.claimsThroughMs;
+  __isset = other316.__isset;
   return *this;
 }
-Beacon& Beacon::operator=(Beacon&& other283) noexcept {
-  term = other283.term;
-  sequence = other283.sequence;
-  version = other283.version;
-  claimsThroughMs = other283.claimsThroughMs;
-  __isset = other283.__isset;
+Beacon& Beacon::operator=(Beacon&& other317) noexcept {
+  term = other317.term;
+  sequence = other317.sequence;
+  version = other317.version;
+  claimsThroughMs = other317.claimsThroughMs;
+  __isset = other317.__isset;
   return *this;
 }
 void Beacon::printTo(std::ostream& out) const {
@@ -8461,30 +9549,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Subscribe::Subscribe(const Subscribe& other284) {
-  node = other284.node;
-  base = other284.base;
-  hash = other284.hash;
-  __isset = other284.__isset;
+Subscribe::Subscribe(const Subscribe& other318) {
+  node = other318.node;
+  base = other318.base;
+  hash = other318.hash;
+  __isset = other318.__isset;
 }
-Subscribe::Subscribe(Subscribe&& other285) noexcept {
-  node = std::move(other285.node);
-  base = other285.base;
-  hash = other285.hash;
-  __isset = other285.__isset;
+Subscribe::Subscribe(Subscribe&& other319) noexcept {
+  node = std::move(other319.node);
+  base = other319.base;
+  hash = other319.hash;
+  __isset = other319.__isset;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other286) {
-  node = other286.node;
-  base = other286.base;
-  hash = other286.hash;
-  __isset = other286.__isset;
+Subscribe& Subscribe::operator=(const Subscribe& other320) {
+  node = other320.node;
+  base = other320.base;
+  hash = other320.hash;
+  __isset = other320.__isset;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other287) noexcept {
-  node = std::move(other287.node);
-  base = other287.base;
-  hash = other287.hash;
-  __isset = other287.__isset;
+Subscribe& Subscribe::operator=(Subscribe&& other321) noexcept {
+  node = std::move(other321.node);
+  base = other321.base;
+  hash = other321.hash;
+  __isset = other321.__isset;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -8524,6 +9612,10 @@
 void SubscribeAnswer::__set_fresh(const bool val) {
   this->fresh = val;
 }
+
+void SubscribeAnswer::__set_controlHosts(const std::vector<std::string> & val) {
+  this->controlHosts = val;
+}
 std::ostream& operator<<(std::ostream& out, const SubscribeAnswer& obj)
 {
   obj.printTo(out);
@@ -8588,14 +9680,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->directory.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->directory.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size322;
+            ::apache::thrift::protocol::TType _etype325;
+            xfer += iprot->readListBegin(_etype325, _size322);
+            this->directory.resize(_size322);
+            uint32_t _i326;
+            for (_i326 = 0; _i326 < _size322; ++_i326)
             {
-              xfer += this->directory[_i292].read(iprot);
+              xfer += this->directory[_i326].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8612,6 +9704,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controlHosts.clear();
+            uint32_t _size327;
+            ::apache::thrift::protocol::TType _etype330;
+            xfer += iprot->readListBegin(_etype330, _size327);
+            this->controlHosts.resize(_size327);
+            uint32_t _i331;
+            for (_i331 = 0; _i331 < _size327; ++_i331)
+            {
+              xfer += iprot->readString(this->controlHosts[_i331]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controlHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8648,10 +9760,10 @@
   xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->directory.size()));
-    std::vector<NodeInfo> ::const_iterator _iter293;
-    for (_iter293 = this->directory.begin(); _iter293 != this->directory.end(); ++_iter293)
+    std::vector<NodeInfo> ::const_iterator _iter332;
+    for (_iter332 = this->directory.begin(); _iter332 != this->directory.end(); ++_iter332)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8661,6 +9773,18 @@
   xfer += oprot->writeBool(this->fresh);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
+    std::vector<std::string> ::const_iterator _iter333;
+    for (_iter333 = this->controlHosts.begin(); _iter333 != this->controlHosts.end(); ++_iter333)
+    {
+      xfer += oprot->writeString((*_iter333));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8674,45 +9798,50 @@
   swap(a.floor, b.floor);
   swap(a.directory, b.directory);
   swap(a.fresh, b.fresh);
+  swap(a.controlHosts, b.controlHosts);
   swap(a.__isset, b.__isset);
 }
 
-SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other294) {
-  admitted = other294.admitted;
-  retryAfterMs = other294.retryAfterMs;
-  version = other294.version;
-  floor = other294.floor;
-  directory = other294.directory;
-  fresh = other294.fresh;
-  __isset = other294.__isset;
+SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other334) {
+  admitted = other334.admitted;
+  retryAfterMs = other334.retryAfterMs;
+  version = other334.version;
+  floor = other334.floor;
+  directory = other334.directory;
+  fresh = other334.fresh;
+  controlHosts = other334.controlHosts;
+  __isset = other334.__isset;
 }
-SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other295) noexcept {
-  admitted = other295.admitted;
-  retryAfterMs = other295.retryAfterMs;
-  version = other295.version;
-  floor = other295.floor;
-  directory = std::move(other295.directory);
-  fresh = other295.fresh;
-  __isset = other295.__isset;
+SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other335) noexcept {
+  admitted = other335.admitted;
+  retryAfterMs = other335.retryAfterMs;
+  version = other335.version;
+  floor = other335.floor;
+  directory = std::move(other335.directory);
+  fresh = other335.fresh;
+  controlHosts = std::move(other335.controlHosts);
+  __isset = other335.__isset;
 }
-SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other296) {
-  admitted = other296.admitted;
-  retryAfterMs = other296.retryAfterMs;
-  version = other296.version;
-  floor = other296.floor;
-  directory = other296.directory;
-  fresh = other296.fresh;
-  __isset = other296.__isset;
+SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other336) {
+  admitted = other336.admitted;
+  retryAfterMs = other336.retryAfterMs;
+  version = other336.version;
+  floor = other336.floor;
+  directory = other336.directory;
+  fresh = other336.fresh;
+  controlHosts = other336.controlHosts;
+  __isset = other336.__isset;
   return *this;
 }
-SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other297) noexcept {
-  admitted = other297.admitted;
-  retryAfterMs = other297.retryAfterMs;
-  version = other297.version;
-  floor = other297.floor;
-  directory = std::move(other297.directory);
-  fresh = other297.fresh;
-  __isset = other297.__isset;
+SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other337) noexcept {
+  admitted = other337.admitted;
+  retryAfterMs = other337.retryAfterMs;
+  version = other337.version;
+  floor = other337.floor;
+  directory = std::move(other337.directory);
+  fresh = other337.fresh;
+  controlHosts = std::move(other337.controlHosts);
+  __isset = other337.__isset;
   return *this;
 }
 void SubscribeAnswer::printTo(std::ostream& out) const {
@@ -8724,6 +9853,7 @@
   out << ", " << "floor=" << to_string(floor);
   out << ", " << "directory=" << to_string(directory);
   out << ", " << "fresh=" << to_string(fresh);
+  out << ", " << "controlHosts=" << to_string(controlHosts);
   out << ")";
 }
 
@@ -8783,14 +9913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->nodes.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->nodes.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->nodes[_i302].read(iprot);
+              xfer += this->nodes[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8803,14 +9933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->targets.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->targets.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += this->targets[_i307].read(iprot);
+              xfer += this->targets[_i347].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8823,14 +9953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size308;
-            ::apache::thrift::protocol::TType _etype311;
-            xfer += iprot->readListBegin(_etype311, _size308);
-            this->evidence.resize(_size308);
-            uint32_t _i312;
-            for (_i312 = 0; _i312 < _size308; ++_i312)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->evidence.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->evidence[_i312].read(iprot);
+              xfer += this->evidence[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8843,14 +9973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->alarms.clear();
-            uint32_t _size313;
-            ::apache::thrift::protocol::TType _etype316;
-            xfer += iprot->readListBegin(_etype316, _size313);
-            this->alarms.resize(_size313);
-            uint32_t _i317;
-            for (_i317 = 0; _i317 < _size313; ++_i317)
+            uint32_t _size353;
+            ::apache::thrift::protocol::TType _etype356;
+            xfer += iprot->readListBegin(_etype356, _size353);
+            this->alarms.resize(_size353);
+            uint32_t _i357;
+            for (_i357 = 0; _i357 < _size353; ++_i357)
             {
-              xfer += this->alarms[_i317].read(iprot);
+              xfer += this->alarms[_i357].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8863,14 +9993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->acks.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->acks.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->acks[_i322].read(iprot);
+              xfer += this->acks[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8899,10 +10029,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter323;
-    for (_iter323 = this->nodes.begin(); _iter323 != this->nodes.end(); ++_iter323)
+    std::vector<NodeInfo> ::const_iterator _iter363;
+    for (_iter363 = this->nodes.begin(); _iter363 != this->nodes.end(); ++_iter363)
     {
-      xfer += (*_iter323).write(oprot);
+      xfer += (*_iter363).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8911,10 +10041,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter324;
-    for (_iter324 = this->targets.begin(); _iter324 != this->targets.end(); ++_iter324)
+    std::vector<Presence> ::const_iterator _iter364;
+    for (_iter364 = this->targets.begin(); _iter364 != this->targets.end(); ++_iter364)
     {
-      xfer += (*_iter324).write(oprot);
+      xfer += (*_iter364).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8923,10 +10053,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<EvidenceCell> ::const_iterator _iter325;
-    for (_iter325 = this->evidence.begin(); _iter325 != this->evidence.end(); ++_iter325)
+    std::vector<EvidenceCell> ::const_iterator _iter365;
+    for (_iter365 = this->evidence.begin(); _iter365 != this->evidence.end(); ++_iter365)
     {
-      xfer += (*_iter325).write(oprot);
+      xfer += (*_iter365).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8935,10 +10065,10 @@
   xfer += oprot->writeFieldBegin("alarms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->alarms.size()));
-    std::vector<Alarm> ::const_iterator _iter326;
-    for (_iter326 = this->alarms.begin(); _iter326 != this->alarms.end(); ++_iter326)
+    std::vector<Alarm> ::const_iterator _iter366;
+    for (_iter366 = this->alarms.begin(); _iter366 != this->alarms.end(); ++_iter366)
     {
-      xfer += (*_iter326).write(oprot);
+      xfer += (*_iter366).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8947,10 +10077,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<NodeAck> ::const_iterator _iter327;
-    for (_iter327 = this->acks.begin(); _iter327 != this->acks.end(); ++_iter327)
+    std::vector<NodeAck> ::const_iterator _iter367;
+    for (_iter367 = this->acks.begin(); _iter367 != this->acks.end(); ++_iter367)
     {
-      xfer += (*_iter327).write(oprot);
+      xfer += (*_iter367).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8971,38 +10101,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other328) {
-  nodes = other328.nodes;
-  targets = other328.targets;
-  evidence = other328.evidence;
-  alarms = other328.alarms;
-  acks = other328.acks;
-  __isset = other328.__isset;
-}
-Report::Report(Report&& other329) noexcept {
-  nodes = std::move(other329.nodes);
-  targets = std::move(other329.targets);
-  evidence = std::move(other329.evidence);
-  alarms = std::move(other329.alarms);
-  acks = std::move(other329.acks);
-  __isset = other329.__isset;
-}
-Report& Report::operator=(const Report& other330) {
-  nodes = other330.nodes;
-  targets = other330.targets;
-  evidence = other330.evidence;
-  alarms = other330.alarms;
-  acks = other330.acks;
-  __isset = other330.__isset;
+Report::Report(const Report& other368) {
+  nodes = other368.nodes;
+  targets = other368.targets;
+  evidence = other368.evidence;
+  alarms = other368.alarms;
+  acks = other368.acks;
+  __isset = other368.__isset;
+}
+Report::Report(Report&& other369) noexcept {
+  nodes = std::move(other369.nodes);
+  targets = std::move(other369.targets);
+  evidence = std::move(other369.evidence);
+  alarms = std::move(other369.alarms);
+  acks = std::move(other369.acks);
+  __isset = other369.__isset;
+}
+Report& Report::operator=(const Report& other370) {
+  nodes = other370.nodes;
+  targets = other370.targets;
+  evidence = other370.evidence;
+  alarms = other370.alarms;
+  acks = other370.acks;
+  __isset = other370.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other331) noexcept {
-  nodes = std::move(other331.nodes);
-  targets = std::move(other331.targets);
-  evidence = std::move(other331.evidence);
-  alarms = std::move(other331.alarms);
-  acks = std::move(other331.acks);
-  __isset = other331.__isset;
+Report& Report::operator=(Report&& other371) noexcept {
+  nodes = std::move(other371.nodes);
+  targets = std::move(other371.targets);
+  evidence = std::move(other371.evidence);
+  alarms = std::move(other371.alarms);
+  acks = std::move(other371.acks);
+  __isset = other371.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -9029,6 +10159,10 @@
   this->beacon = val;
 __isset.beacon = true;
 }
+
+void MemberReport::__set_members(const std::vector<std::string> & val) {
+  this->members = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj)
 {
   obj.printTo(out);
@@ -9073,6 +10207,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size372;
+            ::apache::thrift::protocol::TType _etype375;
+            xfer += iprot->readListBegin(_etype375, _size372);
+            this->members.resize(_size372);
+            uint32_t _i376;
+            for (_i376 = 0; _i376 < _size372; ++_i376)
+            {
+              xfer += iprot->readString(this->members[_i376]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9099,6 +10253,18 @@
     xfer += this->beacon.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
+    std::vector<std::string> ::const_iterator _iter377;
+    for (_iter377 = this->members.begin(); _iter377 != this->members.end(); ++_iter377)
+    {
+      xfer += oprot->writeString((*_iter377));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9108,29 +10274,34 @@
   using ::std::swap;
   swap(a.report, b.report);
   swap(a.beacon, b.beacon);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other332) {
-  report = other332.report;
-  beacon = other332.beacon;
-  __isset = other332.__isset;
+MemberReport::MemberReport(const MemberReport& other378) {
+  report = other378.report;
+  beacon = other378.beacon;
+  members = other378.members;
+  __isset = other378.__isset;
 }
-MemberReport::MemberReport(MemberReport&& other333) noexcept {
-  report = std::move(other333.report);
-  beacon = std::move(other333.beacon);
-  __isset = other333.__isset;
+MemberReport::MemberReport(MemberReport&& other379) noexcept {
+  report = std::move(other379.report);
+  beacon = std::move(other379.beacon);
+  members = std::move(other379.members);
+  __isset = other379.__isset;
 }
-MemberReport& MemberReport::operator=(const MemberReport& other334) {
-  report = other334.report;
-  beacon = other334.beacon;
-  __isset = other334.__isset;
+MemberReport& MemberReport::operator=(const MemberReport& other380) {
+  report = other380.report;
+  beacon = other380.beacon;
+  members = other380.members;
+  __isset = other380.__isset;
   return *this;
 }
-MemberReport& MemberReport::operator=(MemberReport&& other335) noexcept {
-  report = std::move(other335.report);
-  beacon = std::move(other335.beacon);
-  __isset = other335.__isset;
+MemberReport& MemberReport::operator=(MemberReport&& other381) noexcept {
+  report = std::move(other381.report);
+  beacon = std::move(other381.beacon);
+  members = std::move(other381.members);
+  __isset = other381.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -9138,6 +10309,7 @@
   out << "MemberReport(";
   out << "report=" << to_string(report);
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
@@ -9158,6 +10330,10 @@
   this->beacon = val;
 __isset.beacon = true;
 }
+
+void Spread::__set_controlHosts(const std::vector<std::string> & val) {
+  this->controlHosts = val;
+}
 std::ostream& operator<<(std::ostream& out, const Spread& obj)
 {
   obj.printTo(out);
