@@ -9190,14 +10366,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size336;
-            ::apache::thrift::protocol::TType _etype339;
-            xfer += iprot->readListBegin(_etype339, _size336);
-            this->nodes.resize(_size336);
-            uint32_t _i340;
-            for (_i340 = 0; _i340 < _size336; ++_i340)
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _etype385;
+            xfer += iprot->readListBegin(_etype385, _size382);
+            this->nodes.resize(_size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
             {
-              xfer += this->nodes[_i340].read(iprot);
+              xfer += this->nodes[_i386].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9210,14 +10386,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->targets.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size387;
+            ::apache::thrift::protocol::TType _etype390;
+            xfer += iprot->readListBegin(_etype390, _size387);
+            this->targets.resize(_size387);
+            uint32_t _i391;
+            for (_i391 = 0; _i391 < _size387; ++_i391)
             {
-              xfer += this->targets[_i345].read(iprot);
+              xfer += this->targets[_i391].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9234,6 +10410,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controlHosts.clear();
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->controlHosts.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
+            {
+              xfer += iprot->readString(this->controlHosts[_i396]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controlHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9254,10 +10450,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter346;
-    for (_iter346 = this->nodes.begin(); _iter346 != this->nodes.end(); ++_iter346)
+    std::vector<NodeInfo> ::const_iterator _iter397;
+    for (_iter397 = this->nodes.begin(); _iter397 != this->nodes.end(); ++_iter397)
     {
-      xfer += (*_iter346).write(oprot);
+      xfer += (*_iter397).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9266,10 +10462,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter347;
-    for (_iter347 = this->targets.begin(); _iter347 != this->targets.end(); ++_iter347)
+    std::vector<Presence> ::const_iterator _iter398;
+    for (_iter398 = this->targets.begin(); _iter398 != this->targets.end(); ++_iter398)
     {
-      xfer += (*_iter347).write(oprot);
+      xfer += (*_iter398).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9280,6 +10476,18 @@
     xfer += this->beacon.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
+    std::vector<std::string> ::const_iterator _iter399;
+    for (_iter399 = this->controlHosts.begin(); _iter399 != this->controlHosts.end(); ++_iter399)
+    {
+      xfer += oprot->writeString((*_iter399));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9290,33 +10498,38 @@
   swap(a.nodes, b.nodes);
   swap(a.targets, b.targets);
   swap(a.beacon, b.beacon);
+  swap(a.controlHosts, b.controlHosts);
   swap(a.__isset, b.__isset);
 }
 
-Spread::Spread(const Spread& other348) {
-  nodes = other348.nodes;
-  targets = other348.targets;
-  beacon = other348.beacon;
-  __isset = other348.__isset;
+Spread::Spread(const Spread& other400) {
+  nodes = other400.nodes;
+  targets = other400.targets;
+  beacon = other400.beacon;
+  controlHosts = other400.controlHosts;
+  __isset = other400.__isset;
 }
-Spread::Spread(Spread&& other349) noexcept {
-  nodes = std::move(other349.nodes);
-  targets = std::move(other349.targets);
-  beacon = std::move(other349.beacon);
-  __isset = other349.__isset;
+Spread::Spread(Spread&& other401) noexcept {
+  nodes = std::move(other401.nodes);
+  targets = std::move(other401.targets);
+  beacon = std::move(other401.beacon);
+  controlHosts = std::move(other401.controlHosts);
+  __isset = other401.__isset;
 }
-Spread& Spread::operator=(const Spread& other350) {
-  nodes = other350.nodes;
-  targets = other350.targets;
-  beacon = other350.beacon;
-  __isset = other350.__isset;
+Spread& Spread::operator=(const Spread& other402) {
+  nodes = other402.nodes;
+  targets = other402.targets;
+  beacon = other402.beacon;
+  controlHosts = other402.controlHosts;
+  __isset = other402.__isset;
   return *this;
 }
-Spread& Spread::operator=(Spread&& other351) noexcept {
-  nodes = std::move(other351.nodes);
-  targets = std::move(other351.targets);
-  beacon = std::move(other351.beacon);
-  __isset = other351.__isset;
+Spread& Spread::operator=(Spread&& other403) noexcept {
+  nodes = std::move(other403.nodes);
+  targets = std::move(other403.targets);
+  beacon = std::move(other403.beacon);
+  controlHosts = std::move(other403.controlHosts);
+  __isset = other403.__isset;
   return *this;
 }
 void Spread::printTo(std::ostream& out) const {
@@ -9325,6 +10538,7 @@
   out << "nodes=" << to_string(nodes);
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
+  out << ", " << "controlHosts=" << to_string(controlHosts);
   out << ")";
 }
 
@@ -9392,14 +10606,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size352;
-            ::apache::thrift::protocol::TType _etype355;
-            xfer += iprot->readListBegin(_etype355, _size352);
-            this->buckets.resize(_size352);
-            uint32_t _i356;
-            for (_i356 = 0; _i356 < _size352; ++_i356)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->buckets.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += iprot->readI64(this->buckets[_i356]);
+              xfer += iprot->readI64(this->buckets[_i408]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9436,10 +10650,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter357;
-    for (_iter357 = this->buckets.begin(); _iter357 != this->buckets.end(); ++_iter357)
+    std::vector<int64_t> ::const_iterator _iter409;
+    for (_iter409 = this->buckets.begin(); _iter409 != this->buckets.end(); ++_iter409)
     {
-      xfer += oprot->writeI64((*_iter357));
+      xfer += oprot->writeI64((*_iter409));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9458,30 +10672,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other358) {
-  version = other358.version;
-  hash = other358.hash;
-  buckets = other358.buckets;
-  __isset = other358.__isset;
+Digest::Digest(const Digest& other410) {
+  version = other410.version;
+  hash = other410.hash;
+  buckets = other410.buckets;
+  __isset = other410.__isset;
 }
-Digest::Digest(Digest&& other359) noexcept {
-  version = other359.version;
-  hash = other359.hash;
-  buckets = std::move(other359.buckets);
-  __isset = other359.__isset;
+Digest::Digest(Digest&& other411) noexcept {
+  version = other411.version;
+  hash = other411.hash;
+  buckets = std::move(other411.buckets);
+  __isset = other411.__isset;
 }
-Digest& Digest::operator=(const Digest& other360) {
-  version = other360.version;
-  hash = other360.hash;
-  buckets = other360.buckets;
-  __isset = other360.__isset;
+Digest& Digest::operator=(const Digest& other412) {
+  version = other412.version;
+  hash = other412.hash;
+  buckets = other412.buckets;
+  __isset = other412.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other361) noexcept {
-  version = other361.version;
-  hash = other361.hash;
-  buckets = std::move(other361.buckets);
-  __isset = other361.__isset;
+Digest& Digest::operator=(Digest&& other413) noexcept {
+  version = other413.version;
+  hash = other413.hash;
+  buckets = std::move(other413.buckets);
+  __isset = other413.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -9562,14 +10776,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size362;
-            ::apache::thrift::protocol::TType _etype365;
-            xfer += iprot->readListBegin(_etype365, _size362);
-            this->targets.resize(_size362);
-            uint32_t _i366;
-            for (_i366 = 0; _i366 < _size362; ++_i366)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->targets.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->targets[_i366].read(iprot);
+              xfer += this->targets[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9582,14 +10796,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->nodes.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->nodes.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += this->nodes[_i371].read(iprot);
+              xfer += this->nodes[_i423].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9627,10 +10841,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter372;
-    for (_iter372 = this->targets.begin(); _iter372 != this->targets.end(); ++_iter372)
+    std::vector<Presence> ::const_iterator _iter424;
+    for (_iter424 = this->targets.begin(); _iter424 != this->targets.end(); ++_iter424)
     {
-      xfer += (*_iter372).write(oprot);
+      xfer += (*_iter424).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9639,10 +10853,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter373;
-    for (_iter373 = this->nodes.begin(); _iter373 != this->nodes.end(); ++_iter373)
+    std::vector<NodeInfo> ::const_iterator _iter425;
+    for (_iter425 = this->nodes.begin(); _iter425 != this->nodes.end(); ++_iter425)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter425).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9662,34 +10876,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DigestAnswer::DigestAnswer(const DigestAnswer& other374) {
-  version = other374.version;
-  delta = other374.delta;
-  targets = other374.targets;
-  nodes = other374.nodes;
-  __isset = other374.__isset;
-}
-DigestAnswer::DigestAnswer(DigestAnswer&& other375) noexcept {
-  version = other375.version;
-  delta = std::move(other375.delta);
-  targets = std::move(other375.targets);
-  nodes = std::move(other375.nodes);
-  __isset = other375.__isset;
-}
-DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other376) {
-  version = other376.version;
-  delta = other376.delta;
-  targets = other376.targets;
-  nodes = other376.nodes;
-  __isset = other376.__isset;
+DigestAnswer::DigestAnswer(const DigestAnswer& other426) {
+  version = other426.version;
+  delta = other426.delta;
+  targets = other426.targets;
+  nodes = other426.nodes;
+  __isset = other426.__isset;
+}
+DigestAnswer::DigestAnswer(DigestAnswer&& other427) noexcept {
+  version = other427.version;
+  delta = std::move(other427.delta);
+  targets = std::move(other427.targets);
+  nodes = std::move(other427.nodes);
+  __isset = other427.__isset;
+}
+DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other428) {
+  version = other428.version;
+  delta = other428.delta;
+  targets = other428.targets;
+  nodes = other428.nodes;
+  __isset = other428.__isset;
   return *this;
 }
-DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other377) noexcept {
-  version = other377.version;
-  delta = std::move(other377.delta);
-  targets = std::move(other377.targets);
-  nodes = std::move(other377.nodes);
-  __isset = other377.__isset;
+DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other429) noexcept {
+  version = other429.version;
+  delta = std::move(other429.delta);
+  targets = std::move(other429.targets);
+  nodes = std::move(other429.nodes);
+  __isset = other429.__isset;
   return *this;
 }
 void DigestAnswer::printTo(std::ostream& out) const {
@@ -9795,26 +11009,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other378) {
-  name = other378.name;
-  value = other378.value;
-  __isset = other378.__isset;
+Header::Header(const Header& other430) {
+  name = other430.name;
+  value = other430.value;
+  __isset = other430.__isset;
 }
-Header::Header(Header&& other379) noexcept {
-  name = std::move(other379.name);
-  value = std::move(other379.value);
-  __isset = other379.__isset;
+Header::Header(Header&& other431) noexcept {
+  name = std::move(other431.name);
+  value = std::move(other431.value);
+  __isset = other431.__isset;
 }
-Header& Header::operator=(const Header& other380) {
-  name = other380.name;
-  value = other380.value;
-  __isset = other380.__isset;
+Header& Header::operator=(const Header& other432) {
+  name = other432.name;
+  value = other432.value;
+  __isset = other432.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other381) noexcept {
-  name = std::move(other381.name);
-  value = std::move(other381.value);
-  __isset = other381.__isset;
+Header& Header::operator=(Header&& other433) noexcept {
+  name = std::move(other433.name);
+  value = std::move(other433.value);
+  __isset = other433.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -9869,6 +11083,22 @@
 void CallRequest::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void CallRequest::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void CallRequest::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
+
+void CallRequest::__set_callerService(const std::string& val) {
+  this->callerService = val;
+}
+
+void CallRequest::__set_objectiveMs(const int32_t val) {
+  this->objectiveMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -9925,14 +11155,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->headers.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->headers.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->headers[_i386].read(iprot);
+              xfer += this->headers[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9989,6 +11219,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callerService);
+          this->__isset.callerService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveMs);
+          this->__isset.objectiveMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10021,10 +11283,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter387;
-    for (_iter387 = this->headers.begin(); _iter387 != this->headers.end(); ++_iter387)
+    std::vector<Header> ::const_iterator _iter439;
+    for (_iter439 = this->headers.begin(); _iter439 != this->headers.end(); ++_iter439)
     {
-      xfer += (*_iter387).write(oprot);
+      xfer += (*_iter439).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10054,6 +11316,22 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("callerService", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->callerService);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveMs", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->objectiveMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10071,61 +11349,81 @@
   swap(a.target, b.target);
   swap(a.account, b.account);
   swap(a.priority, b.priority);
+  swap(a.incarnation, b.incarnation);
+  swap(a.requestId, b.requestId);
+  swap(a.callerService, b.callerService);
+  swap(a.objectiveMs, b.objectiveMs);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other388) {
-  id = other388.id;
-  method = other388.method;
-  path = other388.path;
-  headers = other388.headers;
-  body = other388.body;
-  budgetMs = other388.budgetMs;
-  serviceName = other388.serviceName;
-  target = other388.target;
-  account = other388.account;
-  priority = other388.priority;
-  __isset = other388.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other389) noexcept {
-  id = other389.id;
-  method = std::move(other389.method);
-  path = std::move(other389.path);
-  headers = std::move(other389.headers);
-  body = std::move(other389.body);
-  budgetMs = other389.budgetMs;
-  serviceName = std::move(other389.serviceName);
-  target = std::move(other389.target);
-  account = std::move(other389.account);
-  priority = other389.priority;
-  __isset = other389.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other390) {
-  id = other390.id;
-  method = other390.method;
-  path = other390.path;
-  headers = other390.headers;
-  body = other390.body;
-  budgetMs = other390.budgetMs;
-  serviceName = other390.serviceName;
-  target = other390.target;
-  account = other390.account;
-  priority = other390.priority;
-  __isset = other390.__isset;
+CallRequest::CallRequest(const CallRequest& other440) {
+  id = other440.id;
+  method = other440.method;
+  path = other440.path;
+  headers = other440.headers;
+  body = other440.body;
+  budgetMs = other440.budgetMs;
+  serviceName = other440.serviceName;
+  target = other440.target;
+  account = other440.account;
+  priority = other440.priority;
+  incarnation = other440.incarnation;
+  requestId = other440.requestId;
+  callerService = other440.callerService;
+  objectiveMs = other440.objectiveMs;
+  __isset = other440.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other441) noexcept {
+  id = other441.id;
+  method = std::move(other441.method);
+  path = std::move(other441.path);
+  headers = std::move(other441.headers);
+  body = std::move(other441.body);
+  budgetMs = other441.budgetMs;
+  serviceName = std::move(other441.serviceName);
+  target = std::move(other441.target);
+  account = std::move(other441.account);
+  priority = other441.priority;
+  incarnation = other441.incarnation;
+  requestId = std::move(other441.requestId);
+  callerService = std::move(other441.callerService);
+  objectiveMs = other441.objectiveMs;
+  __isset = other441.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other442) {
+  id = other442.id;
+  method = other442.method;
+  path = other442.path;
+  headers = other442.headers;
+  body = other442.body;
+  budgetMs = other442.budgetMs;
+  serviceName = other442.serviceName;
+  target = other442.target;
+  account = other442.account;
+  priority = other442.priority;
+  incarnation = other442.incarnation;
+  requestId = other442.requestId;
+  callerService = other442.callerService;
+  objectiveMs = other442.objectiveMs;
+  __isset = other442.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other391) noexcept {
-  id = other391.id;
-  method = std::move(other391.method);
-  path = std::move(other391.path);
-  headers = std::move(other391.headers);
-  body = std::move(other391.body);
-  budgetMs = other391.budgetMs;
-  serviceName = std::move(other391.serviceName);
-  target = std::move(other391.target);
-  account = std::move(other391.account);
-  priority = other391.priority;
-  __isset = other391.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other443) noexcept {
+  id = other443.id;
+  method = std::move(other443.method);
+  path = std::move(other443.path);
+  headers = std::move(other443.headers);
+  body = std::move(other443.body);
+  budgetMs = other443.budgetMs;
+  serviceName = std::move(other443.serviceName);
+  target = std::move(other443.target);
+  account = std::move(other443.account);
+  priority = other443.priority;
+  incarnation = other443.incarnation;
+  requestId = std::move(other443.requestId);
+  callerService = std::move(other443.callerService);
+  objectiveMs = other443.objectiveMs;
+  __isset = other443.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -10141,6 +11439,10 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "account=" << to_string(account);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "requestId=" << to_string(requestId);
+  out << ", " << "callerService=" << to_string(callerService);
+  out << ", " << "objectiveMs=" << to_string(objectiveMs);
   out << ")";
 }
 
@@ -10196,6 +11498,14 @@
 void CallAnswer::__set_cold(const bool val) {
   this->cold = val;
 }
+
+void CallAnswer::__set_arrived(const bool val) {
+  this->arrived = val;
+}
+
+void CallAnswer::__set_timedOut(const bool val) {
+  this->timedOut = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -10234,9 +11544,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast392;
-          xfer += iprot->readI32(ecast392);
-          this->outcome = static_cast<Outcome::type>(ecast392);
+          int32_t ecast444;
+          xfer += iprot->readI32(ecast444);
+          this->outcome = static_cast<Outcome::type>(ecast444);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10254,14 +11564,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->headers.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size445;
+            ::apache::thrift::protocol::TType _etype448;
+            xfer += iprot->readListBegin(_etype448, _size445);
+            this->headers.resize(_size445);
+            uint32_t _i449;
+            for (_i449 = 0; _i449 < _size445; ++_i449)
             {
-              xfer += this->headers[_i397].read(iprot);
+              xfer += this->headers[_i449].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10334,6 +11644,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->arrived);
+          this->__isset.arrived = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->timedOut);
+          this->__isset.timedOut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10366,10 +11692,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter398;
-    for (_iter398 = this->headers.begin(); _iter398 != this->headers.end(); ++_iter398)
+    std::vector<Header> ::const_iterator _iter450;
+    for (_iter450 = this->headers.begin(); _iter450 != this->headers.end(); ++_iter450)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter450).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10407,6 +11733,14 @@
   xfer += oprot->writeBool(this->cold);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("arrived", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->arrived);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timedOut", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->timedOut);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10426,69 +11760,79 @@
   swap(a.fault, b.fault);
   swap(a.refused, b.refused);
   swap(a.cold, b.cold);
+  swap(a.arrived, b.arrived);
+  swap(a.timedOut, b.timedOut);
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other399) {
-  id = other399.id;
-  outcome = other399.outcome;
-  status = other399.status;
-  headers = other399.headers;
-  body = other399.body;
-  inFlight = other399.inFlight;
-  queued = other399.queued;
-  reason = other399.reason;
-  retryAfterMs = other399.retryAfterMs;
-  fault = other399.fault;
-  refused = other399.refused;
-  cold = other399.cold;
-  __isset = other399.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other400) noexcept {
-  id = other400.id;
-  outcome = other400.outcome;
-  status = other400.status;
-  headers = std::move(other400.headers);
-  body = std::move(other400.body);
-  inFlight = other400.inFlight;
-  queued = other400.queued;
-  reason = std::move(other400.reason);
-  retryAfterMs = other400.retryAfterMs;
-  fault = other400.fault;
-  refused = other400.refused;
-  cold = other400.cold;
-  __isset = other400.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other401) {
-  id = other401.id;
-  outcome = other401.outcome;
-  status = other401.status;
-  headers = other401.headers;
-  body = other401.body;
-  inFlight = other401.inFlight;
-  queued = other401.queued;
-  reason = other401.reason;
-  retryAfterMs = other401.retryAfterMs;
-  fault = other401.fault;
-  refused = other401.refused;
-  cold = other401.cold;
-  __isset = other401.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other451) {
+  id = other451.id;
+  outcome = other451.outcome;
+  status = other451.status;
+  headers = other451.headers;
+  body = other451.body;
+  inFlight = other451.inFlight;
+  queued = other451.queued;
+  reason = other451.reason;
+  retryAfterMs = other451.retryAfterMs;
+  fault = other451.fault;
+  refused = other451.refused;
+  cold = other451.cold;
+  arrived = other451.arrived;
+  timedOut = other451.timedOut;
+  __isset = other451.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
+  id = other452.id;
+  outcome = other452.outcome;
+  status = other452.status;
+  headers = std::move(other452.headers);
+  body = std::move(other452.body);
+  inFlight = other452.inFlight;
+  queued = other452.queued;
+  reason = std::move(other452.reason);
+  retryAfterMs = other452.retryAfterMs;
+  fault = other452.fault;
+  refused = other452.refused;
+  cold = other452.cold;
+  arrived = other452.arrived;
+  timedOut = other452.timedOut;
+  __isset = other452.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
+  id = other453.id;
+  outcome = other453.outcome;
+  status = other453.status;
+  headers = other453.headers;
+  body = other453.body;
+  inFlight = other453.inFlight;
+  queued = other453.queued;
+  reason = other453.reason;
+  retryAfterMs = other453.retryAfterMs;
+  fault = other453.fault;
+  refused = other453.refused;
+  cold = other453.cold;
+  arrived = other453.arrived;
+  timedOut = other453.timedOut;
+  __isset = other453.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other402) noexcept {
-  id = other402.id;
-  outcome = other402.outcome;
-  status = other402.status;
-  headers = std::move(other402.headers);
-  body = std::move(other402.body);
-  inFlight = other402.inFlight;
-  queued = other402.queued;
-  reason = std::move(other402.reason);
-  retryAfterMs = other402.retryAfterMs;
-  fault = other402.fault;
-  refused = other402.refused;
-  cold = other402.cold;
-  __isset = other402.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other454) noexcept {
+  id = other454.id;
+  outcome = other454.outcome;
+  status = other454.status;
+  headers = std::move(other454.headers);
+  body = std::move(other454.body);
+  inFlight = other454.inFlight;
+  queued = other454.queued;
+  reason = std::move(other454.reason);
+  retryAfterMs = other454.retryAfterMs;
+  fault = other454.fault;
+  refused = other454.refused;
+  cold = other454.cold;
+  arrived = other454.arrived;
+  timedOut = other454.timedOut;
+  __isset = other454.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -10506,6 +11850,8 @@
   out << ", " << "fault=" << to_string(fault);
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "cold=" << to_string(cold);
+  out << ", " << "arrived=" << to_string(arrived);
+  out << ", " << "timedOut=" << to_string(timedOut);
   out << ")";
 }
 
@@ -10585,22 +11931,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other403) noexcept {
-  id = other403.id;
-  __isset = other403.__isset;
+CallCancel::CallCancel(const CallCancel& other455) noexcept {
+  id = other455.id;
+  __isset = other455.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other404) noexcept {
-  id = other404.id;
-  __isset = other404.__isset;
+CallCancel::CallCancel(CallCancel&& other456) noexcept {
+  id = other456.id;
+  __isset = other456.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other405) noexcept {
-  id = other405.id;
-  __isset = other405.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other457) noexcept {
+  id = other457.id;
+  __isset = other457.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other406) noexcept {
-  id = other406.id;
-  __isset = other406.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other458) noexcept {
+  id = other458.id;
+  __isset = other458.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -10681,9 +12027,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast407;
-          xfer += iprot->readI32(ecast407);
-          this->step = static_cast<ClaimStep::type>(ecast407);
+          int32_t ecast459;
+          xfer += iprot->readI32(ecast459);
+          this->step = static_cast<ClaimStep::type>(ecast459);
           this->__isset.step = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10792,46 +12138,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other408) {
-  id = other408.id;
-  step = other408.step;
-  key = other408.key;
-  fingerprint = other408.fingerprint;
-  owner = other408.owner;
-  epoch = other408.epoch;
-  answer = other408.answer;
-  __isset = other408.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other409) noexcept {
-  id = other409.id;
-  step = other409.step;
-  key = std::move(other409.key);
-  fingerprint = other409.fingerprint;
-  owner = std::move(other409.owner);
-  epoch = other409.epoch;
-  answer = std::move(other409.answer);
-  __isset = other409.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other410) {
-  id = other410.id;
-  step = other410.step;
-  key = other410.key;
-  fingerprint = other410.fingerprint;
-  owner = other410.owner;
-  epoch = other410.epoch;
-  answer = other410.answer;
-  __isset = other410.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other460) {
+  id = other460.id;
+  step = other460.step;
+  key = other460.key;
+  fingerprint = other460.fingerprint;
+  owner = other460.owner;
+  epoch = other460.epoch;
+  answer = other460.answer;
+  __isset = other460.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other461) noexcept {
+  id = other461.id;
+  step = other461.step;
+  key = std::move(other461.key);
+  fingerprint = other461.fingerprint;
+  owner = std::move(other461.owner);
+  epoch = other461.epoch;
+  answer = std::move(other461.answer);
+  __isset = other461.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other462) {
+  id = other462.id;
+  step = other462.step;
+  key = other462.key;
+  fingerprint = other462.fingerprint;
+  owner = other462.owner;
+  epoch = other462.epoch;
+  answer = other462.answer;
+  __isset = other462.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other411) noexcept {
-  id = other411.id;
-  step = other411.step;
-  key = std::move(other411.key);
-  fingerprint = other411.fingerprint;
-  owner = std::move(other411.owner);
-  epoch = other411.epoch;
-  answer = std::move(other411.answer);
-  __isset = other411.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other463) noexcept {
+  id = other463.id;
+  step = other463.step;
+  key = std::move(other463.key);
+  fingerprint = other463.fingerprint;
+  owner = std::move(other463.owner);
+  epoch = other463.epoch;
+  answer = std::move(other463.answer);
+  __isset = other463.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -10902,9 +12248,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast412;
-          xfer += iprot->readI32(ecast412);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast412);
+          int32_t ecast464;
+          xfer += iprot->readI32(ecast464);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast464);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10961,30 +12307,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other413) {
-  id = other413.id;
-  verdict = other413.verdict;
-  answer = other413.answer;
-  __isset = other413.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other465) {
+  id = other465.id;
+  verdict = other465.verdict;
+  answer = other465.answer;
+  __isset = other465.__isset;
+}
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other466) noexcept {
+  id = other466.id;
+  verdict = other466.verdict;
+  answer = std::move(other466.answer);
+  __isset = other466.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other414) noexcept {
-  id = other414.id;
-  verdict = other414.verdict;
-  answer = std::move(other414.answer);
-  __isset = other414.__isset;
-}
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other415) {
-  id = other415.id;
-  verdict = other415.verdict;
-  answer = other415.answer;
-  __isset = other415.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other467) {
+  id = other467.id;
+  verdict = other467.verdict;
+  answer = other467.answer;
+  __isset = other467.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other416) noexcept {
-  id = other416.id;
-  verdict = other416.verdict;
-  answer = std::move(other416.answer);
-  __isset = other416.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other468) noexcept {
+  id = other468.id;
+  verdict = other468.verdict;
+  answer = std::move(other468.answer);
+  __isset = other468.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -81,7 +81,8 @@
     MOVE_EVENT = 8,
     CLAIM_EPOCH = 9,
     DENIED = 10,
-    SOURCE_UPDATE = 11
+    SOURCE_UPDATE = 11,
+    SUBMIT_RELEASE = 12
   };
 };
 
@@ -227,12 +228,16 @@
 
 class Proof;
 
+class SplitPart;
+
 class Route;
 
 class AccountResource;
 
 class ServiceResource;
 
+class ReleaseResource;
+
 class ClaimHolder;
 
 class ClaimEpoch;
@@ -269,6 +274,10 @@
 
 class ForwardAnswer;
 
+class ServiceSpec;
+
+class Release;
+
 class MoveEvent;
 
 class MoveAsk;
@@ -438,14 +447,71 @@
 
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
+typedef struct _SplitPart__isset {
+  _SplitPart__isset() : serviceName(false), weight(false) {}
+  bool serviceName :1;
+  bool weight :1;
+} _SplitPart__isset;
+
+class SplitPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SplitPart(const SplitPart&);
+  SplitPart(SplitPart&&) noexcept;
+  SplitPart& operator=(const SplitPart&);
+  SplitPart& operator=(SplitPart&&) noexcept;
+  SplitPart() noexcept
+            : serviceName(),
+              weight(0) {
+  }
+
+  virtual ~SplitPart() noexcept;
+  std::string serviceName;
+  int32_t weight;
+
+  _SplitPart__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_weight(const int32_t val);
+
+  bool operator == (const SplitPart & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(weight == rhs.weight))
+      return false;
+    return true;
+  }
+  bool operator != (const SplitPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SplitPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SplitPart &a, SplitPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SplitPart& obj);
+
 typedef struct _Route__isset {
-  _Route__isset() : host(false), path(false), methods(false), serviceName(false), timeoutMs(false), idempotent(false) {}
+  _Route__isset() : host(false), path(false), methods(false), serviceName(false), timeoutMs(false), idempotent(false), name(false), objectiveMs(false), priority(false), maxAttempts(false), split(false) {}
   bool host :1;
   bool path :1;
   bool methods :1;
   bool serviceName :1;
   bool timeoutMs :1;
   bool idempotent :1;
+  bool name :1;
+  bool objectiveMs :1;
+  bool priority :1;
+  bool maxAttempts :1;
+  bool split :1;
 } _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
@@ -460,7 +526,11 @@
           path(),
           serviceName(),
           timeoutMs(0),
-          idempotent(0) {
+          idempotent(0),
+          name(),
+          objectiveMs(0),
+          priority(0),
+          maxAttempts(0) {
   }
 
   virtual ~Route() noexcept;
@@ -470,6 +540,11 @@
   std::string serviceName;
   int32_t timeoutMs;
   bool idempotent;
+  std::string name;
+  int32_t objectiveMs;
+  int32_t priority;
+  int32_t maxAttempts;
+  std::vector<SplitPart>  split;
 
   _Route__isset __isset;
 
@@ -485,6 +560,16 @@
 
   void __set_idempotent(const bool val);
 
+  void __set_name(const std::string& val);
+
+  void __set_objectiveMs(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_maxAttempts(const int32_t val);
+
+  void __set_split(const std::vector<SplitPart> & val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(host == rhs.host))
@@ -499,6 +584,16 @@
       return false;
     if (!(idempotent == rhs.idempotent))
       return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(objectiveMs == rhs.objectiveMs))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(maxAttempts == rhs.maxAttempts))
+      return false;
+    if (!(split == rhs.split))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -597,7 +692,7 @@
 std::ostream& operator<<(std::ostream& out, const AccountResource& obj);
 
 typedef struct _ServiceResource__isset {
-  _ServiceResource__isset() : name(false), stable(false), candidate(false), permille(false), moveId(false), step(false), grantMs(false) {}
+  _ServiceResource__isset() : name(false), stable(false), candidate(false), permille(false), moveId(false), step(false), grantMs(false), healthPath(false), maxConnections(false), excluded(false) {}
   bool name :1;
   bool stable :1;
   bool candidate :1;
@@ -605,6 +700,9 @@
   bool moveId :1;
   bool step :1;
   bool grantMs :1;
+  bool healthPath :1;
+  bool maxConnections :1;
+  bool excluded :1;
 } _ServiceResource__isset;
 
 class ServiceResource : public virtual ::apache::thrift::TBase {
@@ -621,7 +719,10 @@
                     permille(0),
                     moveId(),
                     step(0),
-                    grantMs(0) {
+                    grantMs(0),
+                    healthPath(),
+                    maxConnections(0),
+                    excluded() {
   }
 
   virtual ~ServiceResource() noexcept;
@@ -632,6 +733,9 @@
   std::string moveId;
   int32_t step;
   int32_t grantMs;
+  std::string healthPath;
+  int32_t maxConnections;
+  std::string excluded;
 
   _ServiceResource__isset __isset;
 
@@ -649,6 +753,12 @@
 
   void __set_grantMs(const int32_t val);
 
+  void __set_healthPath(const std::string& val);
+
+  void __set_maxConnections(const int32_t val);
+
+  void __set_excluded(const std::string& val);
+
   bool operator == (const ServiceResource & rhs) const
   {
     if (!(name == rhs.name))
@@ -665,6 +775,12 @@
       return false;
     if (!(grantMs == rhs.grantMs))
       return false;
+    if (!(healthPath == rhs.healthPath))
+      return false;
+    if (!(maxConnections == rhs.maxConnections))
+      return false;
+    if (!(excluded == rhs.excluded))
+      return false;
     return true;
   }
   bool operator != (const ServiceResource &rhs) const {
@@ -683,6 +799,79 @@
 
 std::ostream& operator<<(std::ostream& out, const ServiceResource& obj);
 
+typedef struct _ReleaseResource__isset {
+  _ReleaseResource__isset() : number(false), headerBytes(false), bodyBytes(false), headerTimeoutMs(false), idleTimeoutMs(false) {}
+  bool number :1;
+  bool headerBytes :1;
+  bool bodyBytes :1;
+  bool headerTimeoutMs :1;
+  bool idleTimeoutMs :1;
+} _ReleaseResource__isset;
+
+class ReleaseResource : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReleaseResource(const ReleaseResource&) noexcept;
+  ReleaseResource(ReleaseResource&&) noexcept;
+  ReleaseResource& operator=(const ReleaseResource&) noexcept;
+  ReleaseResource& operator=(ReleaseResource&&) noexcept;
+  ReleaseResource() noexcept
+                  : number(0),
+                    headerBytes(0),
+                    bodyBytes(0),
+                    headerTimeoutMs(0),
+                    idleTimeoutMs(0) {
+  }
+
+  virtual ~ReleaseResource() noexcept;
+  int64_t number;
+  int64_t headerBytes;
+  int64_t bodyBytes;
+  int32_t headerTimeoutMs;
+  int32_t idleTimeoutMs;
+
+  _ReleaseResource__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_headerBytes(const int64_t val);
+
+  void __set_bodyBytes(const int64_t val);
+
+  void __set_headerTimeoutMs(const int32_t val);
+
+  void __set_idleTimeoutMs(const int32_t val);
+
+  bool operator == (const ReleaseResource & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(headerBytes == rhs.headerBytes))
+      return false;
+    if (!(bodyBytes == rhs.bodyBytes))
+      return false;
+    if (!(headerTimeoutMs == rhs.headerTimeoutMs))
+      return false;
+    if (!(idleTimeoutMs == rhs.idleTimeoutMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ReleaseResource &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReleaseResource & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReleaseResource &a, ReleaseResource &b);
+
+std::ostream& operator<<(std::ostream& out, const ReleaseResource& obj);
+
 typedef struct _ClaimHolder__isset {
   _ClaimHolder__isset() : node(false), address(false), dataCentre(false) {}
   bool node :1;
@@ -845,12 +1034,14 @@
 std::ostream& operator<<(std::ostream& out, const ClaimRing& obj);
 
 typedef struct _Resource__isset {
-  _Resource__isset() : key(false), version(false), serviceResource(false), accountResource(false), claimRing(false) {}
+  _Resource__isset() : key(false), version(false), serviceResource(false), accountResource(false), claimRing(false), route(false), releaseResource(false) {}
   bool key :1;
   bool version :1;
   bool serviceResource :1;
   bool accountResource :1;
   bool claimRing :1;
+  bool route :1;
+  bool releaseResource :1;
 } _Resource__isset;
 
 class Resource : public virtual ::apache::thrift::TBase {
@@ -871,6 +1062,8 @@
   ServiceResource serviceResource;
   AccountResource accountResource;
   ClaimRing claimRing;
+  Route route;
+  ReleaseResource releaseResource;
 
   _Resource__isset __isset;
 
@@ -884,6 +1077,10 @@
 
   void __set_claimRing(const ClaimRing& val);
 
+  void __set_route(const Route& val);
+
+  void __set_releaseResource(const ReleaseResource& val);
+
   bool operator == (const Resource & rhs) const
   {
     if (!(key == rhs.key))
@@ -902,6 +1099,14 @@
       return false;
     else if (__isset.claimRing && !(claimRing == rhs.claimRing))
       return false;
+    if (__isset.route != rhs.__isset.route)
+      return false;
+    else if (__isset.route && !(route == rhs.route))
+      return false;
+    if (__isset.releaseResource != rhs.__isset.releaseResource)
+      return false;
+    else if (__isset.releaseResource && !(releaseResource == rhs.releaseResource))
+      return false;
     return true;
   }
   bool operator != (const Resource &rhs) const {
@@ -1785,6 +1990,135 @@
 
 std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj);
 
+typedef struct _ServiceSpec__isset {
+  _ServiceSpec__isset() : name(false), healthPath(false), maxConnections(false) {}
+  bool name :1;
+  bool healthPath :1;
+  bool maxConnections :1;
+} _ServiceSpec__isset;
+
+class ServiceSpec : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceSpec(const ServiceSpec&);
+  ServiceSpec(ServiceSpec&&) noexcept;
+  ServiceSpec& operator=(const ServiceSpec&);
+  ServiceSpec& operator=(ServiceSpec&&) noexcept;
+  ServiceSpec() noexcept
+              : name(),
+                healthPath(),
+                maxConnections(0) {
+  }
+
+  virtual ~ServiceSpec() noexcept;
+  std::string name;
+  std::string healthPath;
+  int32_t maxConnections;
+
+  _ServiceSpec__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_healthPath(const std::string& val);
+
+  void __set_maxConnections(const int32_t val);
+
+  bool operator == (const ServiceSpec & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(healthPath == rhs.healthPath))
+      return false;
+    if (!(maxConnections == rhs.maxConnections))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceSpec &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceSpec & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceSpec &a, ServiceSpec &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceSpec& obj);
+
+typedef struct _Release__isset {
+  _Release__isset() : header(false), baseNumber(false), routes(false), services(false), document(false) {}
+  bool header :1;
+  bool baseNumber :1;
+  bool routes :1;
+  bool services :1;
+  bool document :1;
+} _Release__isset;
+
+class Release : public virtual ::apache::thrift::TBase {
+ public:
+
+  Release(const Release&);
+  Release(Release&&) noexcept;
+  Release& operator=(const Release&);
+  Release& operator=(Release&&) noexcept;
+  Release() noexcept
+          : baseNumber(0),
+            document() {
+  }
+
+  virtual ~Release() noexcept;
+  ReleaseResource header;
+  int64_t baseNumber;
+  std::vector<Route>  routes;
+  std::vector<ServiceSpec>  services;
+  std::string document;
+
+  _Release__isset __isset;
+
+  void __set_header(const ReleaseResource& val);
+
+  void __set_baseNumber(const int64_t val);
+
+  void __set_routes(const std::vector<Route> & val);
+
+  void __set_services(const std::vector<ServiceSpec> & val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const Release & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(baseNumber == rhs.baseNumber))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const Release &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Release & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Release &a, Release &b);
+
+std::ostream& operator<<(std::ostream& out, const Release& obj);
+
 typedef struct _MoveEvent__isset {
   _MoveEvent__isset() : moveId(false), step(false), kind(false), permille(false), reason(false), slotsNeeded(false) {}
   bool moveId :1;
@@ -1870,12 +2204,14 @@
 std::ostream& operator<<(std::ostream& out, const MoveEvent& obj);
 
 typedef struct _MoveAsk__isset {
-  _MoveAsk__isset() : id(false), serviceName(false), toVersion(false), deadlineMs(false), watchMs(false) {}
+  _MoveAsk__isset() : id(false), serviceName(false), toVersion(false), deadlineMs(false), watchMs(false), exposurePermille(false), durationMs(false) {}
   bool id :1;
   bool serviceName :1;
   bool toVersion :1;
   bool deadlineMs :1;
   bool watchMs :1;
+  bool exposurePermille :1;
+  bool durationMs :1;
 } _MoveAsk__isset;
 
 class MoveAsk : public virtual ::apache::thrift::TBase {
@@ -1890,7 +2226,9 @@
             serviceName(),
             toVersion(),
             deadlineMs(0),
-            watchMs(0) {
+            watchMs(0),
+            exposurePermille(0),
+            durationMs(0) {
   }
 
   virtual ~MoveAsk() noexcept;
@@ -1899,6 +2237,8 @@
   std::string toVersion;
   int64_t deadlineMs;
   int64_t watchMs;
+  int32_t exposurePermille;
+  int64_t durationMs;
 
   _MoveAsk__isset __isset;
 
@@ -1912,6 +2252,10 @@
 
   void __set_watchMs(const int64_t val);
 
+  void __set_exposurePermille(const int32_t val);
+
+  void __set_durationMs(const int64_t val);
+
   bool operator == (const MoveAsk & rhs) const
   {
     if (!(id == rhs.id))
@@ -1924,6 +2268,10 @@
       return false;
     if (!(watchMs == rhs.watchMs))
       return false;
+    if (!(exposurePermille == rhs.exposurePermille))
+      return false;
+    if (!(durationMs == rhs.durationMs))
+      return false;
     return true;
   }
   bool operator != (const MoveAsk &rhs) const {
@@ -1943,7 +2291,7 @@
 std::ostream& operator<<(std::ostream& out, const MoveAsk& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : kind(false), requestId(false), actor(false), team(false), timeMs(false), baseVersion(false), name(false), body(false), parameters(false), move(false), moveEvent(false), claimEpoch(false), templateName(false), sourceSequence(false) {}
+  _Command__isset() : kind(false), requestId(false), actor(false), team(false), timeMs(false), baseVersion(false), name(false), body(false), parameters(false), move(false), moveEvent(false), claimEpoch(false), templateName(false), sourceSequence(false), release(false) {}
   bool kind :1;
   bool requestId :1;
   bool actor :1;
@@ -1958,6 +2306,7 @@
   bool claimEpoch :1;
   bool templateName :1;
   bool sourceSequence :1;
+  bool release :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1999,6 +2348,7 @@
   ClaimEpoch claimEpoch;
   std::string templateName;
   int64_t sourceSequence;
+  Release release;
 
   _Command__isset __isset;
 
@@ -2030,6 +2380,8 @@
 
   void __set_sourceSequence(const int64_t val);
 
+  void __set_release(const Release& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -2066,6 +2418,10 @@
       return false;
     if (!(sourceSequence == rhs.sourceSequence))
       return false;
+    if (__isset.release != rhs.__isset.release)
+      return false;
+    else if (__isset.release && !(release == rhs.release))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -2477,7 +2833,7 @@
 std::ostream& operator<<(std::ostream& out, const AccountRecord& obj);
 
 typedef struct _MoveRecord__isset {
-  _MoveRecord__isset() : id(false), serviceName(false), fromVersion(false), toVersion(false), startedMs(false), deadlineMs(false), watchMs(false), state(false), step(false), permille(false), stepMs(false), reachedMs(false), reason(false), late(false), actor(false), endedMs(false), slotsNeeded(false) {}
+  _MoveRecord__isset() : id(false), serviceName(false), fromVersion(false), toVersion(false), startedMs(false), deadlineMs(false), watchMs(false), state(false), step(false), permille(false), stepMs(false), reachedMs(false), reason(false), late(false), actor(false), endedMs(false), slotsNeeded(false), exposurePermille(false) {}
   bool id :1;
   bool serviceName :1;
   bool fromVersion :1;
@@ -2495,6 +2851,7 @@
   bool actor :1;
   bool endedMs :1;
   bool slotsNeeded :1;
+  bool exposurePermille :1;
 } _MoveRecord__isset;
 
 class MoveRecord : public virtual ::apache::thrift::TBase {
@@ -2521,7 +2878,8 @@
                late(0),
                actor(),
                endedMs(0),
-               slotsNeeded(0) {
+               slotsNeeded(0),
+               exposurePermille(0) {
   }
 
   virtual ~MoveRecord() noexcept;
@@ -2546,6 +2904,7 @@
   std::string actor;
   int64_t endedMs;
   int32_t slotsNeeded;
+  int32_t exposurePermille;
 
   _MoveRecord__isset __isset;
 
@@ -2583,6 +2942,8 @@
 
   void __set_slotsNeeded(const int32_t val);
 
+  void __set_exposurePermille(const int32_t val);
+
   bool operator == (const MoveRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -2619,6 +2980,8 @@
       return false;
     if (!(slotsNeeded == rhs.slotsNeeded))
       return false;
+    if (!(exposurePermille == rhs.exposurePermille))
+      return false;
     return true;
   }
   bool operator != (const MoveRecord &rhs) const {
@@ -2638,7 +3001,7 @@
 std::ostream& operator<<(std::ostream& out, const MoveRecord& obj);
 
 typedef struct _MachineImage__isset {
-  _MachineImage__isset() : version(false), resources(false), tombstones(false), templates(false), accounts(false), moves(false), audit(false), remembered(false), tombstoneFloor(false), auditCount(false) {}
+  _MachineImage__isset() : version(false), resources(false), tombstones(false), templates(false), accounts(false), moves(false), audit(false), remembered(false), tombstoneFloor(false), auditCount(false), releaseNumber(false), releaseDocument(false) {}
   bool version :1;
   bool resources :1;
   bool tombstones :1;
@@ -2649,6 +3012,8 @@
   bool remembered :1;
   bool tombstoneFloor :1;
   bool auditCount :1;
+  bool releaseNumber :1;
+  bool releaseDocument :1;
 } _MachineImage__isset;
 
 class MachineImage : public virtual ::apache::thrift::TBase {
@@ -2661,7 +3026,9 @@
   MachineImage() noexcept
                : version(0),
                  tombstoneFloor(0),
-                 auditCount(0) {
+                 auditCount(0),
+                 releaseNumber(0),
+                 releaseDocument() {
   }
 
   virtual ~MachineImage() noexcept;
@@ -2675,6 +3042,8 @@
   std::vector<RememberedResult>  remembered;
   int64_t tombstoneFloor;
   int64_t auditCount;
+  int64_t releaseNumber;
+  std::string releaseDocument;
 
   _MachineImage__isset __isset;
 
@@ -2698,6 +3067,10 @@
 
   void __set_auditCount(const int64_t val);
 
+  void __set_releaseNumber(const int64_t val);
+
+  void __set_releaseDocument(const std::string& val);
+
   bool operator == (const MachineImage & rhs) const
   {
     if (!(version == rhs.version))
@@ -2720,6 +3093,10 @@
       return false;
     if (!(auditCount == rhs.auditCount))
       return false;
+    if (!(releaseNumber == rhs.releaseNumber))
+      return false;
+    if (!(releaseDocument == rhs.releaseDocument))
+      return false;
     return true;
   }
   bool operator != (const MachineImage &rhs) const {
@@ -2739,7 +3116,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false) {}
+  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -2750,6 +3127,7 @@
   bool sequence :1;
   bool state :1;
   bool slots :1;
+  bool coldLeftMs :1;
 } _Presence__isset;
 
 class Presence : public virtual ::apache::thrift::TBase {
@@ -2769,7 +3147,8 @@
              incarnation(0),
              sequence(0),
              state(static_cast<TargetState::type>(0)),
-             slots(0) {
+             slots(0),
+             coldLeftMs(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -2787,6 +3166,7 @@
    */
   TargetState::type state;
   int32_t slots;
+  int32_t coldLeftMs;
 
   _Presence__isset __isset;
 
@@ -2810,6 +3190,8 @@
 
   void __set_slots(const int32_t val);
 
+  void __set_coldLeftMs(const int32_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(target == rhs.target))
@@ -2832,6 +3214,8 @@
       return false;
     if (!(slots == rhs.slots))
       return false;
+    if (!(coldLeftMs == rhs.coldLeftMs))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
@@ -3284,13 +3668,14 @@
 std::ostream& operator<<(std::ostream& out, const Subscribe& obj);
 
 typedef struct _SubscribeAnswer__isset {
-  _SubscribeAnswer__isset() : admitted(false), retryAfterMs(false), version(false), floor(false), directory(false), fresh(false) {}
+  _SubscribeAnswer__isset() : admitted(false), retryAfterMs(false), version(false), floor(false), directory(false), fresh(false), controlHosts(false) {}
   bool admitted :1;
   bool retryAfterMs :1;
   bool version :1;
   bool floor :1;
   bool directory :1;
   bool fresh :1;
+  bool controlHosts :1;
 } _SubscribeAnswer__isset;
 
 class SubscribeAnswer : public virtual ::apache::thrift::TBase {
@@ -3315,6 +3700,7 @@
   int64_t floor;
   std::vector<NodeInfo>  directory;
   bool fresh;
+  std::vector<std::string>  controlHosts;
 
   _SubscribeAnswer__isset __isset;
 
@@ -3330,6 +3716,8 @@
 
   void __set_fresh(const bool val);
 
+  void __set_controlHosts(const std::vector<std::string> & val);
+
   bool operator == (const SubscribeAnswer & rhs) const
   {
     if (!(admitted == rhs.admitted))
@@ -3344,6 +3732,8 @@
       return false;
     if (!(fresh == rhs.fresh))
       return false;
+    if (!(controlHosts == rhs.controlHosts))
+      return false;
     return true;
   }
   bool operator != (const SubscribeAnswer &rhs) const {
@@ -3431,9 +3821,10 @@
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
 typedef struct _MemberReport__isset {
-  _MemberReport__isset() : report(false), beacon(false) {}
+  _MemberReport__isset() : report(false), beacon(false), members(false) {}
   bool report :1;
   bool beacon :1;
+  bool members :1;
 } _MemberReport__isset;
 
 class MemberReport : public virtual ::apache::thrift::TBase {
@@ -3449,6 +3840,7 @@
   virtual ~MemberReport() noexcept;
   Report report;
   Beacon beacon;
+  std::vector<std::string>  members;
 
   _MemberReport__isset __isset;
 
@@ -3456,6 +3848,8 @@
 
   void __set_beacon(const Beacon& val);
 
+  void __set_members(const std::vector<std::string> & val);
+
   bool operator == (const MemberReport & rhs) const
   {
     if (!(report == rhs.report))
@@ -3464,6 +3858,8 @@
       return false;
     else if (__isset.beacon && !(beacon == rhs.beacon))
       return false;
+    if (!(members == rhs.members))
+      return false;
     return true;
   }
   bool operator != (const MemberReport &rhs) const {
@@ -3483,10 +3879,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj);
 
 typedef struct _Spread__isset {
-  _Spread__isset() : nodes(false), targets(false), beacon(false) {}
+  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false) {}
   bool nodes :1;
   bool targets :1;
   bool beacon :1;
+  bool controlHosts :1;
 } _Spread__isset;
 
 class Spread : public virtual ::apache::thrift::TBase {
@@ -3503,6 +3900,7 @@
   std::vector<NodeInfo>  nodes;
   std::vector<Presence>  targets;
   Beacon beacon;
+  std::vector<std::string>  controlHosts;
 
   _Spread__isset __isset;
 
@@ -3512,6 +3910,8 @@
 
   void __set_beacon(const Beacon& val);
 
+  void __set_controlHosts(const std::vector<std::string> & val);
+
   bool operator == (const Spread & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -3522,6 +3922,8 @@
       return false;
     else if (__isset.beacon && !(beacon == rhs.beacon))
       return false;
+    if (!(controlHosts == rhs.controlHosts))
+      return false;
     return true;
   }
   bool operator != (const Spread &rhs) const {
@@ -3716,7 +4118,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -3727,6 +4129,10 @@
   bool target :1;
   bool account :1;
   bool priority :1;
+  bool incarnation :1;
+  bool requestId :1;
+  bool callerService :1;
+  bool objectiveMs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -3745,7 +4151,11 @@
                 serviceName(),
                 target(),
                 account(),
-                priority(0) {
+                priority(0),
+                incarnation(0),
+                requestId(),
+                callerService(),
+                objectiveMs(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -3759,6 +4169,10 @@
   std::string target;
   std::string account;
   int32_t priority;
+  int64_t incarnation;
+  std::string requestId;
+  std::string callerService;
+  int32_t objectiveMs;
 
   _CallRequest__isset __isset;
 
@@ -3782,6 +4196,14 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_incarnation(const int64_t val);
+
+  void __set_requestId(const std::string& val);
+
+  void __set_callerService(const std::string& val);
+
+  void __set_objectiveMs(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -3804,6 +4226,14 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(requestId == rhs.requestId))
+      return false;
+    if (!(callerService == rhs.callerService))
+      return false;
+    if (!(objectiveMs == rhs.objectiveMs))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -3823,7 +4253,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false) {}
+  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -3836,6 +4266,8 @@
   bool fault :1;
   bool refused :1;
   bool cold :1;
+  bool arrived :1;
+  bool timedOut :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -3856,7 +4288,9 @@
                retryAfterMs(0),
                fault(0),
                refused(0),
-               cold(0) {
+               cold(0),
+               arrived(0),
+               timedOut(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -3876,6 +4310,8 @@
   bool fault;
   bool refused;
   bool cold;
+  bool arrived;
+  bool timedOut;
 
   _CallAnswer__isset __isset;
 
@@ -3903,6 +4339,10 @@
 
   void __set_cold(const bool val);
 
+  void __set_arrived(const bool val);
+
+  void __set_timedOut(const bool val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -3929,6 +4369,10 @@
       return false;
     if (!(cold == rhs.cold))
       return false;
+    if (!(arrived == rhs.arrived))
+      return false;
+    if (!(timedOut == rhs.timedOut))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
