Bounded exposure of unproved versions; calls before the first configuration

Cause 1: a refusal before the first view read the release of a null configuration (exit 139 in every restart). Cause 2: a service that never moved has no named version, so evidence of its old targets was dropped and shares rose by time alone. Now the view starts with an empty configuration, evidence compares the candidate with all others, and moves with an exposure bound probe at a small share and step up late.

--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -12,7 +12,7 @@
 namespace pomelowind::node {
 
 struct MeshView {
-    std::shared_ptr<const config::ConfigState> config;
+    std::shared_ptr<const config::ConfigState> config { std::make_shared<const config::ConfigState>() };
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<const nodes::Targets> targets;
     int64_t claimsThroughMs { 0 };
--- a/src/control/MoveDriver.cpp
+++ b/src/control/MoveDriver.cpp
@@ -11,21 +11,27 @@
     constexpr auto REACHABLE_WINDOW = base::Millis(6000);
     constexpr double RATE_SMOOTHING = 0.2;
 
-    int slotsOf(const nodes::Targets& targets, const std::string& service, const std::string& version)
+    // The version that a move leaves; a service that never moved has none yet, and all but the new one count as old.
+    bool isOld(const wire::MoveRecord& move, const std::string& version)
     {
-        int slots = 0;
-        for (const auto& it : targets) {
-            if (it.serviceName == service && it.version == version && it.state == wire::TargetState::SERVING)
-                slots += it.slots;
-        }
-        return slots;
+        return move.fromVersion.empty() ? version != move.toVersion : version == move.fromVersion;
     }
 
-    int countOf(const nodes::Targets& targets, const std::string& service, const std::string& version)
+    struct Capacity {
+        int targets { 0 };
+        int slots { 0 };
+    };
+
+    template <class Matches> Capacity capacityOf(const nodes::Targets& targets, const std::string& service, Matches fits)
     {
-        return static_cast<int>(std::count_if(targets.begin(), targets.end(), [&](const wire::Presence& it) {
-            return it.serviceName == service && it.version == version && it.state == wire::TargetState::SERVING;
-        }));
+        Capacity out;
+        for (const auto& it : targets) {
+            if (it.serviceName != service || it.state != wire::TargetState::SERVING || !fits(it.version))
+                continue;
+            ++out.targets;
+            out.slots += it.slots;
+        }
+        return out;
     }
 
 }
@@ -94,9 +100,13 @@
     view.evidence = watched.book->summary();
     view.candidateCallsAtStep = watched.callsAtStep;
     view.callsPerSecond = watched.callsPerSecond;
-    view.candidateTargets = countOf(targets, move.serviceName, move.toVersion);
-    view.candidateSlots = slotsOf(targets, move.serviceName, move.toVersion);
-    view.stableSlots = slotsOf(targets, move.serviceName, move.fromVersion);
+    auto candidate = capacityOf(
+        targets, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
+    view.candidateTargets = candidate.targets;
+    view.candidateSlots = candidate.slots;
+    view.stableSlots = capacityOf(targets, move.serviceName, [&](const std::string& version) {
+        return isOld(move, version);
+    }).slots;
     watched.stableSlotsAtStart = std::max({ watched.stableSlotsAtStart, view.stableSlots, move.slotsNeeded });
     view.stableSlotsAtStart = watched.stableSlotsAtStart;
     view.alarms = static_cast<int>(watched.alarms.size());
--- /dev/null
+++ b/src/moves/ExposurePlanner.cpp
@@ -0,0 +1,98 @@
+#include "pomelowind/moves/ExposurePlanner.h"
+
+#include "pomelowind/moves/MoveMachine.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pomelowind::moves {
+
+namespace {
+
+    using wire::MoveEventKind;
+    using wire::MoveState;
+
+    // Part of the exposure bound that the probing phase may use up; the rest is for the steps, in which a version that
+    // fails only under load shows it.
+    constexpr double PROBE_PART = 0.3;
+    // The steps need about 4 s and the last calls on the old version another; the rest covers a change of leader.
+    constexpr int64_t FINISH_MS = 7000;
+    // A short move spends at least this part of its time probing.
+    constexpr double LEAST_PROBE_PART = 0.4;
+
+    struct Step {
+        int32_t permille;
+        int64_t dwellMs; // until slow calls have ended and their evidence has come in
+    };
+    constexpr std::array<Step, 3> STEPS { { { 200, 1300 }, { 500, 900 }, { TOP_PERMILLE, 700 } } };
+
+    int64_t finishFromMs(const wire::MoveRecord& move)
+    {
+        auto total = static_cast<double>(move.deadlineMs - move.startedMs);
+        return std::max(move.deadlineMs - FINISH_MS, move.startedMs + static_cast<int64_t>(total * LEAST_PROBE_PART));
+    }
+
+    int32_t probePermille(const wire::MoveRecord& move)
+    {
+        return std::max(1, static_cast<int32_t>(move.exposurePermille * PROBE_PART));
+    }
+
+    std::optional<wire::MoveEvent> raiseTo(
+        const wire::MoveRecord& move, const MoveView& view, int32_t permille, const char* reason)
+    {
+        if (!view.candidateTargets)
+            return std::nullopt;
+        wire::MoveEvent event;
+        event.moveId = move.id;
+        event.step = move.step + 1;
+        event.kind = MoveEventKind::RAISE;
+        event.permille = permille;
+        event.reason = reason;
+        event.slotsNeeded = view.stableSlotsAtStart;
+        return event;
+    }
+
+    wire::MoveEvent endStep(const wire::MoveRecord& move, MoveEventKind::type kind, const char* reason)
+    {
+        wire::MoveEvent event;
+        event.moveId = move.id;
+        event.step = move.step + 1;
+        event.kind = kind;
+        event.reason = reason;
+        return event;
+    }
+
+    std::optional<wire::MoveEvent> planStep(const wire::MoveRecord& move, const MoveView& view)
+    {
+        if (move.permille == probePermille(move)) {
+            if (view.wallMs < finishFromMs(move))
+                return std::nullopt;
+            return raiseTo(move, view, STEPS.front().permille, "probing showed no fault");
+        }
+        auto present = std::find_if(
+            STEPS.begin(), STEPS.end(), [&](const Step& it) { return it.permille >= move.permille; });
+        bool passed = view.inForce && view.wallMs - move.stepMs >= present->dwellMs;
+        if (!passed)
+            return std::nullopt;
+        if (move.permille >= TOP_PERMILLE)
+            return endStep(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
+        return raiseTo(move, view, std::next(present)->permille, "the step showed no fault");
+    }
+
+}
+
+std::optional<wire::MoveEvent> planBoundedMove(const wire::MoveRecord& move, const MoveView& view)
+{
+    switch (move.state) {
+    case MoveState::PLANNED:
+        return raiseTo(move, view, probePermille(move), "probing");
+    case MoveState::RAISING:
+        return planStep(move, view);
+    case MoveState::WATCHING:
+        return endStep(move, MoveEventKind::WATCH_ENDED, "no evidence against the version in any step");
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace pomelowind::moves
--- a/src/moves/MovePlanner.cpp
+++ b/src/moves/MovePlanner.cpp
@@ -1,5 +1,6 @@
 #include "pomelowind/moves/MovePlanner.h"
 
+#include "pomelowind/moves/ExposurePlanner.h"
 #include "pomelowind/moves/MoveMachine.h"
 
 #include <algorithm>
@@ -179,6 +180,8 @@
     if (view.alarms >= std::max(LEAST_ALARMS, view.nodes / ALARM_DIVISOR))
         return makeEvent(
             move, MoveEventKind::BAD, "several nodes stopped using the version by themselves: " + view.alarmReason);
+    if (move.exposurePermille > 0)
+        return planBoundedMove(move, view);
     switch (move.state) {
     case MoveState::PLANNED:
         return planStart(move, view);
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -392,7 +392,8 @@
         return;
     callers::CallRecord record;
     record.serviceName = call->service->name;
-    record.version = target.version;
+    // Before its first move a service has no named version; what is not the candidate is what it is compared with.
+    record.version = target.version == call->service->candidate ? target.version : call->service->stable;
     record.route = call->route->path;
     record.account = call->account ? call->account->name : call->route->name;
     record.target = target.target;
