--- a/include/pomelowind/control/ControlSettings.h
+++ b/include/pomelowind/control/ControlSettings.h
@@ -34,6 +34,7 @@
     int64_t keptEntries { 512 }; // log entries kept in memory behind a snapshot
     base::Millis electionTimeout { 400 };
     base::Millis heartbeat { 80 };
+    bool claims { true }; // agree on holders of claims for keyed requests
     base::Millis claimLead { 25000 };
     int64_t snapshotEvery { 1000 };
     std::optional<base::Address> sourceAddress; // outside source of templates and accounts
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -50,6 +50,8 @@
     base::Millis stopTimeout { 60000 }; // a planned stop ends then even if calls are still running
     // Retries are paid from tokens per service: `retryShare` for each call, `retryReserve` a second, at most
     // `retryBurst` saved up.
+    // Part of the time left that an attempt gets which may be repeated, so that the repeat has the rest.
+    int64_t firstAttemptPercent { 60 };
     double retryShare { 0.1 };
     double retryReserve { 5 };
     double retryBurst { 50 };
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -2,6 +2,7 @@
 
 #include "pomelowind/base/Log.h"
 #include "pomelowind/members/MembershipPlanner.h"
+#include "pomelowind/moves/MoveMachine.h"
 
 namespace pomelowind::control {
 
@@ -184,12 +185,27 @@
         base::logInfo("command.applied",
             { { "index", entry.index }, { "kind", config::commandKindName(command.kind) }, { "actor", command.actor },
                 { "result", config::resultCodeName(result.code) }, { "version", m_machine.state().version() },
-                { "request", command.requestId } });
+                { "request", command.requestId }, { "detail", result.message } });
+        if (command.kind == wire::CommandKind::MOVE_EVENT)
+            logMove(command.moveEvent);
     }
     answerPending(entry, result);
     releaseReads();
 }
 
+void ControlCore::logMove(const wire::MoveEvent& event) const
+{
+    const auto* move = m_machine.findMove(event.moveId);
+    if (!move)
+        return;
+    auto evidence = m_moves.evidence(event.moveId);
+    base::logInfo("move.changed",
+        { { "move", move->id }, { "state", moves::moveStateName(move->state) }, { "permille", move->permille },
+            { "reason", event.reason }, { "candidate_calls", evidence.candidate.calls },
+            { "candidate_faults", evidence.candidate.faults }, { "stable_calls", evidence.stable.calls },
+            { "stable_faults", evidence.stable.faults } });
+}
+
 void ControlCore::answerPending(const wire::Entry& entry, const wire::CommandResult& result)
 {
     auto it = m_pending.find(entry.index);
@@ -634,6 +650,8 @@
 
 void ControlCore::proposeEpoch()
 {
+    if (!m_settings.claims)
+        return;
     auto epoch = m_epochs.plan(m_machine.state(), m_directory.liveNodes(), m_now, m_wallMs);
     if (!epoch)
         return;
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -72,6 +72,7 @@
     void applyEntry(const wire::Entry& entry);
     void restoreSnapshot(const wire::SnapshotRecord& snapshot);
     void releaseReads();
+    void logMove(const wire::MoveEvent& event) const;
     void answerPending(const wire::Entry& entry, const wire::CommandResult& result);
     void expirePending();
     void dropForwards();
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -23,7 +23,7 @@
     constexpr auto TICK = base::Millis(20);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto STOP_GRACE = base::Millis(200);
-    constexpr auto STOP_TIMEOUT = std::chrono::seconds(5);
+    constexpr auto STOP_TIMEOUT = std::chrono::seconds(2);
     constexpr int STATUS_STALE = 503;
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -31,6 +31,7 @@
     out.logLevel = reader.text("log_level", "info");
     out.electionTimeout = reader.millis("election_timeout_ms", out.electionTimeout, Millis(100), Millis(10000));
     out.heartbeat = reader.millis("heartbeat_ms", out.heartbeat, Millis(10), Millis(2000));
+    out.claims = reader.flag("claims", true);
     out.claimLead = reader.millis("claim_lead_ms", out.claimLead, Millis(5000), Millis(120000));
     out.snapshotEvery = reader.integer("snapshot_every", out.snapshotEvery, 10, 1000000);
     if (reader.has("source_address"))
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -21,6 +21,7 @@
     using boost::asio::ip::tcp;
 
     constexpr auto SWEEP_PERIOD = base::Millis(200);
+    constexpr int STATUS_UNAVAILABLE = 503;
     constexpr auto LINGER = base::Millis(500);
 
     Instant steadyNow() { return std::chrono::steady_clock::now(); }
@@ -34,6 +35,8 @@
         virtual const HttpLimits& limits() const = 0;
         virtual HttpHandler& handler() = 0;
         virtual bool draining() const = 0;
+        // The grace of a drain is over: requests that still come are refused as not run.
+        virtual bool refusing() const = 0;
         virtual void sessionEnded(const std::shared_ptr<Session>& session) = 0;
     };
 
@@ -192,16 +195,24 @@
 
         // A malformed or oversized request is answered once, and its connection ends: the rest cannot be trusted.
         void refuse(beast::error_code ec)
+        {
+            answerAndClose(statusOfReadError(ec), {},
+                R"({"error":"invalid_input","message":"request refused: )" + ec.message()
+                    + R"(","remedy":"send a well-formed HTTP/1.1 request within the documented size limits"})");
+        }
+
+        void answerAndClose(int status, HttpHeaders headers, std::string body)
         {
             enter(Phase::Handling, m_owner.limits().requestTimeout);
             ++m_turn;
             m_keepAlive = false;
             m_headOnly = false;
             HttpResponse response;
-            response.status = statusOfReadError(ec);
-            response.headers = { { "Content-Type", "application/json" }, { "X-Pomelowind-Outcome", "not-run" } };
-            response.body = R"({"error":"invalid_input","message":"request refused: )" + ec.message()
-                + R"(","remedy":"send a well-formed HTTP/1.1 request within the documented size limits"})";
+            response.status = status;
+            response.headers = std::move(headers);
+            response.headers.push_back({ "Content-Type", "application/json" });
+            response.headers.push_back({ "X-Pomelowind-Outcome", "not-run" });
+            response.body = std::move(body);
             respond(std::move(response), m_turn);
         }
 
@@ -295,6 +306,9 @@
 
     void Session::hand(HttpRequest request)
     {
+        if (m_owner.refusing())
+            return answerAndClose(STATUS_UNAVAILABLE, { { "Retry-After", "0" } },
+                R"({"error":"unavailable","message":"this process stops","remedy":"send it to another node"})");
         enter(Phase::Handling, base::Millis(0));
         ++m_turn;
         watchForCancel();
@@ -338,6 +352,7 @@
         const HttpLimits& limits() const override { return m_limits; }
         HttpHandler& handler() override { return m_handler; }
         bool draining() const override { return m_drainEnd.has_value(); }
+        bool refusing() const override { return m_drainEnd && steadyNow() >= *m_drainEnd; }
         void sessionEnded(const std::shared_ptr<Session>& session) override { m_sessions.erase(session); }
 
         void accept()
@@ -386,6 +401,8 @@
         void finishDrain(Instant now, const std::unordered_set<std::shared_ptr<Session>>& sessions)
         {
             if (now >= *m_drainEnd) {
+                beast::error_code closed;
+                m_acceptor.close(closed);
                 for (const auto& it : sessions)
                     it->closeIfIdle();
             }
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -14,17 +14,22 @@
 
     // Part of the exposure bound that the probing phase may use up; the rest is for the steps, in which a version that
     // fails only under load shows it.
-    constexpr double PROBE_PART = 0.3;
+    constexpr double PROBE_PART = 0.5;
     // The steps need about 4 s and the last calls on the old version another; the rest covers a change of leader.
     constexpr int64_t FINISH_MS = 7000;
     // A short move spends at least this part of its time probing.
     constexpr double LEAST_PROBE_PART = 0.4;
 
+    // Evidence that is not enough to take a move back, but too much to expose more calls.
+    constexpr double SUSPICIOUS = 4.0;
+    // A move that is still suspicious this long before its deadline is taken back: late is better than bad.
+    constexpr int64_t LAST_CALL_MS = 1000;
+
     struct Step {
         int32_t permille;
         int64_t dwellMs; // until slow calls have ended and their evidence has come in
     };
-    constexpr std::array<Step, 3> STEPS { { { 200, 1300 }, { 500, 900 }, { TOP_PERMILLE, 700 } } };
+    constexpr std::array<Step, 3> STEPS { { { 200, 1200 }, { 500, 700 }, { TOP_PERMILLE, 500 } } };
 
     int64_t finishFromMs(const wire::MoveRecord& move)
     {
@@ -83,6 +88,11 @@
 
 std::optional<wire::MoveEvent> planBoundedMove(const wire::MoveRecord& move, const MoveView& view)
 {
+    if (view.evidence.logEvidence > SUSPICIOUS) {
+        if (view.wallMs >= move.deadlineMs - LAST_CALL_MS)
+            return endStep(move, MoveEventKind::BAD, "evidence against the version was left at the deadline");
+        return std::nullopt;
+    }
     switch (move.state) {
     case MoveState::PLANNED:
         return raiseTo(move, view, probePermille(move), "probing");
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -22,8 +22,6 @@
     constexpr int64_t MOST_DEPTH = 16;
     // Gates that one call asks before it is refused: with more, a full service costs more messages than it serves.
     constexpr int MOST_GATES = 3;
-    // An attempt that may be repeated gets this part of the time that is left, so that the repeat has the rest.
-    constexpr int FIRST_ATTEMPT_PERCENT = 60;
     constexpr auto NODE_SLACK = Millis(20);
     // A node decides alone only on evidence stronger than what the control hosts need for the whole mesh.
     constexpr double LOCAL_DECIDE_AT = 11.5;
@@ -70,6 +68,7 @@
     Instant arrived;
     int attempts { 0 }; // targets that may have received it
     int refusals { 0 }; // gates that had no room
+    bool mayHaveRun { false }; // some attempt ended without proof that it did not run
     std::set<std::string> tried;
     std::optional<ClaimHandle> claim;
     std::string version;
@@ -334,7 +333,7 @@
     auto now = m_clock.now();
     auto left = std::chrono::duration_cast<Millis>(call->deadline - now);
     if (call->route->idempotent && call->retriesLeft > 0)
-        left = left * FIRST_ATTEMPT_PERCENT / 100;
+        left = left * m_settings.firstAttemptPercent / 100;
     left = std::max(left, Millis(1));
     wire::CallRequest request;
     request.method = call->request.method;
@@ -372,7 +371,10 @@
             m_claimer.release(*call->claim);
         return;
     }
-    if (answer.outcome != Outcome::RAN && mayRetry(call, answer)) {
+    if (answer.outcome != Outcome::NOT_RUN)
+        call->mayHaveRun = true;
+    bool failed = answer.outcome != Outcome::RAN || (answer.fault && call->route->idempotent);
+    if (failed && mayRetry(call, answer)) {
         logCall(call, "call.retried", answer);
         ++m_counts.retries;
         return dispatch(call);
@@ -388,7 +390,8 @@
     m_balancer.ended(observation, m_clock.now());
     // A refusal by the target's gate says how busy it is, not whether the version is good.
     bool underMove = !call->service->candidate.empty();
-    if (!underMove || answer.refused || call->ended)
+    bool neverArrived = answer.outcome == Outcome::NOT_RUN && !answer.arrived;
+    if (!underMove || answer.refused || neverArrived || call->ended)
         return;
     callers::CallRecord record;
     record.serviceName = call->service->name;
@@ -399,7 +402,8 @@
     record.target = target.target;
     record.dataCentre = target.dataCentre;
     record.failed = answer.outcome != Outcome::RAN || answer.status >= FIRST_FAILURE_STATUS;
-    record.latency = latency;
+    // The time at the target alone: waiting at a busy gate slows all versions and would hide a slow one.
+    record.latency = answer.runMicros ? Micros(answer.runMicros) : latency;
     record.countLatency = !answer.cold && !record.failed;
     m_evidence.record(record);
 }
@@ -426,6 +430,11 @@
 void CallPath::finish(const CallPtr& call, wire::CallAnswer answer)
 {
     call->ended = true;
+    // A refusal of the last attempt says nothing about the ones before.
+    if (call->mayHaveRun && answer.outcome == Outcome::NOT_RUN) {
+        answer.outcome = Outcome::UNKNOWN;
+        answer.status = 0;
+    }
     if (call->claim) {
         if (answer.outcome == Outcome::NOT_RUN)
             m_claimer.release(*call->claim);
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -144,6 +144,7 @@
     Call call = std::move(it->second);
     m_calls.erase(it);
     auto answer = m_protocol.targetAnswer(call.request, std::move(result));
+    answer.runMicros = std::chrono::duration_cast<base::Micros>(m_clock.now() - call.started).count();
     addLoad(call.target, answer);
     call.done(std::move(answer));
 }
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -78,6 +78,7 @@
     out.drainGrace = reader.millis("drain_grace_ms", out.drainGrace, Millis(0), Millis(60000));
     out.claimMemoryBytes = reader.integer("claim_memory_bytes", out.claimMemoryBytes, MIB / 16, 1024 * MIB);
     out.retryShare = reader.real("retry_share", out.retryShare, 0, 1);
+    out.firstAttemptPercent = reader.integer("first_attempt_percent", out.firstAttemptPercent, 1, 100);
     out.limitsEnabled = reader.flag("limits_enabled", true);
     if (out.meshKey.size() < LEAST_KEY_BYTES)
         reader.problem(
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -165,7 +165,8 @@
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
-  6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut
+  6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut,
+  15: i64 runMicros
 }
 struct CallCancel { 1: i64 id }
 enum ClaimStep { TAKE = 0, COMPLETE = 1, RELEASE = 2, LOOK = 3 }
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -11506,6 +11506,10 @@
 void CallAnswer::__set_timedOut(const bool val) {
   this->timedOut = val;
 }
+
+void CallAnswer::__set_runMicros(const int64_t val) {
+  this->runMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -11660,6 +11664,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runMicros);
+          this->__isset.runMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11741,6 +11753,10 @@
   xfer += oprot->writeBool(this->timedOut);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("runMicros", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->runMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11762,6 +11778,7 @@
   swap(a.cold, b.cold);
   swap(a.arrived, b.arrived);
   swap(a.timedOut, b.timedOut);
+  swap(a.runMicros, b.runMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -11780,6 +11797,7 @@
   cold = other451.cold;
   arrived = other451.arrived;
   timedOut = other451.timedOut;
+  runMicros = other451.runMicros;
   __isset = other451.__isset;
 }
 CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
@@ -11797,6 +11815,7 @@
   cold = other452.cold;
   arrived = other452.arrived;
   timedOut = other452.timedOut;
+  runMicros = other452.runMicros;
   __isset = other452.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
@@ -11814,6 +11833,7 @@
   cold = other453.cold;
   arrived = other453.arrived;
   timedOut = other453.timedOut;
+  runMicros = other453.runMicros;
   __isset = other453.__isset;
   return *this;
 }
@@ -11832,6 +11852,7 @@
   cold = other454.cold;
   arrived = other454.arrived;
   timedOut = other454.timedOut;
+  runMicros = other454.runMicros;
   __isset = other454.__isset;
   return *this;
 }
@@ -11852,6 +11873,7 @@
   out << ", " << "cold=" << to_string(cold);
   out << ", " << "arrived=" << to_string(arrived);
   out << ", " << "timedOut=" << to_string(timedOut);
+  out << ", " << "runMicros=" << to_string(runMicros);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4253,7 +4253,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false) {}
+  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -4268,6 +4268,7 @@
   bool cold :1;
   bool arrived :1;
   bool timedOut :1;
+  bool runMicros :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -4290,7 +4291,8 @@
                refused(0),
                cold(0),
                arrived(0),
-               timedOut(0) {
+               timedOut(0),
+               runMicros(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -4312,6 +4314,7 @@
   bool cold;
   bool arrived;
   bool timedOut;
+  int64_t runMicros;
 
   _CallAnswer__isset __isset;
 
@@ -4343,6 +4346,8 @@
 
   void __set_timedOut(const bool val);
 
+  void __set_runMicros(const int64_t val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -4373,6 +4378,8 @@
       return false;
     if (!(timedOut == rhs.timedOut))
       return false;
+    if (!(runMicros == rhs.runMicros))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
