Objective-aware gate, placing by expected time, retry advice, silent peers, packed log entries

Calls that can meet their objective now go first, late ones queue only while they can be served, and refusals carry a wait that fits the caller's time. Calls on a silent link to another node are sent elsewhere when that is harmless.

--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -1,5 +1,8 @@
-// Chooses the target of a call from this node's own observations: calls in flight, recent latency, refusals, and the
-// load that answers carry. Announced health is a hint only. A decision class without I/O.
+// Chooses the target of a call from this node's own observations: calls in flight, how fast each target runs calls,
+// refusals, and the load that answers carry. Announced health is a hint only. A decision class without I/O.
+//
+// The load it answers is a service whose targets differ in speed and are nearly all busy: a call goes where it should
+// end soonest, within the own data centre while there is room.
 #pragma once
 
 #include "pomelowind/base/Random.h"
@@ -30,6 +33,9 @@
     base::Micros latency { 0 };
     int inFlight { 0 }; // calls at the target's gate, as the answer says
     int queued { 0 };
+    std::string kind; // calls of one kind take about the same time
+    base::Micros run { 0 }; // time at the target alone; 0 when it is not known
+    base::Millis untilRoom { 0 }; // of a refusal: when the gate expects room
 };
 
 // Thread safety: confined to the calls duty.
@@ -52,7 +58,7 @@
 private:
     struct Stats {
         int inFlight { 0 };
-        double latencyMs { 1 };
+        double slowness { 1 }; // run time relative to calls of the same kind on all targets
         double reported { 0 };
         base::Instant reportedAt;
         int faultsInRow { 0 };
@@ -60,18 +66,21 @@
         base::Instant ejectedUntil;
         base::Instant refusedUntil;
     };
+    using Candidates = std::vector<const wire::Presence*>;
 
-    std::vector<const wire::Presence*> candidates(const nodes::Targets& targets, const std::string& service,
-        const VersionChoice& versions, const std::set<std::string>& avoid) const;
-    std::vector<const wire::Presence*> withoutEjected(
-        const std::vector<const wire::Presence*>& all, base::Instant now) const;
-    const wire::Presence* pickOfTwo(const std::vector<const wire::Presence*>& some, base::Instant now);
+    Candidates candidates(const nodes::Targets& targets, const std::string& service, const VersionChoice& versions,
+        const std::set<std::string>& avoid) const;
+    Candidates withoutEjected(const Candidates& all, base::Instant now) const;
+    const wire::Presence* cheapest(Candidates some, base::Instant now);
     double loadOf(const wire::Presence& target, base::Instant now) const;
+    double costOf(const wire::Presence& target, base::Instant now) const;
+    void learnSpeed(Stats& stats, const Observation& observation);
     const Stats* find(const std::string& target) const;
 
     std::string m_dataCentre;
     base::Random m_random;
     std::map<std::string, Stats> m_stats;
+    std::map<std::string, double> m_runMs; // by kind, over all targets
 };
 
 } // namespace pomelowind::targets
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -1,5 +1,9 @@
-// The only way to a target: never more calls at once than it has slots, a short queue bounded by each call's deadline,
-// a ramp after a cold start, and nothing new for a target that leaves. A decision class without I/O.
+// The only way to a target: never more calls at once than it has slots, a queue bounded by what can still be served in
+// time, a ramp after a cold start, and nothing new for a target that leaves. A decision class without I/O.
+//
+// The load it answers is a service offered more than its slots can do. Calls that can still meet their latency
+// objective go first, by priority; those that cannot come behind all of them, because they lose little by waiting
+// longer. A call that would wait in vain is refused at once, so that its caller can use the time elsewhere.
 #pragma once
 
 #include "pomelowind/base/Time.h"
@@ -16,9 +20,11 @@
 // A call that wants to run.
 struct GateCall {
     uint64_t id { 0 };
-    std::string account;
+    std::string account; // calls of one account take turns with those of others
     int priority { 5 }; // 0 is shed first, 9 last
     base::Instant deadline;
+    std::optional<base::Instant> objective; // when it should have ended; none: any time before the deadline is as good
+    std::string kind; // calls of one kind take about the same time
     bool operator==(const GateCall&) const = default;
 };
 
@@ -45,8 +51,8 @@
     // Takes a call. A queued call later comes out of a GateStep. `shed` receives a queued call of lower priority, or of
     // an account with more calls waiting, that had to make room.
     GateVerdict admit(const GateCall& call, base::Instant now, std::optional<uint64_t>& shed);
-    // A running call has ended after `took`.
-    GateStep finished(base::Millis took, base::Instant now);
+    // A running call of `kind` has ended; `took` is nothing when it failed, which tells nothing of how long calls run.
+    GateStep finished(const std::string& kind, std::optional<base::Millis> took, base::Instant now);
     // Refuses queued calls whose deadline cannot be met any more.
     GateStep expire(base::Instant now);
     // Removes a queued call; returns false when it is not queued.
@@ -62,22 +68,36 @@
     bool isCold(base::Instant now) const { return now - m_started < m_options.coldStart; }
     // Time after which a refused call may succeed.
     base::Millis retryAfter() const;
+    // Time that a call of `kind` runs, as observed.
+    double serviceMs(const std::string& kind) const;
 
 private:
+    using Queue = std::list<GateCall>;
+
     GateStep fill(base::Instant now);
-    std::list<GateCall>::iterator nextToRun();
-    std::list<GateCall>::iterator firstToShed(const GateCall& call);
-    bool canMeetDeadline(const GateCall& call, base::Instant now) const;
+    bool canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const;
+    bool canMeetDeadline(const GateCall& call, double waitMs, base::Instant now) const;
+    int rank(const GateCall& call, base::Instant now) const;
+    double expectedWaitMs(int rank, base::Instant now) const;
+    double shareTakenBefore(int rank) const;
+    void countWork(int rank, double serviceMs, base::Instant now);
+    bool mayQueue(const GateCall& call, base::Instant now) const;
+    void learnService(const std::string& kind, base::Millis took);
+    Queue::iterator nextToRun(base::Instant now);
+    Queue::iterator firstToShed(const GateCall& call);
 
     GateOptions m_options;
     base::Instant m_started;
     int m_running { 0 };
     bool m_leaving { false };
-    std::list<GateCall> m_queue;
+    Queue m_queue;
     std::map<std::string, int> m_waitingByAccount;
     std::map<std::string, uint64_t> m_lastServed; // turn in which an account was last served
     uint64_t m_turn { 0 };
     double m_serviceMs { 1 };
+    std::map<std::string, double> m_serviceByKind;
+    std::map<int, double> m_work; // slot milliseconds a second that calls of a rank ask for
+    base::Instant m_workAt;
 };
 
 } // namespace pomelowind::targets
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -1,6 +1,7 @@
 #include "ControlCore.h"
 
 #include "pomelowind/base/Log.h"
+#include "pomelowind/base/Packing.h"
 #include "pomelowind/members/MembershipPlanner.h"
 #include "pomelowind/moves/MoveMachine.h"
 
@@ -18,6 +19,8 @@
     constexpr auto BEACON_PERIOD = Millis(500);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
     constexpr auto GONE_RETENTION = Millis(600000);
+    // An election takes a few hundred milliseconds; nodes that restart with the control hosts wait for it.
+    constexpr auto NOT_FRESH_RETRY = Millis(100);
     constexpr auto GREET_PERIOD = Millis(500);
     constexpr auto MEMBERSHIP_PERIOD = Millis(200);
     // A voter that is silent this long is replaced, so that the group again bears the loss of another one before a
@@ -180,7 +183,7 @@
     m_applied = entry.index;
     wire::CommandResult result;
     if (entry.kind == wire::EntryKind::COMMAND) {
-        auto command = base::decode<wire::Command>(entry.data);
+        auto command = base::decode<wire::Command>(base::unpack(entry.data));
         result = m_machine.apply(entry.index, command);
         base::logInfo("command.applied",
             { { "index", entry.index }, { "kind", config::commandKindName(command.kind) }, { "actor", command.actor },
@@ -281,7 +284,7 @@
     advance(now, wallMs);
     if (m_replica.isLeader()) {
         command.timeMs = wallMs;
-        auto index = m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), now);
+        auto index = m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), now);
         if (!index) {
             wire::CommandResult busy = unavailable("too many submissions are in flight");
             busy.code = wire::ResultCode::BUSY;
@@ -294,7 +297,7 @@
         return reply(unavailable("the control hosts have no leader now"));
     wire::ForwardRequest request;
     request.id = m_nextForward++;
-    request.command = base::encode(command);
+    request.command = base::pack(base::encode(command));
     m_forwards[request.id] = { 0, std::move(reply), now + SUBMISSION_TIMEOUT };
     m_outputs.sendToMember(m_replica.leader(), FrameKind::FORWARD_REQUEST, base::encode(request));
 }
@@ -319,7 +322,7 @@
         full.result = base::encode(result);
         m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(full));
     };
-    submit(base::decode<wire::Command>(request.command), reply, m_now, m_wallMs);
+    submit(base::decode<wire::Command>(base::unpack(request.command)), reply, m_now, m_wallMs);
 }
 
 void ControlCore::forwardAnswer(const wire::ForwardAnswer& answer)
@@ -529,7 +532,7 @@
 void ControlCore::subscribe(const std::string& node, const wire::Subscribe& request)
 {
     wire::SubscribeAnswer answer;
-    nodes::Admission admission { false, Millis(500) };
+    nodes::Admission admission { false, NOT_FRESH_RETRY };
     // A host that does not hear the leader may be behind a partition: its state may be old, so it feeds nobody.
     if (m_replica.isFresh(m_now))
         admission = m_feeder.subscribe(request.node, request.base, m_now);
@@ -657,7 +660,7 @@
         return;
     auto command = systemCommand(wire::CommandKind::CLAIM_EPOCH, m_wallMs);
     command.__set_claimEpoch(*epoch);
-    m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), m_now);
+    m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), m_now);
 }
 
 void ControlCore::driveMoves()
@@ -668,7 +671,7 @@
     for (const auto& event : m_moves.plan({ m_machine, m_directory, m_acks, m_now, m_wallMs })) {
         auto command = systemCommand(wire::CommandKind::MOVE_EVENT, m_wallMs);
         command.__set_moveEvent(event);
-        m_replica.propose(wire::EntryKind::COMMAND, base::encode(command), m_now);
+        m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), m_now);
     }
 }
 
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -64,6 +64,7 @@
     const wire::AccountResource* account { nullptr };
     const wire::ServiceResource* service { nullptr };
     Instant deadline;
+    std::optional<Instant> objective;
     int64_t retriesLeft { 0 };
     Instant arrived;
     int attempts { 0 }; // targets that may have received it
@@ -85,10 +86,11 @@
     , m_clock(clock)
     , m_observe(std::move(observe))
     , m_view(std::make_shared<MeshView>())
-    , m_peers(io, settings, *this)
+    , m_peers(io, settings, clock, *this)
     , m_local(io, settings, protocol, clock)
     , m_claimer(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed)
+    , m_random(seed + 1)
 {
     http::HttpLimits limits;
     limits.bodyBytes = static_cast<size_t>(settings.maxBodyBytes);
@@ -173,6 +175,22 @@
     return false;
 }
 
+// The objective counts from the caller's first attempt. Callers say how long they will still wait, so what is missing
+// from the longest wait seen on the route has passed already.
+std::optional<Instant> CallPath::objectiveOf(const CallPtr& call)
+{
+    const auto& route = *call->route;
+    if (route.objectiveMs <= 0)
+        return std::nullopt;
+    Millis passed(0);
+    if (call->terms.budget) {
+        auto& longest = m_longestBudget[route.name];
+        longest = std::max(longest, *call->terms.budget);
+        passed = longest - *call->terms.budget;
+    }
+    return call->arrived + Millis(route.objectiveMs) - passed;
+}
+
 bool CallPath::admit(const CallPtr& call)
 {
     const auto& headers = call->request.headers;
@@ -202,6 +220,7 @@
     if (budget <= Millis(0))
         return refuseEarly(call, STATUS_TIMEOUT, "timeout", "the deadline has passed", "allow more time");
     call->deadline = call->arrived + budget;
+    call->objective = objectiveOf(call);
     // A limit counts what callers ask for, so calls that targets make on their behalf are not counted again.
     if (!isTop || !call->account || !m_settings.limitsEnabled)
         return true;
@@ -356,7 +375,8 @@
     if (target.node == m_settings.id)
         call->localCall = m_local.call(std::move(request), done);
     else
-        call->peerCall = m_peers.call(target.callAddress, std::move(request), left + NODE_SLACK, now, done);
+        call->peerCall = m_peers.call(
+            target.callAddress, std::move(request), left + NODE_SLACK, call->route->idempotent, now, done);
 }
 
 void CallPath::answered(const CallPtr& call, const wire::Presence& target, Instant sentAt, wire::CallAnswer answer)
@@ -386,7 +406,7 @@
     const CallPtr& call, const wire::Presence& target, Micros latency, const wire::CallAnswer& answer)
 {
     targets::Observation observation { target.target, answer.fault, answer.refused, latency, answer.inFlight,
-        answer.queued };
+        answer.queued, call->route->name, Micros(answer.runMicros), Millis(answer.retryAfterMs) };
     m_balancer.ended(observation, m_clock.now());
     // A refusal by the target's gate says how busy it is, not whether the version is good.
     bool underMove = !call->service->candidate.empty();
@@ -441,10 +461,23 @@
         else
             m_claimer.complete(*call->claim, answer);
     }
+    if (answer.outcome == Outcome::NOT_RUN && call->objective)
+        advise(call, answer);
     reply(call, answer);
     --m_open;
 }
 
+void CallPath::advise(const CallPtr& call, wire::CallAnswer& answer)
+{
+    auto now = m_clock.now();
+    auto until = [now](Instant at) { return std::chrono::duration_cast<Millis>(at - now); };
+    callers::Refusal refusal;
+    refusal.untilRoom = Millis(answer.retryAfterMs);
+    refusal.left = call->terms.budget ? until(call->arrived + *call->terms.budget) : until(call->deadline);
+    refusal.untilObjective = until(*call->objective);
+    answer.retryAfterMs = static_cast<int32_t>(callers::adviseRetry(refusal, m_random).count());
+}
+
 void CallPath::reply(const CallPtr& call, const wire::CallAnswer& answer)
 {
     m_counts.notRun += answer.outcome == Outcome::NOT_RUN ? 1 : 0;
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -9,6 +9,7 @@
 #include "PeerCalls.h"
 #include "pomelowind/callers/AccountLimiter.h"
 #include "pomelowind/callers/EvidenceRecorder.h"
+#include "pomelowind/callers/RetryAdvice.h"
 #include "pomelowind/callers/VersionSplitter.h"
 #include "pomelowind/callers/WeightedSplitter.h"
 #include "pomelowind/http/HttpServer.h"
@@ -69,6 +70,8 @@
     };
 
     bool admit(const CallPtr& call);
+    std::optional<base::Instant> objectiveOf(const CallPtr& call);
+    void advise(const CallPtr& call, wire::CallAnswer& answer);
     bool refuseEarly(const CallPtr& call, int status, const std::string& error, const std::string& message,
         const std::string& remedy);
     void claim(const CallPtr& call);
@@ -101,6 +104,8 @@
     callers::VersionSplitter m_splitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
+    base::Random m_random;
+    std::map<std::string, base::Millis> m_longestBudget; // by route
     int64_t m_limitsRelease { 0 }; // release whose caller bounds the server applies
     callers::WeightedSplitter m_weights;
     std::map<std::string, base::TokenBucket> m_retryBudgets; // by service
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -7,6 +7,12 @@
 using targets::GateVerdict;
 using wire::Outcome;
 
+namespace {
+
+    constexpr int FIRST_FAILURE_STATUS = 500;
+
+}
+
 LocalTargets::LocalTargets(
     boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol, const base::Clock& clock)
     : m_io(io)
@@ -77,7 +83,10 @@
     call.deadline = now + base::Millis(request.budgetMs);
     call.request = std::move(request);
     call.done = std::move(done);
-    targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline };
+    targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline, {},
+        call.request.account };
+    if (call.request.objectiveMs)
+        gateCall.objective = now + base::Millis(call.request.objectiveMs);
     m_calls.emplace(id, std::move(call));
     auto it = m_targets.find(name);
     if (it == m_targets.end()) {
@@ -125,15 +134,17 @@
     call.request.body.clear();
     // The closure keeps the target's gate alive until the call has ended, also when the target is gone by then.
     auto target = m_targets.at(call.target);
-    call.exchange = target->client->request(std::move(request), left, [this, id, target](http::ExchangeResult result) {
-        auto found = m_calls.find(id);
-        auto took = found == m_calls.end()
-            ? base::Millis(0)
-            : std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started);
-        auto step = target->gate->finished(took, m_clock.now());
-        exchanged(id, std::move(result));
-        carryOut(*target, step);
-    });
+    call.exchange = target->client->request(
+        std::move(request), left, [this, id, target, kind = call.request.account](http::ExchangeResult result) {
+            auto found = m_calls.find(id);
+            std::optional<base::Millis> took;
+            if (found != m_calls.end() && result.end == http::ExchangeEnd::Answered
+                && result.response.status < FIRST_FAILURE_STATUS)
+                took = std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started);
+            auto step = target->gate->finished(kind, took, m_clock.now());
+            exchanged(id, std::move(result));
+            carryOut(*target, step);
+        });
 }
 
 void LocalTargets::exchanged(uint64_t id, http::ExchangeResult result)
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -56,7 +56,7 @@
         , m_network(
               m_distribution.context(), m_settings, m_clock,
               [this](MeshViewPtr view) {
-                  m_ready.setReady(view->serving && !m_stopped);
+                  setReady(view->serving && !m_stopped);
                   m_views.tryPut(std::move(view));
               },
               [this](std::vector<Announcement> targets) { m_localTargets.tryPut(std::move(targets)); })
@@ -103,7 +103,7 @@
     {
         if (m_stopped.exchange(true))
             return;
-        m_ready.setReady(false);
+        setReady(false);
         base::logInfo("node.draining", { { "id", m_settings.id } });
         runOn(m_distribution, [this] { m_core->leave(m_clock.now()); });
         auto drained = std::make_shared<std::promise<void>>();
@@ -128,6 +128,12 @@
     }
 
 private:
+    void setReady(bool ready)
+    {
+        if (m_ready.setReady(ready) != ready)
+            base::logInfo("node.ready", { { "id", m_settings.id }, { "ready", ready ? 1 : 0 } });
+    }
+
     void subscribeTimers()
     {
         m_subscriptions.push_back(m_timers->subscribe(m_distribution.context(), DISTRIBUTION_TICK, [this] {
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -2,6 +2,9 @@
 
 #include "pomelowind/base/Log.h"
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
 namespace pomelowind::node {
 
 using links::FrameKind;
@@ -10,12 +13,18 @@
 
     constexpr char CALLS_ROLE[] = "calls";
     constexpr size_t MAX_WAITING = 1024;
+    // A peer that has calls of ours and says nothing for this long is asked whether it is there.
+    constexpr auto PING_AFTER = base::Millis(200);
+    // Without an answer by then nothing more is sent to it: a few times the longest round trip, and a retransmission.
+    constexpr auto SILENT_AFTER = base::Millis(500);
 
 }
 
-PeerCalls::PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, PeerRequests& requests)
+PeerCalls::PeerCalls(
+    boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock, PeerRequests& requests)
     : m_io(io)
     , m_identity { settings.mesh, CALLS_ROLE, settings.id, settings.meshKey }
+    , m_clock(clock)
     , m_requests(requests)
     , m_server(std::make_unique<links::LinkServer>(io, settings.callAddress, m_identity, *this, m_traffic))
 {
@@ -42,6 +51,8 @@
         pending.sent = link->send(kind, payload);
         if (!pending.sent)
             pending.due = base::Instant();
+        else if (!to.unanswered++)
+            to.heard = m_clock.now();
         return;
     }
     if (to.waiting.size() < MAX_WAITING)
@@ -56,10 +67,22 @@
     return id;
 }
 
-int64_t PeerCalls::call(
-    const std::string& address, wire::CallRequest request, base::Millis budget, base::Instant now, CallDone done)
+int64_t PeerCalls::call(const std::string& address, wire::CallRequest request, base::Millis budget, bool mayAbandon,
+    base::Instant now, CallDone done)
 {
+    if (isSilent(peer(address), now)) {
+        boost::asio::post(m_io, [done = std::move(done)] {
+            wire::CallAnswer answer;
+            answer.outcome = wire::Outcome::NOT_RUN;
+            answer.reason = "the target's node has fallen silent";
+            answer.fault = true;
+            done(std::move(answer));
+        });
+        return m_nextId++;
+    }
     Pending pending;
+    pending.address = address;
+    pending.mayAbandon = mayAbandon;
     pending.callDone = std::move(done);
     pending.due = now + budget;
     request.id = addPending(std::move(pending));
@@ -71,6 +94,7 @@
     const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done)
 {
     Pending pending;
+    pending.address = address;
     pending.claimDone = std::move(done);
     pending.due = now + budget;
     request.id = addPending(std::move(pending));
@@ -87,7 +111,17 @@
         message.id = id;
         link->sendMessage(FrameKind::CALL_CANCEL, message);
     }
+    take(it);
+}
+
+PeerCalls::Pending PeerCalls::take(std::unordered_map<int64_t, Pending>::iterator it)
+{
+    Pending out = std::move(it->second);
     m_pending.erase(it);
+    auto from = m_peers.find(out.address);
+    if (out.sent && from != m_peers.end() && from->second.unanswered)
+        --from->second.unanswered;
+    return out;
 }
 
 void PeerCalls::finish(int64_t id, wire::Outcome::type outcome, const std::string& reason, bool timedOut)
@@ -95,8 +129,7 @@
     auto it = m_pending.find(id);
     if (it == m_pending.end())
         return;
-    Pending pending = std::move(it->second);
-    m_pending.erase(it);
+    Pending pending = take(it);
     if (pending.claimDone)
         return pending.claimDone(std::nullopt);
     wire::CallAnswer answer;
@@ -117,8 +150,55 @@
         finish(it.id, wire::Outcome::NOT_RUN, reason);
 }
 
+bool PeerCalls::isSilent(const Peer& peer, base::Instant now)
+{
+    return peer.pinged != base::Instant() && now - peer.heard >= SILENT_AFTER;
+}
+
+// Nothing is sent to a peer without calls, so an idle mesh costs nothing.
+void PeerCalls::probe(Peer& peer, base::Instant now)
+{
+    auto link = peer.dialer->link();
+    bool asked = peer.pinged != base::Instant() && now - peer.pinged < PING_AFTER;
+    if (!link || asked || now - peer.heard < PING_AFTER)
+        return;
+    if (!peer.unanswered && peer.pinged == base::Instant())
+        return;
+    peer.pinged = now;
+    link->send(FrameKind::PING, {});
+}
+
+void PeerCalls::abandon(const std::string& address)
+{
+    std::vector<int64_t> lost;
+    for (const auto& [id, it] : m_pending) {
+        if (it.sent && it.mayAbandon && it.address == address)
+            lost.push_back(id);
+    }
+    if (lost.empty())
+        return;
+    base::logWarn("calls.peer_silent", { { "address", address }, { "abandoned", lost.size() } });
+    for (int64_t id : lost) {
+        finish(id, wire::Outcome::UNKNOWN, "the target's node has fallen silent");
+    }
+}
+
+PeerCalls::Peer* PeerCalls::peerOf(const std::shared_ptr<links::Link>& link)
+{
+    for (auto& [address, it] : m_peers) {
+        if (it.dialer->link() == link)
+            return &it;
+    }
+    return nullptr;
+}
+
 void PeerCalls::sweep(base::Instant now)
 {
+    for (auto& [address, it] : m_peers) {
+        probe(it, now);
+        if (isSilent(it, now))
+            abandon(address);
+    }
     while (!m_due.empty() && m_due.begin()->first <= now) {
         int64_t id = m_due.begin()->second;
         m_due.erase(m_due.begin());
@@ -156,19 +236,32 @@
             continue;
         auto waiting = std::move(it.waiting);
         it.waiting.clear();
+        it.unanswered = 0;
+        it.heard = m_clock.now();
+        it.pinged = base::Instant();
         for (const auto& item : waiting) {
             auto pending = m_pending.find(item.id);
             if (pending == m_pending.end())
                 continue;
             pending->second.link = link;
             pending->second.sent = link->send(item.kind, item.payload);
+            it.unanswered += pending->second.sent ? 1 : 0;
         }
     }
 }
 
 void PeerCalls::linkFrame(const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
 {
+    if (auto* from = peerOf(link)) {
+        from->heard = m_clock.now();
+        from->pinged = base::Instant();
+    }
     switch (kind) {
+    case FrameKind::PING:
+        link->send(FrameKind::PONG, {});
+        return;
+    case FrameKind::PONG:
+        return;
     case FrameKind::CALL_REQUEST: {
         auto request = base::decode<wire::CallRequest>(payload);
         int64_t id = request.id;
@@ -191,18 +284,14 @@
         // An answer that comes after its request was given up, or over another link, meets nobody.
         if (it == m_pending.end() || !it->second.callDone || it->second.link.lock() != link)
             return;
-        auto done = std::move(it->second.callDone);
-        m_pending.erase(it);
-        return done(std::move(answer));
+        return take(it).callDone(std::move(answer));
     }
     case FrameKind::CLAIM_ANSWER: {
         auto answer = base::decode<wire::ClaimAnswer>(payload);
         auto it = m_pending.find(answer.id);
         if (it == m_pending.end() || !it->second.claimDone || it->second.link.lock() != link)
             return;
-        auto done = std::move(it->second.claimDone);
-        m_pending.erase(it);
-        return done(std::move(answer));
+        return take(it).claimDone(std::move(answer));
     }
     default:
         throw base::UserError(
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -33,12 +33,15 @@
 class PeerCalls final : public links::LinkListener {
 public:
     // Binds the call address.
-    PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, PeerRequests& requests);
+    PeerCalls(
+        boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock, PeerRequests& requests);
 
     // Sends a call to the node at `address`. `done` is called once: NOT_RUN when it was never sent, UNKNOWN when the
     // link was lost or `budget` passed after it was. Returns an id for cancel().
-    int64_t call(
-        const std::string& address, wire::CallRequest request, base::Millis budget, base::Instant now, CallDone done);
+    // With `mayAbandon` a call on a link that has fallen silent ends as UNKNOWN before its budget has passed; only for
+    // calls that may be sent again elsewhere.
+    int64_t call(const std::string& address, wire::CallRequest request, base::Millis budget, bool mayAbandon,
+        base::Instant now, CallDone done);
     // Sends a claim request; `done` gets nothing when no answer came in time.
     void claim(
         const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done);
@@ -62,8 +65,13 @@
     struct Peer {
         std::shared_ptr<links::LinkDialer> dialer;
         std::vector<Waiting> waiting;
+        size_t unanswered { 0 }; // calls sent and not ended
+        base::Instant heard; // when anything last came over the link
+        base::Instant pinged; // last ping that nothing has followed yet
     };
     struct Pending {
+        std::string address;
+        bool mayAbandon { false };
         std::weak_ptr<links::Link> link; // empty until sent
         bool sent { false };
         CallDone callDone;
@@ -76,9 +84,16 @@
     void submit(const std::string& address, links::Kind kind, std::string payload, int64_t id);
     void finish(int64_t id, wire::Outcome::type outcome, const std::string& reason, bool timedOut = false);
     void failWaiting(Peer& peer, const std::string& reason);
+    void probe(Peer& peer, base::Instant now);
+    void abandon(const std::string& address);
+    // Removes a pending request.
+    Pending take(std::unordered_map<int64_t, Pending>::iterator it);
+    static bool isSilent(const Peer& peer, base::Instant now);
+    Peer* peerOf(const std::shared_ptr<links::Link>& link);
 
     boost::asio::io_context& m_io;
     links::Identity m_identity;
+    const base::Clock& m_clock;
     PeerRequests& m_requests;
     links::Traffic m_traffic;
     std::unique_ptr<links::LinkServer> m_server;
--- a/src/node/ReadyApi.h
+++ b/src/node/ReadyApi.h
@@ -10,7 +10,8 @@
 // Thread safety: setReady() from any thread; the rest is confined to the server's duty.
 class ReadyApi final : public http::HttpHandler {
 public:
-    void setReady(bool ready) { m_ready = ready; }
+    // Returns the state before.
+    bool setReady(bool ready) { return m_ready.exchange(ready); }
 
     void handle(http::HttpRequest, std::shared_ptr<http::HttpReply> reply) override
     {
--- a/src/nodes/ParentChooser.cpp
+++ b/src/nodes/ParentChooser.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    constexpr auto FIRST_PENALTY = base::Millis(300);
-    constexpr int MAX_DOUBLINGS = 4;
+    constexpr auto FIRST_PENALTY = base::Millis(100);
+    constexpr int MAX_DOUBLINGS = 3;
 
     std::optional<Parent> asParent(const wire::NodeInfo& node)
     {
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -10,13 +10,25 @@
     constexpr auto FIRST_EJECTION = base::Millis(500);
     constexpr int MAX_DOUBLINGS = 5;
     constexpr auto REFUSAL_PAUSE = base::Millis(20);
+    constexpr auto LONGEST_REFUSAL_PAUSE = base::Millis(100);
     // At most this part of a version's targets is ejected; a fault that hits all must not leave none.
     constexpr double MOST_EJECTED = 0.5;
-    constexpr double LATENCY_SMOOTHING = 0.1;
+    constexpr double SPEED_SMOOTHING = 0.1;
+    constexpr size_t MAX_KINDS = 1024;
+    // Slowness is kept within what targets of one service differ by; beyond that it is a fault.
+    constexpr double LEAST_SLOWNESS = 0.2;
+    constexpr double MOST_SLOWNESS = 10;
+    // A target that is half busy is slower than an idle one even before calls wait.
+    constexpr double BUSY_COST = 0.3;
+    // Sending to another data centre costs a round trip and bytes on links that all share.
+    constexpr double REMOTE_COST = 0.1;
+    // Candidates that are compared. Nodes see each other's load late; if all compared all, they would all choose the
+    // same target.
+    constexpr size_t COMPARED = 3;
     // What answers say about load is worth less the older it is.
-    constexpr auto REPORT_LIFETIME = base::Millis(200);
+    constexpr auto REPORT_LIFETIME = base::Millis(400);
     // A data centre's own targets are used until their load reaches this many calls for each slot.
-    constexpr double SPILL_LOAD = 1.0;
+    constexpr double SPILL_LOAD = 0.9;
 
 }
 
@@ -45,10 +57,10 @@
     return stats && now < stats->ejectedUntil;
 }
 
-std::vector<const wire::Presence*> Balancer::candidates(const nodes::Targets& targets, const std::string& service,
+Balancer::Candidates Balancer::candidates(const nodes::Targets& targets, const std::string& service,
     const VersionChoice& versions, const std::set<std::string>& avoid) const
 {
-    std::vector<const wire::Presence*> out;
+    Candidates out;
     for (const auto& it : targets) {
         bool fits = it.serviceName == service && versions.allows(it.version) && it.state == wire::TargetState::SERVING;
         if (fits && !avoid.count(it.target))
@@ -62,10 +74,9 @@
     return !candidates(targets, service, versions, {}).empty();
 }
 
-std::vector<const wire::Presence*> Balancer::withoutEjected(
-    const std::vector<const wire::Presence*>& all, base::Instant now) const
+Balancer::Candidates Balancer::withoutEjected(const Candidates& all, base::Instant now) const
 {
-    std::vector<const wire::Presence*> out;
+    Candidates out;
     for (const auto* it : all) {
         if (!isEjected(it->target, now))
             out.push_back(it);
@@ -86,33 +97,44 @@
     return calls / std::max(1, target.slots) + penalty;
 }
 
-const wire::Presence* Balancer::pickOfTwo(const std::vector<const wire::Presence*>& some, base::Instant now)
+// Expected time until the call ends there, in units of its usual run time.
+double Balancer::costOf(const wire::Presence& target, base::Instant now) const
 {
-    if (some.empty())
-        return nullptr;
-    const auto* a = some[m_random.below(some.size())];
-    const auto* b = some[m_random.below(some.size())];
-    auto cost = [&](const wire::Presence* it) {
-        const auto* stats = find(it->target);
-        return (loadOf(*it, now) + 1.0 / std::max(1, it->slots)) * (stats ? stats->latencyMs : 1);
-    };
-    return cost(a) <= cost(b) ? a : b;
+    const auto* stats = find(target.target);
+    double load = loadOf(target, now);
+    double turns = std::max(0.0, load + 1.0 / std::max(1, target.slots) - 1);
+    return (stats ? stats->slowness : 1) * (1 + turns + BUSY_COST * std::min(1.0, load));
+}
+
+const wire::Presence* Balancer::cheapest(Candidates some, base::Instant now)
+{
+    const wire::Presence* best = nullptr;
+    double bestCost = 0;
+    for (size_t i = 0; i < std::min(COMPARED, some.size()); ++i) {
+        std::swap(some[i], some[i + m_random.below(some.size() - i)]);
+        double cost = costOf(*some[i], now);
+        if (!best || cost < bestCost) {
+            best = some[i];
+            bestCost = cost;
+        }
+    }
+    return best;
 }
 
 std::optional<wire::Presence> Balancer::choose(const nodes::Targets& targets, const std::string& service,
     const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now)
 {
     auto usable = withoutEjected(candidates(targets, service, versions, avoid), now);
-    std::vector<const wire::Presence*> near;
-    std::vector<const wire::Presence*> far;
+    Candidates near;
+    Candidates far;
     for (const auto* it : usable)
         (it->dataCentre == m_dataCentre ? near : far).push_back(it);
-    const auto* local = pickOfTwo(near, now);
+    const auto* local = cheapest(std::move(near), now);
     if (local && (far.empty() || loadOf(*local, now) < SPILL_LOAD))
         return *local;
-    const auto* remote = pickOfTwo(far, now);
+    const auto* remote = cheapest(std::move(far), now);
     if (local && remote)
-        return loadOf(*remote, now) < loadOf(*local, now) ? *remote : *local;
+        return costOf(*remote, now) + REMOTE_COST < costOf(*local, now) ? *remote : *local;
     const auto* only = local ? local : remote;
     return only ? std::optional(*only) : std::nullopt;
 }
@@ -129,15 +151,13 @@
     stats.reported = observation.inFlight + observation.queued;
     stats.reportedAt = now;
     if (observation.refused) {
-        stats.refusedUntil = now + REFUSAL_PAUSE;
+        stats.refusedUntil = now + std::clamp(observation.untilRoom, REFUSAL_PAUSE, LONGEST_REFUSAL_PAUSE);
         return;
     }
     if (!observation.fault) {
         stats.faultsInRow = 0;
         stats.ejections = 0;
-        double ms = static_cast<double>(observation.latency.count()) / 1000;
-        stats.latencyMs += LATENCY_SMOOTHING * (ms - stats.latencyMs);
-        return;
+        return learnSpeed(stats, observation);
     }
     if (++stats.faultsInRow < FAULTS_TO_EJECT)
         return;
@@ -145,6 +165,18 @@
     stats.faultsInRow = FAULTS_TO_EJECT - 1;
 }
 
+void Balancer::learnSpeed(Stats& stats, const Observation& observation)
+{
+    auto run = observation.run.count() ? observation.run : observation.latency;
+    double ms = std::max(0.1, static_cast<double>(run.count()) / 1000);
+    if (m_runMs.size() >= MAX_KINDS && !m_runMs.count(observation.kind))
+        return;
+    auto [it, isNew] = m_runMs.emplace(observation.kind, ms);
+    it->second += SPEED_SMOOTHING * (ms - it->second);
+    double relative = std::clamp(ms / it->second, LEAST_SLOWNESS, MOST_SLOWNESS);
+    stats.slowness += SPEED_SMOOTHING * (relative - stats.slowness);
+}
+
 void Balancer::retain(const nodes::Targets& targets)
 {
     std::set<std::string> present;
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -1,6 +1,7 @@
 #include "pomelowind/targets/Gate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelowind::targets {
 
@@ -10,12 +11,26 @@
     constexpr double SERVICE_SMOOTHING = 0.1;
     constexpr size_t MAX_ACCOUNTS = 1024;
     constexpr base::Millis LEAST_RETRY_AFTER(100);
+    constexpr int HIGHEST_PRIORITY = 9;
+    // Calls that cannot meet their objective any more rank behind all that can.
+    constexpr int LATE_RANK = 100;
+    // Half of the calls take less than about this part of the mean, since a few take very long; one that has less time
+    // than that left will more likely be late than not.
+    constexpr double TYPICAL_PART = 0.8;
+    // A late call waits at most this part of the time it has left, so that it can still be tried elsewhere.
+    constexpr double LATE_WAIT_PART = 0.4;
+    // Work is averaged over about a second: shorter than a burst of callers, longer than a call.
+    constexpr double WORK_WINDOW_MS = 1000;
+    constexpr double MOST_TAKEN = 0.95;
+
+    double toMs(base::Instant::duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
 }
 
 Gate::Gate(GateOptions options, base::Instant now)
     : m_options(options)
     , m_started(now)
+    , m_workAt(now)
 {
 }
 
@@ -28,23 +43,85 @@
     return std::max(1, static_cast<int>(m_options.slots * share));
 }
 
-// The queue ahead is worked off by all slots at the target's own pace.
-bool Gate::canMeetDeadline(const GateCall& call, base::Instant now) const
+double Gate::serviceMs(const std::string& kind) const
 {
-    double waitMs = m_serviceMs * (static_cast<double>(m_queue.size()) / std::max(1, m_options.slots) + 1);
-    return now + base::Millis(static_cast<int64_t>(waitMs)) <= call.deadline;
+    auto it = m_serviceByKind.find(kind);
+    return it == m_serviceByKind.end() ? m_serviceMs : it->second;
+}
+
+bool Gate::canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const
+{
+    return !call.objective || toMs(*call.objective - now) >= waitMs + TYPICAL_PART * serviceMs(call.kind);
+}
+
+bool Gate::canMeetDeadline(const GateCall& call, double waitMs, base::Instant now) const
+{
+    return toMs(call.deadline - now) >= waitMs + serviceMs(call.kind);
+}
+
+// Lower ranks run first.
+int Gate::rank(const GateCall& call, base::Instant now) const
+{
+    int out = HIGHEST_PRIORITY - call.priority;
+    return canMeetObjective(call, 0, now) ? out : out + LATE_RANK;
+}
+
+// Part of the slots that calls of lower ranks take.
+double Gate::shareTakenBefore(int rank) const
+{
+    double work = 0;
+    for (const auto& [other, ms] : m_work) {
+        if (other < rank)
+            work += ms;
+    }
+    return std::min(MOST_TAKEN, work / (WORK_WINDOW_MS * std::max(1, m_options.slots)));
+}
+
+void Gate::countWork(int rank, double serviceMs, base::Instant now)
+{
+    double keep = std::exp(-toMs(now - m_workAt) / WORK_WINDOW_MS);
+    m_workAt = now;
+    for (auto& [other, ms] : m_work)
+        ms *= keep;
+    m_work[rank] += serviceMs;
+}
+
+// The calls ahead are worked off by the slots that calls of lower ranks leave free.
+double Gate::expectedWaitMs(int rank, base::Instant now) const
+{
+    auto ahead = std::count_if(
+        m_queue.begin(), m_queue.end(), [&](const GateCall& it) { return this->rank(it, now) <= rank; });
+    double turnMs = m_serviceMs / std::max(1, m_options.slots);
+    return turnMs * static_cast<double>(ahead + 1) / (1 - shareTakenBefore(rank));
+}
+
+bool Gate::mayQueue(const GateCall& call, base::Instant now) const
+{
+    int own = rank(call, now);
+    if (own < LATE_RANK) {
+        double waitMs = expectedWaitMs(own, now);
+        if (canMeetObjective(call, waitMs, now) && canMeetDeadline(call, waitMs, now))
+            return true;
+        if (!call.objective)
+            return false;
+        own += LATE_RANK;
+    }
+    double waitMs = expectedWaitMs(own, now);
+    return waitMs <= LATE_WAIT_PART * toMs(call.deadline - now) && canMeetDeadline(call, waitMs, now);
 }
 
 GateVerdict Gate::admit(const GateCall& call, base::Instant now, std::optional<uint64_t>& shed)
 {
     if (m_leaving)
         return GateVerdict::Leaving;
-    if (!m_options.limited || (m_queue.empty() && m_running < limit(now))) {
+    bool runs = !m_options.limited || (m_queue.empty() && m_running < limit(now));
+    if (!runs && !mayQueue(call, now))
+        return GateVerdict::Overloaded;
+    countWork(rank(call, now), serviceMs(call.kind), now);
+    if (runs) {
         ++m_running;
         return GateVerdict::Run;
     }
-    if (!canMeetDeadline(call, now))
-        return GateVerdict::Overloaded;
     if (static_cast<double>(m_queue.size()) >= m_options.slots * m_options.queuePerSlot) {
         auto victim = firstToShed(call);
         if (victim == m_queue.end())
@@ -59,7 +136,7 @@
 
 // The call that makes room for `call`: of the lowest priority below its own, or of its own priority from an account
 // with more calls waiting. The newest of that account goes, because the oldest will run soonest.
-std::list<GateCall>::iterator Gate::firstToShed(const GateCall& call)
+Gate::Queue::iterator Gate::firstToShed(const GateCall& call)
 {
     auto worst = m_queue.end();
     for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
@@ -76,18 +153,17 @@
     return worst;
 }
 
-// Highest priority first; within one priority the account that was served longest ago.
-std::list<GateCall>::iterator Gate::nextToRun()
+// Lowest rank first; within one rank the account that was served longest ago.
+Gate::Queue::iterator Gate::nextToRun(base::Instant now)
 {
     auto best = m_queue.begin();
+    int bestRank = rank(*best, now);
     for (auto it = std::next(best); it != m_queue.end(); ++it) {
-        if (it->priority != best->priority) {
-            if (it->priority > best->priority)
-                best = it;
+        int own = rank(*it, now);
+        if (own > bestRank || (own == bestRank && m_lastServed[it->account] >= m_lastServed[best->account]))
             continue;
-        }
-        if (m_lastServed[it->account] < m_lastServed[best->account])
-            best = it;
+        best = it;
+        bestRank = own;
     }
     return best;
 }
@@ -96,7 +172,7 @@
 {
     GateStep step = expire(now);
     while (!m_queue.empty() && m_running < limit(now)) {
-        auto it = nextToRun();
+        auto it = nextToRun(now);
         if (m_lastServed.size() > MAX_ACCOUNTS)
             m_lastServed.clear();
         m_lastServed[it->account] = ++m_turn;
@@ -107,18 +183,29 @@
     return step;
 }
 
-GateStep Gate::finished(base::Millis took, base::Instant now)
+GateStep Gate::finished(const std::string& kind, std::optional<base::Millis> took, base::Instant now)
 {
     --m_running;
-    m_serviceMs += SERVICE_SMOOTHING * (static_cast<double>(took.count()) - m_serviceMs);
+    if (took)
+        learnService(kind, *took);
     return fill(now);
 }
 
+void Gate::learnService(const std::string& kind, base::Millis took)
+{
+    auto ms = static_cast<double>(took.count());
+    m_serviceMs += SERVICE_SMOOTHING * (ms - m_serviceMs);
+    if (m_serviceByKind.size() >= MAX_ACCOUNTS && !m_serviceByKind.count(kind))
+        return;
+    auto [it, isNew] = m_serviceByKind.emplace(kind, ms);
+    it->second += SERVICE_SMOOTHING * (ms - it->second);
+}
+
 GateStep Gate::expire(base::Instant now)
 {
     GateStep step;
     for (const auto& it : m_queue) {
-        if (now + base::Millis(static_cast<int64_t>(m_serviceMs)) > it.deadline)
+        if (!canMeetDeadline(it, 0, now))
             step.refuse.push_back(it.id);
     }
     for (uint64_t id : step.refuse)
--- a/tests/correctness/GateProtectsTarget.cpp
+++ b/tests/correctness/GateProtectsTarget.cpp
@@ -58,7 +58,7 @@
                 queued.insert(id);
             if (random.chance(0.5) && !running.empty()) {
                 running.erase(running.begin());
-                carryOut(gate.finished(Millis(2), T0));
+                carryOut(gate.finished("", Millis(2), T0));
             }
             ASSERT_LE(running.size(), 4u) << "seed " << seed;
             ASSERT_EQ(static_cast<size_t>(gate.running()), running.size());
@@ -77,7 +77,7 @@
     EXPECT_EQ(gate.admit(call(6, "low", 1), T0, shed), GateVerdict::Overloaded);
     EXPECT_EQ(gate.admit(call(7, "high", 9), T0, shed), GateVerdict::Queued);
     EXPECT_EQ(shed, 5u);
-    EXPECT_EQ(gate.finished(Millis(1), T0).run, std::vector<uint64_t> { 7 });
+    EXPECT_EQ(gate.finished("", Millis(1), T0).run, std::vector<uint64_t> { 7 });
 }
 
 TEST(GateProtectsTarget, AccountsOfOnePriorityTakeTurns)
@@ -88,8 +88,8 @@
     for (uint64_t id = 2; id <= 4; ++id)
         gate.admit(call(id, "greedy"), T0, shed);
     gate.admit(call(5, "modest"), T0, shed);
-    auto first = gate.finished(Millis(1), T0).run.front();
-    auto second = gate.finished(Millis(1), T0).run.front();
+    auto first = gate.finished("", Millis(1), T0).run.front();
+    auto second = gate.finished("", Millis(1), T0).run.front();
     EXPECT_TRUE(first == 5 || second == 5);
 }
 
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -35,7 +35,9 @@
   FrameKind::CALL_ANSWER,
   FrameKind::CALL_CANCEL,
   FrameKind::CLAIM_REQUEST,
-  FrameKind::CLAIM_ANSWER
+  FrameKind::CLAIM_ANSWER,
+  FrameKind::PING,
+  FrameKind::PONG
 };
 const char* _kFrameKindNames[] = {
   "HELLO",
@@ -59,9 +61,11 @@
   "CALL_ANSWER",
   "CALL_CANCEL",
   "CLAIM_REQUEST",
-  "CLAIM_ANSWER"
+  "CLAIM_ANSWER",
+  "PING",
+  "PONG"
 };
-const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(22, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(24, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const FrameKind::type& val) {
   std::map<int, const char*>::const_iterator it = _FrameKind_VALUES_TO_NAMES.find(val);
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -44,7 +44,9 @@
     CALL_ANSWER = 41,
     CALL_CANCEL = 42,
     CLAIM_REQUEST = 43,
-    CLAIM_ANSWER = 44
+    CLAIM_ANSWER = 44,
+    PING = 45,
+    PONG = 46
   };
 };
 
