--- a/include/pomelowind/nodes/ParentChooser.h
+++ b/include/pomelowind/nodes/ParentChooser.h
@@ -34,6 +34,8 @@
     std::optional<Parent> choose(const std::vector<wire::NodeInfo>& members, base::Instant now);
     // The attempt failed or the link was lost.
     void failed(const std::string& parent, base::Instant now);
+    // The parent was connected or connecting and said nothing: it is frozen or cut off, and stays so for a while.
+    void fellSilent(const std::string& parent, base::Instant now);
     // The parent refused admission for now.
     void refused(const std::string& parent, base::Millis retryAfter, base::Instant now);
     // The parent feeds this node.
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -14,13 +14,14 @@
 
 namespace {
 
-    constexpr auto ATTEMPT_TIMEOUT = Millis(2500);
+    constexpr auto ATTEMPT_TIMEOUT = Millis(800);
     constexpr auto CHOOSE_PERIOD = Millis(1000);
     constexpr auto HEARTBEAT_PERIOD = Millis(2000);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
     constexpr auto DIGEST_PERIOD = Millis(5000);
     constexpr auto FIRST_DIGEST = Millis(300);
-    constexpr auto BEACON_LIFETIME = Millis(3000);
+    // Three beacons; with the time to another parent it stays below the time in which a version must be in force.
+    constexpr auto BEACON_LIFETIME = Millis(1500);
     constexpr auto BEHIND_LIMIT = Millis(1000);
     constexpr auto SUBTREE_WINDOW = Millis(5000);
     constexpr auto GONE_RETENTION = Millis(600000);
@@ -98,7 +99,7 @@
     bool silent = m_parent && m_admitted && !beaconIsFresh(now) && now >= m_attemptDue;
     if (attemptFailed || silent) {
         base::logInfo("parent.lost", { { "parent", m_parent->id }, { "silent", silent ? 1 : 0 } });
-        m_chooser.failed(m_parent->id, now);
+        m_chooser.fellSilent(m_parent->id, now);
         m_parent.reset();
     }
     if (now < m_chooseDue && m_parent)
--- a/src/nodes/ParentChooser.cpp
+++ b/src/nodes/ParentChooser.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr auto FIRST_PENALTY = base::Millis(100);
+    // Another parent is tried meanwhile; a shorter wait would lead back to one that still says nothing.
+    constexpr auto SILENT_PENALTY = base::Millis(3000);
     constexpr int MAX_DOUBLINGS = 3;
 
     std::optional<Parent> asParent(const wire::NodeInfo& node)
@@ -59,6 +61,8 @@
     avoid(parent, FIRST_PENALTY * (1 << doublings), now);
 }
 
+void ParentChooser::fellSilent(const std::string& parent, base::Instant now) { avoid(parent, SILENT_PENALTY, now); }
+
 void ParentChooser::refused(const std::string& parent, base::Millis retryAfter, base::Instant now)
 {
     avoid(parent, retryAfter, now);
