Log writes are one record each; a full disk is waited for; tests of the adapter, releases and membership

Cause: the parts of one write had hashes of their own, so a last write with a hole, as a power loss may leave it, counted as damage and stopped the host for good; and a write that failed half way left its bytes before later records.

--- a/include/pomelowind/host/Disk.h
+++ b/include/pomelowind/host/Disk.h
@@ -16,6 +16,8 @@
     virtual void append(std::string_view bytes) = 0;
     // Returns once all appended bytes are durable. Throws UserError(StorageFull) or InternalFault.
     virtual void sync() = 0;
+    // Cuts the file to its first `bytes`, after a failed append left a part behind. Throws like append().
+    virtual void cut(size_t bytes) = 0;
 };
 
 // One data folder. Thread safety: confined to one thread.
--- a/include/pomelowind/members/LogStore.h
+++ b/include/pomelowind/members/LogStore.h
@@ -38,7 +38,8 @@
     DurableState load(EmptyStart emptyStart, const wire::Membership& membership);
 
     // Writes the hard state and entries and returns once they are durable. Entries from entries.front().index on
-    // replace what was stored there. Throws UserError(StorageFull); nothing may then be acknowledged.
+    // replace what was stored there. Throws UserError(StorageFull); nothing may then be acknowledged, and the same
+    // write may be tried again.
     void write(const std::optional<wire::HardState>& hardState, const std::vector<wire::Entry>& entries);
     // Stores a snapshot and drops the segments it covers.
     void writeSnapshot(const wire::SnapshotRecord& snapshot);
@@ -56,6 +57,8 @@
     void prepareEmpty(EmptyStart emptyStart, const wire::Membership& membership);
     void replaySegments(DurableState& state);
     void replaySegment(const std::string& name, bool isLast, DurableState& state);
+    static void replayPart(uint8_t type, std::string_view content, DurableState& state);
+    static void replayBatch(std::string_view batch, DurableState& state);
     void openSegment();
     void appendRecord(uint8_t type, const std::string& payload);
     void dropCoveredSegments(int64_t index);
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -10,9 +10,11 @@
 #include "pomelowind/operators/OperatorApi.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <cstdlib>
 #include <future>
+#include <thread>
 
 namespace pomelowind::control {
 
@@ -27,6 +29,8 @@
     constexpr int STATUS_STALE = 503;
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
+    // Room comes back when an operator or the host makes it; a few tries a second cost nothing.
+    constexpr auto FULL_DISK_RETRY = std::chrono::milliseconds(100);
     constexpr size_t MAX_BODY_BYTES = 8 * 1024 * 1024;
 
     // The disk duty: makes batches durable in order and hands back what may then be sent.
@@ -42,7 +46,11 @@
         {
         }
         void start() { m_duty.start(); }
-        void stop() { m_duty.stop(); }
+        void stop()
+        {
+            m_stopping = true;
+            m_duty.stop();
+        }
         bool put(DiskWork work) { return m_inbox.tryPut(std::move(work)); }
 
     private:
@@ -50,7 +58,7 @@
         {
             DiskDone done;
             try {
-                write(work, done);
+                writeWhenThereIsRoom(work, done);
             } catch (const base::Error& e) {
                 // Nothing may be acknowledged that is not durable, and the files may end in a torn record: stop here,
                 // the restart cuts it.
@@ -61,6 +69,25 @@
             m_done(std::move(done));
         }
 
+        // A full disk acknowledges nothing; the other hosts go on meanwhile, and this one when there is room again.
+        void writeWhenThereIsRoom(DiskWork& work, DiskDone& done)
+        {
+            for (bool isFirst = true;; isFirst = false) {
+                try {
+                    write(work, done);
+                    if (!isFirst)
+                        base::logInfo("disk.has_room");
+                    return;
+                } catch (const base::UserError& e) {
+                    if (e.kind() != base::ErrorKind::StorageFull || m_stopping)
+                        throw;
+                    if (isFirst)
+                        base::logError("disk.full", { { "error", e.what() }, { "remedy", e.remedy() } });
+                    std::this_thread::sleep_for(FULL_DISK_RETRY);
+                }
+            }
+        }
+
         void write(DiskWork& work, DiskDone& done)
         {
             auto& ready = work.ready;
@@ -82,6 +109,7 @@
 
         members::LogStore& m_store;
         Done m_done;
+        std::atomic<bool> m_stopping { false };
         base::Duty m_duty;
         base::Mailbox<DiskWork> m_inbox;
     };
--- a/src/host/Disk.cpp
+++ b/src/host/Disk.cpp
@@ -52,6 +52,11 @@
             if (::fdatasync(m_fd))
                 failWrite("cannot sync " + m_name);
         }
+        void cut(size_t bytes) override
+        {
+            if (::ftruncate(m_fd, static_cast<off_t>(bytes)))
+                failWrite("cannot cut " + m_name);
+        }
 
     private:
         int m_fd;
--- a/src/members/LogStore.cpp
+++ b/src/members/LogStore.cpp
@@ -20,7 +20,9 @@
     constexpr int64_t BOOTSTRAP_INDEX = 1;
     constexpr int64_t BOOTSTRAP_TERM = 1;
 
-    enum RecordType : uint8_t { HARD_STATE = 1, ENTRY = 2 };
+    // A batch holds what one write made durable together, as parts of u32 length, u8 type, content. Its parts have no
+    // hashes of their own: after a power loss any part of the last write may be missing, and then all of it is dropped.
+    enum RecordType : uint8_t { HARD_STATE = 1, ENTRY = 2, BATCH = 3 };
 
     // Record layout: u32 payload length, u8 type, u64 hash of type and payload, payload.
     constexpr size_t RECORD_HEADER_BYTES = 13;
@@ -62,12 +64,22 @@
         return record;
     }
 
+    constexpr size_t PART_HEADER_BYTES = 5;
+
+    void appendPart(std::string& batch, uint8_t type, const std::string& content)
+    {
+        auto n = static_cast<uint32_t>(content.size());
+        batch.append(reinterpret_cast<const char*>(&n), sizeof n);
+        batch += static_cast<char>(type);
+        batch += content;
+    }
+
     // A crash tears only what was being appended, so a whole record behind a bad one means damage, not a torn tail.
     bool hasRecordAfter(std::string_view data)
     {
         for (size_t at = 1; at + RECORD_HEADER_BYTES <= data.size(); ++at) {
             auto record = parseRecord(data.substr(at));
-            if (record && (record->type == HARD_STATE || record->type == ENTRY) && !record->payload.empty())
+            if (record && (record->type >= HARD_STATE && record->type <= BATCH) && !record->payload.empty())
                 return true;
         }
         return false;
@@ -174,14 +186,32 @@
             m_disk.truncate(name, at);
             return;
         }
-        if (record->type == HARD_STATE)
-            state.hardState = base::decode<wire::HardState>(record->payload);
+        if (record->type == BATCH)
+            replayBatch(record->payload, state);
         else
-            placeEntry(state.entries, base::decode<wire::Entry>(record->payload));
+            replayPart(record->type, record->payload, state);
         at += record->bytes;
     }
 }
 
+void LogStore::replayPart(uint8_t type, std::string_view content, DurableState& state)
+{
+    if (type == HARD_STATE)
+        state.hardState = base::decode<wire::HardState>(content);
+    else
+        placeEntry(state.entries, base::decode<wire::Entry>(content));
+}
+
+void LogStore::replayBatch(std::string_view batch, DurableState& state)
+{
+    while (batch.size() >= PART_HEADER_BYTES) {
+        uint32_t n = 0;
+        std::memcpy(&n, batch.data(), sizeof n);
+        replayPart(static_cast<uint8_t>(batch[4]), batch.substr(PART_HEADER_BYTES, n), state);
+        batch.remove_prefix(std::min(batch.size(), PART_HEADER_BYTES + n));
+    }
+}
+
 void LogStore::openSegment()
 {
     std::string name = segmentName(m_nextSegment++);
@@ -189,13 +219,19 @@
     m_segments.push_back({ name, 0 });
     m_segmentBytes = 0;
     appendRecord(HARD_STATE, base::encode(m_hardState));
-    m_file->sync();
 }
 
 void LogStore::appendRecord(uint8_t type, const std::string& payload)
 {
     std::string bytes = frameRecord(type, payload);
-    m_file->append(bytes);
+    try {
+        m_file->append(bytes);
+        m_file->sync();
+    } catch (const base::Error&) {
+        // What was written of it must not stand before later records.
+        m_file->cut(m_segmentBytes);
+        throw;
+    }
     m_segmentBytes += bytes.size();
 }
 
@@ -203,15 +239,16 @@
 {
     if (m_segmentBytes >= SEGMENT_LIMIT_BYTES)
         openSegment();
-    if (hardState) {
+    std::string batch;
+    if (hardState)
+        appendPart(batch, HARD_STATE, base::encode(*hardState));
+    for (const auto& it : entries)
+        appendPart(batch, ENTRY, base::encode(it));
+    appendRecord(BATCH, batch);
+    if (hardState)
         m_hardState = *hardState;
-        appendRecord(HARD_STATE, base::encode(*hardState));
-    }
-    for (const auto& it : entries) {
-        appendRecord(ENTRY, base::encode(it));
+    for (const auto& it : entries)
         m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, it.index);
-    }
-    m_file->sync();
 }
 
 void LogStore::writeSnapshotFile(const wire::SnapshotRecord& snapshot)
--- a/tests/error/DamagedDiskIsNoticed.cpp
+++ b/tests/error/DamagedDiskIsNoticed.cpp
@@ -24,12 +24,15 @@
         }
         void append(std::string_view bytes) override
         {
-            if (m_disk.room < bytes.size())
+            // As on a real disk, what fits is written before the error.
+            auto fits = bytes.substr(0, m_disk.room);
+            m_disk.room -= fits.size();
+            m_disk.files[m_name].append(fits);
+            if (fits.size() < bytes.size())
                 throw base::UserError(base::ErrorKind::StorageFull, "disk is full", "free space");
-            m_disk.room -= bytes.size();
-            m_disk.files[m_name].append(bytes);
         }
         void sync() override { }
+        void cut(size_t bytes) override { m_disk.files[m_name].resize(bytes); }
 
     private:
         FakeDisk& m_disk;
@@ -136,6 +139,42 @@
     EXPECT_EQ(LogStore(disk).load(EmptyStart::Recover, {}).entries.size(), 1u);
 }
 
+TEST(DamagedDiskIsNoticed, AWriteThatFailedOnAFullDiskCanBeTriedAgain)
+{
+    FakeDisk disk;
+    LogStore store(disk);
+    store.load(EmptyStart::Bootstrap, three());
+    store.write(std::nullopt, { entry(2) });
+    disk.room = 10;
+    EXPECT_THROW(store.write(std::nullopt, { entry(3) }), base::UserError);
+    disk.room = 1 << 20;
+    store.write(std::nullopt, { entry(3) });
+    store.write(std::nullopt, { entry(4) });
+    EXPECT_EQ(LogStore(disk).load(EmptyStart::Recover, {}).entries.size(), 3u);
+}
+
+// After a power loss each part of the last write may be there or not; what stood behind a missing part proves nothing.
+TEST(DamagedDiskIsNoticed, ALastWriteWithAHoleIsCutWhole)
+{
+    FakeDisk whole;
+    LogStore store(whole);
+    store.load(EmptyStart::Bootstrap, three());
+    store.write(std::nullopt, { entry(2) });
+    size_t durable = firstSegment(whole).size();
+    wire::HardState vote;
+    vote.term = 7;
+    vote.votedFor = "b";
+    store.write(vote, { entry(3), entry(4), entry(5) });
+    size_t size = firstSegment(whole).size();
+    for (size_t at = durable; at < size; ++at) {
+        FakeDisk disk = whole;
+        firstSegment(disk)[at] ^= 0x55;
+        auto state = LogStore(disk).load(EmptyStart::Recover, {});
+        ASSERT_EQ(state.entries.size(), 1u) << at;
+        ASSERT_NE(state.hardState.term, 7) << at;
+    }
+}
+
 TEST(DamagedDiskIsNoticed, SnapshotDropsCoveredSegmentsAndKeepsLaterEntries)
 {
     FakeDisk disk;
--- /dev/null
+++ b/tests/platform/AnswersSayWhetherTheCallRan.cpp
@@ -0,0 +1,101 @@
+// What the platform's targets answer, as outcomes; and what callers are told.
+
+#include "platform/CallHeaders.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using http::ExchangeEnd;
+using http::findHeader;
+using wire::Outcome;
+
+namespace {
+
+http::ExchangeResult answered(int status, http::HttpHeaders headers)
+{
+    http::ExchangeResult out;
+    out.end = ExchangeEnd::Answered;
+    out.response.status = status;
+    out.response.headers = std::move(headers);
+    return out;
+}
+
+http::ExchangeResult ended(ExchangeEnd end)
+{
+    http::ExchangeResult out;
+    out.end = end;
+    return out;
+}
+
+class AnswersSayWhetherTheCallRan : public testing::Test {
+protected:
+    wire::CallAnswer outcomeOf(http::ExchangeResult result) { return protocol->targetAnswer({}, std::move(result)); }
+    http::HttpResponse toCaller(const wire::CallAnswer& answer)
+    {
+        node::CallTerms terms;
+        terms.requestId = "id-1";
+        return protocol->callerResponse(answer, terms, "v1");
+    }
+
+    std::unique_ptr<node::CallProtocol> protocol = platform::makeCallProtocol();
+};
+
+}
+
+TEST_F(AnswersSayWhetherTheCallRan, OnlyTheTargetsOwnWordIsProofThatItDidNot)
+{
+    EXPECT_EQ(outcomeOf(answered(503, { { "X-Not-Executed", "1" } })).outcome, Outcome::NOT_RUN);
+    EXPECT_EQ(outcomeOf(answered(421, {})).outcome, Outcome::NOT_RUN);
+    EXPECT_EQ(outcomeOf(answered(503, { { "X-Server-Stamp", "s" } })).outcome, Outcome::RAN);
+    EXPECT_EQ(outcomeOf(answered(200, { { "X-Server-Stamp", "s" } })).outcome, Outcome::RAN);
+    EXPECT_EQ(outcomeOf(answered(200, {})).outcome, Outcome::UNKNOWN) << "a success without a stamp proves nothing";
+    EXPECT_EQ(outcomeOf(ended(ExchangeEnd::Ambiguous)).outcome, Outcome::UNKNOWN);
+    EXPECT_EQ(outcomeOf(ended(ExchangeEnd::TimedOut)).outcome, Outcome::UNKNOWN);
+    EXPECT_EQ(outcomeOf(ended(ExchangeEnd::NotSent)).outcome, Outcome::NOT_RUN);
+    EXPECT_FALSE(outcomeOf(ended(ExchangeEnd::NotSent)).arrived);
+}
+
+TEST_F(AnswersSayWhetherTheCallRan, StatusesThatPromiseNotRunAreKeptForThat)
+{
+    auto lost = outcomeOf(ended(ExchangeEnd::Ambiguous));
+    EXPECT_EQ(toCaller(lost).status, 502);
+    auto late = outcomeOf(ended(ExchangeEnd::TimedOut));
+    EXPECT_EQ(toCaller(late).status, 504);
+    auto refused = outcomeOf(ended(ExchangeEnd::NotSent));
+    refused.retryAfterMs = 250;
+    auto response = toCaller(refused);
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(findHeader(response.headers, "Retry-After"), "0.250");
+    EXPECT_EQ(findHeader(response.headers, "X-Request-Id"), "id-1");
+    EXPECT_TRUE(findHeader(response.headers, "X-Server-Stamp").empty());
+}
+
+TEST_F(AnswersSayWhetherTheCallRan, TheTargetsOwnAnswerPassesUnchanged)
+{
+    auto result = answered(500, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "id-1" }, { "Connection", "close" } });
+    result.response.body = "bytes";
+    auto response = toCaller(outcomeOf(result));
+    EXPECT_EQ(response.status, 500);
+    EXPECT_EQ(response.body, "bytes");
+    EXPECT_EQ(findHeader(response.headers, "X-Server-Stamp"), "s");
+    EXPECT_TRUE(findHeader(response.headers, "Connection").empty());
+}
+
+TEST_F(AnswersSayWhetherTheCallRan, TheNodeSetsDeadlineInstanceAndCallerItself)
+{
+    http::HttpRequest request;
+    request.headers = { { "Host", "a.example" }, { "X-Request-Id", "id-1" }, { "X-Deadline-Ms", "2000" },
+        { "X-Caller-Service", "forged" }, { "X-Expect-Instance", "forged" }, { "Connection", "X-Hop" },
+        { "X-Hop", "1" }, { "X-Own", "kept" } };
+    EXPECT_EQ(protocol->readTerms(request).budget, base::Millis(2000));
+    wire::CallRequest call;
+    call.headers = protocol->forwardedHeaders(request, 1, 1);
+    call.target = "i-1";
+    call.callerService = "desk";
+    auto sent = protocol->targetRequest(call, base::Millis(700)).headers;
+    EXPECT_EQ(findHeader(sent, "X-Deadline-Ms"), "700");
+    EXPECT_EQ(findHeader(sent, "X-Expect-Instance"), "i-1");
+    EXPECT_EQ(findHeader(sent, "X-Caller-Service"), "desk");
+    EXPECT_EQ(findHeader(sent, "X-Own"), "kept");
+    EXPECT_TRUE(findHeader(sent, "X-Hop").empty());
+}
--- /dev/null
+++ b/tests/platform/ReleaseIsDecodedWhole.cpp
@@ -0,0 +1,85 @@
+// A configuration of the platform becomes a release as a whole, or is refused with the reason.
+
+#include "platform/Release.h"
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/config/Release.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace pomelowind;
+using nlohmann::json;
+
+namespace {
+
+json route(const std::string& name, const std::string& prefix)
+{
+    return { { "name", name }, { "host", "a.example" }, { "path_prefix", prefix }, { "route_kind", "non_idempotent" },
+        { "timeout_ms", 1200 }, { "target_latency_ms", 400 }, { "priority", 1 }, { "service", "desk" },
+        { "max_attempts", 2 } };
+}
+
+json document()
+{
+    return { { "version", "r7" }, { "base_version", "r5" },
+        { "routes", { route("one", "/one/"), route("two", "/two/") } },
+        { "services",
+            { { { "name", "desk" }, { "health_path", "/healthz" }, { "max_conns", 130 }, { "protocol", "h1" },
+                { "tls", false } } } },
+        { "limits",
+            { { "max_header_bytes", 16384 }, { "max_body_bytes", 67108864 }, { "header_timeout_ms", 3000 },
+                { "idle_timeout_ms", 15000 } } } };
+}
+
+bool isRefused(const json& body)
+{
+    try {
+        config::checkRelease(platform::decodeRelease(body.dump()));
+        return false;
+    } catch (const base::UserError& e) {
+        EXPECT_EQ(e.kind(), base::ErrorKind::InvalidInput);
+        return true;
+    }
+}
+
+}
+
+TEST(ReleaseIsDecodedWhole, FieldsOfAValidOne)
+{
+    auto release = platform::decodeRelease(document().dump());
+    config::checkRelease(release);
+    EXPECT_EQ(release.header.number, 7);
+    EXPECT_EQ(release.baseNumber, 5);
+    ASSERT_EQ(release.routes.size(), 2u);
+    EXPECT_EQ(release.routes[0].path, "/one/");
+    EXPECT_FALSE(release.routes[0].idempotent);
+    EXPECT_EQ(release.routes[0].objectiveMs, 400);
+    EXPECT_EQ(release.routes[0].priority, 8) << "the platform's 0 is the product's 9";
+    EXPECT_EQ(release.document, document().dump());
+}
+
+TEST(ReleaseIsDecodedWhole, EveryKindOfInvalidOneIsRefused)
+{
+    EXPECT_FALSE(isRefused(document()));
+    auto changed = [](auto change) {
+        auto body = document();
+        change(body);
+        return body;
+    };
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][0]["service"] = "nobody"; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][0]["timeout_ms"] = 0; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][0]["timeout_ms"] = 600001; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][0]["target_latency_ms"] = 61200; })));
+    EXPECT_FALSE(isRefused(changed([](json& it) { it["routes"][0]["target_latency_ms"] = 61199; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][0]["path_prefix"] = "one/"; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["routes"][1]["path_prefix"] = "/one/"; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it["version"] = 7; })));
+    EXPECT_TRUE(isRefused(changed([](json& it) { it.erase("limits"); })));
+    EXPECT_TRUE(isRefused(changed([](json& it) {
+        it["routes"][0].erase("service");
+        it["routes"][0]["weighted_split"] = { { { "service", "desk" }, { "weight", 0 } } };
+    })));
+    auto text = document().dump();
+    for (size_t n = 0; n < text.size(); n += 7)
+        EXPECT_THROW(platform::decodeRelease(text.substr(0, n)), base::UserError) << n;
+}
