--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -35,6 +35,7 @@
     int queued { 0 };
     std::string kind; // calls of one kind take about the same time
     base::Micros run { 0 }; // time at the target alone; 0 when it is not known
+    base::Micros typical { 0 }; // average time of the kind there, as its gate says; 0 when it is not known
     base::Millis untilRoom { 0 }; // of a refusal: when the gate expects room
 };
 
@@ -58,6 +59,7 @@
 private:
     struct Stats {
         int inFlight { 0 };
+        int samples { 0 };
         double slowness { 1 }; // run time relative to calls of the same kind on all targets
         double reported { 0 };
         base::Instant reportedAt;
@@ -75,6 +77,7 @@
     double loadOf(const wire::Presence& target, base::Instant now) const;
     double costOf(const wire::Presence& target, base::Instant now) const;
     void learnSpeed(Stats& stats, const Observation& observation);
+    double averageRunMs(const std::string& kind, double ms);
     const Stats* find(const std::string& target) const;
 
     std::string m_dataCentre;
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -25,6 +25,7 @@
     base::Instant deadline;
     std::optional<base::Instant> objective; // when it should have ended; none: any time before the deadline is as good
     std::string kind; // calls of one kind take about the same time
+    bool mayWait { true }; // false: rather refused at once than queued, because another target may be free
     bool operator==(const GateCall&) const = default;
 };
 
@@ -70,8 +71,14 @@
     base::Millis retryAfter() const;
     // Time that a call of `kind` runs, as observed.
     double serviceMs(const std::string& kind) const;
+    // The same, or 0 before enough calls of the kind have ended to tell.
+    double typicalMs(const std::string& kind) const;
 
 private:
+    struct Service {
+        double ms { 0 };
+        int calls { 0 };
+    };
     using Queue = std::list<GateCall>;
 
     GateStep fill(base::Instant now);
@@ -95,7 +102,7 @@
     std::map<std::string, uint64_t> m_lastServed; // turn in which an account was last served
     uint64_t m_turn { 0 };
     double m_serviceMs { 1 };
-    std::map<std::string, double> m_serviceByKind;
+    std::map<std::string, Service> m_serviceByKind;
     std::map<int, double> m_work; // slot milliseconds a second that calls of a rank ask for
     base::Instant m_workAt;
 };
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -22,6 +22,12 @@
     constexpr int64_t MOST_DEPTH = 16;
     // Gates that one call asks before it is refused: with more, a full service costs more messages than it serves.
     constexpr int MOST_GATES = 3;
+    // Gates that are asked for a free slot before the call waits in a queue. Nodes know little of each other's load, and
+    // a second try finds a free slot nearly always while there are some.
+    constexpr int GATES_WITHOUT_WAIT = 2;
+    // When this part of the tries meets a full gate, more tries cost more than the wait they save.
+    constexpr double FULL_SHARE = 0.35;
+    constexpr double REFUSAL_SMOOTHING = 0.05;
     constexpr auto NODE_SLACK = Millis(20);
     // A node decides alone only on evidence stronger than what the control hosts need for the whole mesh.
     constexpr double LOCAL_DECIDE_AT = 11.5;
@@ -367,6 +373,8 @@
     request.requestId = call->terms.requestId;
     request.callerService = m_settings.localService;
     request.incarnation = target.incarnation;
+    bool mostAreFull = m_refusalShare[call->service->name] > FULL_SHARE;
+    request.mayWait = !call->objective || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
     request.objectiveMs = static_cast<int32_t>(call->route->objectiveMs - base::toMillis(now - call->arrived));
     m_balancer.started(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { answered(call, target, now, std::move(answer)); };
@@ -406,8 +414,11 @@
     const CallPtr& call, const wire::Presence& target, Micros latency, const wire::CallAnswer& answer)
 {
     targets::Observation observation { target.target, answer.fault, answer.refused, latency, answer.inFlight,
-        answer.queued, call->route->name, Micros(answer.runMicros), Millis(answer.retryAfterMs) };
+        answer.queued, call->route->name, Micros(answer.runMicros),
+        Micros(answer.typicalMicros), Millis(answer.retryAfterMs) };
     m_balancer.ended(observation, m_clock.now());
+    auto& share = m_refusalShare[call->service->name];
+    share += REFUSAL_SMOOTHING * ((answer.refused ? 1 : 0) - share);
     // A refusal by the target's gate says how busy it is, not whether the version is good.
     bool underMove = !call->service->candidate.empty();
     bool neverArrived = answer.outcome == Outcome::NOT_RUN && !answer.arrived;
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -106,6 +106,7 @@
     targets::Balancer m_balancer;
     base::Random m_random;
     std::map<std::string, base::Millis> m_longestBudget; // by route
+    std::map<std::string, double> m_refusalShare; // by service: part of the recent tries that met a full gate
     int64_t m_limitsRelease { 0 }; // release whose caller bounds the server applies
     callers::WeightedSplitter m_weights;
     std::map<std::string, base::TokenBucket> m_retryBudgets; // by service
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr int FIRST_FAILURE_STATUS = 500;
+    constexpr double MICROS_PER_MS = 1000;
 
 }
 
@@ -61,11 +62,12 @@
     m_targets = std::move(next);
 }
 
-void LocalTargets::addLoad(const std::string& target, wire::CallAnswer& answer) const
+void LocalTargets::addLoad(const Call& call, wire::CallAnswer& answer) const
 {
-    auto it = m_targets.find(target);
+    auto it = m_targets.find(call.target);
     if (it == m_targets.end())
         return;
+    answer.typicalMicros = static_cast<int64_t>(it->second->gate->typicalMs(call.request.account) * MICROS_PER_MS);
     answer.inFlight = it->second->gate->running();
     answer.queued = it->second->gate->queued();
     answer.cold = it->second->gate->isCold(m_clock.now());
@@ -85,6 +87,7 @@
     call.done = std::move(done);
     targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline, {},
         call.request.account };
+    gateCall.mayWait = call.request.mayWait;
     if (call.request.objectiveMs)
         gateCall.objective = now + base::Millis(call.request.objectiveMs);
     m_calls.emplace(id, std::move(call));
@@ -117,7 +120,7 @@
     answer.outcome = Outcome::NOT_RUN;
     answer.reason = reason;
     answer.refused = true;
-    addLoad(call.target, answer);
+    addLoad(call, answer);
     call.done(std::move(answer));
 }
 
@@ -156,7 +159,7 @@
     m_calls.erase(it);
     auto answer = m_protocol.targetAnswer(call.request, std::move(result));
     answer.runMicros = std::chrono::duration_cast<base::Micros>(m_clock.now() - call.started).count();
-    addLoad(call.target, answer);
+    addLoad(call, answer);
     call.done(std::move(answer));
 }
 
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -53,7 +53,7 @@
     void carryOut(Target& target, const targets::GateStep& step);
     void refuse(uint64_t id, const std::string& reason);
     void exchanged(uint64_t id, http::ExchangeResult result);
-    void addLoad(const std::string& target, wire::CallAnswer& answer) const;
+    void addLoad(const Call& call, wire::CallAnswer& answer) const;
 
     boost::asio::io_context& m_io;
     const NodeSettings& m_settings;
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -14,6 +14,9 @@
     // At most this part of a version's targets is ejected; a fault that hits all must not leave none.
     constexpr double MOST_EJECTED = 0.5;
     constexpr double SPEED_SMOOTHING = 0.1;
+    // The assumption that a new target is as fast as the others counts as this many samples.
+    constexpr double TOLD_SMOOTHING = 0.5;
+    constexpr double PRIOR_SAMPLES = 2;
     constexpr size_t MAX_KINDS = 1024;
     // Slowness is kept within what targets of one service differ by; beyond that it is a fault.
     constexpr double LEAST_SLOWNESS = 0.2;
@@ -24,7 +27,7 @@
     constexpr double REMOTE_COST = 0.1;
     // Candidates that are compared. Nodes see each other's load late; if all compared all, they would all choose the
     // same target.
-    constexpr size_t COMPARED = 3;
+    constexpr size_t COMPARED = 4;
     // What answers say about load is worth less the older it is.
     constexpr auto REPORT_LIFETIME = base::Millis(400);
     // A data centre's own targets are used until their load reaches this many calls for each slot.
@@ -152,6 +155,8 @@
     stats.reportedAt = now;
     if (observation.refused) {
         stats.refusedUntil = now + std::clamp(observation.untilRoom, REFUSAL_PAUSE, LONGEST_REFUSAL_PAUSE);
+        if (observation.typical.count())
+            learnSpeed(stats, observation);
         return;
     }
     if (!observation.fault) {
@@ -165,16 +170,24 @@
     stats.faultsInRow = FAULTS_TO_EJECT - 1;
 }
 
+double Balancer::averageRunMs(const std::string& kind, double ms)
+{
+    if (m_runMs.size() >= MAX_KINDS && !m_runMs.count(kind))
+        return ms;
+    auto [it, isNew] = m_runMs.emplace(kind, ms);
+    it->second += SPEED_SMOOTHING * (ms - it->second);
+    return it->second;
+}
+
+// What the gate says about its target is an average over the calls of all nodes; an own call is one sample.
 void Balancer::learnSpeed(Stats& stats, const Observation& observation)
 {
-    auto run = observation.run.count() ? observation.run : observation.latency;
+    bool isTold = observation.typical.count() > 0;
+    auto run = isTold ? observation.typical : observation.run.count() ? observation.run : observation.latency;
     double ms = std::max(0.1, static_cast<double>(run.count()) / 1000);
-    if (m_runMs.size() >= MAX_KINDS && !m_runMs.count(observation.kind))
-        return;
-    auto [it, isNew] = m_runMs.emplace(observation.kind, ms);
-    it->second += SPEED_SMOOTHING * (ms - it->second);
-    double relative = std::clamp(ms / it->second, LEAST_SLOWNESS, MOST_SLOWNESS);
-    stats.slowness += SPEED_SMOOTHING * (relative - stats.slowness);
+    double relative = std::clamp(ms / averageRunMs(observation.kind, ms), LEAST_SLOWNESS, MOST_SLOWNESS);
+    double weight = isTold ? TOLD_SMOOTHING : std::max(SPEED_SMOOTHING, 1.0 / (++stats.samples + PRIOR_SAMPLES));
+    stats.slowness += weight * (relative - stats.slowness);
 }
 
 void Balancer::retain(const nodes::Targets& targets)
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -9,6 +9,8 @@
 
     constexpr double COLD_SHARE = 0.25;
     constexpr double SERVICE_SMOOTHING = 0.1;
+    // Run times scatter by about their mean; the average of fewer calls than this says little about the target.
+    constexpr int TELLING_CALLS = 8;
     constexpr size_t MAX_ACCOUNTS = 1024;
     constexpr base::Millis LEAST_RETRY_AFTER(100);
     constexpr int HIGHEST_PRIORITY = 9;
@@ -46,7 +48,13 @@
 double Gate::serviceMs(const std::string& kind) const
 {
     auto it = m_serviceByKind.find(kind);
-    return it == m_serviceByKind.end() ? m_serviceMs : it->second;
+    return it == m_serviceByKind.end() ? m_serviceMs : it->second.ms;
+}
+
+double Gate::typicalMs(const std::string& kind) const
+{
+    auto it = m_serviceByKind.find(kind);
+    return it == m_serviceByKind.end() || it->second.calls < TELLING_CALLS ? 0 : it->second.ms;
 }
 
 bool Gate::canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const
@@ -115,7 +123,7 @@
     if (m_leaving)
         return GateVerdict::Leaving;
     bool runs = !m_options.limited || (m_queue.empty() && m_running < limit(now));
-    if (!runs && !mayQueue(call, now))
+    if (!runs && (!call.mayWait || !mayQueue(call, now)))
         return GateVerdict::Overloaded;
     countWork(rank(call, now), serviceMs(call.kind), now);
     if (runs) {
@@ -197,8 +205,9 @@
     m_serviceMs += SERVICE_SMOOTHING * (ms - m_serviceMs);
     if (m_serviceByKind.size() >= MAX_ACCOUNTS && !m_serviceByKind.count(kind))
         return;
-    auto [it, isNew] = m_serviceByKind.emplace(kind, ms);
-    it->second += SERVICE_SMOOTHING * (ms - it->second);
+    auto& service = m_serviceByKind[kind];
+    double weight = std::max(SERVICE_SMOOTHING, 1.0 / ++service.calls);
+    service.ms += weight * (ms - service.ms);
 }
 
 GateStep Gate::expire(base::Instant now)
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -161,12 +161,12 @@
 struct CallRequest {
   1: i64 id, 2: string method, 3: string path, 4: list<Header> headers, 5: binary body, 6: i32 budgetMs,
   7: string serviceName, 8: string target, 9: string account, 10: i32 priority,
-  11: i64 incarnation, 12: string requestId, 13: string callerService, 14: i32 objectiveMs
+  11: i64 incarnation, 12: string requestId, 13: string callerService, 14: i32 objectiveMs, 15: bool mayWait = true
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
   6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut,
-  15: i64 runMicros
+  15: i64 runMicros, 16: i64 typicalMicros
 }
 struct CallCancel { 1: i64 id }
 enum ClaimStep { TAKE = 0, COMPLETE = 1, RELEASE = 2, LOOK = 3 }
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -11103,6 +11103,10 @@
 void CallRequest::__set_objectiveMs(const int32_t val) {
   this->objectiveMs = val;
 }
+
+void CallRequest::__set_mayWait(const bool val) {
+  this->mayWait = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -11255,6 +11259,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayWait);
+          this->__isset.mayWait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11336,6 +11348,10 @@
   xfer += oprot->writeI32(this->objectiveMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mayWait", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->mayWait);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11357,6 +11373,7 @@
   swap(a.requestId, b.requestId);
   swap(a.callerService, b.callerService);
   swap(a.objectiveMs, b.objectiveMs);
+  swap(a.mayWait, b.mayWait);
   swap(a.__isset, b.__isset);
 }
 
@@ -11375,6 +11392,7 @@
   requestId = other440.requestId;
   callerService = other440.callerService;
   objectiveMs = other440.objectiveMs;
+  mayWait = other440.mayWait;
   __isset = other440.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other441) noexcept {
@@ -11392,6 +11410,7 @@
   requestId = std::move(other441.requestId);
   callerService = std::move(other441.callerService);
   objectiveMs = other441.objectiveMs;
+  mayWait = other441.mayWait;
   __isset = other441.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other442) {
@@ -11409,6 +11428,7 @@
   requestId = other442.requestId;
   callerService = other442.callerService;
   objectiveMs = other442.objectiveMs;
+  mayWait = other442.mayWait;
   __isset = other442.__isset;
   return *this;
 }
@@ -11427,6 +11447,7 @@
   requestId = std::move(other443.requestId);
   callerService = std::move(other443.callerService);
   objectiveMs = other443.objectiveMs;
+  mayWait = other443.mayWait;
   __isset = other443.__isset;
   return *this;
 }
@@ -11447,6 +11468,7 @@
   out << ", " << "requestId=" << to_string(requestId);
   out << ", " << "callerService=" << to_string(callerService);
   out << ", " << "objectiveMs=" << to_string(objectiveMs);
+  out << ", " << "mayWait=" << to_string(mayWait);
   out << ")";
 }
 
@@ -11514,6 +11536,10 @@
 void CallAnswer::__set_runMicros(const int64_t val) {
   this->runMicros = val;
 }
+
+void CallAnswer::__set_typicalMicros(const int64_t val) {
+  this->typicalMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -11676,6 +11702,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->typicalMicros);
+          this->__isset.typicalMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11761,6 +11795,10 @@
   xfer += oprot->writeI64(this->runMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("typicalMicros", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->typicalMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11783,6 +11821,7 @@
   swap(a.arrived, b.arrived);
   swap(a.timedOut, b.timedOut);
   swap(a.runMicros, b.runMicros);
+  swap(a.typicalMicros, b.typicalMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -11802,6 +11841,7 @@
   arrived = other451.arrived;
   timedOut = other451.timedOut;
   runMicros = other451.runMicros;
+  typicalMicros = other451.typicalMicros;
   __isset = other451.__isset;
 }
 CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
@@ -11820,6 +11860,7 @@
   arrived = other452.arrived;
   timedOut = other452.timedOut;
   runMicros = other452.runMicros;
+  typicalMicros = other452.typicalMicros;
   __isset = other452.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
@@ -11838,6 +11879,7 @@
   arrived = other453.arrived;
   timedOut = other453.timedOut;
   runMicros = other453.runMicros;
+  typicalMicros = other453.typicalMicros;
   __isset = other453.__isset;
   return *this;
 }
@@ -11857,6 +11899,7 @@
   arrived = other454.arrived;
   timedOut = other454.timedOut;
   runMicros = other454.runMicros;
+  typicalMicros = other454.typicalMicros;
   __isset = other454.__isset;
   return *this;
 }
@@ -11878,6 +11921,7 @@
   out << ", " << "arrived=" << to_string(arrived);
   out << ", " << "timedOut=" << to_string(timedOut);
   out << ", " << "runMicros=" << to_string(runMicros);
+  out << ", " << "typicalMicros=" << to_string(typicalMicros);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4120,7 +4120,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4135,6 +4135,7 @@
   bool requestId :1;
   bool callerService :1;
   bool objectiveMs :1;
+  bool mayWait :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4157,7 +4158,8 @@
                 incarnation(0),
                 requestId(),
                 callerService(),
-                objectiveMs(0) {
+                objectiveMs(0),
+                mayWait(true) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4175,6 +4177,7 @@
   std::string requestId;
   std::string callerService;
   int32_t objectiveMs;
+  bool mayWait;
 
   _CallRequest__isset __isset;
 
@@ -4206,6 +4209,8 @@
 
   void __set_objectiveMs(const int32_t val);
 
+  void __set_mayWait(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4236,6 +4241,8 @@
       return false;
     if (!(objectiveMs == rhs.objectiveMs))
       return false;
+    if (!(mayWait == rhs.mayWait))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -4255,7 +4262,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false) {}
+  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false), typicalMicros(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -4271,6 +4278,7 @@
   bool arrived :1;
   bool timedOut :1;
   bool runMicros :1;
+  bool typicalMicros :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -4294,7 +4302,8 @@
                cold(0),
                arrived(0),
                timedOut(0),
-               runMicros(0) {
+               runMicros(0),
+               typicalMicros(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -4317,6 +4326,7 @@
   bool arrived;
   bool timedOut;
   int64_t runMicros;
+  int64_t typicalMicros;
 
   _CallAnswer__isset __isset;
 
@@ -4350,6 +4360,8 @@
 
   void __set_runMicros(const int64_t val);
 
+  void __set_typicalMicros(const int64_t val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -4382,6 +4394,8 @@
       return false;
     if (!(runMicros == rhs.runMicros))
       return false;
+    if (!(typicalMicros == rhs.typicalMicros))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
