--- a/include/pomelowind/base/TokenBucket.h
+++ b/include/pomelowind/base/TokenBucket.h
@@ -32,6 +32,13 @@
     // Adds `n` tokens, up to the burst.
     void give(double n) { m_tokens = std::min(m_burst, m_tokens + n); }
 
+    // Changes how many tokens can be saved up. Precondition: burst > 0.
+    void setBurst(double burst)
+    {
+        m_burst = burst;
+        m_tokens = std::min(m_tokens, burst);
+    }
+
     // Whole tokens left at `now`.
     double available(Instant now)
     {
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -55,6 +55,9 @@
     double retryShare { 0.1 };
     double retryReserve { 5 };
     double retryBurst { 50 };
+    // Retries that all nodes together may make at once on one service; each node saves up its part. 0: retryBurst
+    // holds.
+    double retrySlack { 0 };
     bool limitsEnabled { true }; // false only in benchmarks that show what the limits are for
 };
 
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -22,9 +22,11 @@
     constexpr int64_t MOST_DEPTH = 16;
     // Gates that one call asks before it is refused: with more, a full service costs more messages than it serves.
     constexpr int MOST_GATES = 3;
-    // Gates that are asked for a free slot before the call waits in a queue. Nodes know little of each other's load, and
-    // a second try finds a free slot nearly always while there are some.
+    // Gates that are asked for a free slot before the call waits in a queue. Nodes know little of each other's load,
+    // and a second try finds a free slot nearly always while there are some.
     constexpr int GATES_WITHOUT_WAIT = 2;
+    // Part of the common slack that nodes save up; the rest covers nodes that start with a full bucket.
+    constexpr double SLACK_PART = 0.5;
     // When this part of the tries meets a full gate, more tries cost more than the wait they save.
     constexpr double FULL_SHARE = 0.35;
     constexpr double REFUSAL_SMOOTHING = 0.05;
@@ -109,6 +111,8 @@
     m_view = std::move(view);
     applyLimits();
     m_balancer.retain(*m_view->targets);
+    for (auto& [service, budget] : m_retryBudgets)
+        budget.setBurst(retryBurst());
     for (const auto* service : m_view->config->services()) {
         auto& watch = m_watches[service->name];
         if (watch.moveId == service->moveId)
@@ -138,12 +142,21 @@
     base::logInfo("callers.limits", { { "release", release->number }, { "header_bytes", release->headerBytes } });
 }
 
+// Nodes do not tell each other how many retries they make, so each keeps to its part of what all may make at once.
+// There are about as many nodes as targets.
+double CallPath::retryBurst() const
+{
+    if (m_settings.retrySlack <= 0)
+        return m_settings.retryBurst;
+    auto nodes = static_cast<double>(std::max<size_t>(1, m_view->targets ? m_view->targets->size() : 1));
+    return std::max(1.0, SLACK_PART * m_settings.retrySlack / nodes);
+}
+
 base::TokenBucket& CallPath::retryBudget(const std::string& service)
 {
     auto it = m_retryBudgets.find(service);
     if (it == m_retryBudgets.end())
-        it = m_retryBudgets
-                 .emplace(service, base::TokenBucket(m_settings.retryReserve, m_settings.retryBurst, m_clock.now()))
+        it = m_retryBudgets.emplace(service, base::TokenBucket(m_settings.retryReserve, retryBurst(), m_clock.now()))
                  .first;
     return it->second;
 }
@@ -414,8 +427,8 @@
     const CallPtr& call, const wire::Presence& target, Micros latency, const wire::CallAnswer& answer)
 {
     targets::Observation observation { target.target, answer.fault, answer.refused, latency, answer.inFlight,
-        answer.queued, call->route->name, Micros(answer.runMicros),
-        Micros(answer.typicalMicros), Millis(answer.retryAfterMs) };
+        answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
+        Millis(answer.retryAfterMs) };
     m_balancer.ended(observation, m_clock.now());
     auto& share = m_refusalShare[call->service->name];
     share += REFUSAL_SMOOTHING * ((answer.refused ? 1 : 0) - share);
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -89,6 +89,7 @@
     void judgeMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report);
 
     void applyLimits();
+    double retryBurst() const;
     base::TokenBucket& retryBudget(const std::string& service);
     void logCall(const CallPtr& call, const char* event, const wire::CallAnswer& answer) const;
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -66,6 +66,7 @@
     out.localService = reader.text("local_service", "");
     out.stopTimeout = reader.millis("stop_timeout_ms", out.stopTimeout, Millis(100), Millis(600000));
     out.retryReserve = reader.real("retry_reserve", out.retryReserve, 0, 10000);
+    out.retrySlack = reader.real("retry_slack", out.retrySlack, 0, 100000);
     out.retryBurst = reader.real("retry_burst", out.retryBurst, 0.1, 10000);
     readSeeds(reader, out);
     for (const auto& it : reader.textsOr("services", {}))
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -247,6 +247,9 @@
 
 base::Millis Gate::retryAfter() const
 {
+    // A target that refuses although it has free slots may take the next call.
+    if (m_queue.empty() && m_running < m_options.slots)
+        return base::Millis(0);
     double waitMs = m_serviceMs * static_cast<double>(m_queue.size() + 1) / std::max(1, m_options.slots);
     return std::max(LEAST_RETRY_AFTER, base::Millis(static_cast<int64_t>(waitMs)));
 }
