--- a/include/pomelowind/base/Log.h
+++ b/include/pomelowind/base/Log.h
@@ -1,4 +1,5 @@
-// Log lines: one line of key=value pairs for each event, written through spdlog.
+// Log lines: one line of key=value pairs for each event, written through spdlog to standard output. Writing never
+// blocks the caller: a thread of its own writes, and when it does not keep up the oldest lines are dropped.
 #pragma once
 
 #include <initializer_list>
@@ -37,11 +38,16 @@
 
 // Sets up the process's logger. `level` is one of debug, info, warn, error.
 void startLogging(const std::string& program, const std::string& level);
+// Writes what is queued; the last thing that a process does.
+void stopLogging();
 
 // Writes one line, for example: event=node.started id=eun-a-1. Thread safety: any thread.
 void logInfo(std::string_view event, std::initializer_list<Field> fields = {});
 void logWarn(std::string_view event, std::initializer_list<Field> fields = {});
 void logError(std::string_view event, std::initializer_list<Field> fields = {});
+// For events that every call may cause: beyond a rate per second lines are left out, and the next one written says how
+// many. Thread safety: any thread.
+void logBounded(std::string_view event, std::initializer_list<Field> fields = {});
 void logDebug(std::string_view event, std::initializer_list<Field> fields = {});
 
 } // namespace pomelowind::base
--- a/include/pomelowind/host/Metrics.h
+++ b/include/pomelowind/host/Metrics.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pomelowind::host {
 
@@ -22,12 +23,23 @@
     virtual void add(double n) = 0;
 };
 
+// How values are spread. Thread safety: any thread.
+class Histogram {
+public:
+    virtual ~Histogram() = default;
+    virtual void observe(double value) = 0;
+};
+
 // The process's metrics. Thread safety: any thread.
 class Metrics {
 public:
     virtual ~Metrics() = default;
     virtual std::shared_ptr<Gauge> gauge(const std::string& name, const std::string& help) = 0;
     virtual std::shared_ptr<Counter> counter(const std::string& name, const std::string& help) = 0;
+    // `bounds` are the upper ends of its buckets, ascending.
+    virtual std::shared_ptr<Histogram> histogram(
+        const std::string& name, const std::string& help, std::vector<double> bounds)
+        = 0;
 };
 
 // Serves metrics at `address`. Throws UserError(Settings) when the address cannot be bound.
--- a/src/base/Duty.cpp
+++ b/src/base/Duty.cpp
@@ -29,6 +29,7 @@
             m_context.run();
         } catch (const std::exception& e) {
             logError("duty.failed", { { "duty", m_name }, { "error", e.what() } });
+            stopLogging();
             std::_Exit(EXIT_FAILURE);
         }
     });
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,5 +1,10 @@
 #include "pomelowind/base/Log.h"
 
+#include "pomelowind/base/Time.h"
+#include "pomelowind/base/TokenBucket.h"
+
+#include <mutex>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -7,6 +12,12 @@
 
 namespace {
 
+    // About 2 MB of lines; more means that nobody reads them.
+    constexpr size_t QUEUED_LINES = 8192;
+    // Enough to follow what goes wrong on a host of some hundred calls a second, and a bound for a storm.
+    constexpr double BOUNDED_LINES_PER_SECOND = 100;
+    constexpr double BOUNDED_LINES_BURST = 300;
+
     bool needsQuotes(std::string_view value) { return value.empty() || value.find_first_of(" \"=\n\t") != value.npos; }
 
     void appendValue(std::string& line, std::string_view value)
@@ -43,7 +54,8 @@
 
 void startLogging(const std::string& program, const std::string& level)
 {
-    auto logger = spdlog::stderr_logger_mt(program);
+    spdlog::init_thread_pool(QUEUED_LINES, 1);
+    auto logger = spdlog::async_factory_nonblock::create<spdlog::sinks::stdout_sink_mt>(program);
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l program=%n %v");
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
@@ -51,6 +63,27 @@
     spdlog::set_level(spdlog::level::from_str(level));
 }
 
+void stopLogging() { spdlog::shutdown(); }
+
+void logBounded(std::string_view event, std::initializer_list<Field> fields)
+{
+    static std::mutex mutex;
+    static TokenBucket bucket(BOUNDED_LINES_PER_SECOND, BOUNDED_LINES_BURST, SystemClock().now());
+    static uint64_t leftOut = 0;
+    uint64_t before = 0;
+    {
+        std::lock_guard lock(mutex);
+        if (!bucket.tryTake(SystemClock().now())) {
+            ++leftOut;
+            return;
+        }
+        before = std::exchange(leftOut, 0);
+    }
+    if (before)
+        logInfo("log.left_out", { { "lines", before } });
+    logInfo(event, fields);
+}
+
 void logInfo(std::string_view event, std::initializer_list<Field> fields) { write(spdlog::level::info, event, fields); }
 void logWarn(std::string_view event, std::initializer_list<Field> fields) { write(spdlog::level::warn, event, fields); }
 void logError(std::string_view event, std::initializer_list<Field> fields) { write(spdlog::level::err, event, fields); }
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -63,6 +63,7 @@
                 // Nothing may be acknowledged that is not durable, and the files may end in a torn record: stop here,
                 // the restart cuts it.
                 base::logError("disk.failed", { { "error", e.what() }, { "remedy", e.remedy() } });
+                base::stopLogging();
                 std::_Exit(EXIT_FAILURE);
             }
             done.send = std::move(work.ready.afterDurable);
--- a/src/control/MoveDriver.cpp
+++ b/src/control/MoveDriver.cpp
@@ -22,7 +22,8 @@
         int slots { 0 };
     };
 
-    template <class Matches> Capacity capacityOf(const nodes::Targets& targets, const std::string& service, Matches fits)
+    template <class Matches>
+    Capacity capacityOf(const nodes::Targets& targets, const std::string& service, Matches fits)
     {
         Capacity out;
         for (const auto& it : targets) {
@@ -100,13 +101,12 @@
     view.evidence = watched.book->summary();
     view.candidateCallsAtStep = watched.callsAtStep;
     view.callsPerSecond = watched.callsPerSecond;
-    auto candidate = capacityOf(
-        targets, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
+    auto candidate
+        = capacityOf(targets, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
     view.candidateTargets = candidate.targets;
     view.candidateSlots = candidate.slots;
-    view.stableSlots = capacityOf(targets, move.serviceName, [&](const std::string& version) {
-        return isOld(move, version);
-    }).slots;
+    view.stableSlots
+        = capacityOf(targets, move.serviceName, [&](const std::string& version) { return isOld(move, version); }).slots;
     watched.stableSlotsAtStart = std::max({ watched.stableSlotsAtStart, view.stableSlots, move.slotsNeeded });
     view.stableSlotsAtStart = watched.stableSlotsAtStart;
     view.alarms = static_cast<int>(watched.alarms.size());
--- a/src/host/Metrics.cpp
+++ b/src/host/Metrics.cpp
@@ -5,6 +5,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 namespace pomelowind::host {
@@ -35,6 +36,18 @@
         prometheus::Counter& m_counter;
     };
 
+    class PrometheusHistogram final : public Histogram {
+    public:
+        explicit PrometheusHistogram(prometheus::Histogram& histogram)
+            : m_histogram(histogram)
+        {
+        }
+        void observe(double value) override { m_histogram.Observe(value); }
+
+    private:
+        prometheus::Histogram& m_histogram;
+    };
+
     class PrometheusMetrics final : public Metrics {
     public:
         explicit PrometheusMetrics(const base::Address& address)
@@ -56,6 +69,14 @@
             return std::make_shared<PrometheusCounter>(family.Add({}));
         }
 
+        std::shared_ptr<Histogram> histogram(
+            const std::string& name, const std::string& help, std::vector<double> bounds) override
+        {
+            auto& family = prometheus::BuildHistogram().Name("pomelowind_" + name).Help(help).Register(*m_registry);
+            return std::make_shared<PrometheusHistogram>(
+                family.Add({}, prometheus::Histogram::BucketBoundaries(bounds.begin(), bounds.end())));
+        }
+
     private:
         prometheus::Exposer m_exposer;
         std::shared_ptr<prometheus::Registry> m_registry;
--- a/src/host/Program.cpp
+++ b/src/host/Program.cpp
@@ -25,7 +25,9 @@
 int runProgram(const std::function<int()>& body)
 {
     try {
-        return body();
+        int code = body();
+        base::stopLogging();
+        return code;
     } catch (const base::UserError& e) {
         std::cerr << e.what() << std::endl;
         return EXIT_USAGE;
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -74,8 +74,8 @@
                 return std::nullopt;
             return raiseTo(move, view, STEPS.front().permille, "probing showed no fault");
         }
-        auto present = std::find_if(
-            STEPS.begin(), STEPS.end(), [&](const Step& it) { return it.permille >= move.permille; });
+        auto present
+            = std::find_if(STEPS.begin(), STEPS.end(), [&](const Step& it) { return it.permille >= move.permille; });
         bool passed = view.inForce && view.wallMs - move.stepMs >= present->dwellMs;
         if (!passed)
             return std::nullopt;
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -506,7 +506,9 @@
 {
     m_counts.notRun += answer.outcome == Outcome::NOT_RUN ? 1 : 0;
     m_counts.unknown += answer.outcome == Outcome::UNKNOWN ? 1 : 0;
-    if (answer.outcome != Outcome::RAN)
+    if (m_recordLatency)
+        m_recordLatency(std::chrono::duration<double>(m_clock.now() - call->arrived).count());
+    if (answer.outcome != Outcome::RAN || answer.fault)
         logCall(call, "call.failed", answer);
     call->reply->send(m_protocol.callerResponse(answer, call->terms, call->version));
 }
@@ -516,7 +518,7 @@
 {
     auto now = m_clock.now();
     const auto* release = call->view->config->release();
-    base::logInfo(event,
+    base::logBounded(event,
         { { "request", call->terms.requestId }, { "outcome", outcomeText(answer.outcome) }, { "status", answer.status },
             { "reason", answer.reason }, { "route", call->route ? call->route->name : "" }, { "target", call->target },
             { "attempts", call->attempts }, { "refusals", call->refusals },
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -53,6 +53,8 @@
     // Begins the planned stop; `done` is called when no call is left.
     void drain(std::function<void()> done);
     void close();
+    // Receives the seconds from each call's arrival to its answer.
+    void recordLatency(std::function<void(double)> record) { m_recordLatency = std::move(record); }
     const CallCounts& counts() const { return m_counts; }
     size_t running() const { return m_local.running(); }
 
@@ -115,6 +117,7 @@
     std::map<std::pair<const void*, int64_t>, uint64_t> m_remoteCalls;
     std::unique_ptr<http::HttpServer> m_server;
     CallCounts m_counts;
+    std::function<void(double)> m_recordLatency;
     size_t m_open { 0 };
     std::function<void()> m_drained;
     bool m_serverDrained { false };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -25,6 +25,9 @@
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto FAREWELL = std::chrono::milliseconds(150);
 
+    // From a call served on the same host to the longest timeout in use.
+    const std::vector<double> LATENCY_BOUNDS_SECONDS { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5 };
+
     // Runs `task` on `duty` and waits for it.
     void runOn(base::Duty& duty, std::function<void()> task)
     {
@@ -73,6 +76,9 @@
     {
         m_network.attach(*m_core);
         makeGauges();
+        m_calls->recordLatency(
+            [histogram = m_metrics->histogram("call_seconds", "Time from a call's arrival to its answer",
+                 LATENCY_BOUNDS_SECONDS)](double seconds) { histogram->observe(seconds); });
         if (m_settings.readyAddress)
             m_readyServer = http::makeHttpServer(m_distribution.context(), *m_settings.readyAddress, {}, m_ready);
         subscribeTimers();
--- /dev/null
+++ b/tests/correctness/AnnouncementsAreOrdered.cpp
@@ -0,0 +1,125 @@
+// Announcements of targets that are late, foreign, of an earlier life, or of a target that has left.
+
+#include "node/DistributionCore.h"
+#include "pomelowind/base/Errors.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using wire::TargetState;
+
+namespace {
+
+const base::Instant T0 = base::Instant() + std::chrono::hours(1);
+
+class Outputs final : public node::DistributionOutputs {
+public:
+    void connectParent(std::optional<nodes::Parent> parent) override { parents.push_back(parent); }
+    void sendParent(links::Kind, std::string) override { }
+    void sendChild(const std::string&, links::Kind, std::string) override { }
+    void exchangeDigest(const base::Address&, std::string) override { }
+    void publish(node::MeshViewPtr) override { }
+    void publishLocalTargets(std::vector<node::Announcement> targets) override { local = std::move(targets); }
+
+    std::vector<std::optional<nodes::Parent>> parents;
+    std::vector<node::Announcement> local;
+};
+
+class AnnouncementsAreOrdered : public testing::Test {
+protected:
+    AnnouncementsAreOrdered()
+    {
+        settings.id = "n";
+        settings.dataCentre = "east";
+        settings.localService = "desk";
+        settings.targetAddress = base::Address { "10.0.0.9", 8080 };
+        settings.targetLease = Millis(3000);
+        settings.control = { { "c1", "east", { "10.0.0.1", 7000 } }, { "c2", "west", { "10.0.0.2", 7000 } } };
+        core = std::make_unique<node::DistributionCore>(settings, outputs, T0, 1000, 1);
+    }
+
+    void announce(const std::string& id, int64_t born, int64_t sequence, TargetState::type state)
+    {
+        node::Announcement it;
+        it.target = id;
+        it.serviceName = "desk";
+        it.version = "v1";
+        it.address = *settings.targetAddress;
+        it.slots = 6;
+        it.incarnation = born;
+        it.sequence = sequence;
+        it.state = state;
+        core->announced(it, T0);
+    }
+
+    TargetState::type stateOf(const std::string& id)
+    {
+        for (const auto& it : outputs.local) {
+            if (it.target == id)
+                return it.state;
+        }
+        return TargetState::GONE;
+    }
+
+    node::NodeSettings settings;
+    Outputs outputs;
+    std::unique_ptr<node::DistributionCore> core;
+};
+
+}
+
+TEST_F(AnnouncementsAreOrdered, ALateOneDoesNotUndoTheDrain)
+{
+    announce("i-1", 5, 3, TargetState::SERVING);
+    announce("i-1", 5, 5, TargetState::LEAVING);
+    announce("i-1", 5, 4, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
+}
+
+TEST_F(AnnouncementsAreOrdered, AfterADepartureOnlyANewLifeServesAgain)
+{
+    announce("i-1", 5, 3, TargetState::SERVING);
+    core->departed("i-1", T0);
+    EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
+    announce("i-1", 5, 4, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
+    announce("i-1", 9, 1, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::SERVING);
+}
+
+TEST_F(AnnouncementsAreOrdered, TheYoungestTargetHoldsTheAddress)
+{
+    announce("i-1", 5, 3, TargetState::SERVING);
+    announce("i-2", 8, 1, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::GONE);
+    announce("i-1", 5, 9, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::GONE);
+    EXPECT_EQ(stateOf("i-2"), TargetState::SERVING);
+}
+
+TEST_F(AnnouncementsAreOrdered, ForeignOnesAreRefused)
+{
+    node::Announcement foreign;
+    foreign.target = "i-3";
+    foreign.serviceName = "workshop";
+    foreign.address = *settings.targetAddress;
+    EXPECT_THROW(core->announced(foreign, T0), base::UserError);
+    foreign.serviceName = "desk";
+    foreign.address = { "10.0.0.8", 8080 };
+    EXPECT_THROW(core->announced(foreign, T0), base::UserError);
+    EXPECT_TRUE(outputs.local.empty());
+}
+
+TEST_F(AnnouncementsAreOrdered, ASilentControlHostIsLeftAlone)
+{
+    core->tick(T0);
+    ASSERT_EQ(outputs.parents.back()->id, "c1") << "of the own data centre";
+    core->tick(T0 + Millis(900));
+    ASSERT_EQ(outputs.parents.back()->id, "c2") << "the first said nothing";
+    core->tick(T0 + Millis(1800));
+    for (int ms = 1900; ms < 3000; ms += 100) {
+        core->tick(T0 + Millis(ms));
+        EXPECT_TRUE(!outputs.parents.back() || outputs.parents.back()->id != "c1") << ms;
+    }
+}
--- /dev/null
+++ b/tests/correctness/GateServesInTimeUnderOverload.cpp
@@ -0,0 +1,165 @@
+// A gate that is offered twice what its target can do: who is served, by when, and who is told at once that there is no
+// room. Callers of two kinds play against it in virtual time.
+
+#include "pomelowind/base/Random.h"
+#include "pomelowind/targets/Gate.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <queue>
+
+using namespace pomelowind;
+using base::Instant;
+using base::Millis;
+using targets::Gate;
+using targets::GateVerdict;
+
+namespace {
+
+const Instant T0 = Instant() + std::chrono::hours(1);
+constexpr int SLOTS = 6;
+constexpr Millis OBJECTIVE(300);
+constexpr Millis DEADLINE(1000);
+constexpr int URGENT = 9;
+constexpr int PATIENT = 7;
+
+struct Tally {
+    int asked { 0 };
+    int inTime { 0 };
+    int late { 0 };
+    int refusedAtOnce { 0 };
+    int refusedLater { 0 };
+    double share(int n) const { return static_cast<double>(n) / std::max(1, asked); }
+};
+
+struct Arrival {
+    Instant at;
+    int priority;
+    Millis work;
+};
+
+// Plays arrivals against one gate; the burst in the middle offers `load` times the target's capacity.
+class Play {
+public:
+    Play(uint64_t seed, double load)
+        : m_random(seed)
+        , m_gate(options(), T0)
+    {
+        for (auto at = T0; at < T0 + Millis(12000); at += Millis(1)) {
+            bool isBurst = at >= T0 + Millis(2000) && at < T0 + Millis(6000);
+            double perMs = (isBurst ? load : 0.7) * SLOTS / MEAN_WORK_MS;
+            if (m_random.chance(perMs))
+                arrive({ at, m_random.chance(0.3) ? URGENT : PATIENT, Millis(50 + m_random.below(101)) });
+            advance(at);
+        }
+    }
+
+    const Tally& of(int priority, bool inBurst) { return m_tallies[{ priority, inBurst }]; }
+
+private:
+    static constexpr double MEAN_WORK_MS = 100;
+
+    static targets::GateOptions options()
+    {
+        targets::GateOptions out;
+        out.slots = SLOTS;
+        out.coldStart = Millis(0);
+        return out;
+    }
+
+    Tally& tally(const Arrival& arrival)
+    {
+        bool inBurst = arrival.at >= T0 + Millis(2000) && arrival.at < T0 + Millis(6000);
+        return m_tallies[{ arrival.priority, inBurst }];
+    }
+
+    void arrive(const Arrival& arrival)
+    {
+        uint64_t id = m_arrivals.size();
+        m_arrivals.push_back(arrival);
+        ++tally(arrival).asked;
+        targets::GateCall call { id, "a", arrival.priority, arrival.at + DEADLINE, arrival.at + OBJECTIVE, "k", true };
+        std::optional<uint64_t> shed;
+        auto verdict = m_gate.admit(call, arrival.at, shed);
+        if (shed)
+            ++tally(m_arrivals[*shed]).refusedLater;
+        if (verdict == GateVerdict::Run)
+            m_running.push({ arrival.at + arrival.work, id });
+        else if (verdict == GateVerdict::Overloaded)
+            ++tally(arrival).refusedAtOnce;
+    }
+
+    void advance(Instant now)
+    {
+        carryOut(m_gate.expire(now), now);
+        while (!m_running.empty() && m_running.top().first <= now) {
+            uint64_t id = m_running.top().second;
+            m_running.pop();
+            const auto& it = m_arrivals[id];
+            ++(now - it.at <= OBJECTIVE ? tally(it).inTime : tally(it).late);
+            carryOut(m_gate.finished("k", it.work, now), now);
+        }
+    }
+
+    void carryOut(const targets::GateStep& step, Instant now)
+    {
+        for (uint64_t id : step.refuse)
+            ++tally(m_arrivals[id]).refusedLater;
+        for (uint64_t id : step.run)
+            m_running.push({ now + m_arrivals[id].work, id });
+    }
+
+    using End = std::pair<Instant, uint64_t>;
+    base::Random m_random;
+    Gate m_gate;
+    std::vector<Arrival> m_arrivals;
+    std::priority_queue<End, std::vector<End>, std::greater<>> m_running;
+    std::map<std::pair<int, bool>, Tally> m_tallies;
+};
+
+}
+
+TEST(GateServesInTimeUnderOverload, UrgentCallsAreServedInTimeAtTwiceTheCapacity)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Play play(seed, 2.0);
+        const auto& urgent = play.of(URGENT, true);
+        const auto& patient = play.of(PATIENT, true);
+        EXPECT_GT(urgent.share(urgent.inTime), 0.9) << seed;
+        EXPECT_GT(patient.share(patient.inTime), 0.1) << seed << ": nobody is starved";
+        EXPECT_GT(urgent.share(urgent.inTime), patient.share(patient.inTime)) << seed;
+    }
+}
+
+TEST(GateServesInTimeUnderOverload, WhatCannotBeServedIsMostlyRefusedAtOnce)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Play play(seed, 2.0);
+        const auto& patient = play.of(PATIENT, true);
+        EXPECT_GT(patient.refusedAtOnce, 3 * patient.refusedLater) << seed;
+    }
+}
+
+TEST(GateServesInTimeUnderOverload, AfterABurstCallsAreInTimeAgain)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Play play(seed, 2.0);
+        const auto& patient = play.of(PATIENT, false);
+        EXPECT_GT(patient.share(patient.inTime), 0.85) << seed << ": late calls must not keep the target busy";
+    }
+}
+
+TEST(GateServesInTimeUnderOverload, ACallThatMayNotWaitIsRefusedWhenAllSlotsAreBusy)
+{
+    targets::GateOptions options;
+    options.slots = 1;
+    options.coldStart = Millis(0);
+    Gate gate(options, T0);
+    std::optional<uint64_t> shed;
+    targets::GateCall call { 1, "a", URGENT, T0 + DEADLINE, T0 + OBJECTIVE, "k", false };
+    EXPECT_EQ(gate.admit(call, T0, shed), GateVerdict::Run);
+    call.id = 2;
+    EXPECT_EQ(gate.admit(call, T0, shed), GateVerdict::Overloaded);
+    call.mayWait = true;
+    EXPECT_EQ(gate.admit(call, T0, shed), GateVerdict::Queued);
+}
--- /dev/null
+++ b/tests/correctness/RefusedCallersReturnSpread.cpp
@@ -0,0 +1,61 @@
+// When refused callers come back, and how requests are spread by weight.
+
+#include "pomelowind/callers/RetryAdvice.h"
+#include "pomelowind/callers/WeightedSplitter.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+using namespace pomelowind;
+using base::Millis;
+
+TEST(RefusedCallersReturnSpread, ACallerThatCanStillBeInTimeReturnsWhenThereIsRoom)
+{
+    base::Random random(1);
+    callers::Refusal refusal { Millis(20), Millis(1900), Millis(280), Millis(100) };
+    for (int i = 0; i < 200; ++i) {
+        auto wait = callers::adviseRetry(refusal, random);
+        EXPECT_GE(wait, Millis(20));
+        EXPECT_LE(wait, Millis(30));
+    }
+}
+
+TEST(RefusedCallersReturnSpread, LateCallersSpreadOverTheTimeTheyHeed)
+{
+    base::Random random(1);
+    callers::Refusal refusal { Millis(20), Millis(1500), Millis(-50), Millis(100) };
+    std::set<int64_t> waits;
+    for (int i = 0; i < 200; ++i) {
+        auto wait = callers::adviseRetry(refusal, random);
+        EXPECT_LE(wait, refusal.left / callers::HEEDED_PART);
+        waits.insert(wait.count());
+    }
+    EXPECT_GT(waits.size(), 100u);
+}
+
+TEST(RefusedCallersReturnSpread, NobodyIsToldToWaitPastItsTime)
+{
+    base::Random random(1);
+    callers::Refusal refusal { Millis(5000), Millis(300), Millis(200), Millis(100) };
+    EXPECT_LE(callers::adviseRetry(refusal, random), Millis(100));
+}
+
+TEST(RefusedCallersReturnSpread, WeightsHoldExactly)
+{
+    wire::Route route;
+    route.name = "r";
+    for (auto [name, weight] : { std::pair("a", 90), std::pair("b", 10), std::pair("c", 0) }) {
+        wire::SplitPart part;
+        part.serviceName = name;
+        part.weight = weight;
+        route.split.push_back(part);
+    }
+    callers::WeightedSplitter splitter;
+    std::map<std::string, int> seen;
+    for (int i = 1; i <= 1000; ++i) {
+        ++seen[splitter.choose(route)];
+        EXPECT_NEAR(seen["b"], i * 0.1, 1) << i;
+    }
+    EXPECT_EQ(seen["c"], 0);
+}
--- /dev/null
+++ b/tests/correctness/UnprovedVersionsGetLittle.cpp
@@ -0,0 +1,86 @@
+// Moves with an exposure bound: little traffic for most of the time, everything by the deadline.
+
+#include "pomelowind/moves/ExposurePlanner.h"
+#include "pomelowind/moves/MoveMachine.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+
+namespace {
+
+constexpr int64_t DURATION_MS = 16000;
+
+struct Course {
+    double exposure { 0 }; // part of the calls between the order and the deadline
+    int64_t endedMs { 0 };
+    wire::MoveState::type state { wire::MoveState::PLANNED };
+};
+
+// Plays a move whose evidence is as `evidenceAt` says.
+template <class EvidenceAt> Course play(EvidenceAt evidenceAt, int64_t targetsFromMs = 1000)
+{
+    wire::MoveRecord move;
+    move.id = "m";
+    move.toVersion = "v2";
+    move.deadlineMs = DURATION_MS;
+    move.exposurePermille = 100;
+    Course out;
+    double exposed = 0;
+    for (int64_t now = 0; now < DURATION_MS; now += 20) {
+        moves::MoveView view;
+        view.wallMs = now;
+        view.inForce = now - move.stepMs >= 100;
+        view.candidateTargets = now >= targetsFromMs ? 4 : 0;
+        view.evidence = evidenceAt(now, move.permille);
+        exposed += 20 * move.permille / 1000.0;
+        if (moves::isOver(move))
+            continue;
+        if (auto event = moves::planMove(move, view)) {
+            auto next = moves::advance(move, *event, now);
+            EXPECT_TRUE(next.accepted) << next.refusal;
+            move = next.next;
+        }
+    }
+    out.exposure = exposed / DURATION_MS;
+    out.endedMs = move.endedMs;
+    out.state = move.state;
+    return out;
+}
+
+moves::EvidenceSummary nothing(int64_t, int32_t) { return {}; }
+
+}
+
+TEST(UnprovedVersionsGetLittle, AGoodVersionIsDoneWellBeforeTheDeadline)
+{
+    auto course = play(nothing);
+    EXPECT_EQ(course.state, wire::MoveState::DONE);
+    EXPECT_LT(course.endedMs, DURATION_MS - 2000) << "old targets need time to finish their calls";
+}
+
+TEST(UnprovedVersionsGetLittle, AVersionThatTurnsBadInTheLastStepsStaysWithinItsBound)
+{
+    for (int32_t badFrom : { 200, 500 }) {
+        int64_t since = 0;
+        auto course = play([&](int64_t now, int32_t permille) {
+            moves::EvidenceSummary out;
+            since = permille >= badFrom && !since ? now : since;
+            out.isBad = since && now - since > 700;
+            return out;
+        });
+        EXPECT_EQ(course.state, wire::MoveState::TAKEN_BACK);
+        EXPECT_LT(course.exposure, 0.1) << badFrom;
+    }
+}
+
+TEST(UnprovedVersionsGetLittle, ASuspiciousVersionGetsNoMoreAndIsTakenBackAtTheDeadline)
+{
+    auto course = play([](int64_t now, int32_t) {
+        moves::EvidenceSummary out;
+        out.logEvidence = now > 4000 ? 5 : 0;
+        return out;
+    });
+    EXPECT_EQ(course.state, wire::MoveState::TAKEN_BACK);
+    EXPECT_LT(course.exposure, 0.06);
+}
