--- a/include/pomelowind/moves/MoveMachine.h
+++ b/include/pomelowind/moves/MoveMachine.h
@@ -27,6 +27,9 @@
 // repeated or late event changes nothing. Thread safety: pure.
 MoveTransition advance(const wire::MoveRecord& record, const wire::MoveEvent& event, int64_t timeMs);
 
+// The event that follows the record's present step. Thread safety: pure.
+wire::MoveEvent nextEvent(const wire::MoveRecord& record, wire::MoveEventKind::type kind, const std::string& reason);
+
 // True when no event can change the move any more. Thread safety: pure.
 bool isOver(const wire::MoveRecord& record);
 
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -47,26 +47,12 @@
     {
         if (!view.candidateTargets)
             return std::nullopt;
-        wire::MoveEvent event;
-        event.moveId = move.id;
-        event.step = move.step + 1;
-        event.kind = MoveEventKind::RAISE;
+        auto event = nextEvent(move, MoveEventKind::RAISE, reason);
         event.permille = permille;
-        event.reason = reason;
         event.slotsNeeded = view.stableSlotsAtStart;
         return event;
     }
 
-    wire::MoveEvent endStep(const wire::MoveRecord& move, MoveEventKind::type kind, const char* reason)
-    {
-        wire::MoveEvent event;
-        event.moveId = move.id;
-        event.step = move.step + 1;
-        event.kind = kind;
-        event.reason = reason;
-        return event;
-    }
-
     std::optional<wire::MoveEvent> planStep(const wire::MoveRecord& move, const MoveView& view)
     {
         if (move.permille == probePermille(move)) {
@@ -80,7 +66,7 @@
         if (!passed)
             return std::nullopt;
         if (move.permille >= TOP_PERMILLE)
-            return endStep(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
+            return nextEvent(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
         return raiseTo(move, view, std::next(present)->permille, "the step showed no fault");
     }
 
@@ -90,7 +76,7 @@
 {
     if (view.evidence.logEvidence > SUSPICIOUS) {
         if (view.wallMs >= move.deadlineMs - LAST_CALL_MS)
-            return endStep(move, MoveEventKind::BAD, "evidence against the version was left at the deadline");
+            return nextEvent(move, MoveEventKind::BAD, "evidence against the version was left at the deadline");
         return std::nullopt;
     }
     switch (move.state) {
@@ -99,7 +85,7 @@
     case MoveState::RAISING:
         return planStep(move, view);
     case MoveState::WATCHING:
-        return endStep(move, MoveEventKind::WATCH_ENDED, "no evidence against the version in any step");
+        return nextEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version in any step");
     default:
         return std::nullopt;
     }
--- a/src/moves/MoveMachine.cpp
+++ b/src/moves/MoveMachine.cpp
@@ -205,6 +205,16 @@
     return { true, next, {} };
 }
 
+wire::MoveEvent nextEvent(const wire::MoveRecord& record, MoveEventKind::type kind, const std::string& reason)
+{
+    wire::MoveEvent event;
+    event.moveId = record.id;
+    event.step = record.step + 1;
+    event.kind = kind;
+    event.reason = reason;
+    return event;
+}
+
 bool isOver(const wire::MoveRecord& record) { return record.state == State::DONE || record.state == State::TAKEN_BACK; }
 
 const char* moveStateName(State::type state)
--- a/src/moves/MovePlanner.cpp
+++ b/src/moves/MovePlanner.cpp
@@ -36,16 +36,6 @@
     constexpr int LEAST_ALARMS = 2;
     constexpr int ALARM_DIVISOR = 20;
 
-    wire::MoveEvent makeEvent(const wire::MoveRecord& move, MoveEventKind::type kind, const std::string& reason)
-    {
-        wire::MoveEvent event;
-        event.moveId = move.id;
-        event.step = move.step + 1;
-        event.kind = kind;
-        event.reason = reason;
-        return event;
-    }
-
     double weightOf(int32_t permille) { return permille == EVEN_SPLIT_PERMILLE ? EVEN_SPLIT_WEIGHT : 1; }
 
     // Time that the present step may take so that all later ones fit before the deadline.
@@ -91,7 +81,7 @@
     {
         if (move.late || view.wallMs < move.deadlineMs - move.watchMs)
             return std::nullopt;
-        return makeEvent(move, MoveEventKind::LATE, reason);
+        return nextEvent(move, MoveEventKind::LATE, reason);
     }
 
     std::optional<wire::MoveEvent> raiseTo(const wire::MoveRecord& move, const MoveView& view, int32_t share)
@@ -101,7 +91,7 @@
             return lateEvent(move, view,
                 "version " + move.toVersion + " announces " + std::to_string(view.candidateSlots) + " slots of "
                     + std::to_string(view.stableSlotsAtStart) + " needed; start more of its targets");
-        auto event = makeEvent(move, MoveEventKind::RAISE, "planned step");
+        auto event = nextEvent(move, MoveEventKind::RAISE, "planned step");
         event.permille = std::min(share, most);
         event.slotsNeeded = view.stableSlotsAtStart;
         return event;
@@ -122,11 +112,11 @@
     std::optional<wire::MoveEvent> planRaise(const wire::MoveRecord& move, const MoveView& view)
     {
         if (oldVersionTooSmall(move, view))
-            return makeEvent(move, MoveEventKind::PAUSE,
+            return nextEvent(move, MoveEventKind::PAUSE,
                 "targets of version " + move.fromVersion + " leave before the move is done; keep them until then");
         if (move.permille == TOP_PERMILLE) {
             if (view.inForce)
-                return makeEvent(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
+                return nextEvent(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
             return lateEvent(move, view, "not in force on every reachable node yet");
         }
         if (!mayRaise(move, view))
@@ -137,14 +127,14 @@
     std::optional<wire::MoveEvent> planResume(const wire::MoveRecord& move, const MoveView& view)
     {
         if (!oldVersionTooSmall(move, view))
-            return makeEvent(move, MoveEventKind::RESUME, "enough targets of both versions");
+            return nextEvent(move, MoveEventKind::RESUME, "enough targets of both versions");
         return lateEvent(move, view, move.reason);
     }
 
     std::optional<wire::MoveEvent> planWatch(const wire::MoveRecord& move, const MoveView& view)
     {
         if (view.wallMs - move.reachedMs >= move.watchMs)
-            return makeEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version during the watch");
+            return nextEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version during the watch");
         return std::nullopt;
     }
 
@@ -176,9 +166,9 @@
     if (isOver(move))
         return std::nullopt;
     if (view.evidence.isBad)
-        return makeEvent(move, MoveEventKind::BAD, view.evidence.reason);
+        return nextEvent(move, MoveEventKind::BAD, view.evidence.reason);
     if (view.alarms >= std::max(LEAST_ALARMS, view.nodes / ALARM_DIVISOR))
-        return makeEvent(
+        return nextEvent(
             move, MoveEventKind::BAD, "several nodes stopped using the version by themselves: " + view.alarmReason);
     if (move.exposurePermille > 0)
         return planBoundedMove(move, view);
