The objective counted from the caller's first attempt reaches the gate

An edit had not been applied, so the gate got an objective counted from each attempt's arrival: callers who came back were ranked like fresh ones, and product calls, which have no objective, got one in the past when they were sent a second time. What was computed for it only served the advice to callers. A test of this at the call path is missing: GateServesInTimeUnderOverload starts behind it.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -388,7 +388,11 @@
     request.incarnation = target.incarnation;
     bool mostAreFull = m_refusalShare[call->service->name] > FULL_SHARE;
     request.mayWait = !call->objective || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
-    request.objectiveMs = static_cast<int32_t>(call->route->objectiveMs - base::toMillis(now - call->arrived));
+    if (call->objective) {
+        // 0 stands for a call without an objective.
+        auto ms = base::toMillis(*call->objective - now);
+        request.objectiveMs = static_cast<int32_t>(ms ? ms : -1);
+    }
     m_balancer.started(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { answered(call, target, now, std::move(answer)); };
     call->peerCall = 0;
