A restarted group elects its former leader at once

Ruled out: reading the log (10 ms) and the disk. The lease that a restarted voter must honour is that of the last leader it followed. That is now durable in the hard state, and a vote request from that very host needs no wait, since it has no lease any more. Dialers whose peer has just reached this host dial at once; their backoff is reset after a link that was ready (it never was before).

--- a/include/pomelowind/links/LinkDialer.h
+++ b/include/pomelowind/links/LinkDialer.h
@@ -15,6 +15,9 @@
     void start();
     // Closes the link and dials no more.
     void stop();
+    // Dials without waiting for the backoff, because the peer has just shown that it is there. No effect while there is
+    // a link or after stop().
+    void dialNow();
     // The current link, or null while there is none that is ready.
     std::shared_ptr<Link> link() const;
     const base::Address& address() const { return m_address; }
@@ -24,6 +27,7 @@
 private:
     void dial();
     void dialLater();
+    void ended();
 
     boost::asio::io_context& m_io;
     base::Address m_address;
--- a/include/pomelowind/members/Replica.h
+++ b/include/pomelowind/members/Replica.h
@@ -121,6 +121,8 @@
     void startElection(base::Instant now);
     void becomeLeader(base::Instant now);
     void resetElectionTimer(base::Instant now);
+    void follow(const std::string& leader);
+    base::Millis upTo(base::Millis most);
 
     void onVoteRequest(const std::string& from, const wire::VoteRequest& request, base::Instant now);
     void onVoteAnswer(const std::string& from, const wire::VoteAnswer& answer, base::Instant now);
@@ -166,6 +168,7 @@
 
     Role m_role { Role::Follower };
     std::string m_leader;
+    bool m_heardLeader { false }; // since the start
     std::set<std::string> m_votes;
     base::Instant m_electionDue;
     base::Instant m_leaderContact;
--- a/src/control/MemberNetwork.cpp
+++ b/src/control/MemberNetwork.cpp
@@ -85,7 +85,10 @@
         return;
     }
     // A host that is new to this one reached it first; the link for sending is dialed in turn.
-    if (m_settings.discovers && link->peerId() != m_settings.id && !m_members.count(link->peerId()))
+    auto known = m_members.find(link->peerId());
+    if (known != m_members.end())
+        known->second->dialNow();
+    else if (m_settings.discovers && link->peerId() != m_settings.id)
         connectMember(link->peerId());
     bool dialed
         = std::any_of(m_members.begin(), m_members.end(), [&](const auto& it) { return it.second->link() == link; });
--- a/src/links/LinkDialer.cpp
+++ b/src/links/LinkDialer.cpp
@@ -34,6 +34,16 @@
         m_link->close("this process stops");
 }
 
+void LinkDialer::dialNow()
+{
+    if (m_stopped || m_link)
+        return;
+    m_backoff.reset();
+    if (m_dialing)
+        m_dialing->close();
+    dial();
+}
+
 std::shared_ptr<Link> LinkDialer::link() const { return m_link && m_link->isReady() ? m_link : nullptr; }
 
 void LinkDialer::dial()
@@ -49,6 +59,9 @@
             socket->close();
     });
     m_dialing->async_connect(endpoint, [self, socket = m_dialing](boost::system::error_code ec) {
+        // A newer attempt has taken the place of this one.
+        if (socket != self->m_dialing)
+            return;
         self->m_timer.cancel();
         self->m_dialing.reset();
         if (self->m_stopped)
@@ -56,13 +69,20 @@
         if (ec)
             return self->dialLater();
         self->m_link = std::make_shared<Link>(std::move(*socket), self->m_self, self->m_listener, self->m_traffic);
-        self->m_link->start([self] {
-            self->m_link.reset();
-            self->dialLater();
-        });
+        self->m_link->start([self] { self->ended(); });
     });
 }
 
+void LinkDialer::ended()
+{
+    if (m_link->isReady()) {
+        m_backoff.reset();
+        m_failures = 0;
+    }
+    m_link.reset();
+    dialLater();
+}
+
 void LinkDialer::dialLater()
 {
     if (m_stopped)
--- a/src/members/Replica.cpp
+++ b/src/members/Replica.cpp
@@ -14,6 +14,9 @@
     constexpr size_t ROUNDS_KEPT = 64;
     // Share of the election timeout that a lease lasts; the rest covers clock rates that differ.
     constexpr int LEASE_PERCENT = 80;
+    // After a start the group has no leader until one is elected, and nodes serve nothing meanwhile, so a host that
+    // hears of none asks often. A round trip and a disk write fit in between; asking for pre-votes unseats nobody.
+    constexpr auto STARTING_RETRY = Millis(80);
     constexpr auto REINSTATE_RETRY = Millis(1000);
     constexpr auto SNAPSHOT_RETRY = Millis(3000);
 
@@ -44,7 +47,9 @@
         appendEntry(std::move(it));
     m_ready.append.clear();
     m_persisted = lastIndex();
-    resetElectionTimer(now);
+    // The former leader may return at once: the lease that the others have granted is its own.
+    auto wait = m_hardState.leader == m_options.self ? Millis(0) : m_options.electionTimeout;
+    m_electionDue = now + wait + upTo(m_hardState.leader.empty() ? m_options.electionTimeout : STARTING_RETRY);
 }
 
 // ---- log access ----
@@ -135,11 +140,29 @@
 
 // ---- roles ----
 
+Millis Replica::upTo(Millis most)
+{
+    return Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(most.count()) + 1)));
+}
+
 void Replica::resetElectionTimer(Instant now)
 {
-    auto base = m_options.electionTimeout;
-    auto jitter = Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(base.count()) + 1)));
-    m_electionDue = now + base + jitter;
+    bool isStarting = !m_heardLeader && !m_hardState.leader.empty();
+    auto base = isStarting ? STARTING_RETRY : m_options.electionTimeout;
+    m_electionDue = now + base + upTo(base);
+}
+
+// Durable before the leader hears from this host, so that a restart does not forget whose lease it has granted.
+void Replica::follow(const std::string& leader)
+{
+    m_leader = leader;
+    if (leader.empty())
+        return;
+    m_heardLeader = true;
+    if (m_hardState.leader == leader)
+        return;
+    m_hardState.leader = leader;
+    m_ready.hardState = m_hardState;
 }
 
 void Replica::becomeFollower(int64_t term, const std::string& leader, Instant now)
@@ -150,7 +173,7 @@
         m_ready.hardState = m_hardState;
     }
     m_role = Role::Follower;
-    m_leader = leader;
+    follow(leader);
     resetElectionTimer(now);
 }
 
@@ -195,7 +218,7 @@
 void Replica::becomeLeader(Instant now)
 {
     m_role = Role::Leader;
-    m_leader = m_options.self;
+    follow(m_options.self);
     m_progress.clear();
     m_roundTimes.clear();
     for (const auto& it : peers()) {
@@ -451,10 +474,12 @@
 
 void Replica::onVoteRequest(const std::string& from, const wire::VoteRequest& request, Instant now)
 {
-    // A recovering host has forgotten its votes, so it must not vote. A host that hears a leader does not help to
-    // unseat it: that keeps the leader's lease and stops a host that returns from behind a partition.
+    // A recovering host has forgotten its votes, so it must not vote. A host that hears a leader, or may have heard one
+    // just before it restarted, does not help to unseat it: that keeps the leader's lease and stops a host that returns
+    // from behind a partition. A leader that asks for votes itself has no lease any more.
     bool hearsLeader = isLeader() || now - m_leaderContact < m_options.electionTimeout;
-    if (!canVote() || hearsLeader)
+    bool leaderAsks = !isLeader() && from == m_hardState.leader;
+    if (!canVote() || (hearsLeader && !leaderAsks))
         return;
     wire::VoteAnswer answer;
     answer.preVote = request.preVote;
--- a/tests/support/ReplicaSim.cpp
+++ b/tests/support/ReplicaSim.cpp
@@ -90,6 +90,7 @@
         auto [it, isNew] = m_leaders.emplace(host.replica->term(), name);
         if (!isNew && it->second != name)
             m_violation = "two leaders in term " + std::to_string(host.replica->term());
+        checkLeases(name);
     }
 }
 
@@ -142,6 +143,16 @@
     pump(flight.to);
 }
 
+// While a leader of an earlier term has its lease, it may still answer reads.
+void ReplicaSim::checkLeases(const std::string& leader)
+{
+    auto term = m_hosts.at(leader).replica->term();
+    for (const auto& [name, host] : m_hosts) {
+        if (host.replica && host.replica->term() < term && host.replica->hasLease(m_now))
+            m_violation = name + " has a lease while " + leader + " leads in term " + std::to_string(term);
+    }
+}
+
 // What one host has applied at an index, every host applies there.
 void ReplicaSim::check(const std::string& name, const std::vector<wire::Entry>& committed)
 {
--- a/tests/support/ReplicaSim.h
+++ b/tests/support/ReplicaSim.h
@@ -65,6 +65,7 @@
     void sendAll(const std::string& host, const std::vector<members::Outgoing>& messages);
     void deliver(size_t i);
     void check(const std::string& host, const std::vector<wire::Entry>& committed);
+    void checkLeases(const std::string& leader);
     void randomFault();
 
     SimOptions m_options;
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -54,7 +54,8 @@
 struct Membership { 1: list<string> voters, 2: list<string> learners }
 struct Reinstate { 1: string member, 2: string diskId }
 struct Entry { 1: i64 index, 2: i64 term, 3: EntryKind kind, 4: binary data }
-struct HardState { 1: i64 term, 2: string votedFor }
+// `leader` is the last one that this host has followed: the only host whose lease may count on it.
+struct HardState { 1: i64 term, 2: string votedFor, 3: string leader }
 struct SnapshotRecord {
   1: i64 index, 2: i64 term, 3: Membership membership, 4: binary state
 }
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -3420,6 +3420,10 @@
 void HardState::__set_votedFor(const std::string& val) {
   this->votedFor = val;
 }
+
+void HardState::__set_leader(const std::string& val) {
+  this->leader = val;
+}
 std::ostream& operator<<(std::ostream& out, const HardState& obj)
 {
   obj.printTo(out);
@@ -3464,6 +3468,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3489,6 +3501,10 @@
   xfer += oprot->writeString(this->votedFor);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3498,28 +3514,33 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.votedFor, b.votedFor);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
 HardState::HardState(const HardState& other119) {
   term = other119.term;
   votedFor = other119.votedFor;
+  leader = other119.leader;
   __isset = other119.__isset;
 }
 HardState::HardState(HardState&& other120) noexcept {
   term = other120.term;
   votedFor = std::move(other120.votedFor);
+  leader = std::move(other120.leader);
   __isset = other120.__isset;
 }
 HardState& HardState::operator=(const HardState& other121) {
   term = other121.term;
   votedFor = other121.votedFor;
+  leader = other121.leader;
   __isset = other121.__isset;
   return *this;
 }
 HardState& HardState::operator=(HardState&& other122) noexcept {
   term = other122.term;
   votedFor = std::move(other122.votedFor);
+  leader = std::move(other122.leader);
   __isset = other122.__isset;
   return *this;
 }
@@ -3528,6 +3549,7 @@
   out << "HardState(";
   out << "term=" << to_string(term);
   out << ", " << "votedFor=" << to_string(votedFor);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -1423,9 +1423,10 @@
 std::ostream& operator<<(std::ostream& out, const Entry& obj);
 
 typedef struct _HardState__isset {
-  _HardState__isset() : term(false), votedFor(false) {}
+  _HardState__isset() : term(false), votedFor(false), leader(false) {}
   bool term :1;
   bool votedFor :1;
+  bool leader :1;
 } _HardState__isset;
 
 class HardState : public virtual ::apache::thrift::TBase {
@@ -1437,12 +1438,14 @@
   HardState& operator=(HardState&&) noexcept;
   HardState() noexcept
             : term(0),
-              votedFor() {
+              votedFor(),
+              leader() {
   }
 
   virtual ~HardState() noexcept;
   int64_t term;
   std::string votedFor;
+  std::string leader;
 
   _HardState__isset __isset;
 
@@ -1450,12 +1453,16 @@
 
   void __set_votedFor(const std::string& val);
 
+  void __set_leader(const std::string& val);
+
   bool operator == (const HardState & rhs) const
   {
     if (!(term == rhs.term))
       return false;
     if (!(votedFor == rhs.votedFor))
       return false;
+    if (!(leader == rhs.leader))
+      return false;
     return true;
   }
   bool operator != (const HardState &rhs) const {
