A starting node gives up a dial that hangs after 250 ms and asks all control hosts in turn

A silent host was then left alone for 3 s, so that shorter attempts alone would have left a node with nobody to ask; a node without a parent now asks the one that has been silent longest. First try: a host whose link was never ready got the short penalty of a refused connection; reverted, because ASilentControlHostIsLeftAlone rightly failed: such a host would be preferred to a good parent again.

--- a/include/pomelowind/nodes/ParentChooser.h
+++ b/include/pomelowind/nodes/ParentChooser.h
@@ -32,6 +32,9 @@
     void setControlHosts(std::vector<Parent> controlHosts) { m_controlHosts = std::move(controlHosts); }
     // The best parent that may be tried now, or nothing when all have to be left alone.
     std::optional<Parent> choose(const std::vector<wire::NodeInfo>& members, base::Instant now);
+    // For a node without a parent: rather the one that has been silent longest than none, because after a power loss
+    // all are silent at first.
+    std::optional<Parent> chooseAny(const std::vector<wire::NodeInfo>& members, base::Instant now);
     // The attempt failed or the link was lost.
     void failed(const std::string& parent, base::Instant now);
     // The parent was connected or connecting and said nothing: it is frozen or cut off, and stays so for a while.
@@ -42,6 +45,7 @@
     void succeeded(const std::string& parent);
 
 private:
+    std::vector<Parent> candidates(const std::vector<wire::NodeInfo>& members) const;
     void avoid(const std::string& parent, base::Millis least, base::Instant now);
 
     std::string m_self;
@@ -49,6 +53,7 @@
     std::vector<Parent> m_controlHosts;
     base::Random m_random;
     std::map<std::string, base::Instant> m_avoidUntil;
+    std::map<std::string, base::Instant> m_silentSince;
     std::map<std::string, int> m_failures;
 };
 
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -14,7 +14,10 @@
 
 namespace {
 
+    // A parent answers a subscription well within this, also when a whole fleet restarts.
     constexpr auto ATTEMPT_TIMEOUT = Millis(800);
+    // A few round trips between regions. A host without power answers nothing, and another may be there already.
+    constexpr auto CONNECT_TIMEOUT = Millis(250);
     constexpr auto CHOOSE_PERIOD = Millis(1000);
     constexpr auto HEARTBEAT_PERIOD = Millis(2000);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
@@ -98,7 +101,8 @@
     bool attemptFailed = m_parent && !m_admitted && now >= m_attemptDue;
     bool silent = m_parent && m_admitted && !beaconIsFresh(now) && now >= m_attemptDue;
     if (attemptFailed || silent) {
-        base::logInfo("parent.lost", { { "parent", m_parent->id }, { "silent", silent ? 1 : 0 } });
+        base::logInfo("parent.lost",
+            { { "parent", m_parent->id }, { "silent", silent ? 1 : 0 }, { "linked", m_linked ? 1 : 0 } });
         m_chooser.fellSilent(m_parent->id, now);
         m_parent.reset();
     }
@@ -106,14 +110,14 @@
         return;
     m_chooseDue = now + CHOOSE_PERIOD;
     auto relays = m_settings.relays ? m_directory.liveNodes(m_settings.dataCentre) : std::vector<wire::NodeInfo>();
-    auto best = m_chooser.choose(relays, now);
+    auto best = m_parent ? m_chooser.choose(relays, now) : m_chooser.chooseAny(relays, now);
     // While cut off nobody has a beacon; the present parent is then as good as any.
     if (!best || (m_parent && (*best == *m_parent || !m_admitted)))
         return;
     m_parent = best;
     m_linked = false;
     m_admitted = false;
-    m_attemptDue = now + ATTEMPT_TIMEOUT;
+    m_attemptDue = now + CONNECT_TIMEOUT;
     m_outputs.connectParent(m_parent);
 }
 
--- a/src/nodes/ParentChooser.cpp
+++ b/src/nodes/ParentChooser.cpp
@@ -33,15 +33,20 @@
 {
 }
 
-std::optional<Parent> ParentChooser::choose(const std::vector<wire::NodeInfo>& members, base::Instant now)
+std::vector<Parent> ParentChooser::candidates(const std::vector<wire::NodeInfo>& members) const
 {
-    std::vector<Parent> candidates;
+    std::vector<Parent> out;
     for (const auto& it : relayParents(m_self, m_dataCentre, members)) {
         if (auto parent = asParent(it))
-            candidates.push_back(*parent);
+            out.push_back(*parent);
     }
-    candidates.insert(candidates.end(), m_controlHosts.begin(), m_controlHosts.end());
-    for (const auto& it : candidates) {
+    out.insert(out.end(), m_controlHosts.begin(), m_controlHosts.end());
+    return out;
+}
+
+std::optional<Parent> ParentChooser::choose(const std::vector<wire::NodeInfo>& members, base::Instant now)
+{
+    for (const auto& it : candidates(members)) {
         auto avoid = m_avoidUntil.find(it.id);
         if (avoid == m_avoidUntil.end() || now >= avoid->second)
             return it;
@@ -49,6 +54,22 @@
     return std::nullopt;
 }
 
+std::optional<Parent> ParentChooser::chooseAny(const std::vector<wire::NodeInfo>& members, base::Instant now)
+{
+    auto best = choose(members, now);
+    if (best)
+        return best;
+    base::Instant longest;
+    for (const auto& it : candidates(members)) {
+        auto silent = m_silentSince.find(it.id);
+        if (silent == m_silentSince.end() || (best && silent->second >= longest))
+            continue;
+        best = it;
+        longest = silent->second;
+    }
+    return best;
+}
+
 void ParentChooser::avoid(const std::string& parent, base::Millis least, base::Instant now)
 {
     auto jitter = base::Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(least.count()) + 1)));
@@ -57,20 +78,27 @@
 
 void ParentChooser::failed(const std::string& parent, base::Instant now)
 {
+    m_silentSince.erase(parent);
     int doublings = std::min(m_failures[parent]++, MAX_DOUBLINGS);
     avoid(parent, FIRST_PENALTY * (1 << doublings), now);
 }
 
-void ParentChooser::fellSilent(const std::string& parent, base::Instant now) { avoid(parent, SILENT_PENALTY, now); }
+void ParentChooser::fellSilent(const std::string& parent, base::Instant now)
+{
+    m_silentSince[parent] = now;
+    avoid(parent, SILENT_PENALTY, now);
+}
 
 void ParentChooser::refused(const std::string& parent, base::Millis retryAfter, base::Instant now)
 {
+    m_silentSince.erase(parent);
     avoid(parent, retryAfter, now);
 }
 
 void ParentChooser::succeeded(const std::string& parent)
 {
     m_failures.erase(parent);
+    m_silentSince.erase(parent);
     m_avoidUntil.erase(parent);
 }
 
