Targets that are only slower while they are cold get all their slots

Ruled out: the election and the nodes' start, mended before. How a target bears its start is now a setting; on the platform a cold target says itself how many slots it has and is only slower.

--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -42,6 +42,9 @@
     std::set<std::string> services; // services that callers of this node use; empty means all
     base::Millis targetLease { 3000 };
     base::Millis coldStart { 2000 };
+    // Part of its slots that a target gets when it has just started. Less than 100 for targets that must warm up before
+    // they can bear their load; 100 for those that are only slower.
+    int64_t coldStartPercent { 25 };
     int64_t targetConnections { 120 };
     int64_t maxBodyBytes { 1024 * 1024 };
     base::Millis callerTimeout { 10000 };
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -40,6 +40,7 @@
 struct GateOptions {
     int slots { 12 };
     base::Millis coldStart { 2000 };
+    double coldShare { 0.25 }; // part of the slots at the start of it
     double queuePerSlot { 4 };
     bool limited { true }; // false in the benchmark that shows what the gate is for
 };
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -35,6 +35,7 @@
             targets::GateOptions options;
             options.slots = it.slots;
             options.coldStart = it.coldLeft.value_or(m_settings.coldStart);
+            options.coldShare = static_cast<double>(m_settings.coldStartPercent) / 100;
             options.limited = m_settings.limitsEnabled;
             target->gate = std::make_unique<targets::Gate>(options, m_clock.now());
             http::HttpClientOptions client;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -73,6 +73,7 @@
         out.services.insert(it);
     out.targetLease = reader.millis("target_lease_ms", out.targetLease, Millis(500), Millis(60000));
     out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
+    out.coldStartPercent = reader.integer("cold_start_percent", out.coldStartPercent, 1, 100);
     out.targetConnections = reader.integer("target_connections", out.targetConnections, 1, 10000);
     out.maxBodyBytes = reader.integer("max_body_bytes", out.maxBodyBytes, 1024, 128 * MIB);
     out.callerTimeout = reader.millis("caller_timeout_ms", out.callerTimeout, Millis(100), Millis(600000));
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr double COLD_SHARE = 0.25;
     constexpr double SERVICE_SMOOTHING = 0.1;
     // Run times scatter by about their mean; the average of fewer calls than this says little about the target.
     constexpr int TELLING_CALLS = 8;
@@ -41,7 +40,7 @@
     if (!isCold(now) || !m_options.limited)
         return m_options.slots;
     double passed = std::chrono::duration<double>(now - m_started) / std::chrono::duration<double>(m_options.coldStart);
-    double share = COLD_SHARE + (1 - COLD_SHARE) * passed;
+    double share = m_options.coldShare + (1 - m_options.coldShare) * passed;
     return std::max(1, static_cast<int>(m_options.slots * share));
 }
 
--- a/tests/correctness/GateProtectsTarget.cpp
+++ b/tests/correctness/GateProtectsTarget.cpp
@@ -113,6 +113,18 @@
     EXPECT_EQ(gate.limit(T0 + Millis(1000)), 12);
 }
 
+TEST(GateProtectsTarget, ATargetThatIsOnlySlowerWhileColdGetsAllItsSlots)
+{
+    auto cold = options(6);
+    cold.coldStart = Millis(3000);
+    cold.coldShare = 1;
+    Gate gate(cold, T0);
+    std::optional<uint64_t> shed;
+    for (uint64_t id = 1; id <= 6; ++id)
+        EXPECT_EQ(gate.admit(call(id), T0, shed), GateVerdict::Run);
+    EXPECT_TRUE(gate.isCold(T0)) << "its latency still says nothing about its version";
+}
+
 TEST(GateProtectsTarget, LeavingTargetTakesNothingNewAndFinishesWhatRuns)
 {
     Gate gate(options(1), T0);
