--- a/include/pomelowind/callers/RetryAdvice.h
+++ b/include/pomelowind/callers/RetryAdvice.h
@@ -23,4 +23,8 @@
 // cannot loses nothing by waiting, so those spread over the time they have.
 base::Millis adviseRetry(const Refusal& refusal, base::Random& random);
 
+// The time to wait for a node that has run for `running` and knows no configuration yet. The load it answers is a fleet
+// that restarts: callers have few attempts, and those who use them up before the node is ready are not served at all.
+base::Millis adviseWhileStarting(base::Millis running, base::Random& random);
+
 } // namespace pomelowind::callers
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -99,6 +99,7 @@
     , m_claimer(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed)
     , m_random(seed + 1)
+    , m_started(clock.now())
 {
     http::HttpLimits limits;
     limits.bodyBytes = static_cast<size_t>(settings.maxBodyBytes);
@@ -188,8 +189,13 @@
     wire::CallAnswer answer;
     answer.outcome = Outcome::NOT_RUN;
     answer.status = status;
+    answer.reason = message;
     answer.headers = { header("Content-Type", "application/json") };
     answer.body = errorBody(error, message, remedy);
+    if (status == STATUS_UNAVAILABLE) {
+        auto running = std::chrono::duration_cast<Millis>(m_clock.now() - m_started);
+        answer.retryAfterMs = static_cast<int32_t>(callers::adviseWhileStarting(running, m_random).count());
+    }
     finish(call, std::move(answer));
     return false;
 }
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -108,6 +108,7 @@
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
     base::Random m_random;
+    base::Instant m_started;
     std::map<std::string, base::Millis> m_longestBudget; // by route
     std::map<std::string, double> m_refusalShare; // by service: part of the recent tries that met a full gate
     int64_t m_limitsRelease { 0 }; // release whose caller bounds the server applies
--- a/tests/correctness/RefusedCallersReturnSpread.cpp
+++ b/tests/correctness/RefusedCallersReturnSpread.cpp
@@ -41,6 +41,19 @@
     EXPECT_LE(callers::adviseRetry(refusal, random), Millis(100));
 }
 
+TEST(RefusedCallersReturnSpread, CallersOfAStartingNodeReturnWhenItShouldBeReady)
+{
+    base::Random random(1);
+    for (int i = 0; i < 200; ++i) {
+        auto early = callers::adviseWhileStarting(Millis(100), random);
+        EXPECT_GE(early, Millis(300));
+        EXPECT_LE(early, Millis(450));
+        auto late = callers::adviseWhileStarting(Millis(60000), random);
+        EXPECT_GE(late, Millis(250));
+        EXPECT_LE(late, Millis(375));
+    }
+}
+
 TEST(RefusedCallersReturnSpread, WeightsHoldExactly)
 {
     wire::Route route;
