First attempts of less patient callers are no longer taken for late

Cause: what was missing from the longest budget seen on a route counted as time already passed. The usual range of budgets at first attempts is now learned while nobody of the route has been refused; only what lies below it counts as returned. Tests: ReturningCallersAreToldApart.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -200,19 +200,15 @@
     return false;
 }
 
-// The objective counts from the caller's first attempt. Callers say how long they will still wait, so what is missing
-// from the longest wait seen on the route has passed already.
+// The objective counts from the caller's first attempt.
 std::optional<Instant> CallPath::objectiveOf(const CallPtr& call)
 {
     const auto& route = *call->route;
     if (route.objectiveMs <= 0)
         return std::nullopt;
     Millis passed(0);
-    if (call->terms.budget) {
-        auto& longest = m_longestBudget[route.name];
-        longest = std::max(longest, *call->terms.budget);
-        passed = longest - *call->terms.budget;
-    }
+    if (call->terms.budget)
+        passed = m_patience.arrived(route.name, *call->terms.budget, call->arrived);
     return call->arrived + Millis(route.objectiveMs) - passed;
 }
 
@@ -518,8 +514,11 @@
     m_counts.unknown += answer.outcome == Outcome::UNKNOWN ? 1 : 0;
     if (m_recordLatency)
         m_recordLatency(std::chrono::duration<double>(m_clock.now() - call->arrived).count());
-    if (answer.outcome != Outcome::RAN || answer.fault)
+    if (answer.outcome != Outcome::RAN || answer.fault) {
         logCall(call, "call.failed", answer);
+        if (call->route)
+            m_patience.refused(call->route->name, m_clock.now());
+    }
     call->reply->send(m_protocol.callerResponse(answer, call->terms, call->version));
 }
 
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -9,6 +9,7 @@
 #include "PeerCalls.h"
 #include "pomelowind/callers/AccountLimiter.h"
 #include "pomelowind/callers/EvidenceRecorder.h"
+#include "pomelowind/callers/PatienceEstimator.h"
 #include "pomelowind/callers/RetryAdvice.h"
 #include "pomelowind/callers/VersionSplitter.h"
 #include "pomelowind/callers/WeightedSplitter.h"
@@ -109,7 +110,7 @@
     targets::Balancer m_balancer;
     base::Random m_random;
     base::Instant m_started;
-    std::map<std::string, base::Millis> m_longestBudget; // by route
+    callers::PatienceEstimator m_patience;
     std::map<std::string, double> m_refusalShare; // by service: part of the recent tries that met a full gate
     int64_t m_limitsRelease { 0 }; // release whose caller bounds the server applies
     callers::WeightedSplitter m_weights;
