Nested calls are in time while their parent can be; slow targets are noticed by calls that still run

Calls of parents that were late already kept going before callers that could be in time, so that late work fed itself. A nested call now has its parent's objective, and late calls are not queued behind slots that in-time calls need. Calls that run longer than three times the usual now count while they run, the usual time comes with the call when the gate knows none, and a call that has other gates to ask is not kept where it would be late. Ruled out: too few slots (nothing was refused).

--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -54,6 +54,8 @@
     // Forgets targets that are no longer there.
     void retain(const nodes::Targets& targets);
 
+    // How long a call of `kind` runs on average over all targets; 0 when it is not known.
+    base::Millis usualRun(const std::string& kind) const;
     bool isEjected(const std::string& target, base::Instant now) const;
 
 private:
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -3,8 +3,8 @@
 //
 // The load it answers is a service offered more than its slots can do. Calls that can still meet their latency
 // objective go first, by priority; those that cannot come behind all of them, because they lose little by waiting
-// longer. Calls on which a running call waits come before all others: to refuse one wastes what its parent has done. A
-// call that would wait in vain is refused at once, so that its caller can use the time elsewhere.
+// longer. Within a priority, calls that a running call waits for come first: to refuse one wastes what its parent has
+// done. A call that would wait in vain is refused at once, so that its caller can use the time elsewhere.
 #pragma once
 
 #include "pomelowind/base/Time.h"
@@ -28,6 +28,7 @@
     std::string kind; // calls of one kind take about the same time
     bool mayWait { true }; // false: rather refused at once than queued, because another target may be free
     bool nested { false }; // a running call waits for it, whose slot is lost if this one is refused
+    base::Millis usualRun { 0 }; // of its kind on all targets, as the caller's node knows; 0 when it does not
     bool operator==(const GateCall&) const = default;
 };
 
@@ -57,6 +58,10 @@
     GateVerdict admit(const GateCall& call, base::Instant now, std::optional<uint64_t>& shed);
     // A running call of `kind` has ended; `took` is nothing when it failed, which tells nothing of how long calls run.
     GateStep finished(const std::string& kind, std::optional<base::Millis> took, base::Instant now);
+    // A call of `kind` has run for `elapsed` so far, or ended without an answer after it. Much longer than usual, it
+    // counts as a call that took at least this long: a target that has become slow ends few calls to learn from.
+    // Returns true when it counted; the same call should then be told again only after twice the time.
+    bool runsLong(const std::string& kind, base::Millis elapsed);
     // Refuses queued calls whose deadline cannot be met any more.
     GateStep expire(base::Instant now);
     // Removes a queued call; returns false when it is not queued.
@@ -92,6 +97,7 @@
     double shareTakenBefore(int rank) const;
     void countWork(int rank, double serviceMs, base::Instant now);
     bool mayQueue(const GateCall& call, base::Instant now) const;
+    void expectService(const GateCall& call);
     void learnService(const std::string& kind, base::Millis took);
     Queue::iterator nextToRun(base::Instant now);
     Queue::iterator firstToShed(const GateCall& call);
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -77,6 +77,7 @@
     Instant arrived;
     int attempts { 0 }; // targets that may have received it
     int refusals { 0 }; // gates that had no room
+    bool nested { false }; // made by a target while it runs another call
     bool mayHaveRun { false }; // some attempt ended without proof that it did not run
     std::set<std::string> tried;
     std::optional<ClaimHandle> claim;
@@ -200,7 +201,7 @@
     return false;
 }
 
-// The objective counts from the caller's first attempt.
+// The objective counts from the caller's first attempt. A nested call is in time while its parent can be.
 std::optional<Instant> CallPath::objectiveOf(const CallPtr& call)
 {
     const auto& route = *call->route;
@@ -241,7 +242,9 @@
     if (budget <= Millis(0))
         return refuseEarly(call, STATUS_TIMEOUT, "timeout", "the deadline has passed", "allow more time");
     call->deadline = call->arrived + budget;
-    call->objective = objectiveOf(call);
+    auto parentObjective = m_local.objectiveOfRunning(terms.parentId);
+    call->nested = terms.depth > 0 || parentObjective;
+    call->objective = parentObjective && *parentObjective != Instant::max() ? parentObjective : objectiveOf(call);
     // A limit counts what callers ask for, so calls that targets make on their behalf are not counted again.
     if (!isTop || !call->account || !m_settings.limitsEnabled)
         return true;
@@ -368,13 +371,6 @@
     send(call, *target);
 }
 
-// Made by a target while it runs another call.
-bool CallPath::isNested(const CallPtr& call) const
-{
-    const auto& terms = call->terms;
-    return terms.depth > 0 || (!terms.parentId.empty() && m_local.isRunning(terms.parentId));
-}
-
 void CallPath::send(const CallPtr& call, const wire::Presence& target)
 {
     auto now = m_clock.now();
@@ -395,9 +391,12 @@
     request.requestId = call->terms.requestId;
     request.callerService = m_settings.localService;
     request.incarnation = target.incarnation;
-    request.nested = isNested(call);
+    request.nested = call->nested;
     bool mostAreFull = m_refusalShare[call->service->name] > FULL_SHARE;
-    request.mayWait = !call->objective || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
+    auto usualRun = m_balancer.usualRun(call->route->name);
+    bool isLate = call->objective && now + usualRun > *call->objective;
+    request.usualMs = static_cast<int32_t>(usualRun.count());
+    request.mayWait = !call->objective || isLate || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
     if (call->objective) {
         // 0 stands for a call without an objective.
         auto ms = base::toMillis(*call->objective - now);
@@ -538,7 +537,7 @@
     base::logBounded(event,
         { { "request", call->terms.requestId }, { "outcome", outcomeText(answer.outcome) }, { "status", answer.status },
             { "reason", answer.reason }, { "route", call->route ? call->route->name : "" }, { "target", call->target },
-            { "attempts", call->attempts }, { "refusals", call->refusals }, { "nested", isNested(call) ? 1 : 0 },
+            { "attempts", call->attempts }, { "refusals", call->refusals }, { "nested", call->nested ? 1 : 0 },
             { "age_ms", base::toMillis(now - call->arrived) }, { "left_ms", base::toMillis(call->deadline - now) },
             { "release", release ? release->number : 0 }, { "retry_after_ms", answer.retryAfterMs } });
 }
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -81,7 +81,6 @@
     void claimed(const CallPtr& call, const ClaimOutcome& outcome);
     void dispatch(const CallPtr& call);
     std::optional<wire::Presence> chooseTarget(const CallPtr& call);
-    bool isNested(const CallPtr& call) const;
     void send(const CallPtr& call, const wire::Presence& target);
     void answered(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void observe(
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -88,10 +88,12 @@
     call.done = std::move(done);
     targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline, {},
         call.request.account };
+    gateCall.usualRun = base::Millis(call.request.usualMs);
     gateCall.nested = call.request.nested;
     gateCall.mayWait = call.request.mayWait;
     if (call.request.objectiveMs)
-        gateCall.objective = now + base::Millis(call.request.objectiveMs);
+        call.objective = now + base::Millis(call.request.objectiveMs);
+    gateCall.objective = call.objective;
     m_calls.emplace(id, std::move(call));
     auto it = m_targets.find(name);
     if (it == m_targets.end()) {
@@ -133,7 +135,7 @@
         return;
     auto& call = it->second;
     call.running = true;
-    m_runningIds.insert(call.request.requestId);
+    m_objectives[call.request.requestId] = call.objective.value_or(base::Instant::max());
     call.started = m_clock.now();
     auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
     auto request = m_protocol.targetRequest(call.request, left);
@@ -147,6 +149,9 @@
             if (found != m_calls.end() && result.end == http::ExchangeEnd::Answered
                 && result.response.status < FIRST_FAILURE_STATUS)
                 took = std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started);
+            if (found != m_calls.end() && !took)
+                target->gate->runsLong(
+                    kind, std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started));
             auto step = target->gate->finished(kind, took, m_clock.now());
             exchanged(id, std::move(result));
             carryOut(*target, step);
@@ -160,7 +165,7 @@
         return;
     Call call = std::move(it->second);
     m_calls.erase(it);
-    m_runningIds.erase(m_runningIds.find(call.request.requestId));
+    m_objectives.erase(call.request.requestId);
     auto answer = m_protocol.targetAnswer(call.request, std::move(result));
     answer.runMicros = std::chrono::duration_cast<base::Micros>(m_clock.now() - call.started).count();
     addLoad(call, answer);
@@ -192,8 +197,27 @@
     m_calls.erase(id);
 }
 
+std::optional<base::Instant> LocalTargets::objectiveOfRunning(const std::string& requestId) const
+{
+    auto it = m_objectives.find(requestId);
+    return it == m_objectives.end() ? std::nullopt : std::optional(it->second);
+}
+
+void LocalTargets::noticeLongRuns(base::Instant now)
+{
+    for (auto& [id, call] : m_calls) {
+        if (!call.running || now - call.started < call.longFrom)
+            continue;
+        auto target = m_targets.find(call.target);
+        auto elapsed = std::chrono::duration_cast<base::Millis>(now - call.started);
+        if (target != m_targets.end() && target->second->gate->runsLong(call.request.account, elapsed))
+            call.longFrom = 2 * elapsed;
+    }
+}
+
 void LocalTargets::sweep()
 {
+    noticeLongRuns(m_clock.now());
     auto targets = m_targets;
     for (auto& [name, target] : targets)
         carryOut(*target, target->gate->expire(m_clock.now()));
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -11,7 +11,6 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace pomelowind::node {
 
@@ -28,8 +27,8 @@
     uint64_t call(wire::CallRequest request, CallDone done);
     // Nobody waits for the call any more: it leaves the queue, or its target is told by a closed connection.
     void cancel(uint64_t id);
-    // True while a target of this host runs the request with this id.
-    bool isRunning(const std::string& requestId) const { return m_runningIds.count(requestId) > 0; }
+    // The objective of the request with this id, while a target of this host runs it; Instant::max() when it has none.
+    std::optional<base::Instant> objectiveOfRunning(const std::string& requestId) const;
     void sweep();
     // Refuses new calls; those that run go on.
     void leave();
@@ -48,12 +47,15 @@
         CallDone done;
         base::Instant started;
         base::Instant deadline;
+        std::optional<base::Instant> objective;
         std::shared_ptr<http::Exchange> exchange;
         bool running { false };
+        base::Millis longFrom { 0 }; // run time from which the gate is told again that it runs long
     };
 
     void run(uint64_t id);
     void carryOut(Target& target, const targets::GateStep& step);
+    void noticeLongRuns(base::Instant now);
     void refuse(uint64_t id, const std::string& reason);
     void exchanged(uint64_t id, http::ExchangeResult result);
     void addLoad(const Call& call, wire::CallAnswer& answer) const;
@@ -64,7 +66,7 @@
     const base::Clock& m_clock;
     std::map<std::string, std::shared_ptr<Target>> m_targets;
     std::unordered_map<uint64_t, Call> m_calls;
-    std::unordered_multiset<std::string> m_runningIds; // request ids
+    std::unordered_map<std::string, base::Instant> m_objectives; // of running requests, by request id
     uint64_t m_nextId { 1 };
 };
 
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -54,6 +54,12 @@
     return it == m_stats.end() ? nullptr : &it->second;
 }
 
+base::Millis Balancer::usualRun(const std::string& kind) const
+{
+    auto it = m_runMs.find(kind);
+    return base::Millis(it == m_runMs.end() ? 0 : static_cast<int64_t>(it->second));
+}
+
 bool Balancer::isEjected(const std::string& target, base::Instant now) const
 {
     const auto* stats = find(target);
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -21,11 +21,15 @@
     constexpr double TYPICAL_PART = 0.8;
     // A late call waits at most this part of the time it has left, so that it can still be tried elsewhere.
     constexpr double LATE_WAIT_PART = 0.4;
+    // Run times scatter by about their mean; few calls take longer than this many times it unless the target is slow.
+    constexpr double LONG_RUN = 3;
     // Work is averaged over about a second: shorter than a burst of callers, longer than a call.
     constexpr double WORK_WINDOW_MS = 1000;
     // Lower ranks come and go; with more than this the estimate refuses calls that would have been in time, and they
     // come back.
     constexpr double MOST_TAKEN = 0.5;
+    // Late calls run only when nobody else wants the slot; they are not held for a chance that will not come.
+    constexpr double MOST_TAKEN_BEFORE_LATE = 0.95;
 
     double toMs(base::Instant::duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
@@ -72,10 +76,7 @@
 // Lower ranks run first.
 int Gate::rank(const GateCall& call, base::Instant now) const
 {
-    int out = RANKS_PER_PRIORITY * (HIGHEST_PRIORITY - call.priority);
-    if (call.nested)
-        return out;
-    ++out;
+    int out = RANKS_PER_PRIORITY * (HIGHEST_PRIORITY - call.priority) + (call.nested ? 0 : 1);
     return canMeetObjective(call, 0, now) ? out : out + LATE_RANK;
 }
 
@@ -87,7 +88,8 @@
         if (other < rank)
             work += ms;
     }
-    return std::min(MOST_TAKEN, work / (WORK_WINDOW_MS * std::max(1, m_options.slots)));
+    return std::min(
+        rank < LATE_RANK ? MOST_TAKEN : MOST_TAKEN_BEFORE_LATE, work / (WORK_WINDOW_MS * std::max(1, m_options.slots)));
 }
 
 void Gate::countWork(int rank, double serviceMs, base::Instant now)
@@ -111,7 +113,7 @@
 bool Gate::mayQueue(const GateCall& call, base::Instant now) const
 {
     int own = rank(call, now);
-    if (call.nested)
+    if (call.nested && own < LATE_RANK)
         return canMeetDeadline(call, expectedWaitMs(own, now), now);
     if (own < LATE_RANK) {
         double waitMs = expectedWaitMs(own, now);
@@ -129,9 +131,13 @@
 {
     if (m_leaving)
         return GateVerdict::Leaving;
+    expectService(call);
     bool runs = !m_options.limited || (m_queue.empty() && m_running < limit(now));
     if (!runs && (!call.mayWait || !mayQueue(call, now)))
         return GateVerdict::Overloaded;
+    // Another target may be faster; this one is tried when it is not.
+    if (!call.mayWait && !call.nested && !canMeetObjective(call, 0, now))
+        return GateVerdict::Overloaded;
     countWork(rank(call, now), serviceMs(call.kind), now);
     if (runs) {
         ++m_running;
@@ -207,6 +213,23 @@
     return fill(now);
 }
 
+bool Gate::runsLong(const std::string& kind, base::Millis elapsed)
+{
+    auto it = m_serviceByKind.find(kind);
+    if (it == m_serviceByKind.end() || static_cast<double>(elapsed.count()) < LONG_RUN * it->second.ms)
+        return false;
+    learnService(kind, elapsed);
+    return true;
+}
+
+// Until calls of the kind have ended here, the target is taken to be as fast as the others.
+void Gate::expectService(const GateCall& call)
+{
+    if (call.usualRun <= base::Millis(0) || m_serviceByKind.size() >= MAX_ACCOUNTS)
+        return;
+    m_serviceByKind.try_emplace(call.kind, Service { static_cast<double>(call.usualRun.count()), 0 });
+}
+
 void Gate::learnService(const std::string& kind, base::Millis took)
 {
     auto ms = static_cast<double>(took.count());
--- a/tests/correctness/GateServesInTimeUnderOverload.cpp
+++ b/tests/correctness/GateServesInTimeUnderOverload.cpp
@@ -185,7 +185,7 @@
     EXPECT_TRUE(shed) << "the queue is full";
     EXPECT_EQ(gate.admit(call(12, URGENT, false), T0, shed), GateVerdict::Queued);
     EXPECT_EQ(gate.finished("k", Millis(50), T0 + Millis(20)).run, std::vector<uint64_t> { 12 });
-    // Past its objective its parent still waits for it.
+    // When all are late the order stays.
     EXPECT_EQ(gate.finished("k", Millis(50), T0 + Millis(150)).run, std::vector<uint64_t> { 11 });
 }
 
@@ -214,3 +214,28 @@
         gate.admit({ ++id, "p", PATIENT, now + Millis(150), now + Millis(100), "k" }, now, shed), GateVerdict::Queued);
     EXPECT_EQ(gate.queued(), 3);
 }
+
+// A target is twelve times slower than the others: its calls end too rarely to tell, and often at their deadline.
+TEST(GateServesInTimeUnderOverload, ASlowTargetIsNoticedByCallsThatStillRun)
+{
+    targets::GateOptions options;
+    options.slots = SLOTS;
+    options.coldStart = Millis(0);
+    Gate gate(options, T0);
+    std::optional<uint64_t> shed;
+    auto call = [](uint64_t id, bool mayWait) {
+        targets::GateCall out { id, "u", URGENT, T0 + DEADLINE, T0 + OBJECTIVE, "k", mayWait };
+        out.usualRun = Millis(100);
+        return out;
+    };
+    for (uint64_t id = 0; id < SLOTS - 1; ++id)
+        ASSERT_EQ(gate.admit(call(id, false), T0, shed), GateVerdict::Run);
+    EXPECT_FALSE(gate.runsLong("k", Millis(200))) << "a long call is not unusual";
+    for (int elapsed = 300; elapsed <= 1200; elapsed += 100) {
+        for (int i = 0; i < SLOTS - 1; ++i)
+            gate.runsLong("k", Millis(elapsed));
+    }
+    EXPECT_GT(gate.serviceMs("k"), 300);
+    EXPECT_EQ(gate.admit(call(30, false), T0, shed), GateVerdict::Overloaded) << "it would be late here";
+    EXPECT_EQ(gate.admit(call(31, true), T0, shed), GateVerdict::Run) << "when no other target is faster";
+}
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -163,7 +163,7 @@
   1: i64 id, 2: string method, 3: string path, 4: list<Header> headers, 5: binary body, 6: i32 budgetMs,
   7: string serviceName, 8: string target, 9: string account, 10: i32 priority,
   11: i64 incarnation, 12: string requestId, 13: string callerService, 14: i32 objectiveMs, 15: bool mayWait = true,
-  16: bool nested
+  16: bool nested, 17: i32 usualMs
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -11133,6 +11133,10 @@
 void CallRequest::__set_nested(const bool val) {
   this->nested = val;
 }
+
+void CallRequest::__set_usualMs(const int32_t val) {
+  this->usualMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -11301,6 +11305,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->usualMs);
+          this->__isset.usualMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11390,6 +11402,10 @@
   xfer += oprot->writeBool(this->nested);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usualMs", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->usualMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11413,6 +11429,7 @@
   swap(a.objectiveMs, b.objectiveMs);
   swap(a.mayWait, b.mayWait);
   swap(a.nested, b.nested);
+  swap(a.usualMs, b.usualMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -11433,6 +11450,7 @@
   objectiveMs = other440.objectiveMs;
   mayWait = other440.mayWait;
   nested = other440.nested;
+  usualMs = other440.usualMs;
   __isset = other440.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other441) noexcept {
@@ -11452,6 +11470,7 @@
   objectiveMs = other441.objectiveMs;
   mayWait = other441.mayWait;
   nested = other441.nested;
+  usualMs = other441.usualMs;
   __isset = other441.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other442) {
@@ -11471,6 +11490,7 @@
   objectiveMs = other442.objectiveMs;
   mayWait = other442.mayWait;
   nested = other442.nested;
+  usualMs = other442.usualMs;
   __isset = other442.__isset;
   return *this;
 }
@@ -11491,6 +11511,7 @@
   objectiveMs = other443.objectiveMs;
   mayWait = other443.mayWait;
   nested = other443.nested;
+  usualMs = other443.usualMs;
   __isset = other443.__isset;
   return *this;
 }
@@ -11513,6 +11534,7 @@
   out << ", " << "objectiveMs=" << to_string(objectiveMs);
   out << ", " << "mayWait=" << to_string(mayWait);
   out << ", " << "nested=" << to_string(nested);
+  out << ", " << "usualMs=" << to_string(usualMs);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4127,7 +4127,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4144,6 +4144,7 @@
   bool objectiveMs :1;
   bool mayWait :1;
   bool nested :1;
+  bool usualMs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4168,7 +4169,8 @@
                 callerService(),
                 objectiveMs(0),
                 mayWait(true),
-                nested(0) {
+                nested(0),
+                usualMs(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4188,6 +4190,7 @@
   int32_t objectiveMs;
   bool mayWait;
   bool nested;
+  int32_t usualMs;
 
   _CallRequest__isset __isset;
 
@@ -4223,6 +4226,8 @@
 
   void __set_nested(const bool val);
 
+  void __set_usualMs(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4257,6 +4262,8 @@
       return false;
     if (!(nested == rhs.nested))
       return false;
+    if (!(usualMs == rhs.usualMs))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
