Targets of a node that stops go on serving until shortly before it refuses

Only the last second of the wait is needed for other nodes' calls to end. Ruled out: a shorter wait, since callers are told once a second only.

--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -23,6 +23,9 @@
     constexpr auto CALLS_TICK = base::Millis(20);
     constexpr auto EVIDENCE_PERIOD = base::Millis(250);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
+    // From announcing that the targets leave to refusing other nodes' calls: the announcement reaches all nodes well
+    // within it, and most calls that were sent before have ended.
+    constexpr auto LEAVE_LEAD = base::Millis(1000);
     constexpr auto FAREWELL = std::chrono::milliseconds(150);
 
     // From a call served on the same host to the longest timeout in use.
@@ -111,12 +114,17 @@
             return;
         setReady(false);
         base::logInfo("node.draining", { { "id", m_settings.id } });
-        runOn(m_distribution, [this] { m_core->leave(m_clock.now()); });
         auto drained = std::make_shared<std::promise<void>>();
         auto future = drained->get_future();
         boost::asio::post(
             m_callsDuty.context(), [this, drained] { m_calls->drain([drained] { drained->set_value(); }); });
-        bool whole = future.wait_for(m_settings.stopTimeout) == std::future_status::ready;
+        // Callers need the whole grace to stop coming, other nodes much less; until then the targets go on serving
+        // them.
+        auto untilLeave = std::max(base::Millis(0), m_settings.drainGrace - LEAVE_LEAD);
+        bool whole = future.wait_for(untilLeave) == std::future_status::ready;
+        runOn(m_distribution, [this] { m_core->leave(m_clock.now()); });
+        if (!whole)
+            whole = future.wait_for(m_settings.stopTimeout - untilLeave) == std::future_status::ready;
         runOn(m_distribution, [this] { m_core->gone(m_clock.now()); });
         std::this_thread::sleep_for(FAREWELL);
         m_subscriptions.clear();
