Targets whose node cannot be reached are left out while another one can

Cause: in a zone that is cut off three quarters of a service's targets are out of reach. The node knows from its pings which peers answer; their targets are now left out as long as any other remains.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -332,6 +332,20 @@
 
 // ---- attempts ----
 
+// Sending to them would only find out again, one target after the other, what is known of their hosts.
+std::set<std::string> CallPath::unreachableTargets() const
+{
+    std::set<std::string> out;
+    const auto& addresses = m_peers.unreachable();
+    if (addresses.empty())
+        return out;
+    for (const auto& it : *m_view->targets) {
+        if (it.node != m_settings.id && addresses.count(it.callAddress))
+            out.insert(it.target);
+    }
+    return out;
+}
+
 std::optional<wire::Presence> CallPath::chooseTarget(const CallPtr& call)
 {
     const auto& service = *call->service;
@@ -340,17 +354,22 @@
     // Only a first attempt may go to a move's new version; what failed once goes where it is known to work.
     bool toCandidate = call->attempts == 0 && !service.candidate.empty()
         && m_splitter.choose(service, m_view->beaconAt, now) == service.candidate;
+    auto unreachable = unreachableTargets();
+    auto avoid = unreachable;
+    avoid.insert(call->tried.begin(), call->tried.end());
     std::optional<wire::Presence> target;
     if (toCandidate) {
-        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, call->tried, now);
+        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, avoid, now);
         if (!target)
             m_splitter.giveBack(service);
     }
     targets::VersionChoice stable { service.stable, { service.candidate, service.excluded } };
     if (!target)
-        target = m_balancer.choose(targets, service.name, stable, call->tried, now);
-    // Rather a target that was tried than none, when all others are gone.
+        target = m_balancer.choose(targets, service.name, stable, avoid, now);
+    // Rather a target that was tried than none, and rather one that seems out of reach, when all others are gone.
     if (!target && !call->tried.empty())
+        target = m_balancer.choose(targets, service.name, stable, unreachable, now);
+    if (!target && !avoid.empty())
         target = m_balancer.choose(targets, service.name, stable, {}, now);
     if (target)
         call->version = target->version;
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -80,6 +80,7 @@
     void claim(const CallPtr& call);
     void claimed(const CallPtr& call, const ClaimOutcome& outcome);
     void dispatch(const CallPtr& call);
+    std::set<std::string> unreachableTargets() const;
     std::optional<wire::Presence> chooseTarget(const CallPtr& call);
     void send(const CallPtr& call, const wire::Presence& target);
     void answered(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -183,6 +183,13 @@
     }
 }
 
+void PeerCalls::noteReachable(const std::string& address, bool reachable)
+{
+    bool changed = reachable ? m_unreachable.erase(address) > 0 : m_unreachable.insert(address).second;
+    if (changed)
+        base::logInfo("calls.peer_reachable", { { "address", address }, { "reachable", reachable ? 1 : 0 } });
+}
+
 PeerCalls::Peer* PeerCalls::peerOf(const std::shared_ptr<links::Link>& link)
 {
     for (auto& [address, it] : m_peers) {
@@ -198,6 +205,8 @@
         probe(it, now);
         if (isSilent(it, now))
             abandon(address);
+        bool unconnected = !it.dialer->link() && it.dialer->failures() > 0;
+        noteReachable(address, !unconnected && !isSilent(it, now));
     }
     while (!m_due.empty() && m_due.begin()->first <= now) {
         int64_t id = m_due.begin()->second;
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,6 +48,9 @@
         const std::string& address, wire::ClaimRequest request, base::Millis budget, base::Instant now, ClaimDone done);
     // Tells the other node that nobody waits any more, and forgets the call without calling its `done`.
     void cancel(int64_t id);
+    // Addresses of nodes that say nothing or cannot be connected, as of the last sweep; they are tried again until they
+    // answer.
+    const std::set<std::string>& unreachable() const { return m_unreachable; }
     // Ends what has waited too long. To be called every few milliseconds.
     void sweep(base::Instant now);
     void close();
@@ -86,6 +90,7 @@
     void failWaiting(Peer& peer, const std::string& reason);
     void probe(Peer& peer, base::Instant now);
     void abandon(const std::string& address);
+    void noteReachable(const std::string& address, bool reachable);
     // Removes a pending request.
     Pending take(std::unordered_map<int64_t, Pending>::iterator it);
     static bool isSilent(const Peer& peer, base::Instant now);
@@ -98,6 +103,7 @@
     links::Traffic m_traffic;
     std::unique_ptr<links::LinkServer> m_server;
     std::map<std::string, Peer> m_peers;
+    std::set<std::string> m_unreachable;
     std::unordered_map<int64_t, Pending> m_pending;
     std::multimap<base::Instant, int64_t> m_due;
     int64_t m_nextId { 1 };
