A request without an id is nobody's parent; running requests are a concept of their own

Found on reading the diff: calls without an id were kept under the empty id, which every call without a parent names, so all callers' calls counted as nested while one without an id ran. RunningCalls keeps ids only, also of a request that runs on two targets of one host. Test: NestedCallsFindTheirParent.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -242,7 +242,7 @@
     if (budget <= Millis(0))
         return refuseEarly(call, STATUS_TIMEOUT, "timeout", "the deadline has passed", "allow more time");
     call->deadline = call->arrived + budget;
-    auto parentObjective = m_local.objectiveOfRunning(terms.parentId);
+    auto parentObjective = m_local.runningCalls().objectiveOf(terms.parentId);
     call->nested = terms.depth > 0 || parentObjective;
     call->objective = parentObjective && *parentObjective != Instant::max() ? parentObjective : objectiveOf(call);
     // A limit counts what callers ask for, so calls that targets make on their behalf are not counted again.
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -135,7 +135,7 @@
         return;
     auto& call = it->second;
     call.running = true;
-    m_objectives[call.request.requestId] = call.objective.value_or(base::Instant::max());
+    m_running.begin(call.request.requestId, call.objective);
     call.started = m_clock.now();
     auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
     auto request = m_protocol.targetRequest(call.request, left);
@@ -165,7 +165,7 @@
         return;
     Call call = std::move(it->second);
     m_calls.erase(it);
-    m_objectives.erase(call.request.requestId);
+    m_running.end(call.request.requestId);
     auto answer = m_protocol.targetAnswer(call.request, std::move(result));
     answer.runMicros = std::chrono::duration_cast<base::Micros>(m_clock.now() - call.started).count();
     addLoad(call, answer);
@@ -197,12 +197,6 @@
     m_calls.erase(id);
 }
 
-std::optional<base::Instant> LocalTargets::objectiveOfRunning(const std::string& requestId) const
-{
-    auto it = m_objectives.find(requestId);
-    return it == m_objectives.end() ? std::nullopt : std::optional(it->second);
-}
-
 void LocalTargets::noticeLongRuns(base::Instant now)
 {
     for (auto& [id, call] : m_calls) {
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -3,6 +3,7 @@
 
 #include "DistributionCore.h"
 #include "PeerCalls.h"
+#include "RunningCalls.h"
 #include "pomelowind/http/HttpClient.h"
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/Gate.h"
@@ -27,8 +28,7 @@
     uint64_t call(wire::CallRequest request, CallDone done);
     // Nobody waits for the call any more: it leaves the queue, or its target is told by a closed connection.
     void cancel(uint64_t id);
-    // The objective of the request with this id, while a target of this host runs it; Instant::max() when it has none.
-    std::optional<base::Instant> objectiveOfRunning(const std::string& requestId) const;
+    const RunningCalls& runningCalls() const { return m_running; }
     void sweep();
     // Refuses new calls; those that run go on.
     void leave();
@@ -66,7 +66,7 @@
     const base::Clock& m_clock;
     std::map<std::string, std::shared_ptr<Target>> m_targets;
     std::unordered_map<uint64_t, Call> m_calls;
-    std::unordered_map<std::string, base::Instant> m_objectives; // of running requests, by request id
+    RunningCalls m_running;
     uint64_t m_nextId { 1 };
 };
 
--- /dev/null
+++ b/tests/correctness/NestedCallsFindTheirParent.cpp
@@ -0,0 +1,47 @@
+// A call of a target is known as one by the id of the request that the target runs.
+
+#include "node/RunningCalls.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Instant;
+using base::Millis;
+using node::RunningCalls;
+
+namespace {
+
+const Instant T0 = Instant() + std::chrono::hours(1);
+
+}
+
+TEST(NestedCallsFindTheirParent, WhileTheParentRuns)
+{
+    RunningCalls running;
+    running.begin("a", T0 + Millis(300));
+    running.begin("b", std::nullopt);
+    EXPECT_EQ(running.objectiveOf("a"), T0 + Millis(300));
+    EXPECT_EQ(running.objectiveOf("b"), Instant::max()) << "it runs, without an objective";
+    EXPECT_FALSE(running.objectiveOf("c"));
+    running.end("a");
+    EXPECT_FALSE(running.objectiveOf("a"));
+}
+
+TEST(NestedCallsFindTheirParent, ARequestThatRunsOnTwoTargetsEndsTwice)
+{
+    RunningCalls running;
+    running.begin("a", T0);
+    running.begin("a", T0);
+    running.end("a");
+    EXPECT_TRUE(running.objectiveOf("a"));
+    running.end("a");
+    EXPECT_FALSE(running.objectiveOf("a"));
+}
+
+TEST(NestedCallsFindTheirParent, ARequestWithoutAnIdIsNobodysParent)
+{
+    RunningCalls running;
+    running.begin("", T0);
+    EXPECT_FALSE(running.objectiveOf("")) << "callers' own calls name no parent either";
+    running.end("");
+}
