--- a/include/pomelowind/callers/PatienceEstimator.h
+++ b/include/pomelowind/callers/PatienceEstimator.h
@@ -1,9 +1,9 @@
 // How long a caller has been trying already. Callers say how long they will still wait, but not how long they have
-// waited; a caller that was refused comes back with less time than callers have at their first attempt. A decision class
-// without I/O.
+// waited; a caller that was refused comes back with less time than callers have at their first attempt. A decision
+// class without I/O.
 //
-// The load it answers is a service that refuses many: those who come back must be told from those who come for the first
-// time, because only the latter can still be answered within their latency objective.
+// The load it answers is a service that refuses many: those who come back must be told from those who come for the
+// first time, because only the latter can still be answered within their latency objective.
 #pragma once
 
 #include "pomelowind/base/Time.h"
--- a/tests/correctness/NodesTryTheNextFeederSoon.cpp
+++ b/tests/correctness/NodesTryTheNextFeederSoon.cpp
@@ -22,7 +22,7 @@
     settings.dataCentre = "dc";
     settings.relays = false;
     for (int i = 0; i < 3; ++i)
-        settings.control.push_back({ "c" + std::to_string(i), "dc", { "127.0.0.1", 7000 + i } });
+        settings.control.push_back({ "c" + std::to_string(i), "dc", { "127.0.0.1", static_cast<uint16_t>(7000 + i) } });
     tests::RecordedOutputs outputs;
     node::DistributionCore core(settings, outputs, T0, 1000, 1);
     std::set<std::string> tried;
