--- a/tests/integration/CallsKeepTheirPromises.cpp
+++ b/tests/integration/CallsKeepTheirPromises.cpp
@@ -3,11 +3,13 @@
 
 #include "benchmarks/Mesh.h"
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Wire.h"
 
 #include <fstream>
 #include <future>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <thread>
 
 using namespace pomelowind;
 using base::Millis;
@@ -122,6 +124,35 @@
                                       << result.unknown << " failed " << result.failed;
 }
 
+// Its own callers need the long wait; to take its targets out for all of it would cost the service their slots.
+TEST(CallsKeepTheirPromises, TargetsOfAStoppingNodeServeOtherNodesMeanwhile)
+{
+    bench::MeshOptions options;
+    options.nodes = 3;
+    options.nodeExtra = "drain_grace_ms: 20000\n";
+    Mesh mesh(options);
+    startMesh(mesh);
+    mesh.terminate("node-1");
+    http::HttpRequest get { "GET", "/get", { { "Host", "a.example" } }, "" };
+    auto stops = [&] {
+        auto response = mesh.send(mesh.address("caller", 1), get);
+        return http::findHeader(response.headers, "Connection") == "close";
+    };
+    ASSERT_TRUE(mesh.waitFor(stops));
+    // Far longer than an announcement takes to reach all nodes, far shorter than the wait.
+    constexpr int POLLS = 40;
+    for (int i = 0; i < POLLS; ++i) {
+        auto state = mesh.nodeState(0);
+        for (const auto& it : state["targets"]) {
+            if (it["target"] != "t1")
+                continue;
+            ASSERT_EQ(it["state"], static_cast<int>(wire::TargetState::SERVING)) << "after " << i << " polls";
+        }
+        std::this_thread::sleep_for(Millis(50));
+    }
+    EXPECT_EQ(mesh.send(mesh.address("caller", 0), get).status, 200);
+}
+
 TEST(CallsKeepTheirPromises, CallersSeeClearErrorsForBadInput)
 {
     bench::MeshOptions options;
