Weighted splits keep their shares over many nodes; links that worked are dialed again at once

Cause (splits): each node began every route at the same credit, so the first call of all nodes went to the heaviest part, and a change of weights began anew everywhere: a 70:30 split over 580 nodes with one call each was 100:0. Ruled out: smooth random choice (deviates by sqrt(n) on every node; two parts no longer stay within one request). Now each node begins at a random phase that a change of weights does not reset.

Cause (links): Link::close cleared isReady before the dialer asked, so failures and backoff of a dialer were never reset; and what a listener sent again from linkClosed went into the closing link and waited for its deadline.

--- a/include/pomelowind/callers/WeightedSplitter.h
+++ b/include/pomelowind/callers/WeightedSplitter.h
@@ -1,7 +1,8 @@
-// Spreads the requests of a route over services by weight. The spread is exact: after n requests each service has had
-// its part of n to within one request, so the observed shares do not depend on luck.
+// Spreads the requests of a route over services by weight. On one node two parts keep their shares to within one
+// request; over all nodes the shares hold from the first request on, because each node begins at a random phase.
 #pragma once
 
+#include "pomelowind/base/Random.h"
 #include "pomelowind/base/Wire.h"
 
 #include <map>
@@ -13,16 +14,16 @@
 // Thread safety: confined to the calls duty.
 class WeightedSplitter {
 public:
+    explicit WeightedSplitter(uint64_t seed);
     // The service for the next request of `route`. Precondition: the route has a split with a weight above 0.
     const std::string& choose(const wire::Route& route);
 
 private:
-    struct Split {
-        std::vector<wire::SplitPart> parts;
-        std::vector<int64_t> credit;
-    };
+    // For each part the fraction of a request that it has saved up, among the requests that the parts before it left.
+    using Phases = std::vector<double>;
 
-    std::map<std::string, Split> m_splits; // by route
+    base::Random m_random;
+    std::map<std::string, Phases> m_phases; // by route
 };
 
 } // namespace pomelowind::callers
--- a/include/pomelowind/links/Link.h
+++ b/include/pomelowind/links/Link.h
@@ -44,6 +44,8 @@
     virtual void linkReady(const std::shared_ptr<Link>& link) = 0;
     // A whole frame has arrived. A thrown UserError closes the link.
     virtual void linkFrame(const std::shared_ptr<Link>& link, Kind kind, std::string_view payload) = 0;
+    // All queued frames have been written; more can be sent without delaying others.
+    virtual void linkDrained(const std::shared_ptr<Link>& link) { }
     // The link is closed; called once, and only after linkReady.
     virtual void linkClosed(const std::shared_ptr<Link>& link, const std::string& reason) = 0;
 };
@@ -51,7 +53,7 @@
 // One connection. Thread safety: confined to the duty whose context owns the socket.
 class Link : public std::enable_shared_from_this<Link> {
 public:
-    using Ended = std::function<void()>;
+    using Ended = std::function<void(bool wasReady)>;
 
     Link(boost::asio::ip::tcp::socket socket, const Identity& self, LinkListener& listener, Traffic& traffic);
 
--- a/include/pomelowind/links/LinkDialer.h
+++ b/include/pomelowind/links/LinkDialer.h
@@ -27,7 +27,7 @@
 private:
     void dial();
     void dialLater();
-    void ended();
+    void ended(bool wasReady);
 
     boost::asio::io_context& m_io;
     base::Address m_address;
--- a/src/callers/WeightedSplitter.cpp
+++ b/src/callers/WeightedSplitter.cpp
@@ -1,24 +1,36 @@
 #include "pomelowind/callers/WeightedSplitter.h"
 
-#include <algorithm>
-
 namespace pomelowind::callers {
 
+WeightedSplitter::WeightedSplitter(uint64_t seed)
+    : m_random(seed)
+{
+}
+
+// Each part takes its share of what the parts before it left. The phases outlive a change of weights: a phase that is
+// equally likely to be anywhere stays so whatever is added to it, so nothing has to start anew.
 const std::string& WeightedSplitter::choose(const wire::Route& route)
 {
-    auto& split = m_splits[route.name];
-    if (split.parts != route.split) {
-        split.parts = route.split;
-        split.credit.assign(route.split.size(), 0);
-    }
-    int64_t total = 0;
-    for (size_t i = 0; i < split.parts.size(); ++i) {
-        split.credit[i] += split.parts[i].weight;
-        total += split.parts[i].weight;
+    auto& phases = m_phases[route.name];
+    while (phases.size() < route.split.size())
+        phases.push_back(m_random.unit());
+    int64_t rest = 0;
+    for (const auto& it : route.split)
+        rest += it.weight;
+    for (size_t i = 0; i < route.split.size(); ++i) {
+        const auto& part = route.split[i];
+        if (part.weight <= 0)
+            continue;
+        if (part.weight == rest)
+            return part.serviceName;
+        phases[i] += static_cast<double>(part.weight) / static_cast<double>(rest);
+        if (phases[i] >= 1) {
+            phases[i] -= 1;
+            return part.serviceName;
+        }
+        rest -= part.weight;
     }
-    auto most = std::max_element(split.credit.begin(), split.credit.end());
-    *most -= total;
-    return route.split[static_cast<size_t>(most - split.credit.begin())].serviceName;
+    return route.split.back().serviceName;
 }
 
 } // namespace pomelowind::callers
--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
+#include <utility>
 
 namespace pomelowind::links {
 
@@ -109,7 +110,9 @@
             self->m_writing = false;
             if (ec)
                 return self->close(ec.message());
-            if (!self->m_pending.empty())
+            if (self->m_pending.empty() && self->m_ready)
+                self->m_listener.linkDrained(self);
+            if (!self->m_pending.empty() && !self->m_writing)
                 self->write();
         });
 }
@@ -219,11 +222,12 @@
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
     m_socket.close(ec);
     auto self = shared_from_this();
-    if (m_ready)
+    // What the listener sends again at once must not go into this link.
+    bool wasReady = std::exchange(m_ready, false);
+    if (wasReady)
         m_listener.linkClosed(self, reason);
-    m_ready = false;
     if (auto ended = std::move(m_ended))
-        ended();
+        ended(wasReady);
 }
 
 } // namespace pomelowind::links
--- a/src/links/LinkDialer.cpp
+++ b/src/links/LinkDialer.cpp
@@ -69,13 +69,13 @@
         if (ec)
             return self->dialLater();
         self->m_link = std::make_shared<Link>(std::move(*socket), self->m_self, self->m_listener, self->m_traffic);
-        self->m_link->start([self] { self->ended(); });
+        self->m_link->start([self](bool wasReady) { self->ended(wasReady); });
     });
 }
 
-void LinkDialer::ended()
+void LinkDialer::ended(bool wasReady)
 {
-    if (m_link->isReady()) {
+    if (wasReady) {
         m_backoff.reset();
         m_failures = 0;
     }
--- a/src/links/LinkServer.cpp
+++ b/src/links/LinkServer.cpp
@@ -39,7 +39,7 @@
         }
         auto link = std::make_shared<Link>(std::move(socket), m_self, m_listener, m_traffic);
         m_links.insert(link);
-        link->start([this, weak = std::weak_ptr<Link>(link)] { m_links.erase(weak.lock()); });
+        link->start([this, weak = std::weak_ptr<Link>(link)](bool) { m_links.erase(weak.lock()); });
         accept();
     });
 }
--- a/tests/correctness/RefusedCallersReturnSpread.cpp
+++ b/tests/correctness/RefusedCallersReturnSpread.cpp
@@ -64,7 +64,7 @@
         part.weight = weight;
         route.split.push_back(part);
     }
-    callers::WeightedSplitter splitter;
+    callers::WeightedSplitter splitter(1);
     std::map<std::string, int> seen;
     for (int i = 1; i <= 1000; ++i) {
         ++seen[splitter.choose(route)];
