Evidence for a new version is bounded, and one that fails a tenth of its recent calls gets no more

Ruled out: the move before it, the lost leader (all hosts held the evidence). Now: each log likelihood ratio is kept above -4; a version that fails 10% of its recent calls on any route, whatever the old one does, gets no higher share, and is taken back at 0.7 of its bound; the last step is watched for 600 ms.

--- a/include/pomelowind/moves/EvidenceBook.h
+++ b/include/pomelowind/moves/EvidenceBook.h
@@ -6,6 +6,7 @@
 #include "pomelowind/moves/SequentialTest.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
     bool isBad { false };
     std::string reason; // the finding, for operators
     double logEvidence { 0 }; // of the strongest test
+    // Calls on the candidate in the last batches, on the route where most of them failed, whatever the stable version
+    // does meanwhile.
+    Sample recentWorst;
     Sample candidate; // all calls so far
     Sample stable;
     bool operator==(const EvidenceSummary&) const = default;
@@ -80,6 +84,7 @@
     void feed(const Key& key, const std::string& dataCentre, const Sample& candidate, const Sample& stable);
     static bool isSpreadOverCentres(const Tests& tests);
     void feedLatency(const BatchKey& key, const Batch& batch);
+    Sample recentWorst() const;
     bool isSpreadOverTargets(Measure measure) const;
     std::string describe(const Key& key, const Tests& tests) const;
 
@@ -90,6 +95,7 @@
     std::map<Key, Tests> m_tests;
     std::map<std::string, Histogram> m_stableLatency; // by route
     std::map<std::string, Sample> m_candidateTargets;
+    std::deque<std::map<std::string, Sample>> m_recent; // of the candidate, by batch and route
     Sample m_candidateTotal;
     Sample m_stableTotal;
 };
--- a/include/pomelowind/moves/SequentialTest.h
+++ b/include/pomelowind/moves/SequentialTest.h
@@ -2,6 +2,9 @@
 // Given how many faults there were in a batch, and how the calls were split, it asks whether more of the faults fell
 // on the candidate than chance explains. A dip that hits both versions alike therefore gives no evidence.
 //
+// Evidence in favour of the candidate is kept up to a bound only (a cumulative sum test). A version may turn bad late
+// or under load, and what the stable version failed before that must not be credited to it without end.
+//
 //     SequentialTest test(1.25);
 //     test.add({ 10, 3 }, { 90, 0 }); // 3 of 10 candidate calls failed, 0 of 90 on the stable version
 //     bool bad = test.logEvidence() > std::log(10000.0);
@@ -19,9 +22,9 @@
     bool operator==(const Sample&) const = default;
 };
 
-// Evidence as a mixture of likelihood ratios over several odds ratios. If the candidate's odds of a fault are at most
-// `toleratedOdds` times the stable version's, the chance that the evidence ever exceeds E is at most about 1 / E.
-// Thread safety: confined to one duty.
+// Evidence as a mixture of likelihood ratios over several odds ratios. While the candidate's odds of a fault are at
+// most `toleratedOdds` times the stable version's, it seldom exceeds E: less than once in E batches. Thread safety:
+// confined to one duty.
 class SequentialTest {
 public:
     // Precondition: toleratedOdds >= 1.
@@ -38,8 +41,8 @@
     std::array<double, ALTERNATIVES.size()> m_logs {};
 };
 
-// Evidence against a bound on the fault rate that is learned from the stable version. It needs fewer faults than the
-// comparison above, but a common dip moves it too, so it never decides alone. Thread safety: confined to one duty.
+// Evidence, bounded as above, against a fault rate that is learned from the stable version. It needs fewer faults than
+// the comparison, but a common dip moves it too, so it never decides alone. Thread safety: confined to one duty.
 class RateTest {
 public:
     void add(const Sample& candidate, const Sample& stable);
--- a/src/moves/EvidenceBook.cpp
+++ b/src/moves/EvidenceBook.cpp
@@ -18,6 +18,10 @@
     // Part of the faults that must lie outside the worst target or data centre before the version is blamed.
     constexpr double LEAST_SPREAD = 0.15;
     constexpr size_t MAX_TESTS = 256;
+    // At four batches a second these cover the time from a change of the share to the answers of slow calls.
+    constexpr size_t RECENT_BATCHES = 6;
+    // Fewer may be chance.
+    constexpr int64_t LEAST_RECENT_FAULTS = 3;
     constexpr char ALL_ROUTES[] = "all";
 
     // How the faults are spread over the places where they happened.
@@ -108,10 +112,16 @@
 
 void EvidenceBook::closeBatch()
 {
+    m_recent.emplace_back();
+    if (m_recent.size() > RECENT_BATCHES)
+        m_recent.pop_front();
     for (const auto& [key, batch] : m_batch) {
         feed({ key.dimension, key.value, Measure::Failures }, key.dataCentre, batch.candidate, batch.stable);
         if (key.dimension != Dimension::ROUTE)
             continue;
+        auto& recent = m_recent.back()[key.value];
+        recent.calls += batch.candidate.calls;
+        recent.faults += batch.candidate.faults;
         feedLatency(key, batch);
         if (key.value != ALL_ROUTES)
             continue;
@@ -211,11 +221,31 @@
     return std::string(dimensionName(key.dimension)) + " " + key.value + ": " + buf;
 }
 
+Sample EvidenceBook::recentWorst() const
+{
+    std::map<std::string, Sample> sums;
+    for (const auto& batch : m_recent) {
+        for (const auto& [route, sample] : batch) {
+            sums[route].calls += sample.calls;
+            sums[route].faults += sample.faults;
+        }
+    }
+    Sample out;
+    for (const auto& [route, sample] : sums) {
+        // Compares shares of faults without dividing; a route with one call tells too little.
+        bool isWorse = sample.faults * std::max<int64_t>(1, out.calls) > out.faults * sample.calls;
+        if (sample.faults >= LEAST_RECENT_FAULTS && isWorse)
+            out = sample;
+    }
+    return out;
+}
+
 EvidenceSummary EvidenceBook::summary() const
 {
     EvidenceSummary out;
     out.candidate = m_candidateTotal;
     out.stable = m_stableTotal;
+    out.recentWorst = recentWorst();
     for (const auto& [key, tests] : m_tests) {
         double comparison = tests.comparison.logEvidence();
         bool compared = comparison > m_options.decideAt;
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -25,6 +25,14 @@
     constexpr double SUSPICIOUS = 4.0;
     // A move that is still suspicious this long before its deadline is taken back: late is better than bad.
     constexpr int64_t LAST_CALL_MS = 1000;
+    // A version that fails this part of its calls is not proved, even if the old version fails as often at the time.
+    constexpr double FAILING_PART = 0.1;
+    // An unproved version that has had this part of its bound is taken back: calls that are on their way and the
+    // reports of their end need the rest.
+    constexpr double MOST_UNPROVED_PART = 0.7;
+    // Evidence of the last step comes in for this long after it was in force everywhere: a call, and the way of a
+    // report.
+    constexpr int64_t LAST_WATCH_MS = 600;
 
     struct Step {
         int32_t permille;
@@ -32,6 +40,21 @@
     };
     constexpr std::array<Step, 3> STEPS { { { 200, 1200 }, { 500, 700 }, { TOP_PERMILLE, 500 } } };
 
+    bool isProved(const EvidenceSummary& evidence)
+    {
+        const auto& worst = evidence.recentWorst;
+        bool isFailing
+            = worst.faults > 0 && static_cast<double>(worst.faults) >= FAILING_PART * static_cast<double>(worst.calls);
+        return evidence.logEvidence <= SUSPICIOUS && !isFailing;
+    }
+
+    bool isBoundNear(const wire::MoveRecord& move, const EvidenceSummary& evidence)
+    {
+        auto had = static_cast<double>(evidence.candidate.calls);
+        auto all = static_cast<double>(evidence.candidate.calls + evidence.stable.calls);
+        return had * FULL_PERMILLE > MOST_UNPROVED_PART * move.exposurePermille * all;
+    }
+
     int64_t finishFromMs(const wire::MoveRecord& move)
     {
         auto total = static_cast<double>(move.deadlineMs - move.startedMs);
@@ -75,9 +98,11 @@
 
 std::optional<wire::MoveEvent> planBoundedMove(const wire::MoveRecord& move, const MoveView& view)
 {
-    if (view.evidence.logEvidence > SUSPICIOUS) {
+    if (!isProved(view.evidence)) {
         if (view.wallMs >= move.deadlineMs - LAST_CALL_MS)
             return nextEvent(move, MoveEventKind::BAD, "evidence against the version was left at the deadline");
+        if (move.permille > probePermille(move) && isBoundNear(move, view.evidence))
+            return nextEvent(move, MoveEventKind::BAD, "it may get no more calls and is not proved");
         return std::nullopt;
     }
     switch (move.state) {
@@ -86,6 +111,8 @@
     case MoveState::RAISING:
         return planStep(move, view);
     case MoveState::WATCHING:
+        if (view.wallMs - move.reachedMs < LAST_WATCH_MS)
+            return std::nullopt;
         return nextEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version in any step");
     default:
         return std::nullopt;
--- a/src/moves/SequentialTest.cpp
+++ b/src/moves/SequentialTest.cpp
@@ -13,6 +13,9 @@
     constexpr double LEAST_RATE = 0.002;
     constexpr double RATE_SLACK = 1.5;
     constexpr double DIP_FACTOR = 4;
+    // Evidence for the candidate that is kept, as a logarithm. It makes false findings rarer by about this much, and
+    // costs a few more faults when a version turns bad.
+    constexpr double MOST_CREDIT = 4;
 
     // log of the mean of exp(values).
     template <size_t N> double logMean(const std::array<double, N>& values)
@@ -48,7 +51,8 @@
     for (size_t i = 0; i < ALTERNATIVES.size(); ++i) {
         double p1 = candidateChance(ALTERNATIVES[i] * m_toleratedOdds, candidateCalls, stableCalls);
         auto hits = static_cast<double>(candidate.faults);
-        m_logs[i] += hits * std::log(p1 / p0) + (faults - hits) * std::log((1 - p1) / (1 - p0));
+        double step = hits * std::log(p1 / p0) + (faults - hits) * std::log((1 - p1) / (1 - p0));
+        m_logs[i] = std::max(-MOST_CREDIT, m_logs[i] + step);
     }
 }
 
@@ -77,7 +81,8 @@
     auto good = static_cast<double>(candidate.calls - candidate.faults);
     for (size_t i = 0; i < EXCESS.size(); ++i) {
         double q1 = std::min(0.99, q0 + EXCESS[i]);
-        m_logs[i] += faults * std::log(q1 / q0) + good * std::log((1 - q1) / (1 - q0));
+        double step = faults * std::log(q1 / q0) + good * std::log((1 - q1) / (1 - q0));
+        m_logs[i] = std::max(-MOST_CREDIT, m_logs[i] + step);
     }
 }
 
