--- a/include/pomelowind/callers/PatienceEstimator.h
+++ b/include/pomelowind/callers/PatienceEstimator.h
@@ -10,12 +10,20 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace pomelowind::callers {
 
 // Thread safety: confined to one duty.
 class PatienceEstimator {
 public:
+    // Callers that met nobody before `startedAt` come back after it, so those are not all at their first attempt
+    // either.
+    explicit PatienceEstimator(base::Instant startedAt = {})
+        : m_startedAt(startedAt)
+    {
+    }
+
     // A caller of `route` arrives and will wait for `budget`. Returns how long it has probably been trying. Callers'
     // patience at the first attempt differs; what lies within its usual range counts as a first attempt.
     base::Millis arrived(const std::string& route, base::Millis budget, base::Instant now);
@@ -28,10 +36,14 @@
         double least { 0 }; // ms, nearly all first attempts have more
         double most { 0 }; // ms, nearly all first attempts have less
         base::Instant refusedAt;
+        std::vector<double> early; // ms of callers that came while the range was unknown and not all were new
     };
 
     static void learn(Range& range, double ms);
+    static base::Millis tried(const Range& range, double ms);
+    static base::Millis triedByEarly(Range& range, double ms);
 
+    base::Instant m_startedAt;
     std::map<std::string, Range> m_ranges; // by route
 };
 
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -49,6 +49,7 @@
     int64_t maxBodyBytes { 1024 * 1024 };
     // All bodies that the node holds at once. More are refused as not run, so that a burst of large bodies cannot
     // exhaust the memory of the process.
+    double crossingMsPerKilobyte { 0 }; // waiting that callers bear rather than send a kilobyte to another data centre
     int64_t bodyMemoryBytes { 64 * 1024 * 1024 };
     base::Millis callerTimeout { 10000 };
     base::Millis drainGrace { 2500 };
--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -8,6 +8,7 @@
 #include "pomelowind/base/Random.h"
 #include "pomelowind/base/Time.h"
 #include "pomelowind/nodes/Directory.h"
+#include "pomelowind/targets/Crossing.h"
 
 #include <map>
 #include <optional>
@@ -36,17 +37,33 @@
     std::string kind; // calls of one kind take about the same time
     base::Micros run { 0 }; // time at the target alone; 0 when it is not known
     base::Micros typical { 0 }; // average time of the kind there, as its gate says; 0 when it is not known
+    size_t responseBytes { 0 };
     base::Millis untilRoom { 0 }; // of a refusal: when the gate expects room
 };
 
+// A call that wants a target.
+struct CallToPlace {
+    std::string kind;
+    size_t bodyBytes { 0 };
+    std::optional<base::Millis> untilObjective;
+};
+
+struct Placement {
+    wire::Presence target;
+    // How long waiting at the target's gate is better than going on to another one, when that can be said: at the last
+    // target of the own data centre it is worth the bytes that would cross.
+    std::optional<base::Millis> mostWait;
+};
+
 // Thread safety: confined to the calls duty.
 class Balancer {
 public:
-    Balancer(std::string dataCentre, uint64_t seed);
+    Balancer(std::string dataCentre, uint64_t seed, CrossingPrice price = {});
 
     // A target of the service version that can take work, or nothing. `avoid` holds targets that were tried already.
-    std::optional<wire::Presence> choose(const nodes::Targets& targets, const std::string& service,
-        const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now);
+    std::optional<Placement> choose(const nodes::Targets& targets, const std::string& service,
+        const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now,
+        const CallToPlace& call = {});
     // True when some target of the version may be chosen.
     bool hasTarget(const nodes::Targets& targets, const std::string& service, const VersionChoice& versions) const;
     void started(const std::string& target);
@@ -79,13 +96,19 @@
     double loadOf(const wire::Presence& target, base::Instant now) const;
     double costOf(const wire::Presence& target, base::Instant now) const;
     void learnSpeed(Stats& stats, const Observation& observation);
+    double expectedMs(const wire::Presence& target, const std::string& kind, base::Instant now) const;
+    CallSize sizeOf(const CallToPlace& call) const;
+    bool shouldCross(
+        const wire::Presence& near, const wire::Presence& far, base::Instant now, const CallToPlace& call) const;
     double averageRunMs(const std::string& kind, double ms);
     const Stats* find(const std::string& target) const;
 
     std::string m_dataCentre;
     base::Random m_random;
     std::map<std::string, Stats> m_stats;
+    CrossingPrice m_price;
     std::map<std::string, double> m_runMs; // by kind, over all targets
+    std::map<std::string, double> m_responseBytes; // by kind
 };
 
 } // namespace pomelowind::targets
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -27,6 +27,7 @@
     std::optional<base::Instant> objective; // when it should have ended; none: any time before the deadline is as good
     std::string kind; // calls of one kind take about the same time
     bool mayWait { true }; // false: rather refused at once than queued, because another target may be free
+    base::Millis mostWait { base::Millis::max() }; // rather refused than queued for longer, for the same reason
     bool nested { false }; // a running call waits for it, whose slot is lost if this one is refused
     base::Millis usualRun { 0 }; // of its kind on all targets, as the caller's node knows; 0 when it does not
     bool ready { true }; // false: holds a place in the queue, but its body is still on the way
--- a/src/callers/PatienceEstimator.cpp
+++ b/src/callers/PatienceEstimator.cpp
@@ -16,6 +16,11 @@
     // hundred requests.
     constexpr double STEP = 0.01;
     constexpr size_t MAX_ROUTES = 1024;
+    // Until the range is known, first attempts are taken to have about what all but the most patient tenth of the early
+    // callers have at most, and whoever has less than this part of it has tried before.
+    constexpr double EARLY_RANK = 0.9;
+    constexpr double LEAST_PART = 0.7;
+    constexpr size_t EARLY_CALLERS = 64;
 
     double moved(double quantile, double sample, double part, double step)
     {
@@ -37,20 +42,36 @@
     range.most = std::max(range.least, moved(range.most, ms, 1 - OUTSIDE, step));
 }
 
+base::Millis PatienceEstimator::tried(const Range& range, double ms)
+{
+    return base::Millis(ms >= range.least ? 0 : static_cast<int64_t>((range.least + range.most) / 2 - ms));
+}
+
+base::Millis PatienceEstimator::triedByEarly(Range& range, double ms)
+{
+    auto& early = range.early;
+    if (early.size() < EARLY_CALLERS)
+        early.insert(std::upper_bound(early.begin(), early.end(), ms), ms);
+    if (early.size() < TELLING_SAMPLES)
+        return base::Millis(0);
+    double usual = early[static_cast<size_t>(EARLY_RANK * static_cast<double>(early.size() - 1))];
+    return base::Millis(ms >= LEAST_PART * usual ? 0 : static_cast<int64_t>(usual - ms));
+}
+
 base::Millis PatienceEstimator::arrived(const std::string& route, base::Millis budget, base::Instant now)
 {
     if (m_ranges.size() >= MAX_ROUTES && !m_ranges.count(route))
         return base::Millis(0);
-    auto& range = m_ranges[route];
+    auto& range = m_ranges.try_emplace(route, Range { 0, 0, 0, m_startedAt, {} }).first->second;
     auto ms = static_cast<double>(budget.count());
     // Whoever was refused has come back or given up once its whole patience has passed.
     bool allAreNew = range.refusedAt == base::Instant()
         || now - range.refusedAt > base::Millis(static_cast<int64_t>(std::max(range.most, ms)));
     if (allAreNew)
         learn(range, ms);
-    if (range.samples < TELLING_SAMPLES || ms >= range.least)
-        return base::Millis(0);
-    return base::Millis(static_cast<int64_t>((range.least + range.most) / 2 - ms));
+    if (range.samples >= TELLING_SAMPLES)
+        return tried(range, ms);
+    return allAreNew ? base::Millis(0) : triedByEarly(range, ms);
 }
 
 void PatienceEstimator::refused(const std::string& route, base::Instant now)
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -101,9 +101,10 @@
     , m_peers(io, settings, clock, *this)
     , m_local(io, settings, protocol, clock, m_bodyMemory)
     , m_claimer(settings, m_peers, clock)
-    , m_balancer(settings.dataCentre, seed)
+    , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
     , m_random(seed + 1)
     , m_started(clock.now())
+    , m_patience(m_started)
     , m_weights(seed + 2)
 {
     http::HttpLimits limits;
@@ -351,7 +352,7 @@
     return out;
 }
 
-std::optional<wire::Presence> CallPath::chooseTarget(const CallPtr& call)
+std::optional<targets::Placement> CallPath::chooseTarget(const CallPtr& call)
 {
     const auto& service = *call->service;
     const auto& targets = *m_view->targets;
@@ -362,22 +363,25 @@
     auto unreachable = unreachableTargets();
     auto avoid = unreachable;
     avoid.insert(call->tried.begin(), call->tried.end());
-    std::optional<wire::Presence> target;
+    targets::CallToPlace size { call->route->name, call->body->size(), {} };
+    if (call->objective)
+        size.untilObjective = std::chrono::duration_cast<Millis>(*call->objective - now);
+    std::optional<targets::Placement> target;
     if (toCandidate) {
-        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, avoid, now);
+        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, avoid, now, size);
         if (!target)
             m_splitter.giveBack(service);
     }
     targets::VersionChoice stable { service.stable, { service.candidate, service.excluded } };
     if (!target)
-        target = m_balancer.choose(targets, service.name, stable, avoid, now);
+        target = m_balancer.choose(targets, service.name, stable, avoid, now, size);
     // Rather a target that was tried than none, and rather one that seems out of reach, when all others are gone.
     if (!target && !call->tried.empty())
-        target = m_balancer.choose(targets, service.name, stable, unreachable, now);
+        target = m_balancer.choose(targets, service.name, stable, unreachable, now, size);
     if (!target && !avoid.empty())
-        target = m_balancer.choose(targets, service.name, stable, {}, now);
+        target = m_balancer.choose(targets, service.name, stable, {}, now, size);
     if (target)
-        call->version = target->version;
+        call->version = target->target.version;
     return target;
 }
 
@@ -390,13 +394,14 @@
         answer.reason = "no target of service '" + call->service->name + "' can take the call";
         return finish(call, std::move(answer));
     }
-    call->tried.insert(target->target);
-    call->target = target->target;
+    call->tried.insert(target->target.target);
+    call->target = target->target.target;
     send(call, *target);
 }
 
-void CallPath::send(const CallPtr& call, const wire::Presence& target)
+void CallPath::send(const CallPtr& call, const targets::Placement& placement)
 {
+    const auto& target = placement.target;
     auto now = m_clock.now();
     auto left = std::chrono::duration_cast<Millis>(call->deadline - now);
     if (call->route->idempotent && call->retriesLeft > 0)
@@ -420,6 +425,10 @@
     bool isLate = call->objective && now + usualRun > *call->objective;
     request.usualMs = static_cast<int32_t>(usualRun.count());
     request.mayWait = !call->objective || isLate || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
+    if (!request.mayWait && placement.mostWait && placement.mostWait->count() > 0) {
+        request.mayWait = true;
+        request.mostWaitMs = static_cast<int32_t>(placement.mostWait->count());
+    }
     if (call->objective) {
         // 0 stands for a call without an objective.
         auto ms = base::toMillis(*call->objective - now);
@@ -465,7 +474,7 @@
 {
     targets::Observation observation { target.target, answer.fault, answer.refused, latency, answer.inFlight,
         answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
-        Millis(answer.retryAfterMs) };
+        answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs) };
     m_balancer.ended(observation, m_clock.now());
     auto& share = m_refusalShare[call->service->name];
     share += REFUSAL_SMOOTHING * ((answer.refused ? 1 : 0) - share);
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -85,8 +85,8 @@
     void claimed(const CallPtr& call, const ClaimOutcome& outcome);
     void dispatch(const CallPtr& call);
     std::set<std::string> unreachableTargets() const;
-    std::optional<wire::Presence> chooseTarget(const CallPtr& call);
-    void send(const CallPtr& call, const wire::Presence& target);
+    std::optional<targets::Placement> chooseTarget(const CallPtr& call);
+    void send(const CallPtr& call, const targets::Placement& placement);
     void answered(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void observe(
         const CallPtr& call, const wire::Presence& target, base::Micros latency, const wire::CallAnswer& answer);
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -96,6 +96,8 @@
     gateCall.usualRun = base::Millis(call.request.usualMs);
     gateCall.nested = call.request.nested;
     gateCall.mayWait = call.request.mayWait;
+    if (call.request.mostWaitMs > 0)
+        gateCall.mostWait = base::Millis(call.request.mostWaitMs);
     if (call.request.objectiveMs)
         call.objective = now + base::Millis(call.request.objectiveMs);
     gateCall.objective = call.objective;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -76,6 +76,7 @@
     out.coldStartPercent = reader.integer("cold_start_percent", out.coldStartPercent, 1, 100);
     out.targetConnections = reader.integer("target_connections", out.targetConnections, 1, 10000);
     out.maxBodyBytes = reader.integer("max_body_bytes", out.maxBodyBytes, 1024, 128 * MIB);
+    out.crossingMsPerKilobyte = reader.real("crossing_ms_per_kilobyte", out.crossingMsPerKilobyte, 0, 1000);
     out.bodyMemoryBytes = reader.integer("body_memory_bytes", out.bodyMemoryBytes, MIB, 4096 * MIB);
     if (out.bodyMemoryBytes < out.maxBodyBytes)
         reader.problem("body_memory_bytes", "is less than max_body_bytes", "make room for one whole body at least");
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -23,14 +23,15 @@
     constexpr double MOST_SLOWNESS = 10;
     // A target that is half busy is slower than an idle one even before calls wait.
     constexpr double BUSY_COST = 0.3;
-    // Sending to another data centre costs a round trip and bytes on links that all share.
+    // Sending to another data centre costs a round trip, in units of a usual run time.
     constexpr double REMOTE_COST = 0.1;
     // Candidates that are compared. Nodes see each other's load late; if all compared all, they would all choose the
     // same target.
     constexpr size_t COMPARED = 4;
     // What answers say about load is worth less the older it is.
     constexpr auto REPORT_LIFETIME = base::Millis(400);
-    // A data centre's own targets are used until their load reaches this many calls for each slot.
+    // While it is not known how long calls of a kind run, a data centre's own targets are used until their load reaches
+    // this many calls for each slot.
     constexpr double SPILL_LOAD = 0.9;
 
 }
@@ -42,9 +43,10 @@
     return std::find(barred.begin(), barred.end(), version) == barred.end();
 }
 
-Balancer::Balancer(std::string dataCentre, uint64_t seed)
+Balancer::Balancer(std::string dataCentre, uint64_t seed, CrossingPrice price)
     : m_dataCentre(std::move(dataCentre))
     , m_random(seed)
+    , m_price(price)
 {
 }
 
@@ -130,22 +132,48 @@
     return best;
 }
 
-std::optional<wire::Presence> Balancer::choose(const nodes::Targets& targets, const std::string& service,
-    const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now)
+double Balancer::expectedMs(const wire::Presence& target, const std::string& kind, base::Instant now) const
+{
+    auto it = m_runMs.find(kind);
+    return it == m_runMs.end() ? 0 : it->second * costOf(target, now);
+}
+
+bool Balancer::shouldCross(
+    const wire::Presence& near, const wire::Presence& far, base::Instant now, const CallToPlace& call) const
+{
+    auto run = m_runMs.find(call.kind);
+    if (run == m_runMs.end())
+        return loadOf(near, now) >= SPILL_LOAD && costOf(far, now) + REMOTE_COST < costOf(near, now);
+    double farMs = expectedMs(far, call.kind, now) + REMOTE_COST * run->second;
+    return isWorthCrossing(expectedMs(near, call.kind, now), farMs, sizeOf(call), m_price);
+}
+
+CallSize Balancer::sizeOf(const CallToPlace& call) const
+{
+    auto it = m_responseBytes.find(call.kind);
+    auto responseBytes = it == m_responseBytes.end() ? 0 : static_cast<size_t>(it->second);
+    return { call.bodyBytes + responseBytes, call.untilObjective };
+}
+
+std::optional<Placement> Balancer::choose(const nodes::Targets& targets, const std::string& service,
+    const VersionChoice& versions, const std::set<std::string>& avoid, base::Instant now, const CallToPlace& call)
 {
     auto usable = withoutEjected(candidates(targets, service, versions, avoid), now);
     Candidates near;
     Candidates far;
     for (const auto* it : usable)
         (it->dataCentre == m_dataCentre ? near : far).push_back(it);
+    bool isLastNear = near.size() == 1 && !far.empty();
     const auto* local = cheapest(std::move(near), now);
-    if (local && (far.empty() || loadOf(*local, now) < SPILL_LOAD))
-        return *local;
     const auto* remote = cheapest(std::move(far), now);
-    if (local && remote)
-        return costOf(*remote, now) + REMOTE_COST < costOf(*local, now) ? *remote : *local;
-    const auto* only = local ? local : remote;
-    return only ? std::optional(*only) : std::nullopt;
+    if (!local && !remote)
+        return std::nullopt;
+    if (!local || (remote && shouldCross(*local, *remote, now, call)))
+        return Placement { *remote, {} };
+    Placement out { *local, {} };
+    if (isLastNear)
+        out.mostWait = base::Millis(static_cast<int64_t>(m_price.of(sizeOf(call).bytes)));
+    return out;
 }
 
 void Balancer::started(const std::string& target) { ++m_stats[target].inFlight; }
@@ -159,6 +187,11 @@
     stats.inFlight = std::max(0, stats.inFlight - 1);
     stats.reported = observation.inFlight + observation.queued;
     stats.reportedAt = now;
+    if (observation.responseBytes && (m_responseBytes.size() < MAX_KINDS || m_responseBytes.count(observation.kind))) {
+        auto bytes = static_cast<double>(observation.responseBytes);
+        auto [known, isNew] = m_responseBytes.emplace(observation.kind, bytes);
+        known->second += SPEED_SMOOTHING * (bytes - known->second);
+    }
     if (observation.refused) {
         stats.refusedUntil = now + std::clamp(observation.untilRoom, REFUSAL_PAUSE, LONGEST_REFUSAL_PAUSE);
         if (observation.typical.count())
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -118,6 +118,8 @@
 bool Gate::mayQueue(const GateCall& call, base::Instant now) const
 {
     int own = rank(call, now);
+    if (expectedWaitMs(own, now) > static_cast<double>(call.mostWait.count()))
+        return false;
     if (own < LATE_RANK) {
         double waitMs = expectedWaitMs(own, now);
         if (call.nested)
@@ -143,7 +145,8 @@
         return GateVerdict::Overloaded;
     int own = rank(call, now);
     // Another target may be faster; this one is tried when it is not.
-    if (!call.mayWait && !call.nested && own >= LATE_RANK)
+    bool isAlternative = !call.mayWait || call.mostWait != base::Millis::max();
+    if (isAlternative && !call.nested && own >= LATE_RANK)
         return GateVerdict::Overloaded;
     countWork(own, serviceMs(call.kind), now);
     if (runs) {
--- /dev/null
+++ b/tests/correctness/LargeCallsCrossLast.cpp
@@ -0,0 +1,135 @@
+// A call leaves its data centre when that serves its caller better by more than its bytes are worth.
+
+#include "pomelowind/targets/Balancer.h"
+#include "pomelowind/targets/Gate.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using targets::isWorthCrossing;
+
+namespace {
+
+const base::Instant T0 = base::Instant() + std::chrono::hours(1);
+constexpr size_t SMALL = 1024;
+constexpr size_t LARGE = 60 * 1024;
+constexpr int SLOTS = 4;
+const targets::CrossingPrice PRICE { 60 };
+
+wire::Presence target(const std::string& name, const std::string& dataCentre)
+{
+    wire::Presence out;
+    out.target = name;
+    out.serviceName = "s";
+    out.version = "v1";
+    out.dataCentre = dataCentre;
+    out.slots = SLOTS;
+    out.state = wire::TargetState::SERVING;
+    return out;
+}
+
+class LargeCallsCrossLast : public testing::Test {
+protected:
+    LargeCallsCrossLast() { teach("far", Millis(100), 1); }
+
+    // Lets calls of the kind run on a target.
+    void teach(const std::string& name, Millis run, int calls)
+    {
+        for (int i = 0; i < calls; ++i) {
+            balancer.started(name);
+            targets::Observation observation;
+            observation.target = name;
+            observation.kind = "k";
+            observation.run = run;
+            observation.latency = run;
+            balancer.ended(observation, T0);
+        }
+    }
+    std::string placed(size_t bodyBytes, Millis untilObjective)
+    {
+        return balancer.choose(all, "s", { "v1", {} }, {}, T0, { "k", bodyBytes, untilObjective })->target.target;
+    }
+    void load(const std::string& name, int calls)
+    {
+        for (int i = 0; i < calls; ++i)
+            balancer.started(name);
+    }
+
+    nodes::Targets all { target("near", "dc"), target("far", "other") };
+    targets::Balancer balancer { "dc", 1, PRICE };
+};
+
+}
+
+TEST_F(LargeCallsCrossLast, SizeAndPriceDecideWhileBothAreInTime)
+{
+    targets::CallSize small { SMALL, Millis(1000) };
+    targets::CallSize large { LARGE, Millis(1000) };
+    EXPECT_FALSE(isWorthCrossing(150, 100, small, PRICE));
+    EXPECT_TRUE(isWorthCrossing(170, 100, small, PRICE)) << "a kilobyte is worth 60 ms";
+    EXPECT_FALSE(isWorthCrossing(600, 100, large, PRICE));
+    EXPECT_TRUE(isWorthCrossing(600, 100, large, {})) << "without a price";
+}
+
+TEST_F(LargeCallsCrossLast, WhatWouldBeLateCrossesWhateverItsSize)
+{
+    targets::CallSize large { LARGE, Millis(500) };
+    EXPECT_TRUE(isWorthCrossing(600, 100, large, PRICE));
+    EXPECT_FALSE(isWorthCrossing(600, 550, large, PRICE)) << "late either way";
+    EXPECT_FALSE(isWorthCrossing(300, 600, large, PRICE));
+    EXPECT_FALSE(isWorthCrossing(600, 100, { LARGE, {} }, PRICE)) << "without an objective nothing is late";
+}
+
+TEST_F(LargeCallsCrossLast, ABusyTargetKeepsALargeBodyAndGivesUpASmallOne)
+{
+    load("near", 2 * SLOTS);
+    EXPECT_EQ(placed(LARGE, Millis(1000)), "near");
+    EXPECT_EQ(placed(SMALL, Millis(1000)), "far");
+    EXPECT_EQ(placed(LARGE, Millis(250)), "far") << "it would be late at home";
+}
+
+TEST_F(LargeCallsCrossLast, ASlowTargetIsLeftAlsoWhileItIsIdle)
+{
+    EXPECT_EQ(placed(LARGE, Millis(400)), "near");
+    for (int i = 0; i < 30; ++i) {
+        teach("near", Millis(900), 1);
+        teach("far", Millis(100), 1);
+    }
+    EXPECT_EQ(placed(LARGE, Millis(400)), "far");
+}
+
+TEST_F(LargeCallsCrossLast, TheLastTargetAtHomeMayBeWaitedForAsLongAsTheBytesAreWorth)
+{
+    auto placement = balancer.choose(all, "s", { "v1", {} }, {}, T0, { "k", 2048, Millis(1000) });
+    ASSERT_TRUE(placement->mostWait);
+    EXPECT_EQ(*placement->mostWait, Millis(120));
+    all.push_back(target("near-2", "dc"));
+    EXPECT_FALSE(balancer.choose(all, "s", { "v1", {} }, {}, T0, { "k", 2048, Millis(1000) })->mostWait)
+        << "another one at home may have a free slot";
+    nodes::Targets alone { target("near", "dc") };
+    EXPECT_FALSE(balancer.choose(alone, "s", { "v1", {} }, {}, T0, { "k", 2048, Millis(1000) })->mostWait);
+}
+
+TEST_F(LargeCallsCrossLast, TheGateKeepsToTheLongestWait)
+{
+    targets::GateOptions options;
+    options.slots = 1;
+    options.coldStart = Millis(0);
+    targets::Gate gate(options, T0);
+    std::optional<uint64_t> shed;
+    targets::GateCall call { 1, "k", 5, T0 + Millis(5000) };
+    call.kind = "k";
+    call.usualRun = Millis(100);
+    call.objective = T0 + Millis(1000);
+    ASSERT_EQ(gate.admit(call, T0, shed), targets::GateVerdict::Run);
+    for (int i = 0; i < 10; ++i)
+        gate.runsLong("k", Millis(100));
+    gate.finished("k", Millis(100), T0);
+    ASSERT_EQ(gate.admit(call, T0, shed), targets::GateVerdict::Run);
+    call.id = 2;
+    call.mostWait = Millis(1);
+    EXPECT_EQ(gate.admit(call, T0, shed), targets::GateVerdict::Overloaded);
+    call.mostWait = Millis(500);
+    EXPECT_EQ(gate.admit(call, T0, shed), targets::GateVerdict::Queued);
+}
--- a/tests/correctness/NodesChooseFeedersAndTargets.cpp
+++ b/tests/correctness/NodesChooseFeedersAndTargets.cpp
@@ -181,7 +181,7 @@
     };
     fail("a");
     for (int i = 0; i < 200; ++i)
-        ASSERT_NE(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target, "a");
+        ASSERT_NE(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target.target, "a");
     fail("b");
     fail("c");
     EXPECT_TRUE(balancer.choose(targets, "s", { "v1", {} }, {}, T0)) << "a fault that hits all must not leave none";
@@ -193,10 +193,10 @@
     targets::Balancer balancer("dc", 1);
     nodes::Targets targets { target("near", "dc"), target("far", "other") };
     for (int i = 0; i < 4; ++i) {
-        EXPECT_EQ(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target, "near");
+        EXPECT_EQ(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target.target, "near");
         balancer.started("near");
     }
-    EXPECT_EQ(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target, "far");
+    EXPECT_EQ(balancer.choose(targets, "s", { "v1", {} }, {}, T0)->target.target, "far");
 }
 
 TEST(NodesChooseFeedersAndTargets, LimitsOfTwoAccountsDoNotInterfere)
--- a/tests/correctness/ReturningCallersAreToldApart.cpp
+++ b/tests/correctness/ReturningCallersAreToldApart.cpp
@@ -60,3 +60,24 @@
     }
     EXPECT_LT(mistaken, CALLERS / 10);
 }
+
+// Seen after all nodes were killed at once: the callers of the outage came back first and were taken for new ones.
+TEST(ReturningCallersAreToldApart, ThoseWhoComeBackAfterARestartAreTooWhenNothingIsKnownYet)
+{
+    base::Random random(4);
+    callers::PatienceEstimator estimator(T0);
+    int mistaken = 0;
+    int unseen = 0;
+    for (int i = 0; i < 100; ++i) {
+        auto now = T0 + Millis(10 * i);
+        mistaken += estimator.arrived("r", patience(random), now) > Millis(0) ? 1 : 0;
+        bool isSeen = estimator.arrived("r", patience(random) - Millis(900), now) > Millis(0);
+        unseen += isSeen ? 0 : 1;
+    }
+    EXPECT_LT(mistaken, 10);
+    EXPECT_LT(unseen, 10);
+    // Once all of the outage have come back or given up, the range is learned as always.
+    for (int i = 0; i < CALLERS; ++i)
+        estimator.arrived("r", patience(random), T0 + Millis(4000 + 20 * i));
+    EXPECT_EQ(estimator.arrived("r", Millis(1800), T0 + Millis(4000 + 20 * CALLERS)), Millis(0));
+}
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -165,7 +165,9 @@
   11: i64 incarnation, 12: string requestId, 13: string callerService, 14: i32 objectiveMs, 15: bool mayWait = true,
   16: bool nested, 17: i32 usualMs,
   // Above 0: the body has this many bytes and follows in parts, once the gate has granted a place.
-  18: i64 laterBytes
+  18: i64 laterBytes,
+  // The longest wait at the gate that is better than a refusal; 0 when there is no bound.
+  19: i32 mostWaitMs
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -11167,6 +11167,10 @@
 void CallRequest::__set_laterBytes(const int64_t val) {
   this->laterBytes = val;
 }
+
+void CallRequest::__set_mostWaitMs(const int32_t val) {
+  this->mostWaitMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -11351,6 +11355,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->mostWaitMs);
+          this->__isset.mostWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11448,6 +11460,10 @@
   xfer += oprot->writeI64(this->laterBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mostWaitMs", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->mostWaitMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11473,6 +11489,7 @@
   swap(a.nested, b.nested);
   swap(a.usualMs, b.usualMs);
   swap(a.laterBytes, b.laterBytes);
+  swap(a.mostWaitMs, b.mostWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -11495,6 +11512,7 @@
   nested = other440.nested;
   usualMs = other440.usualMs;
   laterBytes = other440.laterBytes;
+  mostWaitMs = other440.mostWaitMs;
   __isset = other440.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other441) noexcept {
@@ -11516,6 +11534,7 @@
   nested = other441.nested;
   usualMs = other441.usualMs;
   laterBytes = other441.laterBytes;
+  mostWaitMs = other441.mostWaitMs;
   __isset = other441.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other442) {
@@ -11537,6 +11556,7 @@
   nested = other442.nested;
   usualMs = other442.usualMs;
   laterBytes = other442.laterBytes;
+  mostWaitMs = other442.mostWaitMs;
   __isset = other442.__isset;
   return *this;
 }
@@ -11559,6 +11579,7 @@
   nested = other443.nested;
   usualMs = other443.usualMs;
   laterBytes = other443.laterBytes;
+  mostWaitMs = other443.mostWaitMs;
   __isset = other443.__isset;
   return *this;
 }
@@ -11583,6 +11604,7 @@
   out << ", " << "nested=" << to_string(nested);
   out << ", " << "usualMs=" << to_string(usualMs);
   out << ", " << "laterBytes=" << to_string(laterBytes);
+  out << ", " << "mostWaitMs=" << to_string(mostWaitMs);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4140,7 +4140,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4159,6 +4159,7 @@
   bool nested :1;
   bool usualMs :1;
   bool laterBytes :1;
+  bool mostWaitMs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4185,7 +4186,8 @@
                 mayWait(true),
                 nested(0),
                 usualMs(0),
-                laterBytes(0) {
+                laterBytes(0),
+                mostWaitMs(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4207,6 +4209,7 @@
   bool nested;
   int32_t usualMs;
   int64_t laterBytes;
+  int32_t mostWaitMs;
 
   _CallRequest__isset __isset;
 
@@ -4246,6 +4249,8 @@
 
   void __set_laterBytes(const int64_t val);
 
+  void __set_mostWaitMs(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4284,6 +4289,8 @@
       return false;
     if (!(laterBytes == rhs.laterBytes))
       return false;
+    if (!(mostWaitMs == rhs.mostWaitMs))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
