Bodies for one host arrive in turn

Bodies do not compress (a trial: 129,123 bytes to 129,174). Now: targets::BodyIntake lets 64 kB be on their way to a host, those in time first, and refuses at once what would come too late; an unknown run time is taken to be a third of the objective.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -32,6 +32,8 @@
     constexpr double FULL_SHARE = 0.35;
     constexpr double REFUSAL_SMOOTHING = 0.05;
     constexpr auto NODE_SLACK = Millis(20);
+    // Operators set objectives at about this many usual run times. It is all that a node knows of them after its start.
+    constexpr int RUNS_IN_OBJECTIVE = 3;
     // A node decides alone only on evidence stronger than what the control hosts need for the whole mesh.
     constexpr double LOCAL_DECIDE_AT = 11.5;
     constexpr int FIRST_FAILURE_STATUS = 500;
@@ -422,6 +424,8 @@
     request.nested = call->nested;
     bool mostAreFull = m_refusalShare[call->service->name] > FULL_SHARE;
     auto usualRun = m_balancer.usualRun(call->route->name);
+    if (usualRun <= Millis(0))
+        usualRun = Millis(call->route->objectiveMs / RUNS_IN_OBJECTIVE);
     bool isLate = call->objective && now + usualRun > *call->objective;
     request.usualMs = static_cast<int32_t>(usualRun.count());
     request.mayWait = !call->objective || isLate || mostAreFull || call->refusals >= GATES_WITHOUT_WAIT;
@@ -439,7 +443,7 @@
     call->peerCall = 0;
     call->localCall = 0;
     if (target.node == m_settings.id) {
-        call->localCall = m_local.call(std::move(request), call->body, done);
+        call->localCall = m_local.call(std::move(request), call->body, nullptr, done);
     } else {
         call->peerCall = m_peers.call(
             target.callAddress, std::move(request), call->body, left + NODE_SLACK, call->route->idempotent, now, done);
@@ -599,25 +603,23 @@
 
 // ---- requests of other nodes ----
 
-bool CallPath::onCall(const void* origin, wire::CallRequest request, CallDone done)
+void CallPath::onCall(const void* origin, wire::CallRequest request, std::function<void()> granted, CallDone done)
 {
     auto key = std::make_pair(origin, request.id);
-    bool hasBody = request.laterBytes <= 0;
     // 0 until the local call is known, which no local call is.
     auto id = std::make_shared<uint64_t>(0);
     auto ended = std::make_shared<bool>(false);
-    *id = m_local.call(
-        std::move(request), nullptr, [this, key, id, ended, done = std::move(done)](wire::CallAnswer answer) {
-            *ended = true;
-            // After its link has closed, another link may have the same origin and a call with the same id.
-            auto it = m_remoteCalls.find(key);
-            if (it != m_remoteCalls.end() && it->second == *id)
-                m_remoteCalls.erase(it);
-            done(std::move(answer));
-        });
+    auto answered = [this, key, id, ended, done = std::move(done)](wire::CallAnswer answer) {
+        *ended = true;
+        // After its link has closed, another link may have the same origin and a call with the same id.
+        auto it = m_remoteCalls.find(key);
+        if (it != m_remoteCalls.end() && it->second == *id)
+            m_remoteCalls.erase(it);
+        done(std::move(answer));
+    };
+    *id = m_local.call(std::move(request), nullptr, std::move(granted), answered);
     if (!*ended)
         m_remoteCalls[key] = *id;
-    return !*ended && !hasBody;
 }
 
 void CallPath::onBody(const void* origin, int64_t id, std::string_view part)
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -62,7 +62,7 @@
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
     void handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply) override;
-    bool onCall(const void* origin, wire::CallRequest request, CallDone done) override;
+    void onCall(const void* origin, wire::CallRequest request, std::function<void()> granted, CallDone done) override;
     void onBody(const void* origin, int64_t id, std::string_view part) override;
     void onCancel(const void* origin, int64_t id) override;
     void onOriginClosed(const void* origin) override;
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -2,6 +2,8 @@
 
 #include "pomelowind/base/Log.h"
 
+#include <utility>
+
 namespace pomelowind::node {
 
 using targets::GateVerdict;
@@ -81,7 +83,7 @@
         answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter().count());
 }
 
-uint64_t LocalTargets::call(wire::CallRequest request, BodyPtr body, CallDone done)
+uint64_t LocalTargets::call(wire::CallRequest request, BodyPtr body, std::function<void()> granted, CallDone done)
 {
     uint64_t id = m_nextId++;
     auto now = m_clock.now();
@@ -102,20 +104,14 @@
         call.objective = now + base::Millis(call.request.objectiveMs);
     gateCall.objective = call.objective;
     gateCall.ready = call.request.laterBytes <= 0;
-    if (!gateCall.ready)
-        call.bodyDue = now + BODY_STALL_TIMEOUT;
-    bool hasMemory = true;
-    if (!body) {
-        call.bodyLease = base::MemoryLease(m_bodyMemory);
-        auto bytes = gateCall.ready ? call.request.body.size() : static_cast<size_t>(call.request.laterBytes);
-        hasMemory = call.bodyLease.growTo(bytes);
-    }
     if (!body && gateCall.ready)
         body = std::make_shared<const std::string>(std::move(call.request.body));
     call.body = std::move(body);
+    call.granted = std::move(granted);
+    bool hasRoom = mayTakeBody(call);
     m_calls.emplace(id, std::move(call));
-    if (!hasMemory) {
-        refuse(id, "no memory for the body");
+    if (!hasRoom) {
+        refuse(id, "no room for the body");
         return id;
     }
     auto it = m_targets.find(name);
@@ -133,9 +129,45 @@
         refuse(id, "the target is overloaded");
     else if (verdict == GateVerdict::Leaving)
         refuse(id, "the target is leaving");
+    else if (!gateCall.ready)
+        m_intake.queue(id, static_cast<size_t>(m_calls.at(id).request.laterBytes), laneOf(m_calls.at(id)));
+    grantBodies();
     return id;
 }
 
+targets::BodyIntake::Lane LocalTargets::laneOf(const Call& call) const
+{
+    bool isLate = call.objective && *call.objective <= m_clock.now() + base::Millis(call.request.usualMs);
+    return isLate ? targets::BodyIntake::Lane::Late : targets::BodyIntake::Lane::InTime;
+}
+
+// A body from another node needs memory here, and has to arrive in time for its call to run.
+bool LocalTargets::mayTakeBody(Call& call)
+{
+    if (call.request.laterBytes <= 0)
+        return true;
+    auto now = m_clock.now();
+    auto bytes = static_cast<size_t>(call.request.laterBytes);
+    auto lane = laneOf(call);
+    auto until = call.objective && lane == targets::BodyIntake::Lane::InTime ? *call.objective : call.deadline;
+    auto left = std::chrono::duration_cast<base::Millis>(until - now) - base::Millis(call.request.usualMs);
+    call.bodyLease = base::MemoryLease(m_bodyMemory);
+    return m_intake.isInTime(bytes, left, lane) && call.bodyLease.growTo(bytes);
+}
+
+void LocalTargets::grantBodies()
+{
+    auto now = m_clock.now();
+    for (uint64_t id : m_intake.grant(now)) {
+        auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            continue;
+        it->second.bodyDue = now + BODY_STALL_TIMEOUT;
+        if (auto granted = std::exchange(it->second.granted, nullptr))
+            granted();
+    }
+}
+
 void LocalTargets::bodyPart(uint64_t id, std::string_view part)
 {
     auto it = m_calls.find(id);
@@ -150,20 +182,22 @@
     body.reserve(whole);
     body.append(part);
     auto now = m_clock.now();
+    m_intake.arrived(id, part.size(), now);
     call.bodyDue = now + BODY_STALL_TIMEOUT;
     if (body.size() < whole)
-        return;
+        return grantBodies();
     call.bodyDue = base::Instant();
     call.body = std::make_shared<const std::string>(std::move(body));
     auto target = m_targets.find(call.target);
     if (target != m_targets.end())
         carryOut(*target->second, target->second->gate->becameReady(id, now));
+    grantBodies();
 }
 
 void LocalTargets::dropIncomplete(uint64_t id)
 {
     auto it = m_calls.find(id);
-    if (it != m_calls.end() && it->second.bodyDue != base::Instant())
+    if (it != m_calls.end() && it->second.request.laterBytes > 0 && !it->second.body && !it->second.running)
         cancel(id);
 }
 
@@ -174,6 +208,7 @@
         return;
     Call call = std::move(it->second);
     m_calls.erase(it);
+    m_intake.dropped(id);
     wire::CallAnswer answer;
     answer.outcome = Outcome::NOT_RUN;
     answer.reason = reason;
@@ -248,6 +283,7 @@
     auto target = m_targets.find(it->second.target);
     if (target != m_targets.end())
         target->second->gate->cancel(id);
+    m_intake.dropped(id);
     m_calls.erase(id);
 }
 
@@ -282,6 +318,7 @@
 {
     noticeLongRuns(m_clock.now());
     refuseStalledBodies(m_clock.now());
+    grantBodies();
     auto targets = m_targets;
     for (auto& [name, target] : targets)
         carryOut(*target, target->gate->expire(m_clock.now()));
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -6,6 +6,7 @@
 #include "RunningCalls.h"
 #include "pomelowind/http/HttpClient.h"
 #include "pomelowind/node/CallProtocol.h"
+#include "pomelowind/targets/BodyIntake.h"
 #include "pomelowind/targets/Gate.h"
 
 #include <map>
@@ -27,7 +28,8 @@
     // Runs a call on its target, or refuses it as not run. `done` is called once. Returns an id for cancel(). A call
     // with laterBytes that is not refused at once has a place at the gate and runs when bodyPart() has completed it.
     // `body` is the call's body when it was taken on this host; otherwise the request holds it.
-    uint64_t call(wire::CallRequest request, BodyPtr body, CallDone done);
+    // `granted` is called when the body of a call with laterBytes may be sent.
+    uint64_t call(wire::CallRequest request, BodyPtr body, std::function<void()> granted, CallDone done);
     // The next part of a call's body. Parts of calls that have ended meanwhile are dropped.
     void bodyPart(uint64_t id, std::string_view part);
     // The rest of the call's body will not come: it leaves the gate as not run, and `done` is not called.
@@ -58,13 +60,17 @@
         std::shared_ptr<http::Exchange> exchange;
         bool running { false };
         base::MemoryLease bodyLease;
-        base::Instant bodyDue; // when the next part of the body must have come; unset when the body is whole
+        std::function<void()> granted; // until the body is granted
+        base::Instant bodyDue; // when the next part of a granted body must have come; unset when the body is whole
         base::Millis longFrom { 0 }; // run time from which the gate is told again that it runs long
     };
 
     void run(uint64_t id);
     void carryOut(Target& target, const targets::GateStep& step);
     void noticeLongRuns(base::Instant now);
+    targets::BodyIntake::Lane laneOf(const Call& call) const;
+    bool mayTakeBody(Call& call);
+    void grantBodies();
     void refuseStalledBodies(base::Instant now);
     void refuse(uint64_t id, const std::string& reason);
     void exchanged(uint64_t id, http::ExchangeResult result);
@@ -77,6 +83,7 @@
     base::MemoryBudgetPtr m_bodyMemory;
     std::map<std::string, std::shared_ptr<Target>> m_targets;
     std::unordered_map<uint64_t, Call> m_calls;
+    targets::BodyIntake m_intake;
     RunningCalls m_running;
     uint64_t m_nextId { 1 };
 };
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -288,18 +288,18 @@
     case FrameKind::CALL_REQUEST: {
         auto request = base::decode<wire::CallRequest>(payload);
         int64_t id = request.id;
-        bool takesBody = m_requests.onCall(
-            link.get(), std::move(request), [weak = std::weak_ptr<links::Link>(link), id](wire::CallAnswer answer) {
-                answer.id = id;
-                if (auto to = weak.lock())
-                    to->sendMessage(FrameKind::CALL_ANSWER, answer);
-            });
-        if (takesBody) {
+        auto granted = [weak = std::weak_ptr<links::Link>(link), id] {
             wire::CallGrant grant;
             grant.id = id;
-            link->sendMessage(FrameKind::CALL_GRANT, grant);
-        }
-        return;
+            if (auto to = weak.lock())
+                to->sendMessage(FrameKind::CALL_GRANT, grant);
+        };
+        auto done = [weak = std::weak_ptr<links::Link>(link), id](wire::CallAnswer answer) {
+            answer.id = id;
+            if (auto to = weak.lock())
+                to->sendMessage(FrameKind::CALL_ANSWER, answer);
+        };
+        return m_requests.onCall(link.get(), std::move(request), granted, done);
     }
     case FrameKind::CALL_GRANT: {
         int64_t id = base::decode<wire::CallGrant>(payload).id;
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -26,8 +26,9 @@
 class PeerRequests {
 public:
     virtual ~PeerRequests() = default;
-    // Returns true when the call's body is to follow through onBody.
-    virtual bool onCall(const void* origin, wire::CallRequest request, CallDone done) = 0;
+    // `granted` is called once when the call's body may be sent, which then comes through onBody.
+    virtual void onCall(const void* origin, wire::CallRequest request, std::function<void()> granted, CallDone done)
+        = 0;
     // Throws UserError(Protocol) when there is more body than the request has announced.
     virtual void onBody(const void* origin, int64_t id, std::string_view part) = 0;
     virtual void onCancel(const void* origin, int64_t id) = 0;
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -256,7 +256,8 @@
 {
     if (call.usualRun <= base::Millis(0) || m_serviceByKind.size() >= MAX_ACCOUNTS)
         return;
-    m_serviceByKind.try_emplace(call.kind, Service { static_cast<double>(call.usualRun.count()), 0 });
+    auto ms = static_cast<double>(call.usualRun.count());
+    m_serviceByKind.try_emplace(call.kind, Service { ms, 0 });
 }
 
 void Gate::learnService(const std::string& kind, base::Millis took)
