--- a/include/pomelowind/nodes/Feeder.h
+++ b/include/pomelowind/nodes/Feeder.h
@@ -17,8 +17,8 @@
 struct FeederOptions {
     // 580 nodes on 7 control hosts, one of which is down.
     size_t children { 128 };
-    // After all processes were killed a feeder's nodes come within a moment. A state of 1,400 routes takes some 40 kB, so
-    // a burst of this size passes a link of 170 Mbit/s in about 0.1 s.
+    // After all processes were killed a feeder's nodes come within a moment. A state of 1,400 routes takes some 40 kB,
+    // so a burst of this size passes a link of 170 Mbit/s in about 0.1 s.
     double admissionsPerSecond { 200 };
     double admissionBurst { 64 };
     base::Millis childLease { 3000 };
--- a/src/config/Release.cpp
+++ b/src/config/Release.cpp
@@ -79,8 +79,8 @@
 
     // Adds `content` to the change unless it stands in the state already. `field` is where a resource holds it.
     template <class T, class Set>
-    void addIfChanged(std::vector<wire::Resource>& out, const std::string& key, const T& content, const ConfigState& state,
-        T wire::Resource::*field, Set set)
+    void addIfChanged(std::vector<wire::Resource>& out, const std::string& key, const T& content,
+        const ConfigState& state, T wire::Resource::*field, Set set)
     {
         const auto* present = state.find(key);
         if (present && present->*field == content)
@@ -135,8 +135,8 @@
     }
     for (const auto& it : release.routes) {
         auto key = routeKey(it.name);
-        addIfChanged(out.set, key, it, state, &wire::Resource::route,
-            [&](wire::Resource& changed) { changed.__set_route(it); });
+        addIfChanged(
+            out.set, key, it, state, &wire::Resource::route, [&](wire::Resource& changed) { changed.__set_route(it); });
         kept.insert(std::move(key));
     }
     state.forEach([&](const wire::Resource& it) {
--- a/tests/correctness/NodesChooseFeedersAndTargets.cpp
+++ b/tests/correctness/NodesChooseFeedersAndTargets.cpp
@@ -126,6 +126,21 @@
     EXPECT_LE(admitted, options.admissionBurst + options.admissionsPerSecond + 1);
 }
 
+TEST(NodesChooseFeedersAndTargets, SubscribersWithOneBaseShareOnePackedDelta)
+{
+    nodes::Feeder feeder({}, T0);
+    feeder.publish(std::make_shared<const config::ConfigState>(config::ConfigState().withoutResource("x")));
+    const std::string* first = nullptr;
+    // Subscribers that come one after the other, as after a restart of all.
+    for (int i = 0; i < 50; ++i) {
+        ASSERT_TRUE(feeder.subscribe(node(i), 0, T0).admitted) << "a herd of this size is admitted at once";
+        auto feeds = feeder.takeFeeds();
+        ASSERT_EQ(feeds.size(), 1u);
+        first = first ? first : feeds[0].delta.get();
+        EXPECT_EQ(feeds[0].delta.get(), first);
+    }
+}
+
 TEST(NodesChooseFeedersAndTargets, PresenceIsOrderedByIncarnationAndSequence)
 {
     nodes::Directory directory;
--- a/tests/platform/ReleaseIsDecodedWhole.cpp
+++ b/tests/platform/ReleaseIsDecodedWhole.cpp
@@ -83,3 +83,18 @@
     for (size_t n = 0; n < text.size(); n += 7)
         EXPECT_THROW(platform::decodeRelease(text.substr(0, n)), base::UserError) << n;
 }
+
+TEST(ReleaseIsDecodedWhole, UploadsAreLargeBodiesThatRunAtMostOnce)
+{
+    auto body = document();
+    body["routes"][0]["route_kind"] = "upload";
+    auto release = platform::decodeRelease(body.dump());
+    config::checkRelease(release);
+    EXPECT_TRUE(release.routes[0].largeBody);
+    EXPECT_FALSE(release.routes[0].idempotent);
+    EXPECT_FALSE(release.routes[1].largeBody);
+    body["routes"][0]["route_kind"] = "sometimes";
+    EXPECT_TRUE(isRefused(body));
+    release.routes[0].idempotent = true;
+    EXPECT_THROW(config::checkRelease(release), base::UserError);
+}
