--- a/tests/integration/LargeBodiesLandWhole.cpp
+++ b/tests/integration/LargeBodiesLandWhole.cpp
@@ -178,8 +178,9 @@
     ASSERT_TRUE(nodes.runUntil([&] { return refused() >= 1; }));
     ASSERT_TRUE(nodes.runUntil([&] { return anyTook(connections, body); }));
     // Answered calls give their memory back.
-    for (size_t i = 0; i < connections.size(); ++i)
-        nodes.runUntil([&] { return tookWhole(connections[i], body); });
+    auto opened = connections;
+    for (const auto& it : opened)
+        nodes.runUntil([&] { return tookWhole(it, body); });
     for (int i = 0; i < 4; ++i) {
         for (const auto& it : connections) {
             if (it->has("X-Request-Id: u" + std::to_string(i)))
