--- a/include/pomelowind/base/MemoryBudget.h
+++ b/include/pomelowind/base/MemoryBudget.h
@@ -16,7 +16,6 @@
     {
     }
 
-    size_t used() const { return m_used; }
     // Takes `bytes` when they fit.
     bool tryTake(size_t bytes)
     {
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -49,8 +49,8 @@
     int64_t maxBodyBytes { 1024 * 1024 };
     // All bodies that the node holds at once. More are refused as not run, so that a burst of large bodies cannot
     // exhaust the memory of the process.
-    double crossingMsPerKilobyte { 0 }; // waiting that callers bear rather than send a kilobyte to another data centre
     int64_t bodyMemoryBytes { 64 * 1024 * 1024 };
+    double crossingMsPerKilobyte { 0 }; // waiting that callers bear rather than send a kilobyte to another data centre
     base::Millis callerTimeout { 10000 };
     base::Millis drainGrace { 2500 };
     int64_t claimMemoryBytes { 8 * 1024 * 1024 };
--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -96,7 +96,6 @@
     double loadOf(const wire::Presence& target, base::Instant now) const;
     double costOf(const wire::Presence& target, base::Instant now) const;
     void learnSpeed(Stats& stats, const Observation& observation);
-    double expectedMs(const wire::Presence& target, const std::string& kind, base::Instant now) const;
     CallSize sizeOf(const CallToPlace& call) const;
     bool shouldCross(
         const wire::Presence& near, const wire::Presence& far, base::Instant now, const CallToPlace& call) const;
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -365,40 +365,40 @@
     auto unreachable = unreachableTargets();
     auto avoid = unreachable;
     avoid.insert(call->tried.begin(), call->tried.end());
-    targets::CallToPlace size { call->route->name, call->body->size(), {} };
+    targets::CallToPlace toPlace { call->route->name, call->body->size(), {} };
     if (call->objective)
-        size.untilObjective = std::chrono::duration_cast<Millis>(*call->objective - now);
-    std::optional<targets::Placement> target;
+        toPlace.untilObjective = std::chrono::duration_cast<Millis>(*call->objective - now);
+    std::optional<targets::Placement> placement;
     if (toCandidate) {
-        target = m_balancer.choose(targets, service.name, { service.candidate, {} }, avoid, now, size);
-        if (!target)
+        placement = m_balancer.choose(targets, service.name, { service.candidate, {} }, avoid, now, toPlace);
+        if (!placement)
             m_splitter.giveBack(service);
     }
     targets::VersionChoice stable { service.stable, { service.candidate, service.excluded } };
-    if (!target)
-        target = m_balancer.choose(targets, service.name, stable, avoid, now, size);
+    if (!placement)
+        placement = m_balancer.choose(targets, service.name, stable, avoid, now, toPlace);
     // Rather a target that was tried than none, and rather one that seems out of reach, when all others are gone.
-    if (!target && !call->tried.empty())
-        target = m_balancer.choose(targets, service.name, stable, unreachable, now, size);
-    if (!target && !avoid.empty())
-        target = m_balancer.choose(targets, service.name, stable, {}, now, size);
-    if (target)
-        call->version = target->target.version;
-    return target;
+    if (!placement && !call->tried.empty())
+        placement = m_balancer.choose(targets, service.name, stable, unreachable, now, toPlace);
+    if (!placement && !avoid.empty())
+        placement = m_balancer.choose(targets, service.name, stable, {}, now, toPlace);
+    if (placement)
+        call->version = placement->target.version;
+    return placement;
 }
 
 void CallPath::dispatch(const CallPtr& call)
 {
-    auto target = chooseTarget(call);
-    if (!target) {
+    auto placement = chooseTarget(call);
+    if (!placement) {
         wire::CallAnswer answer;
         answer.outcome = Outcome::NOT_RUN;
         answer.reason = "no target of service '" + call->service->name + "' can take the call";
         return finish(call, std::move(answer));
     }
-    call->tried.insert(target->target.target);
-    call->target = target->target.target;
-    send(call, *target);
+    call->tried.insert(placement->target.target);
+    call->target = placement->target.target;
+    send(call, *placement);
 }
 
 void CallPath::send(const CallPtr& call, const targets::Placement& placement)
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -132,20 +132,15 @@
     return best;
 }
 
-double Balancer::expectedMs(const wire::Presence& target, const std::string& kind, base::Instant now) const
-{
-    auto it = m_runMs.find(kind);
-    return it == m_runMs.end() ? 0 : it->second * costOf(target, now);
-}
-
 bool Balancer::shouldCross(
     const wire::Presence& near, const wire::Presence& far, base::Instant now, const CallToPlace& call) const
 {
+    double nearCost = costOf(near, now);
+    double farCost = costOf(far, now) + REMOTE_COST;
     auto run = m_runMs.find(call.kind);
     if (run == m_runMs.end())
-        return loadOf(near, now) >= SPILL_LOAD && costOf(far, now) + REMOTE_COST < costOf(near, now);
-    double farMs = expectedMs(far, call.kind, now) + REMOTE_COST * run->second;
-    return isWorthCrossing(expectedMs(near, call.kind, now), farMs, sizeOf(call), m_price);
+        return loadOf(near, now) >= SPILL_LOAD && farCost < nearCost;
+    return isWorthCrossing(run->second * nearCost, run->second * farCost, sizeOf(call), m_price);
 }
 
 CallSize Balancer::sizeOf(const CallToPlace& call) const
--- a/tests/correctness/LargeCallsCrossLast.cpp
+++ b/tests/correctness/LargeCallsCrossLast.cpp
@@ -2,33 +2,23 @@
 
 #include "pomelowind/targets/Balancer.h"
 #include "pomelowind/targets/Gate.h"
+#include "tests/support/Presences.h"
 
 #include <gtest/gtest.h>
 
 using namespace pomelowind;
 using base::Millis;
 using targets::isWorthCrossing;
+using tests::target;
 
 namespace {
 
 const base::Instant T0 = base::Instant() + std::chrono::hours(1);
 constexpr size_t SMALL = 1024;
 constexpr size_t LARGE = 60 * 1024;
-constexpr int SLOTS = 4;
+constexpr int SLOTS = tests::TARGET_SLOTS;
 const targets::CrossingPrice PRICE { 60 };
 
-wire::Presence target(const std::string& name, const std::string& dataCentre)
-{
-    wire::Presence out;
-    out.target = name;
-    out.serviceName = "s";
-    out.version = "v1";
-    out.dataCentre = dataCentre;
-    out.slots = SLOTS;
-    out.state = wire::TargetState::SERVING;
-    return out;
-}
-
 class LargeCallsCrossLast : public testing::Test {
 protected:
     LargeCallsCrossLast() { teach("far", Millis(100), 1); }
--- a/tests/correctness/NodesChooseFeedersAndTargets.cpp
+++ b/tests/correctness/NodesChooseFeedersAndTargets.cpp
@@ -6,11 +6,13 @@
 #include "pomelowind/nodes/ParentChooser.h"
 #include "pomelowind/nodes/RelayTree.h"
 #include "pomelowind/targets/Balancer.h"
+#include "tests/support/Presences.h"
 
 #include <gtest/gtest.h>
 
 using namespace pomelowind;
 using base::Millis;
+using tests::target;
 
 namespace {
 
@@ -27,20 +29,6 @@
     return out;
 }
 
-wire::Presence target(const std::string& name, const std::string& dataCentre)
-{
-    wire::Presence out;
-    out.target = name;
-    out.serviceName = "s";
-    out.version = "v1";
-    out.dataCentre = dataCentre;
-    out.node = "node-" + name;
-    out.incarnation = 1;
-    out.state = wire::TargetState::SERVING;
-    out.slots = 4;
-    return out;
-}
-
 }
 
 TEST(NodesChooseFeedersAndTargets, RelayTreeHasOneRootNoLoopAndBoundedFanOut)
