Nodes log and count what targets say about themselves in responses

The node beside the target logs target.notice_changed, target.load once a second while there is a notice, and two gauges. No decision uses them yet.

--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -62,6 +62,7 @@
     const CallCounts& counts() const { return m_counts; }
     // Calls at the targets of this host, running or queued.
     size_t localCallCount() const { return m_localTargets.callCount(); }
+    const LocalTargets& localTargets() const { return m_localTargets; }
     // Bytes sent to other nodes for calls and claims since the start.
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -16,6 +16,8 @@
     // Parts of a granted body follow each other closely. After this long without one, the link or the other node has
     // failed, and the call's queue slot is freed for other calls.
     constexpr auto BODY_STALL_TIMEOUT = base::Millis(1000);
+    // Period of the log lines about a target that names a limit.
+    constexpr auto LOAD_LOG_PERIOD = base::Millis(1000);
 
 }
 
@@ -209,6 +211,8 @@
         return;
     Call call = std::move(it->second);
     m_calls.erase(it);
+    if (auto target = m_targets.find(call.target); target != m_targets.end())
+        ++target->second->load.refused;
     m_bodyFlowControl.remove(id);
     wire::CallAnswer answer;
     answer.outcome = Outcome::NOT_RUN;
@@ -232,6 +236,9 @@
     request.sharedBody = std::move(call.body);
     // The closure keeps the target and its gate alive until the call has ended, even if the target is gone by then.
     auto target = m_targets.at(call.target);
+    ++m_sentCalls;
+    ++target->load.sent;
+    target->load.nested += call.request.nested ? 1 : 0;
     call.exchange = target->client->request(
         std::move(request), left, [this, id, target, kind = call.request.account](http::ExchangeResult result) {
             auto found = m_calls.find(id);
@@ -242,6 +249,8 @@
             if (found != m_calls.end() && !serviceTime)
                 target->gate->recordElapsed(
                     kind, std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started));
+            if (auto notice = m_protocol.parseTargetNotice(result))
+                onNotice(*target, *notice);
             auto step = target->gate->finished(kind, serviceTime, m_clock.now());
             onExchangeEnded(id, std::move(result));
             applyGateStep(*target, step);
@@ -288,6 +297,42 @@
     m_calls.erase(id);
 }
 
+void LocalTargets::onNotice(Target& target, const TargetNotice& notice)
+{
+    if (notice == target.notice)
+        return;
+    base::logRateLimited("target.notice_changed",
+        { { "target", target.announcement.target },
+            { "max_calls_per_s", notice.maxCallsPerSecond ? std::to_string(*notice.maxCallsPerSecond) : "none" },
+            { "leaving", notice.leaving ? 1 : 0 } });
+    target.notice = notice;
+}
+
+double LocalTargets::maxCallsPerSecond() const
+{
+    double out = 0;
+    for (const auto& [name, target] : m_targets)
+        out += target->notice.maxCallsPerSecond.value_or(0);
+    return out;
+}
+
+// Logs the load of targets that name a limit or are leaving, so that it can be compared with what they ask for.
+void LocalTargets::logLoad(base::Instant now)
+{
+    for (auto& [name, target] : m_targets) {
+        if (now - target->load.since < LOAD_LOG_PERIOD)
+            continue;
+        if (target->notice != TargetNotice())
+            base::logInfo("target.load",
+                { { "target", name }, { "max_calls_per_s", target->notice.maxCallsPerSecond.value_or(0) },
+                    { "leaving", target->notice.leaving ? 1 : 0 }, { "sent", target->load.sent },
+                    { "nested", target->load.nested }, { "refused", target->load.refused },
+                    { "running", target->gate->running() }, { "queued", target->gate->queued() } });
+        target->load = {};
+        target->load.since = now;
+    }
+}
+
 void LocalTargets::reportLongRuns(base::Instant now)
 {
     for (auto& [id, call] : m_calls) {
@@ -317,6 +362,7 @@
 
 void LocalTargets::sweep()
 {
+    logLoad(m_clock.now());
     reportLongRuns(m_clock.now());
     refuseStalledBodies(m_clock.now());
     grantBodies();
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -48,10 +48,23 @@
     void startDraining();
     // Number of calls, running or queued.
     size_t callCount() const { return m_calls.size(); }
+    // Calls sent to targets since the start.
+    uint64_t sentCalls() const { return m_sentCalls; }
+    // Calls per second that the targets of this host accept by their own notice; 0 if none names a limit.
+    double maxCallsPerSecond() const;
 
 private:
+    // Calls at a target since the last line about its load.
+    struct LoadCounts {
+        int sent { 0 };
+        int nested { 0 }; // of these, the nested ones
+        int refused { 0 };
+        base::Instant since;
+    };
     struct Target {
         Announcement announcement;
+        TargetNotice notice;
+        LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
         std::shared_ptr<http::HttpClient> client;
         bool isDraining { false };
@@ -74,6 +87,8 @@
 
     void run(uint64_t id);
     void applyGateStep(Target& target, const targets::GateStep& step);
+    void onNotice(Target& target, const TargetNotice& notice);
+    void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
     bool admitBody(Call& call);
@@ -93,6 +108,7 @@
     targets::BodyFlowControl m_bodyFlowControl;
     RunningCalls m_runningCalls;
     uint64_t m_nextId { 1 };
+    uint64_t m_sentCalls { 0 };
 };
 
 } // namespace pomelowind::node
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -92,6 +92,12 @@
             return out;
         }
 
+        // The product's targets announce their state to their node, and never in responses.
+        std::optional<TargetNotice> parseTargetNotice(const http::ExchangeResult&) const override
+        {
+            return std::nullopt;
+        }
+
         http::HttpResponse makeCallerResponse(
             const wire::CallAnswer& answer, const CallParameters&, const std::string& version) const override
         {
