Failing tests: capped targets get more than they accept, leaving targets get new calls

Callers see nothing, targets do: the tests run three nodes in simulated time, with callers that keep their connections at every node and targets that answer with the new headers.

--- /dev/null
+++ b/tests/property/CappedTargetsStayWithinTheirLimit.cpp
@@ -0,0 +1,62 @@
+// Guards against a target that names the calls per second that it accepts and gets more of them.
+
+#include "tests/support/CalledService.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Instant;
+using base::Millis;
+using tests::CalledService;
+
+namespace {
+
+// The platform's bound: calls in any such window, beyond one and a half times what the limit allows.
+constexpr Millis WINDOW(4000);
+constexpr double TOLERANCE = 1.5;
+constexpr int SLACK = 5;
+// The bound holds once the limit has been named for this long.
+constexpr Millis CONTACT_WINDOW(3000);
+
+std::string limitHeader(double limit) { return "Server-Limit: " + std::to_string(limit) + "\r\n"; }
+
+// Returns the largest number of calls that arrived in a window that ends between `from` and `to`.
+int mostInWindow(const std::vector<tests::ArrivedCall>& arrivals, Instant from, Instant to)
+{
+    int out = 0;
+    for (size_t first = 0, last = 0; last < arrivals.size() && arrivals[last].at <= to; ++last) {
+        while (arrivals[first].at <= arrivals[last].at - WINDOW)
+            ++first;
+        if (arrivals[last].at >= from)
+            out = std::max(out, static_cast<int>(last - first + 1));
+    }
+    return out;
+}
+
+double allowed(double limit) { return TOLERANCE * limit * static_cast<double>(WINDOW.count()) / 1000 + SLACK; }
+
+}
+
+TEST(CappedTargetsStayWithinTheirLimit, WhenCallersOfAllNodesAskForMore)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        CalledService service(options);
+        auto limit = static_cast<double>(seed * seed);
+        service.run(Millis(1000 + 170 * static_cast<int>(seed)), 90);
+        service.setHeaders(1, limitHeader(limit));
+        auto named = service.now();
+        service.run(Millis(9000), 90);
+        auto lifted = service.now();
+        EXPECT_LE(mostInWindow(service.arrivals(1), named + CONTACT_WINDOW, lifted), allowed(limit));
+        EXPECT_GE(mostInWindow(service.arrivals(1), named + CONTACT_WINDOW, lifted), limit)
+            << "what the target accepts is used";
+        EXPECT_EQ(service.answered(503, Millis::max()), 0) << "the other target has free slots";
+        service.setHeaders(1, "");
+        service.run(Millis(5000), 90);
+        EXPECT_GT(mostInWindow(service.arrivals(1), lifted + WINDOW, service.now()), allowed(limit))
+            << "a limit that is named no more is lifted";
+    }
+}
--- /dev/null
+++ b/tests/property/LeavingTargetsGetNoNewCalls.cpp
@@ -0,0 +1,34 @@
+// Guards against a target that says in its responses that it leaves and still gets calls, before its heartbeat says so.
+
+#include "tests/support/CalledService.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using tests::CalledService;
+
+namespace {
+
+// A target that leaves serves calls that were sent up to this long after it said so.
+constexpr Millis DRAIN_TIME(2000);
+
+}
+
+TEST(LeavingTargetsGetNoNewCalls, WhenTheirHeartbeatStillSaysServing)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        CalledService service(options);
+        service.run(Millis(1000 + 130 * static_cast<int>(seed)), 60);
+        service.setHeaders(1, "Server-Leaving: 1\r\n");
+        // Some call is answered with the header well within this time.
+        auto said = service.now() + Millis(500);
+        service.run(Millis(5000), 60);
+        auto isTooLate = [&](const auto& it) { return it.sentAt > said + DRAIN_TIME; };
+        const auto& arrivals = service.arrivals(1);
+        EXPECT_EQ(std::count_if(arrivals.begin(), arrivals.end(), isTooLate), 0);
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -95,6 +95,7 @@
 
 CallPathFixture::CallPathFixture(Options options)
     : m_options(std::move(options))
+    , m_clock(m_options.clock ? *m_options.clock : m_systemClock)
     , m_protocol(platform::makeCallProtocol())
 {
     for (int i = 0; i < m_options.nodes; ++i)
@@ -138,12 +139,37 @@
     settings.firstAttemptPercent = 100;
     node->targetPort = std::make_unique<tcp::acceptor>(m_io);
     base::listenOn(*node->targetPort, { ip(i), TARGET_PORT });
-    node->path = std::make_unique<node::CallPath>(
-        m_io, node->settings, *m_protocol, m_clock, [](const auto&) {}, 1);
+    startPath(*node);
     accept(*node);
     m_nodes.push_back(std::move(node));
 }
 
+void CallPathFixture::startPath(Node& node)
+{
+    node.path = std::make_unique<node::CallPath>(
+        m_io, node.settings, *m_protocol, m_clock, [](const auto&) {}, 1);
+}
+
+void CallPathFixture::restart(int i)
+{
+    auto& node = *m_nodes.at(static_cast<size_t>(i));
+    node.path->close();
+    for (auto& it : node.accepted)
+        it->close();
+    m_endedPaths.push_back(std::move(node.path));
+    startPath(node);
+    publish();
+}
+
+void CallPathFixture::step()
+{
+    for (auto& it : m_nodes)
+        it->path->sweep();
+    m_io.restart();
+    while (m_io.poll())
+        m_io.restart();
+}
+
 void CallPathFixture::accept(Node& node)
 {
     node.targetPort->async_accept([this, &node](boost::system::error_code ec, tcp::socket socket) {
@@ -236,10 +262,11 @@
     return "GET /again/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 5000\r\n\r\n";
 }
 
-std::string CallPathFixture::answer(const std::string& id, const std::string& body, int status)
+std::string CallPathFixture::answer(
+    const std::string& id, const std::string& body, int status, const std::string& extraHeaders)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + id
-        + "\r\nX-Server-Stamp: stamp\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + id + "\r\nX-Server-Stamp: stamp\r\n"
+        + extraHeaders + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace pomelowind::tests
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -54,11 +54,16 @@
         int64_t bodyMemoryBytes { 8 * 1024 * 1024 };
         std::vector<int> targetsAt { 1 }; // nodes with a target of service "s"
         std::vector<std::string> dataCentres { "east", "east", "east", "east" };
+        const base::Clock* clock { nullptr }; // must outlive the fixture; null: the host's clock
     };
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
 
     node::CallPath& path(int i) { return *m_nodes.at(static_cast<size_t>(i))->path; }
+    // Ends node `i` at once and starts it again without what it knew; its target goes on and announces itself.
+    void restart(int i);
+    // Runs the event loop until nothing is left to do at this instant, and sweeps all nodes.
+    void step();
     // Opens a caller's connection to node `i`.
     RawConnectionPtr connect(int i);
     // Returns the connections that node `i` has opened to its target, in order.
@@ -70,7 +75,8 @@
     // Returns a GET request to the idempotent route.
     static std::string get(const std::string& id);
     // Returns a complete response of a target to the request `id`.
-    static std::string answer(const std::string& id, const std::string& body, int status = 200);
+    static std::string answer(
+        const std::string& id, const std::string& body, int status = 200, const std::string& extraHeaders = "");
 
 private:
     struct Node {
@@ -82,14 +88,17 @@
 
     std::string ip(int i) const;
     void addNode(int i);
+    void startPath(Node& node);
     void accept(Node& node);
     void publish();
 
     Options m_options;
     boost::asio::io_context m_io;
-    base::SystemClock m_clock;
+    base::SystemClock m_systemClock;
+    const base::Clock& m_clock;
     std::unique_ptr<node::CallProtocol> m_protocol;
     std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<std::unique_ptr<node::CallPath>> m_endedPaths; // handlers of closed sockets may still refer to them
 };
 
 } // namespace pomelowind::tests
--- /dev/null
+++ b/tests/support/CalledService.cpp
@@ -0,0 +1,146 @@
+#include "CalledService.h"
+
+#include <algorithm>
+
+namespace pomelowind::tests {
+
+namespace {
+
+    constexpr auto STEP = base::Millis(5);
+    constexpr double STEPS_PER_SECOND = 200;
+    constexpr char END_OF_HEADER[] = "\r\n\r\n";
+    constexpr char ID_FIELD[] = "X-Request-Id: ";
+    constexpr char LENGTH_FIELD[] = "Content-Length: ";
+
+    CallPathFixture::Options fixtureOptions(const CalledService::Options& options, const base::Clock& clock)
+    {
+        CallPathFixture::Options out;
+        out.nodes = options.nodes;
+        out.targetsAt = options.targetsAt;
+        out.slots = options.slots;
+        out.clock = &clock;
+        return out;
+    }
+
+    std::string fieldOf(const std::string& message, const std::string& field)
+    {
+        auto from = message.find(field);
+        if (from == std::string::npos)
+            return {};
+        from += field.size();
+        return message.substr(from, message.find("\r\n", from) - from);
+    }
+
+    // Returns the status of a complete response, or 0 when it is not complete yet.
+    int statusOf(const std::string& received)
+    {
+        auto end = received.find(END_OF_HEADER);
+        if (end == std::string::npos)
+            return 0;
+        auto length = fieldOf(received, LENGTH_FIELD);
+        bool isComplete = received.size() >= end + sizeof END_OF_HEADER - 1 + std::stoul("0" + length);
+        return isComplete ? std::stoi(received.substr(sizeof "HTTP/1.1", 3)) : 0;
+    }
+
+}
+
+CalledService::CalledService(const Options& options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_fixture(fixtureOptions(options, m_clock))
+{
+    for (int i : options.targetsAt)
+        m_targets[i];
+}
+
+void CalledService::run(base::Millis duration, double callsPerSecond)
+{
+    for (auto end = m_clock.now() + duration; m_clock.now() < end; m_clock.advance(STEP)) {
+        for (double n = callsPerSecond / STEPS_PER_SECOND; n > 0; n -= 1) {
+            if (m_random.bernoulli(std::min(1.0, n)))
+                send();
+        }
+        m_fixture.step();
+        for (auto& [node, target] : m_targets)
+            serve(node, target);
+        m_fixture.step();
+        readAnswers();
+    }
+}
+
+RawConnectionPtr CalledService::idleConnection(int node)
+{
+    auto& idle = m_idle[node];
+    while (!idle.empty()) {
+        auto out = idle.back();
+        idle.pop_back();
+        if (!out->closed)
+            return out;
+    }
+    return m_fixture.connect(node);
+}
+
+void CalledService::send()
+{
+    int node = static_cast<int>(m_random.uniformBelow(static_cast<uint64_t>(m_options.nodes)));
+    auto id = "c" + std::to_string(m_calls.size());
+    auto connection = idleConnection(node);
+    connection->received.clear();
+    connection->write(CallPathFixture::get(id));
+    m_calls[id] = { m_clock.now(), node, connection };
+    m_open.push_back(id);
+}
+
+void CalledService::readAnswers()
+{
+    std::erase_if(m_open, [this](const std::string& id) {
+        const auto& call = m_calls.at(id);
+        int status = statusOf(call.connection->received);
+        if (!status && !call.connection->closed)
+            return false;
+        m_ended.push_back({ status, std::chrono::duration_cast<base::Millis>(m_clock.now() - call.at) });
+        if (!call.connection->closed)
+            m_idle[call.node].push_back(call.connection);
+        return true;
+    });
+}
+
+void CalledService::serve(int node, Target& target)
+{
+    auto& connections = m_fixture.targetConnections(node);
+    target.served.resize(connections.size());
+    for (size_t i = 0; i < connections.size(); ++i) {
+        auto& connection = *connections[i];
+        auto& served = target.served[i];
+        for (auto end = connection.received.find(END_OF_HEADER, served.readBytes); end != std::string::npos;
+             end = connection.received.find(END_OF_HEADER, served.readBytes)) {
+            auto id = fieldOf(connection.received.substr(served.readBytes, end - served.readBytes), ID_FIELD);
+            served.readBytes = end + sizeof END_OF_HEADER - 1;
+            const auto& call = m_calls.at(id);
+            target.arrivals.push_back({ m_clock.now(), call.at, call.node });
+            served.answers.push_back(
+                { m_clock.now() + m_options.serviceTime, CallPathFixture::answer(id, "done", 200, target.headers) });
+        }
+        std::erase_if(served.answers, [&](const Answer& it) {
+            if (it.due > m_clock.now())
+                return false;
+            if (!connection.closed)
+                connection.write(it.bytes);
+            return true;
+        });
+    }
+}
+
+void CalledService::restart(int i)
+{
+    m_fixture.restart(i);
+    m_idle.erase(i);
+}
+
+int CalledService::answered(int status, base::Millis time) const
+{
+    return static_cast<int>(std::count_if(
+        m_ended.begin(), m_ended.end(), [&](const Ended& it) { return it.status == status && it.time <= time; }));
+}
+
+} // namespace pomelowind::tests
--- /dev/null
+++ b/tests/support/CalledService.h
@@ -0,0 +1,90 @@
+// A service on the nodes of a CallPathFixture in simulated time: callers at every node keep their connections and send
+// calls at random moments, and its targets answer each call after a fixed time with headers that the test chooses.
+#pragma once
+
+#include "CallPathFixture.h"
+#include "ManualClock.h"
+#include "pomelowind/base/Random.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelowind::tests {
+
+// A call that has reached a target.
+struct ArrivedCall {
+    base::Instant at;
+    base::Instant sentAt; // when its caller sent it
+    int node; // where its caller sent it
+};
+
+// Thread safety: confined to the test's thread.
+class CalledService {
+public:
+    struct Options {
+        int nodes { 3 };
+        std::vector<int> targetsAt { 1, 2 };
+        int slots { 8 };
+        base::Millis serviceTime { 40 };
+        uint64_t seed { 1 };
+    };
+    explicit CalledService(const Options& options);
+
+    // Lets callers send about `callsPerSecond` calls for `duration`.
+    void run(base::Millis duration, double callsPerSecond);
+    // Sets the header lines that the target of node `i` adds to its responses from now on, for example "A: b\r\n".
+    void setHeaders(int i, const std::string& lines) { m_targets.at(i).headers = lines; }
+    // Restarts node `i`, whose target goes on. The node forgets all that it knew.
+    void restart(int i);
+    // Calls that the target of node `i` has got, in order.
+    const std::vector<ArrivedCall>& arrivals(int i) const { return m_targets.at(i).arrivals; }
+    // Number of callers' calls that were answered with `status` within `time`.
+    int answered(int status, base::Millis time) const;
+    // Calls without an answer yet.
+    size_t openCalls() const { return m_open.size(); }
+    base::Instant now() const { return m_clock.now(); }
+
+private:
+    struct Answer {
+        base::Instant due;
+        std::string bytes;
+    };
+    // A connection of the target and the responses that it still owes on it.
+    struct Served {
+        size_t readBytes { 0 };
+        std::vector<Answer> answers;
+    };
+    struct Target {
+        std::string headers;
+        std::vector<Served> served;
+        std::vector<ArrivedCall> arrivals;
+    };
+    struct Sent {
+        base::Instant at;
+        int node;
+        RawConnectionPtr connection;
+    };
+    struct Ended {
+        int status;
+        base::Millis time;
+    };
+
+    void send();
+    void readAnswers();
+    void serve(int node, Target& target);
+    RawConnectionPtr idleConnection(int node);
+
+    Options m_options;
+    ManualClock m_clock;
+    base::Random m_random;
+    CallPathFixture m_fixture;
+    std::map<int, Target> m_targets;
+    std::map<std::string, Sent> m_calls; // all that were sent, by request id
+    std::vector<std::string> m_open; // ids of those without an answer
+    std::map<int, std::vector<RawConnectionPtr>> m_idle; // by node
+    std::vector<Ended> m_ended;
+};
+
+} // namespace pomelowind::tests
