Gates keep to the calls per second that their target accepts

Callers saw nothing; targets in need got up to five times the calls that they had said they accept (LIMIT). Cause: the limit passed through the node as any end-to-end header. The gate bounds calls that run at the same time; a target whose calls are short gets slots over service time, whatever it says. Fix: all calls to a target pass its gate, so the gate takes a token for each call that starts, of a bucket that the target's rate refills. The queue's expected wait, the refusals and the Retry-After count the tokens as they count the slots, so a call whose turn cannot come in time is refused at once. targets::AcceptedRate orders responses: only the response to a request that was sent after the limit was confirmed lifts or raises it.

--- a/include/pomelowind/base/TokenBucket.h
+++ b/include/pomelowind/base/TokenBucket.h
@@ -33,6 +33,13 @@
     // Adds `n` tokens, up to the burst size.
     void addTokens(double n) { m_tokens = std::min(m_burst, m_tokens + n); }
 
+    // Changes the rate from `now` on. Precondition: ratePerSecond >= 0.
+    void setRate(double ratePerSecond, Instant now)
+    {
+        refill(now);
+        m_ratePerSecond = ratePerSecond;
+    }
+
     // Changes the burst size and drops tokens above it. Precondition: burst > 0.
     void setBurst(double burst)
     {
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -1,6 +1,7 @@
 // Admission controller in front of one target. All calls to the target pass through the gate of the node on its host.
-// It limits concurrent calls to the target's slots, with a ramp-up after a cold start; queues only calls that can still
-// be served in time; and admits nothing new while the target drains. Pure decision logic without I/O.
+// It limits concurrent calls to the target's slots, with a ramp-up after a cold start, and the calls per second to what
+// the target accepts; queues only calls that can still be served in time; and admits nothing new while the target
+// drains. Pure decision logic without I/O.
 //
 // Designed for services that are offered more calls than their slots can serve. Calls that can still meet their latency
 // objective run first, by priority. Calls that cannot meet it run behind all of them, because they lose little by
@@ -10,6 +11,7 @@
 #pragma once
 
 #include "pomelowind/base/Time.h"
+#include "pomelowind/base/TokenBucket.h"
 
 #include <cstdint>
 #include <list>
@@ -76,13 +78,16 @@
     // calls to learn from. Returns true if it counted; the same call should then be reported again only after twice the
     // time.
     bool recordElapsed(const std::string& kind, base::Millis elapsed);
-    // Removes the queued calls that can no longer meet their deadline, and returns them to be refused.
-    GateStep expire(base::Instant now);
+    // Refuses the queued calls that can no longer meet their deadline, and runs those for which there is room now. To
+    // be called every few milliseconds.
+    GateStep sweep(base::Instant now);
     // Removes a queued call. Returns false if it is not queued.
     bool cancel(uint64_t id);
     // Starts draining: running calls continue, queued and new calls are refused.
     GateStep startDraining();
     void setSlots(int slots) { m_options.slots = slots; }
+    // Sets how many calls per second the target accepts, 0 or more; empty: any number. A sweep() should follow.
+    void setMaxRate(std::optional<double> callsPerSecond, base::Instant now);
 
     int running() const { return m_running; }
     int queued() const { return static_cast<int>(m_queue.size()); }
@@ -91,7 +96,7 @@
     // Returns true during the ramp-up after the start.
     bool isCold(base::Instant now) const { return now - m_started < m_options.coldStart; }
     // Returns the estimated time until a refused call may be admitted.
-    base::Millis retryAfter() const;
+    base::Millis retryAfter(base::Instant now) const;
     // Returns the average service time of `kind`, or of all calls if the kind is unknown.
     double serviceMs(const std::string& kind) const;
     // Returns the average service time of `kind`, or 0 until enough calls of the kind have ended for a reliable
@@ -103,15 +108,25 @@
         double ms { 0 };
         int samples { 0 };
     };
+    // Calls that were admitted lately, decaying over about a second.
+    struct OfferedLoad {
+        double serviceMs { 0 }; // their expected service time
+        double calls { 0 };
+    };
     using Queue = std::list<GateCall>;
 
+    bool hasRoom(base::Instant now);
+    void startCall(base::Instant now);
     GateStep startQueued(base::Instant now);
+    GateStep expire(base::Instant now);
+    std::vector<Queue::const_iterator> inOrderOfRank(base::Instant now) const;
+    double untilTokensMs(double n, base::Instant now) const;
     bool canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const;
     bool canMeetDeadline(const GateCall& call, double waitMs, base::Instant now) const;
     int rank(const GateCall& call, base::Instant now) const;
     double expectedWaitMs(int rank, base::Instant now) const;
-    double shareOfLowerRanks(int rank) const;
-    void recordWork(int rank, double serviceMs, base::Instant now);
+    OfferedLoad loadOfLowerRanks(int rank) const;
+    void recordLoad(int rank, double serviceMs, base::Instant now);
     bool canServeFromQueue(const GateCall& call, base::Instant now) const;
     void assumeServiceTime(const GateCall& call);
     void recordServiceTime(const std::string& kind, base::Millis serviceTime);
@@ -130,8 +145,11 @@
     uint64_t m_serveCount { 0 };
     double m_serviceMs { 1 };
     std::map<std::string, ServiceTime> m_serviceByKind;
-    std::map<int, double> m_workByRank; // requested service time by rank, in ms, decaying over about a second
-    base::Instant m_workUpdatedAt;
+    std::map<int, OfferedLoad> m_loadByRank;
+    base::Instant m_loadUpdatedAt;
+    // Calls that the target accepts now; empty: any number.
+    std::optional<base::TokenBucket> m_acceptedCalls;
+    double m_maxRate { 0 }; // calls per second that refill m_acceptedCalls
 };
 
 } // namespace pomelowind::targets
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -82,7 +82,7 @@
     answer.queued = it->second->gate->queued();
     answer.cold = it->second->gate->isCold(m_clock.now());
     if (answer.outcome == Outcome::NOT_RUN)
-        answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter().count());
+        answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter(m_clock.now()).count());
 }
 
 uint64_t LocalTargets::call(wire::CallRequest request, BodyPtr body, std::function<void()> onGranted, CallCallback done)
@@ -239,8 +239,8 @@
     ++m_sentCalls;
     ++target->load.sent;
     target->load.nested += call.request.nested ? 1 : 0;
-    call.exchange = target->client->request(
-        std::move(request), left, [this, id, target, kind = call.request.account](http::ExchangeResult result) {
+    call.exchange = target->client->request(std::move(request), left,
+        [this, id, target, kind = call.request.account, sentAt = call.started](http::ExchangeResult result) {
             auto found = m_calls.find(id);
             std::optional<base::Millis> serviceTime;
             if (found != m_calls.end() && result.end == http::ExchangeEnd::Answered
@@ -250,7 +250,7 @@
                 target->gate->recordElapsed(
                     kind, std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started));
             if (auto notice = m_protocol.parseTargetNotice(result))
-                onNotice(*target, *notice);
+                onNotice(*target, *notice, sentAt);
             auto step = target->gate->finished(kind, serviceTime, m_clock.now());
             onExchangeEnded(id, std::move(result));
             applyGateStep(*target, step);
@@ -297,8 +297,12 @@
     m_calls.erase(id);
 }
 
-void LocalTargets::onNotice(Target& target, const TargetNotice& notice)
+// Lets the gate follow what a response says about its target. `sentAt` is when its request was sent.
+void LocalTargets::onNotice(Target& target, const TargetNotice& notice, base::Instant sentAt)
 {
+    auto now = m_clock.now();
+    if (target.acceptedRate.onResponse(notice.maxCallsPerSecond, sentAt, now))
+        target.gate->setMaxRate(target.acceptedRate.callsPerSecond(), now);
     if (notice == target.notice)
         return;
     base::logRateLimited("target.notice_changed",
@@ -312,7 +316,7 @@
 {
     double out = 0;
     for (const auto& [name, target] : m_targets)
-        out += target->notice.maxCallsPerSecond.value_or(0);
+        out += target->acceptedRate.callsPerSecond().value_or(0);
     return out;
 }
 
@@ -368,7 +372,7 @@
     grantBodies();
     auto targets = m_targets;
     for (auto& [name, target] : targets)
-        applyGateStep(*target, target->gate->expire(m_clock.now()));
+        applyGateStep(*target, target->gate->sweep(m_clock.now()));
 }
 
 void LocalTargets::startDraining()
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -7,6 +7,7 @@
 #include "RunningCalls.h"
 #include "pomelowind/http/HttpClient.h"
 #include "pomelowind/node/CallProtocol.h"
+#include "pomelowind/targets/AcceptedRate.h"
 #include "pomelowind/targets/BodyFlowControl.h"
 #include "pomelowind/targets/Gate.h"
 
@@ -63,7 +64,8 @@
     };
     struct Target {
         Announcement announcement;
-        TargetNotice notice;
+        TargetNotice notice; // as of the last response
+        targets::AcceptedRate acceptedRate;
         LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
         std::shared_ptr<http::HttpClient> client;
@@ -87,7 +89,7 @@
 
     void run(uint64_t id);
     void applyGateStep(Target& target, const targets::GateStep& step);
-    void onNotice(Target& target, const TargetNotice& notice);
+    void onNotice(Target& target, const TargetNotice& notice, base::Instant sentAt);
     void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
--- /dev/null
+++ b/src/targets/AcceptedRate.cpp
@@ -0,0 +1,17 @@
+#include "pomelowind/targets/AcceptedRate.h"
+
+namespace pomelowind::targets {
+
+bool AcceptedRate::onResponse(std::optional<double> callsPerSecond, base::Instant sentAt, base::Instant now)
+{
+    bool admitsMore = m_callsPerSecond && (!callsPerSecond || *callsPerSecond > *m_callsPerSecond);
+    if (admitsMore && sentAt <= m_confirmedAt)
+        return false;
+    if (callsPerSecond)
+        m_confirmedAt = now;
+    bool changed = m_callsPerSecond != callsPerSecond;
+    m_callsPerSecond = callsPerSecond;
+    return changed;
+}
+
+} // namespace pomelowind::targets
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -25,8 +25,8 @@
     // Multiple of the mean service time that few calls exceed unless the target is slow; service times scatter by about
     // their mean.
     constexpr double LONG_RUN_FACTOR = 3;
-    // Time constant for averaging the offered work: shorter than a burst of callers, longer than a call.
-    constexpr double WORK_WINDOW_MS = 1000;
+    // Time constant for averaging the offered load: shorter than a burst of callers, longer than a call.
+    constexpr double LOAD_WINDOW_MS = 1000;
     // Maximum share of the slots that calls of lower ranks are assumed to take. Their load fluctuates; with a higher
     // maximum the wait estimate refuses calls that would have been in time and are then retried.
     constexpr double MAX_SHARE_OF_LOWER_RANKS = 0.5;
@@ -34,6 +34,13 @@
     // such a slot is unlikely to become free.
     constexpr double MAX_SHARE_OF_LOWER_RANKS_FOR_LATE = 0.95;
 
+    // Time whose calls a target with a limited rate may get at once: callers arrive at random, and what it would have
+    // accepted in a gap between them is not lost. Well below the second for which the target names its limit.
+    constexpr double RATE_BURST_SECONDS = 0.5;
+    // A target that accepts no calls still gets one every two seconds: only its responses can tell that it does again.
+    constexpr double MIN_RATE_PER_SECOND = 0.5;
+    constexpr double MS_PER_SECOND = 1000;
+
     // Calls with a higher urgency run first as long as they can meet their objective, and are shed last.
     int urgency(const GateCall& call) { return RANKS_PER_PRIORITY * call.priority + (call.nested ? 1 : 0); }
 
@@ -46,7 +53,7 @@
 Gate::Gate(GateOptions options, base::Instant now)
     : m_options(options)
     , m_started(now)
-    , m_workUpdatedAt(now)
+    , m_loadUpdatedAt(now)
 {
 }
 
@@ -88,36 +95,57 @@
     return canMeetObjective(call, 0, now) ? out : out + LATE_RANK_OFFSET;
 }
 
-// Returns the share of the slots that calls of lower ranks are expected to take.
-double Gate::shareOfLowerRanks(int rank) const
+// Returns the load of the ranks that run before `rank`.
+Gate::OfferedLoad Gate::loadOfLowerRanks(int rank) const
+{
+    OfferedLoad out;
+    for (const auto& [other, load] : m_loadByRank) {
+        if (other >= rank)
+            break;
+        out.serviceMs += load.serviceMs;
+        out.calls += load.calls;
+    }
+    return out;
+}
+
+// Adds an admitted call to the moving average of the offered load by rank.
+void Gate::recordLoad(int rank, double serviceMs, base::Instant now)
 {
-    double work = 0;
-    for (const auto& [other, ms] : m_workByRank) {
-        if (other < rank)
-            work += ms;
+    double keep = std::exp(-toMs(now - m_loadUpdatedAt) / LOAD_WINDOW_MS);
+    m_loadUpdatedAt = now;
+    for (auto& [other, load] : m_loadByRank) {
+        load.serviceMs *= keep;
+        load.calls *= keep;
     }
-    return std::min(rank < LATE_RANK_OFFSET ? MAX_SHARE_OF_LOWER_RANKS : MAX_SHARE_OF_LOWER_RANKS_FOR_LATE,
-        work / (WORK_WINDOW_MS * std::max(1, m_options.slots)));
+    m_loadByRank[rank].serviceMs += serviceMs;
+    m_loadByRank[rank].calls += 1;
 }
 
-// Adds the expected service time of an admitted call to the moving average of offered work by rank.
-void Gate::recordWork(int rank, double serviceMs, base::Instant now)
+// Returns the time until the target accepts `n` more calls than the gate has sent it; 0 if its rate is not limited.
+double Gate::untilTokensMs(double n, base::Instant now) const
 {
-    double keep = std::exp(-toMs(now - m_workUpdatedAt) / WORK_WINDOW_MS);
-    m_workUpdatedAt = now;
-    for (auto& [other, ms] : m_workByRank)
-        ms *= keep;
-    m_workByRank[rank] += serviceMs;
+    if (!m_acceptedCalls)
+        return 0;
+    auto bucket = *m_acceptedCalls;
+    return std::max(0.0, n - bucket.availableTokens(now)) * MS_PER_SECOND / m_maxRate;
 }
 
-// Returns the expected wait, given that the queued calls ahead are served by the slots that calls of lower ranks leave
-// free.
+// Returns the expected wait, given that the queued calls ahead are served by the slots, and by the calls per second,
+// that calls of lower ranks leave free.
 double Gate::expectedWaitMs(int rank, base::Instant now) const
 {
     auto ahead = std::count_if(
         m_queue.begin(), m_queue.end(), [&](const GateCall& it) { return this->rank(it, now) <= rank; });
-    double slotIntervalMs = m_serviceMs / std::max(1, m_options.slots);
-    return slotIntervalMs * static_cast<double>(ahead + 1) / (1 - shareOfLowerRanks(rank));
+    auto position = static_cast<double>(ahead + 1);
+    double maxShare = rank < LATE_RANK_OFFSET ? MAX_SHARE_OF_LOWER_RANKS : MAX_SHARE_OF_LOWER_RANKS_FOR_LATE;
+    auto lower = loadOfLowerRanks(rank);
+    double slots = std::max(1, m_options.slots);
+    double shareOfSlots = std::min(maxShare, lower.serviceMs / (LOAD_WINDOW_MS * slots));
+    double untilSlotMs = m_serviceMs / slots * position / (1 - shareOfSlots);
+    if (!m_acceptedCalls)
+        return untilSlotMs;
+    double shareOfRate = std::min(maxShare, lower.calls * MS_PER_SECOND / (LOAD_WINDOW_MS * m_maxRate));
+    return std::max(untilSlotMs, untilTokensMs(position, now) / (1 - shareOfRate));
 }
 
 // Returns true if a call can still be served in time after waiting in the queue. A call that would miss its objective
@@ -146,9 +174,9 @@
     if (m_draining)
         return GateVerdict::Draining;
     assumeServiceTime(call);
-    bool hasRoom = !m_options.enforceLimits || (!hasReadyCall() && m_running < limit(now));
-    bool runs = hasRoom && call.bodyArrived;
-    if (!hasRoom && (!call.mayQueue || !canServeFromQueue(call, now)))
+    bool isRoomFree = !m_options.enforceLimits || (!hasReadyCall() && hasRoom(now));
+    bool runs = isRoomFree && call.bodyArrived;
+    if (!isRoomFree && (!call.mayQueue || !canServeFromQueue(call, now)))
         return GateVerdict::Overloaded;
     int callRank = rank(call, now);
     // The sender has other targets to try, one of which may be faster. It tries this one again without the restriction
@@ -156,9 +184,9 @@
     bool hasAlternative = !call.mayQueue || call.maxQueueWait != base::Millis::max();
     if (hasAlternative && !call.nested && callRank >= LATE_RANK_OFFSET)
         return GateVerdict::Overloaded;
-    recordWork(callRank, serviceMs(call.kind), now);
+    recordLoad(callRank, serviceMs(call.kind), now);
     if (runs) {
-        ++m_running;
+        startCall(now);
         return GateVerdict::Run;
     }
     if (static_cast<double>(m_queue.size()) >= m_options.slots * m_options.queuePerSlot) {
@@ -231,7 +259,7 @@
 GateStep Gate::startQueued(base::Instant now)
 {
     GateStep step = expire(now);
-    while (m_running < limit(now)) {
+    while (hasRoom(now)) {
         auto it = nextToRun(now);
         if (it == m_queue.end())
             break;
@@ -240,11 +268,13 @@
         m_lastServed[it->account] = ++m_serveCount;
         step.run.push_back(it->id);
         cancel(it->id);
-        ++m_running;
+        startCall(now);
     }
     return step;
 }
 
+GateStep Gate::sweep(base::Instant now) { return startQueued(now); }
+
 GateStep Gate::finished(const std::string& kind, std::optional<base::Millis> serviceTime, base::Instant now)
 {
     --m_running;
@@ -282,12 +312,29 @@
     service.ms += weight * (ms - service.ms);
 }
 
+// Returns the queued calls in the order in which they will run, apart from the turns of accounts.
+std::vector<Gate::Queue::const_iterator> Gate::inOrderOfRank(base::Instant now) const
+{
+    std::vector<std::pair<int, Queue::const_iterator>> ranked;
+    for (auto it = m_queue.begin(); it != m_queue.end(); ++it)
+        ranked.emplace_back(rank(*it, now), it);
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<Queue::const_iterator> out;
+    for (const auto& [rank, it] : ranked)
+        out.push_back(it);
+    return out;
+}
+
+// Refuses the queued calls that can no longer meet their deadline, even if no call arrives that runs before them.
 GateStep Gate::expire(base::Instant now)
 {
     GateStep step;
-    for (const auto& it : m_queue) {
-        if (!canMeetDeadline(it, 0, now))
-            step.refuse.push_back(it.id);
+    int kept = 0;
+    for (const auto& it : inOrderOfRank(now)) {
+        if (canMeetDeadline(*it, untilTokensMs(kept + 1, now), now))
+            ++kept;
+        else
+            step.refuse.push_back(it->id);
     }
     for (uint64_t id : step.refuse)
         cancel(id);
@@ -317,13 +364,43 @@
     return step;
 }
 
-base::Millis Gate::retryAfter() const
+void Gate::setMaxRate(std::optional<double> callsPerSecond, base::Instant now)
+{
+    if (!callsPerSecond) {
+        m_acceptedCalls.reset();
+        return;
+    }
+    m_maxRate = std::max(*callsPerSecond, MIN_RATE_PER_SECOND);
+    double burst = std::max(1.0, m_maxRate * RATE_BURST_SECONDS);
+    if (!m_acceptedCalls)
+        m_acceptedCalls.emplace(m_maxRate, burst, now);
+    m_acceptedCalls->setRate(m_maxRate, now);
+    m_acceptedCalls->setBurst(burst);
+}
+
+bool Gate::hasRoom(base::Instant now)
+{
+    return m_running < limit(now) && (!m_acceptedCalls || m_acceptedCalls->availableTokens(now) >= 1);
+}
+
+// Takes the room of a call that begins to run.
+void Gate::startCall(base::Instant now)
+{
+    ++m_running;
+    if (m_acceptedCalls)
+        m_acceptedCalls->tryTake(now);
+}
+
+base::Millis Gate::retryAfter(base::Instant now) const
 {
-    // A target that refuses a call although it has free slots may admit the next one.
-    if (m_queue.empty() && m_running < m_options.slots)
-        return base::Millis(0);
-    double waitMs = m_serviceMs * static_cast<double>(m_queue.size() + 1) / std::max(1, m_options.slots);
-    return std::max(MIN_RETRY_AFTER, base::Millis(static_cast<int64_t>(waitMs)));
+    auto position = static_cast<double>(m_queue.size() + 1);
+    double untilTokenMs = std::ceil(untilTokensMs(position, now));
+    // A target that refuses a call although it has room may admit the next one.
+    bool isSlotFree = m_queue.empty() && m_running < m_options.slots;
+    if (isSlotFree)
+        return base::Millis(static_cast<int64_t>(untilTokenMs));
+    double untilSlotMs = m_serviceMs * position / std::max(1, m_options.slots);
+    return std::max(MIN_RETRY_AFTER, base::Millis(static_cast<int64_t>(std::max(untilSlotMs, untilTokenMs))));
 }
 
 } // namespace pomelowind::targets
