A restarted node hears from others which rate its target accepts

Callers saw nothing; a target that names a low limit got more calls than that after each restart of its node. Cause: the node beside a target is the only one that knows the limit, and forgets it when it restarts. Until the first response it sends as many calls as the target has slots. Fix: answers between nodes carry the limit that the gate keeps, the nodes of callers remember it (targets::NoticeMemory, which outlives the target's absence from the lists during the restart), and send it along with each call. A gate that has no response of its target yet follows it; the first response replaces it, so an outdated one costs a moment.

--- a/include/pomelowind/node/CallProtocol.h
+++ b/include/pomelowind/node/CallProtocol.h
@@ -9,6 +9,7 @@
 #include "pomelowind/base/Wire.h"
 #include "pomelowind/http/HttpClient.h"
 #include "pomelowind/http/HttpMessage.h"
+#include "pomelowind/targets/TargetNotice.h"
 
 #include <memory>
 #include <optional>
@@ -28,14 +29,6 @@
     bool operator==(const CallParameters&) const = default;
 };
 
-// Holds what a target says about itself in a response.
-struct TargetNotice {
-    // Calls per second that it accepts from all callers together, 0 or more; empty: it names no limit.
-    std::optional<double> maxCallsPerSecond;
-    bool leaving { false }; // it will stop soon
-    bool operator==(const TargetNotice&) const = default;
-};
-
 // Reads and writes the HTTP headers of calls in one dialect. Thread safety: immutable, any thread.
 class CallProtocol {
 public:
@@ -52,7 +45,7 @@
         const wire::CallRequest& request, http::ExchangeResult result) const = 0;
     // Returns what the target says about itself in its response. Returns nothing if there is no response, if it may
     // come from another target, or if it cannot be read; the target's earlier notice then stays valid.
-    virtual std::optional<TargetNotice> parseTargetNotice(const http::ExchangeResult& result) const = 0;
+    virtual std::optional<targets::TargetNotice> parseTargetNotice(const http::ExchangeResult& result) const = 0;
     // Returns the response to the caller. `version` is the target version that ran the call; empty if none did.
     virtual http::HttpResponse makeCallerResponse(
         const wire::CallAnswer& answer, const CallParameters& parameters, const std::string& version) const = 0;
--- a/include/pomelowind/targets/AcceptedRate.h
+++ b/include/pomelowind/targets/AcceptedRate.h
@@ -17,11 +17,15 @@
     // Applies what a response says; `callsPerSecond` is empty if it names no limit. `sentAt` is when its request was
     // sent, `now` when the response arrived. Returns true if the limit has changed.
     bool onResponse(std::optional<double> callsPerSecond, base::Instant sentAt, base::Instant now);
+    // Applies the limit that another node has heard. It counts until the first response: a node that has just started
+    // knows nothing of what its target said before. Returns true if the limit has changed.
+    bool onHint(double callsPerSecond);
     // Returns the limit; empty if there is none.
     std::optional<double> callsPerSecond() const { return m_callsPerSecond; }
 
 private:
     std::optional<double> m_callsPerSecond;
+    bool m_hasResponse { false };
     base::Instant m_confirmedAt; // when a response last named the limit
 };
 
--- /dev/null
+++ b/include/pomelowind/targets/NoticeMemory.h
@@ -0,0 +1,34 @@
+// What targets have said about themselves, as remembered by the nodes of callers. It outlives restarts of the node
+// beside a target: that node forgets what it knew, while the target goes on and may not say it again for a while. Pure
+// decision logic without I/O.
+#pragma once
+
+#include "pomelowind/base/Time.h"
+#include "pomelowind/nodes/Directory.h"
+#include "pomelowind/targets/TargetNotice.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pomelowind::targets {
+
+// Thread safety: confined to the calls event loop.
+class NoticeMemory {
+public:
+    // Replaces what is remembered of `target`.
+    void record(const std::string& target, const TargetNotice& notice, base::Instant now);
+    // Forgets targets that have been absent from the lists for long. To be called with each new list.
+    void retain(const nodes::TargetList& targets, base::Instant now);
+    // Returns the calls per second that `target` accepts; empty if no limit is known.
+    std::optional<double> maxCallsPerSecond(const std::string& target) const;
+
+private:
+    struct Entry {
+        TargetNotice notice;
+        base::Instant lastListed;
+    };
+    std::map<std::string, Entry> m_entries; // of targets with a notice
+};
+
+} // namespace pomelowind::targets
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -126,6 +126,7 @@
     m_view = std::move(view);
     applyServerLimits();
     m_balancer.retain(*m_view->targets);
+    m_notices.retain(*m_view->targets, m_clock.now());
     for (auto& [service, budget] : m_retryBudgets)
         budget.setBurst(retryBurst());
     for (const auto* service : m_view->config->services()) {
@@ -455,6 +456,8 @@
         auto ms = base::toMillis(*call->objective - now);
         request.objectiveMs = static_cast<int32_t>(ms ? ms : -1);
     }
+    if (auto rate = m_notices.maxCallsPerSecond(target.target))
+        request.__set_maxCallsPerSecond(*rate);
     m_balancer.onAttemptStarted(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { onAnswer(call, target, now, std::move(answer)); };
     call->peerCallId = 0;
@@ -497,6 +500,7 @@
         answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
         answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs) };
     m_balancer.onAttemptEnded(result, m_clock.now());
+    recordNotice(target.target, answer);
     auto& ratio = m_refusalRatio[call->service->name];
     ratio += REFUSAL_SMOOTHING * ((answer.refused ? 1 : 0) - ratio);
     // A refusal by the gate depends on load, not on the version, and is no evidence about the version.
@@ -521,6 +525,17 @@
     m_evidence.record(record);
 }
 
+// Remembers what the target has said, as far as the answer tells. A gate that has just started refuses calls without
+// knowing it, so only the answer of a call that ran shows that the target asks for nothing.
+void CallPath::recordNotice(const std::string& target, const wire::CallAnswer& answer)
+{
+    targets::TargetNotice notice;
+    if (answer.__isset.maxCallsPerSecond)
+        notice.maxCallsPerSecond = answer.maxCallsPerSecond;
+    if (answer.outcome == Outcome::RAN || notice != targets::TargetNotice())
+        m_notices.record(target, notice, m_clock.now());
+}
+
 // A call that provably did not run may always be sent again; one that may have run only if its route is idempotent. An
 // attempt that reached no target, because a gate refused it or the node was unreachable, cost no target any work: it
 // neither counts as an attempt nor draws on the retry budget.
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -18,6 +18,7 @@
 #include "pomelowind/moves/EvidenceAggregator.h"
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/Balancer.h"
+#include "pomelowind/targets/NoticeMemory.h"
 
 #include <functional>
 #include <map>
@@ -63,6 +64,7 @@
     // Calls at the targets of this host, running or queued.
     size_t localCallCount() const { return m_localTargets.callCount(); }
     const LocalTargets& localTargets() const { return m_localTargets; }
+    size_t connectedPeers() const { return m_peers.connectedPeers(); }
     // Bytes sent to other nodes for calls and claims since the start.
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
@@ -97,6 +99,7 @@
     void onAnswer(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void recordOutcome(
         const CallPtr& call, const wire::Presence& target, base::Micros latency, const wire::CallAnswer& answer);
+    void recordNotice(const std::string& target, const wire::CallAnswer& answer);
     bool mayRetry(const CallPtr& call, const wire::CallAnswer& answer);
     void finish(const CallPtr& call, wire::CallAnswer answer);
     void reply(const CallPtr& call, const wire::CallAnswer& answer);
@@ -121,6 +124,7 @@
     callers::VersionSplitter m_versionSplitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
+    targets::NoticeMemory m_notices;
     base::Random m_random;
     base::Instant m_startedAt;
     callers::ElapsedTimeEstimator m_elapsedTimeEstimator;
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -81,6 +81,8 @@
     answer.inFlight = it->second->gate->running();
     answer.queued = it->second->gate->queued();
     answer.cold = it->second->gate->isCold(m_clock.now());
+    if (auto rate = it->second->acceptedRate.callsPerSecond())
+        answer.__set_maxCallsPerSecond(*rate);
     if (answer.outcome == Outcome::NOT_RUN)
         answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter(m_clock.now()).count());
 }
@@ -106,6 +108,8 @@
         call.objective = now + base::Millis(call.request.objectiveMs);
     gateCall.objective = call.objective;
     gateCall.bodyArrived = call.request.laterBytes <= 0;
+    auto heardRate
+        = call.request.__isset.maxCallsPerSecond ? std::optional(call.request.maxCallsPerSecond) : std::nullopt;
     if (!body && gateCall.bodyArrived)
         body = std::make_shared<const std::string>(std::move(call.request.body));
     call.body = std::move(body);
@@ -121,6 +125,8 @@
         refuse(id, "the target is not on this host");
         return id;
     }
+    if (heardRate && it->second->acceptedRate.onHint(*heardRate))
+        it->second->gate->setMaxRate(it->second->acceptedRate.callsPerSecond(), now);
     std::optional<uint64_t> shed;
     auto verdict = it->second->gate->admit(gateCall, now, shed);
     if (shed)
@@ -298,7 +304,7 @@
 }
 
 // Lets the gate follow what a response says about its target. `sentAt` is when its request was sent.
-void LocalTargets::onNotice(Target& target, const TargetNotice& notice, base::Instant sentAt)
+void LocalTargets::onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt)
 {
     auto now = m_clock.now();
     if (target.acceptedRate.onResponse(notice.maxCallsPerSecond, sentAt, now))
@@ -326,7 +332,7 @@
     for (auto& [name, target] : m_targets) {
         if (now - target->load.since < LOAD_LOG_PERIOD)
             continue;
-        if (target->notice != TargetNotice())
+        if (target->notice != targets::TargetNotice())
             base::logInfo("target.load",
                 { { "target", name }, { "max_calls_per_s", target->notice.maxCallsPerSecond.value_or(0) },
                     { "leaving", target->notice.leaving ? 1 : 0 }, { "sent", target->load.sent },
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -64,7 +64,7 @@
     };
     struct Target {
         Announcement announcement;
-        TargetNotice notice; // as of the last response
+        targets::TargetNotice notice; // as of the last response
         targets::AcceptedRate acceptedRate;
         LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
@@ -89,7 +89,7 @@
 
     void run(uint64_t id);
     void applyGateStep(Target& target, const targets::GateStep& step);
-    void onNotice(Target& target, const TargetNotice& notice, base::Instant sentAt);
+    void onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt);
     void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -214,6 +214,12 @@
     return nullptr;
 }
 
+size_t PeerCalls::connectedPeers() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it.second.dialer->link(); }));
+}
+
 void PeerCalls::sweep(base::Instant now)
 {
     for (auto& [address, it] : m_peers) {
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -63,6 +63,8 @@
     // Addresses of nodes that are silent or cannot be connected, as of the last sweep. They are retried until they
     // answer.
     const std::set<std::string>& unreachable() const { return m_unreachable; }
+    // Number of nodes to which a link is ready.
+    size_t connectedPeers() const;
     // Pings silent peers and ends requests that have timed out. To be called every few milliseconds.
     void sweep(base::Instant now);
     void close();
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -93,7 +93,7 @@
         }
 
         // The product's targets announce their state to their node, and never in responses.
-        std::optional<TargetNotice> parseTargetNotice(const http::ExchangeResult&) const override
+        std::optional<targets::TargetNotice> parseTargetNotice(const http::ExchangeResult&) const override
         {
             return std::nullopt;
         }
--- a/src/targets/AcceptedRate.cpp
+++ b/src/targets/AcceptedRate.cpp
@@ -4,6 +4,7 @@
 
 bool AcceptedRate::onResponse(std::optional<double> callsPerSecond, base::Instant sentAt, base::Instant now)
 {
+    m_hasResponse = true;
     bool admitsMore = m_callsPerSecond && (!callsPerSecond || *callsPerSecond > *m_callsPerSecond);
     if (admitsMore && sentAt <= m_confirmedAt)
         return false;
@@ -14,4 +15,12 @@
     return changed;
 }
 
+bool AcceptedRate::onHint(double callsPerSecond)
+{
+    if (m_hasResponse || (m_callsPerSecond && *m_callsPerSecond <= callsPerSecond))
+        return false;
+    m_callsPerSecond = callsPerSecond;
+    return true;
+}
+
 } // namespace pomelowind::targets
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -372,8 +372,9 @@
     }
     m_maxRate = std::max(*callsPerSecond, MIN_RATE_PER_SECOND);
     double burst = std::max(1.0, m_maxRate * RATE_BURST_SECONDS);
+    // Starts with one call: the target has just got more than it accepts.
     if (!m_acceptedCalls)
-        m_acceptedCalls.emplace(m_maxRate, burst, now);
+        m_acceptedCalls.emplace(m_maxRate, 1, now);
     m_acceptedCalls->setRate(m_maxRate, now);
     m_acceptedCalls->setBurst(burst);
 }
--- a/tests/correctness/GateKeepsToTheAcceptedRate.cpp
+++ b/tests/correctness/GateKeepsToTheAcceptedRate.cpp
@@ -59,7 +59,7 @@
 
 TEST_F(GateKeepsToTheAcceptedRate, QueuedCallsThatALowerRateLeavesBehindAreRefusedAtOnce)
 {
-    gate.setMaxRate(10, T0);
+    gate.setMaxRate(10, T0 - Millis(1000));
     for (uint64_t id = 0; id < 5; ++id)
         ASSERT_EQ(admit(call(id, PATIENT, Millis(2500))), GateVerdict::Run);
     for (uint64_t id = 5; id < 10; ++id)
--- a/tests/correctness/LateResponsesLiftNoLimit.cpp
+++ b/tests/correctness/LateResponsesLiftNoLimit.cpp
@@ -38,3 +38,14 @@
     EXPECT_TRUE(rate.onResponse(15.0, T0 + Millis(41), T0 + Millis(50)));
     EXPECT_EQ(rate.callsPerSecond(), Rate(15.0));
 }
+
+TEST(LateResponsesLiftNoLimit, LimitHeardFromOtherNodesCountsUntilTheFirstResponse)
+{
+    targets::AcceptedRate rate;
+    EXPECT_TRUE(rate.onHint(15.0));
+    EXPECT_FALSE(rate.onHint(20.0)) << "the lower of two counts";
+    EXPECT_EQ(rate.callsPerSecond(), Rate(15.0));
+    EXPECT_TRUE(rate.onResponse(std::nullopt, T0, T0 + Millis(30)));
+    EXPECT_FALSE(rate.onHint(15.0)) << "the target itself has said that it has no limit";
+    EXPECT_EQ(rate.callsPerSecond(), Rate());
+}
--- a/tests/platform/TargetResponsesMapToOutcomes.cpp
+++ b/tests/platform/TargetResponsesMapToOutcomes.cpp
@@ -62,15 +62,15 @@
 
 TEST_F(TargetResponsesMapToOutcomes, NoticeIsReadFromResponsesOfTheExpectedTargetOnly)
 {
-    using Notice = std::optional<node::TargetNotice>;
+    using Notice = std::optional<targets::TargetNotice>;
     auto notice = [this](int status, http::HttpHeaders headers) {
         return protocol->parseTargetNotice(responseWith(status, std::move(headers)));
     };
-    EXPECT_EQ(notice(200, { { "X-Server-Stamp", "s" } }), Notice(node::TargetNotice()));
+    EXPECT_EQ(notice(200, { { "X-Server-Stamp", "s" } }), Notice(targets::TargetNotice()));
     EXPECT_EQ(notice(200, { { "X-Server-Stamp", "s" }, { "Server-Limit", "15.1" } }),
-        Notice(node::TargetNotice { 15.1, false }));
+        Notice(targets::TargetNotice { 15.1, false }));
     EXPECT_EQ(notice(503, { { "X-Not-Executed", "1" }, { "Server-Limit", "0" }, { "Server-Leaving", "1" } }),
-        Notice(node::TargetNotice { 0.0, true }));
+        Notice(targets::TargetNotice { 0.0, true }));
     EXPECT_EQ(notice(421, { { "Server-Limit", "15.1" } }), Notice()) << "another target answered";
     EXPECT_EQ(notice(503, { { "X-Not-Executed", "1" } }), Notice()) << "not certain that the target lifts its limit";
     for (const char* limit : { "-1", "nan", "inf", "1e999", "12x", "many" })
--- a/tests/property/CappedTargetsStayWithinTheirLimit.cpp
+++ b/tests/property/CappedTargetsStayWithinTheirLimit.cpp
@@ -68,3 +68,26 @@
             << "a limit that is named no more is lifted";
     }
 }
+
+TEST(CappedTargetsStayWithinTheirLimit, WhenTheNodesBesideThemRestart)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        CalledService service(options);
+        auto limit = 0.5 * static_cast<double>(seed * seed);
+        service.run(Millis(1000), 90);
+        service.setHeaders(1, limitHeader(limit));
+        service.setHeaders(2, limitHeader(4 * limit));
+        auto named = service.now();
+        service.run(Millis(2100), 90);
+        for (int i = 0; i < 8; ++i) {
+            service.run(Millis(500 + 130 * i), 90);
+            service.restart(i % 3 == 2 ? 2 : 1);
+        }
+        service.run(Millis(1000), 90);
+        EXPECT_LE(mostInWindow(service.arrivals(1), named + CONTACT_WINDOW, service.now()), allowed(limit));
+        EXPECT_LE(mostInWindow(service.arrivals(2), named + CONTACT_WINDOW, service.now()), allowed(4 * limit));
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -152,13 +152,22 @@
 
 void CallPathFixture::restart(int i)
 {
+    auto connectedPeers = [this, i] {
+        size_t n = 0;
+        for (size_t other = 0; other < m_nodes.size(); ++other)
+            n += other == static_cast<size_t>(i) ? 0 : m_nodes[other]->path->connectedPeers();
+        return n;
+    };
     auto& node = *m_nodes.at(static_cast<size_t>(i));
+    auto before = connectedPeers();
     node.path->close();
     for (auto& it : node.accepted)
         it->close();
     m_endedPaths.push_back(std::move(node.path));
+    runUntil([&] { return connectedPeers() < before; });
     startPath(node);
     publish();
+    runUntil([&] { return connectedPeers() >= before; });
 }
 
 void CallPathFixture::step()
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -167,12 +167,16 @@
   // Above 0: the body has this many bytes and follows in parts, once the gate has granted a place.
   18: i64 laterBytes,
   // The longest wait at the gate that is better than a refusal; 0 when there is no bound.
-  19: i32 mostWaitMs
+  19: i32 mostWaitMs,
+  // Calls per second that the target accepts, as the sender last heard; unset when it has heard of no limit.
+  20: optional double maxCallsPerSecond
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
   6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut,
-  15: i64 runMicros, 16: i64 typicalMicros
+  15: i64 runMicros, 16: i64 typicalMicros,
+  // Calls per second that the target accepts, as its gate knows; unset when it has no limit or the gate knows of none.
+  17: optional double maxCallsPerSecond
 }
 struct CallCancel { 1: i64 id }
 // A place at the gate for a call whose body is to follow.
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -11171,6 +11171,11 @@
 void CallRequest::__set_mostWaitMs(const int32_t val) {
   this->mostWaitMs = val;
 }
+
+void CallRequest::__set_maxCallsPerSecond(const double val) {
+  this->maxCallsPerSecond = val;
+__isset.maxCallsPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -11363,6 +11368,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->maxCallsPerSecond);
+          this->__isset.maxCallsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11464,6 +11477,11 @@
   xfer += oprot->writeI32(this->mostWaitMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.maxCallsPerSecond) {
+    xfer += oprot->writeFieldBegin("maxCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 20);
+    xfer += oprot->writeDouble(this->maxCallsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11490,6 +11508,7 @@
   swap(a.usualMs, b.usualMs);
   swap(a.laterBytes, b.laterBytes);
   swap(a.mostWaitMs, b.mostWaitMs);
+  swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -11513,6 +11532,7 @@
   usualMs = other440.usualMs;
   laterBytes = other440.laterBytes;
   mostWaitMs = other440.mostWaitMs;
+  maxCallsPerSecond = other440.maxCallsPerSecond;
   __isset = other440.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other441) noexcept {
@@ -11535,6 +11555,7 @@
   usualMs = other441.usualMs;
   laterBytes = other441.laterBytes;
   mostWaitMs = other441.mostWaitMs;
+  maxCallsPerSecond = other441.maxCallsPerSecond;
   __isset = other441.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other442) {
@@ -11557,6 +11578,7 @@
   usualMs = other442.usualMs;
   laterBytes = other442.laterBytes;
   mostWaitMs = other442.mostWaitMs;
+  maxCallsPerSecond = other442.maxCallsPerSecond;
   __isset = other442.__isset;
   return *this;
 }
@@ -11580,6 +11602,7 @@
   usualMs = other443.usualMs;
   laterBytes = other443.laterBytes;
   mostWaitMs = other443.mostWaitMs;
+  maxCallsPerSecond = other443.maxCallsPerSecond;
   __isset = other443.__isset;
   return *this;
 }
@@ -11605,6 +11628,7 @@
   out << ", " << "usualMs=" << to_string(usualMs);
   out << ", " << "laterBytes=" << to_string(laterBytes);
   out << ", " << "mostWaitMs=" << to_string(mostWaitMs);
+  out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11676,6 +11700,11 @@
 void CallAnswer::__set_typicalMicros(const int64_t val) {
   this->typicalMicros = val;
 }
+
+void CallAnswer::__set_maxCallsPerSecond(const double val) {
+  this->maxCallsPerSecond = val;
+__isset.maxCallsPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -11846,6 +11875,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->maxCallsPerSecond);
+          this->__isset.maxCallsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11935,6 +11972,11 @@
   xfer += oprot->writeI64(this->typicalMicros);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.maxCallsPerSecond) {
+    xfer += oprot->writeFieldBegin("maxCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 17);
+    xfer += oprot->writeDouble(this->maxCallsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11958,6 +12000,7 @@
   swap(a.timedOut, b.timedOut);
   swap(a.runMicros, b.runMicros);
   swap(a.typicalMicros, b.typicalMicros);
+  swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -11978,6 +12021,7 @@
   timedOut = other451.timedOut;
   runMicros = other451.runMicros;
   typicalMicros = other451.typicalMicros;
+  maxCallsPerSecond = other451.maxCallsPerSecond;
   __isset = other451.__isset;
 }
 CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
@@ -11997,6 +12041,7 @@
   timedOut = other452.timedOut;
   runMicros = other452.runMicros;
   typicalMicros = other452.typicalMicros;
+  maxCallsPerSecond = other452.maxCallsPerSecond;
   __isset = other452.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
@@ -12016,6 +12061,7 @@
   timedOut = other453.timedOut;
   runMicros = other453.runMicros;
   typicalMicros = other453.typicalMicros;
+  maxCallsPerSecond = other453.maxCallsPerSecond;
   __isset = other453.__isset;
   return *this;
 }
@@ -12036,6 +12082,7 @@
   timedOut = other454.timedOut;
   runMicros = other454.runMicros;
   typicalMicros = other454.typicalMicros;
+  maxCallsPerSecond = other454.maxCallsPerSecond;
   __isset = other454.__isset;
   return *this;
 }
@@ -12058,6 +12105,7 @@
   out << ", " << "timedOut=" << to_string(timedOut);
   out << ", " << "runMicros=" << to_string(runMicros);
   out << ", " << "typicalMicros=" << to_string(typicalMicros);
+  out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4140,7 +4140,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false), maxCallsPerSecond(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4160,6 +4160,7 @@
   bool usualMs :1;
   bool laterBytes :1;
   bool mostWaitMs :1;
+  bool maxCallsPerSecond :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4187,7 +4188,8 @@
                 nested(0),
                 usualMs(0),
                 laterBytes(0),
-                mostWaitMs(0) {
+                mostWaitMs(0),
+                maxCallsPerSecond(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4210,6 +4212,7 @@
   int32_t usualMs;
   int64_t laterBytes;
   int32_t mostWaitMs;
+  double maxCallsPerSecond;
 
   _CallRequest__isset __isset;
 
@@ -4251,6 +4254,8 @@
 
   void __set_mostWaitMs(const int32_t val);
 
+  void __set_maxCallsPerSecond(const double val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4291,6 +4296,10 @@
       return false;
     if (!(mostWaitMs == rhs.mostWaitMs))
       return false;
+    if (__isset.maxCallsPerSecond != rhs.__isset.maxCallsPerSecond)
+      return false;
+    else if (__isset.maxCallsPerSecond && !(maxCallsPerSecond == rhs.maxCallsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -4310,7 +4319,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false), typicalMicros(false) {}
+  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false), typicalMicros(false), maxCallsPerSecond(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -4327,6 +4336,7 @@
   bool timedOut :1;
   bool runMicros :1;
   bool typicalMicros :1;
+  bool maxCallsPerSecond :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -4351,7 +4361,8 @@
                arrived(0),
                timedOut(0),
                runMicros(0),
-               typicalMicros(0) {
+               typicalMicros(0),
+               maxCallsPerSecond(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -4375,6 +4386,7 @@
   bool timedOut;
   int64_t runMicros;
   int64_t typicalMicros;
+  double maxCallsPerSecond;
 
   _CallAnswer__isset __isset;
 
@@ -4410,6 +4422,8 @@
 
   void __set_typicalMicros(const int64_t val);
 
+  void __set_maxCallsPerSecond(const double val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -4444,6 +4458,10 @@
       return false;
     if (!(typicalMicros == rhs.typicalMicros))
       return false;
+    if (__isset.maxCallsPerSecond != rhs.__isset.maxCallsPerSecond)
+      return false;
+    else if (__isset.maxCallsPerSecond && !(maxCallsPerSecond == rhs.maxCallsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
