A target that says in a response that it leaves gets no new calls

Callers may see 502 and closed connections from targets that end while they work; seen so far in a test only. Cause: draining began with the target's announcement alone. What the target says in its responses passed through the node unread, like its limit: the same class of fault, found by looking for it elsewhere. Fix: the first such response closes the gate, which refuses queued calls so that they can go elsewhere, and announces the target as draining to all nodes. Later announcements of the same incarnation do not end that.

--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -50,6 +50,8 @@
     // Replaces the configuration and presence that new calls use.
     void setView(MeshViewPtr view);
     void setLocalTargets(const std::vector<Announcement>& targets) { m_localTargets.update(targets); }
+    // Sets the function that learns of targets of this host that have said in a response that they leave.
+    void setLeavingListener(LeavingListener listener) { m_localTargets.setLeavingListener(std::move(listener)); }
     // Ends calls and claims that have timed out. To be called every few milliseconds.
     void sweep();
     // Passes the evidence of the last period on to the parent and stops using candidate versions that this node alone
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -521,15 +521,19 @@
     }
     retireReplacedTargets(announcement, now);
     auto& entry = m_localTargets[announcement.target];
+    bool isNewIncarnation = entry.announcement.incarnation != announcement.incarnation;
+    if (isNewIncarnation)
+        entry.departed = entry.leaving = false;
     // Sequence number and remaining ramp-up time change with every announcement; a change of them alone is not
     // reported.
     Announcement comparable = announcement;
     comparable.sequence = entry.announcement.sequence;
     comparable.coldLeft = entry.announcement.coldLeft;
+    if (entry.leaving)
+        comparable.state = wire::TargetState::LEAVING;
     bool changed = !(entry.announcement == comparable);
-    if (entry.announcement.incarnation != announcement.incarnation)
-        entry.departed = false;
     entry.announcement = announcement;
+    entry.announcement.state = comparable.state;
     entry.leaseEnd = now + m_settings.targetLease;
     if (!changed)
         return;
@@ -564,6 +568,20 @@
     publish();
 }
 
+void DistributionCore::drainTarget(const std::string& target, int64_t incarnation, Instant now)
+{
+    auto it = m_localTargets.find(target);
+    if (it == m_localTargets.end() || it->second.announcement.incarnation != incarnation)
+        return;
+    it->second.leaving = true;
+    auto& state = it->second.announcement.state;
+    if (state == wire::TargetState::LEAVING || state == wire::TargetState::GONE)
+        return;
+    state = wire::TargetState::LEAVING;
+    publishTarget(it->second, now);
+    publish();
+}
+
 void DistributionCore::publishTarget(const LocalTarget& target, Instant now)
 {
     const auto& it = target.announcement;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -60,6 +60,9 @@
     void announce(const Announcement& announcement, base::Instant now);
     // Drains a target that has announced its departure.
     void depart(const std::string& target, base::Instant now);
+    // Drains a target of this host that has said in a response that it leaves. Its announcements go on renewing its
+    // lease, but only a new incarnation of it serves again.
+    void drainTarget(const std::string& target, int64_t incarnation, base::Instant now);
     // Replaces the learned control hosts (mesh addresses) that may be the parent, besides the configured ones. No
     // effect unless NodeSettings::usesDiscovery is set.
     void learnControlHosts(const std::vector<std::string>& hosts);
@@ -83,6 +86,7 @@
     struct LocalTarget {
         Announcement announcement;
         base::Instant leaseEnd;
+        bool leaving { false }; // has said so, whatever its announcements say
         bool departed { false }; // has announced its departure; later announcements of the incarnation are out of date
     };
 
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -54,10 +54,8 @@
         }
         target->announcement = it;
         target->gate->setSlots(it.slots);
-        if (it.state == wire::TargetState::LEAVING && !target->isDraining) {
-            target->isDraining = true;
-            applyGateStep(*target, target->gate->startDraining());
-        }
+        if (it.state == wire::TargetState::LEAVING && !target->isDraining)
+            drain(*target);
         next[it.target] = target;
     }
     // Refuses calls queued for a target that is gone; running ones keep their target until they end.
@@ -65,8 +63,7 @@
         auto found = next.find(name);
         if (found != next.end() && found->second == target)
             continue;
-        target->isDraining = true;
-        applyGateStep(*target, target->gate->startDraining());
+        drain(*target);
         target->client->close();
     }
     m_targets = std::move(next);
@@ -309,6 +306,11 @@
     auto now = m_clock.now();
     if (target.acceptedRate.onResponse(notice.maxCallsPerSecond, sentAt, now))
         target.gate->setMaxRate(target.acceptedRate.callsPerSecond(), now);
+    if (notice.leaving && !target.isDraining) {
+        drain(target);
+        if (m_onLeaving)
+            m_onLeaving(target.announcement.target, target.announcement.incarnation);
+    }
     if (notice == target.notice)
         return;
     base::logRateLimited("target.notice_changed",
@@ -381,13 +383,18 @@
         applyGateStep(*target, target->gate->sweep(m_clock.now()));
 }
 
+// Lets running calls end; refuses queued and new ones, so that their callers can use other targets.
+void LocalTargets::drain(Target& target)
+{
+    target.isDraining = true;
+    applyGateStep(target, target.gate->startDraining());
+}
+
 void LocalTargets::startDraining()
 {
     auto targets = m_targets;
-    for (auto& [name, target] : targets) {
-        target->isDraining = true;
-        applyGateStep(*target, target->gate->startDraining());
-    }
+    for (auto& [name, target] : targets)
+        drain(*target);
 }
 
 } // namespace pomelowind::node
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -18,6 +18,9 @@
 
 namespace pomelowind::node {
 
+// Receives the id and the incarnation of a target that has said in a response that it leaves.
+using LeavingListener = std::function<void(const std::string& target, int64_t incarnation)>;
+
 // Admits, queues and runs calls. Thread safety: confined to the calls event loop.
 class LocalTargets {
 public:
@@ -41,6 +44,7 @@
     void cancelIncomplete(uint64_t id);
     // Removes a queued call, or closes the target's connection of a running one. Its `done` is not called.
     void cancel(uint64_t id);
+    void setLeavingListener(LeavingListener listener) { m_onLeaving = std::move(listener); }
     const RunningCalls& runningCalls() const { return m_runningCalls; }
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
@@ -90,6 +94,7 @@
     void run(uint64_t id);
     void applyGateStep(Target& target, const targets::GateStep& step);
     void onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt);
+    void drain(Target& target);
     void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
@@ -109,6 +114,7 @@
     std::unordered_map<uint64_t, Call> m_calls;
     targets::BodyFlowControl m_bodyFlowControl;
     RunningCalls m_runningCalls;
+    LeavingListener m_onLeaving;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
 };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -83,6 +83,10 @@
         m_callPath->setLatencyRecorder(
             [histogram = m_metrics->histogram("call_seconds", "Time from a call's arrival to its answer",
                  LATENCY_BOUNDS_SECONDS)](double seconds) { histogram->observe(seconds); });
+        m_callPath->setLeavingListener([this](const std::string& target, int64_t incarnation) {
+            boost::asio::post(m_distributionLoop.context(),
+                [this, target, incarnation] { m_core->drainTarget(target, incarnation, m_clock.now()); });
+        });
         if (m_settings.readyAddress)
             m_readyServer
                 = http::makeHttpServer(m_distributionLoop.context(), *m_settings.readyAddress, {}, m_readyApi);
--- a/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
+++ b/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
@@ -78,6 +78,19 @@
     EXPECT_EQ(stateOf("i-1"), TargetState::SERVING);
 }
 
+TEST_F(OutdatedAnnouncementsAreIgnored, OnlyANewIncarnationServesAfterATargetHasSaidThatItLeaves)
+{
+    announce("i-1", 5, 3, TargetState::SERVING);
+    core->drainTarget("i-1", 4, T0);
+    EXPECT_EQ(stateOf("i-1"), TargetState::SERVING) << "an earlier incarnation has said so";
+    core->drainTarget("i-1", 5, T0);
+    EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
+    announce("i-1", 5, 4, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING) << "an announcement from before it began to leave";
+    announce("i-1", 9, 1, TargetState::SERVING);
+    EXPECT_EQ(stateOf("i-1"), TargetState::SERVING);
+}
+
 TEST_F(OutdatedAnnouncementsAreIgnored, NewestTargetReplacesEarlierOneAtTheSameAddress)
 {
     announce("i-1", 5, 3, TargetState::SERVING);
