Nodes of callers remember which targets have said that they leave

Cause: only that node had read the target's words, and forgets them when it restarts. An announcement that still says that the target serves then opens its gate again. Fix: the answer tells the node of the caller, which keeps it in targets::NoticeMemory until the target's next incarnation and chooses such a target in no case. Presence carries the incarnation of the target itself, since its other one also rises when the node restarts.

--- a/include/pomelowind/targets/NoticeMemory.h
+++ b/include/pomelowind/targets/NoticeMemory.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace pomelowind::targets {
@@ -16,18 +17,24 @@
 // Thread safety: confined to the calls event loop.
 class NoticeMemory {
 public:
-    // Replaces what is remembered of `target`.
-    void record(const std::string& target, const TargetNotice& notice, base::Instant now);
+    // Replaces what is remembered of `target`. One that leaves does so until its next incarnation.
+    void record(const wire::Presence& target, const TargetNotice& notice, base::Instant now);
     // Forgets targets that have been absent from the lists for long. To be called with each new list.
     void retain(const nodes::TargetList& targets, base::Instant now);
     // Returns the calls per second that `target` accepts; empty if no limit is known.
-    std::optional<double> maxCallsPerSecond(const std::string& target) const;
+    std::optional<double> maxCallsPerSecond(const wire::Presence& target) const;
+    // Returns the ids of those targets in `targets` that have said that they leave.
+    std::set<std::string> leaving(const nodes::TargetList& targets) const;
 
 private:
     struct Entry {
         TargetNotice notice;
+        int64_t incarnation; // of the target
         base::Instant lastListed;
     };
+    // Returns what this incarnation of the target has said, or null.
+    const TargetNotice* find(const wire::Presence& target) const;
+
     std::map<std::string, Entry> m_entries; // of targets with a notice
 };
 
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -378,7 +378,9 @@
     // Only a first attempt may go to the candidate version; a retry goes to the stable version, which is known to work.
     bool useCandidate = call->attempts == 0 && !service.candidate.empty()
         && m_versionSplitter.choose(service, m_view->beaconAt, now) == service.candidate;
+    auto leaving = m_notices.leaving(targets);
     auto unreachable = unreachableTargets();
+    unreachable.insert(leaving.begin(), leaving.end());
     auto avoid = unreachable;
     avoid.insert(call->triedTargets.begin(), call->triedTargets.end());
     targets::PlacementRequest placementRequest { call->route->name, call->body->size(), {} };
@@ -394,11 +396,11 @@
     if (!placement)
         placement = m_balancer.choose(targets, service.name, stable, avoid, now, placementRequest);
     // Falls back to a target that was tried before, and then to one that seems unreachable, rather than failing the
-    // call.
+    // call. A target that leaves is no choice: it would stop while it runs the call.
     if (!placement && !call->triedTargets.empty())
         placement = m_balancer.choose(targets, service.name, stable, unreachable, now, placementRequest);
     if (!placement && !avoid.empty())
-        placement = m_balancer.choose(targets, service.name, stable, {}, now, placementRequest);
+        placement = m_balancer.choose(targets, service.name, stable, leaving, now, placementRequest);
     if (placement)
         call->version = placement->target.version;
     return placement;
@@ -456,7 +458,7 @@
         auto ms = base::toMillis(*call->objective - now);
         request.objectiveMs = static_cast<int32_t>(ms ? ms : -1);
     }
-    if (auto rate = m_notices.maxCallsPerSecond(target.target))
+    if (auto rate = m_notices.maxCallsPerSecond(target))
         request.__set_maxCallsPerSecond(*rate);
     m_balancer.onAttemptStarted(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { onAnswer(call, target, now, std::move(answer)); };
@@ -500,7 +502,7 @@
         answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
         answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs) };
     m_balancer.onAttemptEnded(result, m_clock.now());
-    recordNotice(target.target, answer);
+    recordNotice(target, answer);
     auto& ratio = m_refusalRatio[call->service->name];
     ratio += REFUSAL_SMOOTHING * ((answer.refused ? 1 : 0) - ratio);
     // A refusal by the gate depends on load, not on the version, and is no evidence about the version.
@@ -527,9 +529,10 @@
 
 // Remembers what the target has said, as far as the answer tells. A gate that has just started refuses calls without
 // knowing it, so only the answer of a call that ran shows that the target asks for nothing.
-void CallPath::recordNotice(const std::string& target, const wire::CallAnswer& answer)
+void CallPath::recordNotice(const wire::Presence& target, const wire::CallAnswer& answer)
 {
     targets::TargetNotice notice;
+    notice.leaving = answer.leaving;
     if (answer.__isset.maxCallsPerSecond)
         notice.maxCallsPerSecond = answer.maxCallsPerSecond;
     if (answer.outcome == Outcome::RAN || notice != targets::TargetNotice())
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -101,7 +101,7 @@
     void onAnswer(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void recordOutcome(
         const CallPtr& call, const wire::Presence& target, base::Micros latency, const wire::CallAnswer& answer);
-    void recordNotice(const std::string& target, const wire::CallAnswer& answer);
+    void recordNotice(const wire::Presence& target, const wire::CallAnswer& answer);
     bool mayRetry(const CallPtr& call, const wire::CallAnswer& answer);
     void finish(const CallPtr& call, wire::CallAnswer answer);
     void reply(const CallPtr& call, const wire::CallAnswer& answer);
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -593,6 +593,7 @@
     presence.node = m_settings.id;
     presence.callAddress = m_settings.callAdvertised.text();
     presence.incarnation = std::max(it.incarnation, m_incarnation);
+    presence.targetIncarnation = it.incarnation;
     presence.sequence = ++m_presenceSequence;
     bool isDraining = m_draining && it.state != wire::TargetState::GONE;
     presence.state = isDraining ? wire::TargetState::LEAVING : it.state;
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -80,6 +80,7 @@
     answer.cold = it->second->gate->isCold(m_clock.now());
     if (auto rate = it->second->acceptedRate.callsPerSecond())
         answer.__set_maxCallsPerSecond(*rate);
+    answer.leaving = it->second->notice.leaving;
     if (answer.outcome == Outcome::NOT_RUN)
         answer.retryAfterMs = static_cast<int32_t>(it->second->gate->retryAfter(m_clock.now()).count());
 }
--- a/src/targets/NoticeMemory.cpp
+++ b/src/targets/NoticeMemory.cpp
@@ -9,12 +9,21 @@
 
 }
 
-void NoticeMemory::record(const std::string& target, const TargetNotice& notice, base::Instant now)
+const TargetNotice* NoticeMemory::find(const wire::Presence& target) const
 {
-    if (notice == TargetNotice())
-        m_entries.erase(target);
+    auto it = m_entries.find(target.target);
+    bool isKnown = it != m_entries.end() && it->second.incarnation == target.targetIncarnation;
+    return isKnown ? &it->second.notice : nullptr;
+}
+
+void NoticeMemory::record(const wire::Presence& target, const TargetNotice& notice, base::Instant now)
+{
+    const auto* known = find(target);
+    TargetNotice next { notice.maxCallsPerSecond, notice.leaving || (known && known->leaving) };
+    if (next == TargetNotice())
+        m_entries.erase(target.target);
     else
-        m_entries[target] = { notice, now };
+        m_entries[target.target] = { next, target.targetIncarnation, now };
 }
 
 void NoticeMemory::retain(const nodes::TargetList& targets, base::Instant now)
@@ -27,10 +36,23 @@
     std::erase_if(m_entries, [now](const auto& it) { return now - it.second.lastListed > RETENTION; });
 }
 
-std::optional<double> NoticeMemory::maxCallsPerSecond(const std::string& target) const
+std::optional<double> NoticeMemory::maxCallsPerSecond(const wire::Presence& target) const
+{
+    const auto* notice = find(target);
+    return notice ? notice->maxCallsPerSecond : std::nullopt;
+}
+
+std::set<std::string> NoticeMemory::leaving(const nodes::TargetList& targets) const
 {
-    auto it = m_entries.find(target);
-    return it == m_entries.end() ? std::nullopt : it->second.notice.maxCallsPerSecond;
+    std::set<std::string> out;
+    if (m_entries.empty())
+        return out;
+    for (const auto& it : targets) {
+        const auto* notice = find(it);
+        if (notice && notice->leaving)
+            out.insert(it.target);
+    }
+    return out;
 }
 
 } // namespace pomelowind::targets
--- a/tests/property/LeavingTargetsGetNoNewCalls.cpp
+++ b/tests/property/LeavingTargetsGetNoNewCalls.cpp
@@ -32,3 +32,25 @@
         EXPECT_EQ(std::count_if(arrivals.begin(), arrivals.end(), isTooLate), 0);
     }
 }
+
+TEST(LeavingTargetsGetNoNewCalls, WhenTheNodesBesideThemRestart)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        CalledService service(options);
+        service.run(Millis(1000), 60);
+        service.setHeaders(1, "Server-Leaving: 1\r\n");
+        service.run(Millis(1500), 60);
+        for (int i = 0; i < 4; ++i) {
+            service.run(Millis(300 + 200 * i), 60);
+            service.restart(1);
+        }
+        service.run(Millis(2000), 60);
+        auto isTooLate = [](const auto& it) { return it.informedAt && it.sentAt > *it.informedAt + DRAIN_TIME; };
+        const auto& arrivals = service.arrivals(1);
+        EXPECT_EQ(std::count_if(arrivals.begin(), arrivals.end(), isTooLate), 0);
+        EXPECT_EQ(service.answered(503, Millis::max()), 0) << "the other target has free slots";
+    }
+}
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -126,7 +126,9 @@
 enum TargetState { STARTING = 0, SERVING = 1, LEAVING = 2, GONE = 3 }
 struct Presence {
   1: string target, 2: string serviceName, 3: string version, 4: string dataCentre, 5: string node,
-  6: string callAddress, 7: i64 incarnation, 8: i64 sequence, 9: TargetState state, 10: i32 slots, 11: i32 coldLeftMs
+  6: string callAddress, 7: i64 incarnation, 8: i64 sequence, 9: TargetState state, 10: i32 slots, 11: i32 coldLeftMs,
+  // Start of the target's own process; `incarnation` also rises when the node beside it restarts.
+  12: i64 targetIncarnation
 }
 struct NodeInfo {
   1: string node, 2: string dataCentre, 3: string meshAddress, 4: string callAddress, 5: i64 incarnation,
@@ -176,7 +178,9 @@
   6: i32 inFlight, 7: i32 queued, 8: string reason, 9: i32 retryAfterMs, 10: bool fault, 11: bool refused, 12: bool cold, 13: bool arrived, 14: bool timedOut,
   15: i64 runMicros, 16: i64 typicalMicros,
   // Calls per second that the target accepts, as its gate knows; unset when it has no limit or the gate knows of none.
-  17: optional double maxCallsPerSecond
+  17: optional double maxCallsPerSecond,
+  // The target has said in a response that it leaves.
+  18: bool leaving
 }
 struct CallCancel { 1: i64 id }
 // A place at the gate for a call whose body is to follow.
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -8223,6 +8223,10 @@
 void Presence::__set_coldLeftMs(const int32_t val) {
   this->coldLeftMs = val;
 }
+
+void Presence::__set_targetIncarnation(const int64_t val) {
+  this->targetIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -8341,6 +8345,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetIncarnation);
+          this->__isset.targetIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8402,6 +8414,10 @@
   xfer += oprot->writeI32(this->coldLeftMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetIncarnation", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->targetIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8420,6 +8436,7 @@
   swap(a.state, b.state);
   swap(a.slots, b.slots);
   swap(a.coldLeftMs, b.coldLeftMs);
+  swap(a.targetIncarnation, b.targetIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -8435,6 +8452,7 @@
   state = other285.state;
   slots = other285.slots;
   coldLeftMs = other285.coldLeftMs;
+  targetIncarnation = other285.targetIncarnation;
   __isset = other285.__isset;
 }
 Presence::Presence(Presence&& other286) noexcept {
@@ -8449,6 +8467,7 @@
   state = other286.state;
   slots = other286.slots;
   coldLeftMs = other286.coldLeftMs;
+  targetIncarnation = other286.targetIncarnation;
   __isset = other286.__isset;
 }
 Presence& Presence::operator=(const Presence& other287) {
@@ -8463,6 +8482,7 @@
   state = other287.state;
   slots = other287.slots;
   coldLeftMs = other287.coldLeftMs;
+  targetIncarnation = other287.targetIncarnation;
   __isset = other287.__isset;
   return *this;
 }
@@ -8478,6 +8498,7 @@
   state = other288.state;
   slots = other288.slots;
   coldLeftMs = other288.coldLeftMs;
+  targetIncarnation = other288.targetIncarnation;
   __isset = other288.__isset;
   return *this;
 }
@@ -8495,6 +8516,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
+  out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
   out << ")";
 }
 
@@ -11705,6 +11727,10 @@
   this->maxCallsPerSecond = val;
 __isset.maxCallsPerSecond = true;
 }
+
+void CallAnswer::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -11883,6 +11909,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11977,6 +12011,10 @@
     xfer += oprot->writeDouble(this->maxCallsPerSecond);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12001,6 +12039,7 @@
   swap(a.runMicros, b.runMicros);
   swap(a.typicalMicros, b.typicalMicros);
   swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -12022,6 +12061,7 @@
   runMicros = other451.runMicros;
   typicalMicros = other451.typicalMicros;
   maxCallsPerSecond = other451.maxCallsPerSecond;
+  leaving = other451.leaving;
   __isset = other451.__isset;
 }
 CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
@@ -12042,6 +12082,7 @@
   runMicros = other452.runMicros;
   typicalMicros = other452.typicalMicros;
   maxCallsPerSecond = other452.maxCallsPerSecond;
+  leaving = other452.leaving;
   __isset = other452.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
@@ -12062,6 +12103,7 @@
   runMicros = other453.runMicros;
   typicalMicros = other453.typicalMicros;
   maxCallsPerSecond = other453.maxCallsPerSecond;
+  leaving = other453.leaving;
   __isset = other453.__isset;
   return *this;
 }
@@ -12083,6 +12125,7 @@
   runMicros = other454.runMicros;
   typicalMicros = other454.typicalMicros;
   maxCallsPerSecond = other454.maxCallsPerSecond;
+  leaving = other454.leaving;
   __isset = other454.__isset;
   return *this;
 }
@@ -12106,6 +12149,7 @@
   out << ", " << "runMicros=" << to_string(runMicros);
   out << ", " << "typicalMicros=" << to_string(typicalMicros);
   out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -3138,7 +3138,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false) {}
+  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false), targetIncarnation(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -3150,6 +3150,7 @@
   bool state :1;
   bool slots :1;
   bool coldLeftMs :1;
+  bool targetIncarnation :1;
 } _Presence__isset;
 
 class Presence : public virtual ::apache::thrift::TBase {
@@ -3170,7 +3171,8 @@
              sequence(0),
              state(static_cast<TargetState::type>(0)),
              slots(0),
-             coldLeftMs(0) {
+             coldLeftMs(0),
+             targetIncarnation(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -3189,6 +3191,7 @@
   TargetState::type state;
   int32_t slots;
   int32_t coldLeftMs;
+  int64_t targetIncarnation;
 
   _Presence__isset __isset;
 
@@ -3214,6 +3217,8 @@
 
   void __set_coldLeftMs(const int32_t val);
 
+  void __set_targetIncarnation(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(target == rhs.target))
@@ -3238,6 +3243,8 @@
       return false;
     if (!(coldLeftMs == rhs.coldLeftMs))
       return false;
+    if (!(targetIncarnation == rhs.targetIncarnation))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
@@ -4319,7 +4326,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false), typicalMicros(false), maxCallsPerSecond(false) {}
+  _CallAnswer__isset() : id(false), outcome(false), status(false), headers(false), body(false), inFlight(false), queued(false), reason(false), retryAfterMs(false), fault(false), refused(false), cold(false), arrived(false), timedOut(false), runMicros(false), typicalMicros(false), maxCallsPerSecond(false), leaving(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -4337,6 +4344,7 @@
   bool runMicros :1;
   bool typicalMicros :1;
   bool maxCallsPerSecond :1;
+  bool leaving :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -4362,7 +4370,8 @@
                timedOut(0),
                runMicros(0),
                typicalMicros(0),
-               maxCallsPerSecond(0) {
+               maxCallsPerSecond(0),
+               leaving(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -4387,6 +4396,7 @@
   int64_t runMicros;
   int64_t typicalMicros;
   double maxCallsPerSecond;
+  bool leaving;
 
   _CallAnswer__isset __isset;
 
@@ -4424,6 +4434,8 @@
 
   void __set_maxCallsPerSecond(const double val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -4462,6 +4474,8 @@
       return false;
     else if (__isset.maxCallsPerSecond && !(maxCallsPerSecond == rhs.maxCallsPerSecond))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
