Calls do not wait in vain for a rate that urgent calls use up

Callers of the least urgent kind at capped targets waited 0.5 to 0.8 s in a queue and were then refused. Cause: the expected wait counted at most half of the target's capacity for more urgent calls. Fix: the share of more urgent calls in a limited rate is counted nearly in full.

--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -34,6 +34,9 @@
     // such a slot is unlikely to become free.
     constexpr double MAX_SHARE_OF_LOWER_RANKS_FOR_LATE = 0.95;
 
+    // The same for the accepted calls per second. They are counted rather than estimated from service times, and calls
+    // of later ranks get no more than the urgent ones leave.
+    constexpr double MAX_SHARE_OF_LOWER_RANKS_FOR_RATE = 0.95;
     // Time whose calls a target with a limited rate may get at once: callers arrive at random, and what it would have
     // accepted in a gap between them is not lost. Well below the second for which the target names its limit.
     constexpr double RATE_BURST_SECONDS = 0.5;
@@ -144,7 +147,8 @@
     double untilSlotMs = m_serviceMs / slots * position / (1 - shareOfSlots);
     if (!m_acceptedCalls)
         return untilSlotMs;
-    double shareOfRate = std::min(maxShare, lower.calls * MS_PER_SECOND / (LOAD_WINDOW_MS * m_maxRate));
+    double shareOfRate
+        = std::min(MAX_SHARE_OF_LOWER_RANKS_FOR_RATE, lower.calls * MS_PER_SECOND / (LOAD_WINDOW_MS * m_maxRate));
     return std::max(untilSlotMs, untilTokensMs(position, now) / (1 - shareOfRate));
 }
 
--- a/tests/correctness/GateKeepsToTheAcceptedRate.cpp
+++ b/tests/correctness/GateKeepsToTheAcceptedRate.cpp
@@ -1,6 +1,7 @@
 // Guards against a gate that lets calls wait for a rate at which they cannot be served, or wastes what the target
 // accepts.
 
+#include "pomelowind/base/Random.h"
 #include "pomelowind/targets/Gate.h"
 
 #include <gtest/gtest.h>
@@ -89,3 +90,36 @@
         EXPECT_EQ(admit(call(id, URGENT, Millis(2000))), GateVerdict::Run);
     EXPECT_EQ(gate.retryAfter(T0), Millis(100)) << "all slots are busy";
 }
+
+// Urgent calls take nearly all that the target accepts, so that most others cannot be served.
+TEST_F(GateKeepsToTheAcceptedRate, FewCallsWaitInVainBehindUrgentOnes)
+{
+    constexpr Millis OBJECTIVE(300);
+    constexpr Millis DEADLINE(1000);
+    constexpr int MIN_REFUSED_PER_WAIT_IN_VAIN = 20;
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        base::Random random(seed);
+        Gate capped(options(), T0);
+        capped.setMaxRate(10, T0);
+        int refusedAtOnce = 0;
+        int refusedLater = 0;
+        for (auto now = T0; now < T0 + Millis(60000); now += Millis(5)) {
+            for (int priority : { URGENT, PATIENT }) {
+                if (!random.bernoulli(priority == URGENT ? 0.045 : 0.05))
+                    continue;
+                auto it = call(static_cast<uint64_t>(base::toMillis(now - T0)) * 10 + static_cast<uint64_t>(priority),
+                    priority, DEADLINE, now);
+                it.objective = now + OBJECTIVE;
+                auto verdict = capped.admit(it, now, shed);
+                if (verdict == GateVerdict::Run)
+                    capped.finished("k", Millis(40), now);
+                refusedAtOnce += verdict == GateVerdict::Overloaded && priority == PATIENT ? 1 : 0;
+            }
+            auto step = capped.sweep(now);
+            refusedLater += static_cast<int>(step.refuse.size());
+            for (size_t i = 0; i < step.run.size(); ++i)
+                capped.finished("k", Millis(40), now);
+        }
+        EXPECT_GT(refusedAtOnce, MIN_REFUSED_PER_WAIT_IN_VAIN * refusedLater) << seed;
+    }
+}
