Memory of notices: the set of leaving targets is kept, and late answers of earlier incarnations are ignored

Change: the set is kept and made anew with each list; an answer counts for the listed incarnation only.

--- a/include/pomelowind/targets/NoticeMemory.h
+++ b/include/pomelowind/targets/NoticeMemory.h
@@ -23,8 +23,8 @@
     void retain(const nodes::TargetList& targets, base::Instant now);
     // Returns the calls per second that `target` accepts; empty if no limit is known.
     std::optional<double> maxCallsPerSecond(const wire::Presence& target) const;
-    // Returns the ids of those targets in `targets` that have said that they leave.
-    std::set<std::string> leaving(const nodes::TargetList& targets) const;
+    // Returns the ids of the listed targets that have said that they leave.
+    const std::set<std::string>& leaving() const { return m_leaving; }
 
 private:
     struct Entry {
@@ -36,6 +36,7 @@
     const TargetNotice* find(const wire::Presence& target) const;
 
     std::map<std::string, Entry> m_entries; // of targets with a notice
+    std::set<std::string> m_leaving;
 };
 
 } // namespace pomelowind::targets
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -378,7 +378,7 @@
     // Only a first attempt may go to the candidate version; a retry goes to the stable version, which is known to work.
     bool useCandidate = call->attempts == 0 && !service.candidate.empty()
         && m_versionSplitter.choose(service, m_view->beaconAt, now) == service.candidate;
-    auto leaving = m_notices.leaving(targets);
+    const auto& leaving = m_notices.leaving();
     auto unreachable = unreachableTargets();
     unreachable.insert(leaving.begin(), leaving.end());
     auto avoid = unreachable;
@@ -535,7 +535,12 @@
     notice.leaving = answer.leaving;
     if (answer.__isset.maxCallsPerSecond)
         notice.maxCallsPerSecond = answer.maxCallsPerSecond;
-    if (answer.outcome == Outcome::RAN || notice != targets::TargetNotice())
+    bool isSilent = notice == targets::TargetNotice();
+    // A late answer of an earlier incarnation says nothing about the listed one.
+    bool isReplaced = !isSilent && std::any_of(m_view->targets->begin(), m_view->targets->end(), [&](const auto& it) {
+        return it.target == target.target && it.targetIncarnation != target.targetIncarnation;
+    });
+    if ((answer.outcome == Outcome::RAN || !isSilent) && !isReplaced)
         m_notices.record(target, notice, m_clock.now());
 }
 
--- a/src/targets/NoticeMemory.cpp
+++ b/src/targets/NoticeMemory.cpp
@@ -24,14 +24,21 @@
         m_entries.erase(target.target);
     else
         m_entries[target.target] = { next, target.targetIncarnation, now };
+    if (next.leaving)
+        m_leaving.insert(target.target);
 }
 
 void NoticeMemory::retain(const nodes::TargetList& targets, base::Instant now)
 {
+    m_leaving.clear();
     for (const auto& it : targets) {
         auto entry = m_entries.find(it.target);
-        if (entry != m_entries.end())
-            entry->second.lastListed = now;
+        if (entry == m_entries.end())
+            continue;
+        entry->second.lastListed = now;
+        const auto* notice = find(it);
+        if (notice && notice->leaving)
+            m_leaving.insert(it.target);
     }
     std::erase_if(m_entries, [now](const auto& it) { return now - it.second.lastListed > RETENTION; });
 }
@@ -42,17 +49,4 @@
     return notice ? notice->maxCallsPerSecond : std::nullopt;
 }
 
-std::set<std::string> NoticeMemory::leaving(const nodes::TargetList& targets) const
-{
-    std::set<std::string> out;
-    if (m_entries.empty())
-        return out;
-    for (const auto& it : targets) {
-        const auto* notice = find(it);
-        if (notice && notice->leaving)
-            out.insert(it.target);
-    }
-    return out;
-}
-
 } // namespace pomelowind::targets
