--- a/include/pomelowind/targets/NoticeMemory.h
+++ b/include/pomelowind/targets/NoticeMemory.h
@@ -1,6 +1,5 @@
-// What targets have said about themselves, as remembered by the nodes of callers. It outlives restarts of the node
-// beside a target: that node forgets what it knew, while the target goes on and may not say it again for a while. Pure
-// decision logic without I/O.
+// What targets have said about themselves, as remembered by the nodes of callers. It outlives a restart of the node
+// beside a target, which loses what it knew while the target goes on. Pure decision logic without I/O.
 #pragma once
 
 #include "pomelowind/base/Time.h"
--- a/include/pomelowind/targets/TargetNotice.h
+++ b/include/pomelowind/targets/TargetNotice.h
@@ -1,5 +1,6 @@
-// What a target says about itself in its responses: a back end in need asks for fewer calls there, long before its next
-// heartbeat. Read by the node beside the target, and passed on to the nodes of callers.
+// What a target says about itself in its responses, which reaches its node sooner than its next announcement: that it
+// accepts only so many calls, or that it leaves. The node beside the target reads it; answers pass it on to the nodes
+// of callers.
 #pragma once
 
 #include <optional>
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -65,7 +65,9 @@
     const CallCounts& counts() const { return m_counts; }
     // Calls at the targets of this host, running or queued.
     size_t localCallCount() const { return m_localTargets.callCount(); }
+    // The targets of this host, for their metrics.
     const LocalTargets& localTargets() const { return m_localTargets; }
+    // Number of other nodes to which a link is ready.
     size_t connectedPeers() const { return m_peers.connectedPeers(); }
     // Bytes sent to other nodes for calls and claims since the start.
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -16,7 +16,7 @@
     // Parts of a granted body follow each other closely. After this long without one, the link or the other node has
     // failed, and the call's queue slot is freed for other calls.
     constexpr auto BODY_STALL_TIMEOUT = base::Millis(1000);
-    // Period of the log lines about a target that names a limit.
+    // Period of the log lines about a target that names a limit or leaves.
     constexpr auto LOAD_LOG_PERIOD = base::Millis(1000);
 
 }
@@ -335,9 +335,10 @@
     for (auto& [name, target] : m_targets) {
         if (now - target->load.since < LOAD_LOG_PERIOD)
             continue;
-        if (target->notice != targets::TargetNotice())
+        auto maxRate = target->acceptedRate.callsPerSecond();
+        if (maxRate || target->notice.leaving)
             base::logInfo("target.load",
-                { { "target", name }, { "max_calls_per_s", target->notice.maxCallsPerSecond.value_or(0) },
+                { { "target", name }, { "max_calls_per_s", maxRate.value_or(0) },
                     { "leaving", target->notice.leaving ? 1 : 0 }, { "sent", target->load.sent },
                     { "nested", target->load.nested }, { "refused", target->load.refused },
                     { "running", target->gate->running() }, { "queued", target->gate->queued() } });
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -44,6 +44,7 @@
     void cancelIncomplete(uint64_t id);
     // Removes a queued call, or closes the target's connection of a running one. Its `done` is not called.
     void cancel(uint64_t id);
+    // Sets the function that is called once for each target that has said in a response that it leaves.
     void setLeavingListener(LeavingListener listener) { m_onLeaving = std::move(listener); }
     const RunningCalls& runningCalls() const { return m_runningCalls; }
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
@@ -55,7 +56,7 @@
     size_t callCount() const { return m_calls.size(); }
     // Calls sent to targets since the start.
     uint64_t sentCalls() const { return m_sentCalls; }
-    // Calls per second that the targets of this host accept by their own notice; 0 if none names a limit.
+    // Calls per second that the targets of this host say they accept; 0 if none names a limit.
     double maxCallsPerSecond() const;
 
 private:
