--- a/include/pomelowind/targets/TargetNotice.h
+++ b/include/pomelowind/targets/TargetNotice.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 namespace pomelowind::targets {
 
@@ -14,4 +15,9 @@
     bool operator==(const TargetNotice&) const = default;
 };
 
+// Returns the notice of a response that states `maxCallsPerSecond` as a decimal number, or nothing when that is empty.
+// Returns nothing if the number cannot be read, or if the response states nothing and `isSilenceCertain` is false: it
+// may then have lost the statement, and the target's earlier notice stays valid. Thread safety: pure.
+std::optional<TargetNotice> readNotice(std::string_view maxCallsPerSecond, bool leaving, bool isSilenceCertain);
+
 } // namespace pomelowind::targets
--- a/src/node/CallHeaders.h
+++ b/src/node/CallHeaders.h
@@ -21,6 +21,10 @@
 inline constexpr char REPLAYED_HEADER[] = "X-Pomelowind-Replayed";
 // Version of the target that answered.
 inline constexpr char VERSION_HEADER[] = "X-Pomelowind-Version";
+// Calls per second that the target accepts, a decimal number. In a target's response.
+inline constexpr char MAX_RATE_HEADER[] = "X-Pomelowind-Max-Rate";
+// "1" when the target will stop soon. In a target's response.
+inline constexpr char LEAVING_HEADER[] = "X-Pomelowind-Leaving";
 inline constexpr char KEY_HEADER[] = "Idempotency-Key";
 inline constexpr char NOT_RUN[] = "not-run";
 
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -92,10 +92,14 @@
             return out;
         }
 
-        // The product's targets announce their state to their node, and never in responses.
-        std::optional<targets::TargetNotice> parseTargetNotice(const http::ExchangeResult&) const override
+        std::optional<targets::TargetNotice> parseTargetNotice(const http::ExchangeResult& result) const override
         {
-            return std::nullopt;
+            if (result.end != ExchangeEnd::Answered)
+                return std::nullopt;
+            const auto& headers = result.response.headers;
+            bool isShed = http::findHeader(headers, OUTCOME_HEADER) == NOT_RUN;
+            bool isLeaving = http::findHeader(headers, LEAVING_HEADER) == "1";
+            return targets::readNotice(http::findHeader(headers, MAX_RATE_HEADER), isLeaving, !isShed);
         }
 
         http::HttpResponse makeCallerResponse(
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -60,6 +60,7 @@
     out.announce = reader.address("announce");
     out.metricsAddress = reader.address("metrics_address");
     out.slots = static_cast<int>(reader.integer("slots", out.slots, 1, 10000));
+    out.maxRate = reader.text("max_rate", "");
     out.serviceTime = reader.millis("service_ms", out.serviceTime, Millis(0), Millis(60000));
     out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
     out.exponential = reader.flag("exponential", true);
@@ -147,6 +148,16 @@
 
 // ---- calls ----
 
+// Adds what the target says about itself to a response.
+http::HttpResponse Target::withNotice(http::HttpResponse response) const
+{
+    if (!m_settings.maxRate.empty())
+        response.headers.push_back({ "X-Pomelowind-Max-Rate", m_settings.maxRate });
+    if (m_state == "leaving")
+        response.headers.push_back({ "X-Pomelowind-Leaving", "1" });
+    return response;
+}
+
 http::HttpResponse Target::runCountOf(const std::string& path) const
 {
     auto it = m_runCountsByKey.find(path.substr(sizeof RUNS_PATH - 1));
@@ -186,7 +197,7 @@
         return reply->send({ 200, {}, "ok" });
     if (m_running >= m_settings.slots) {
         // Sheds load before any work is done; the header states that the call did not run.
-        return reply->send({ 503, { { "X-Pomelowind-Outcome", "not-run" } }, "no free slot" });
+        return reply->send(withNotice({ 503, { { "X-Pomelowind-Outcome", "not-run" } }, "no free slot" }));
     }
     auto call = std::make_shared<RunningCall>();
     ++m_running;
@@ -247,7 +258,7 @@
     --m_running;
     std::string body
         = m_settings.version + "|" + call->request.path + "|" + requestKeyOf(call->request) + "|" + call->request.body;
-    http::HttpResponse response { 200, { { "Content-Type", "text/plain" } }, body };
+    auto response = withNotice({ 200, { { "Content-Type", "text/plain" } }, body });
     const auto& kind = m_settings.fault.kind;
     bool isFailed = call->isAffected && (kind == "fail" || kind == "account" || kind == "load");
     if (isFailed || call->downstreamStatus >= 500)
--- a/standins/Target.h
+++ b/standins/Target.h
@@ -44,6 +44,7 @@
     base::Address announce; // the node's address for announcements
     base::Address metricsAddress;
     int slots { 12 };
+    std::string maxRate; // calls per second to name in each response as accepted, as text; empty: none
     base::Millis serviceTime { 4 };
     base::Millis coldStart { 0 }; // after the start, calls take longer for this time
     bool exponential { true }; // service times are exponentially distributed; otherwise constant
@@ -82,6 +83,7 @@
     void recordRun(const http::HttpRequest& request);
     bool isFaultActive(const http::HttpRequest& request) const;
     base::Millis serviceTime(const http::HttpRequest& request);
+    http::HttpResponse withNotice(http::HttpResponse response) const;
     http::HttpResponse runCountOf(const std::string& path) const;
     void waitUntilIdle(std::function<void()> done);
 
