--- a/tests/property/CappedTargetsStayWithinTheirLimit.cpp
+++ b/tests/property/CappedTargetsStayWithinTheirLimit.cpp
@@ -22,8 +22,6 @@
 // Callers of CalledService wait for this long.
 constexpr Millis DEADLINE(5000);
 
-std::string limitHeader(double limit) { return "Server-Limit: " + std::to_string(limit) + "\r\n"; }
-
 // Returns the largest number of calls of informed nodes that arrived in a window that ends between `from` and `to`.
 int mostInWindow(const std::vector<tests::ArrivedCall>& arrivals, Instant from, Instant to)
 {
@@ -55,7 +53,7 @@
         CalledService service(options);
         auto limit = static_cast<double>(seed * seed);
         service.run(Millis(1000 + 170 * static_cast<int>(seed)), 90);
-        service.setHeaders(1, limitHeader(limit));
+        service.setNotice(1, { limit, false });
         auto named = service.now();
         service.run(Millis(9000), 90);
         auto lifted = service.now();
@@ -63,7 +61,7 @@
         EXPECT_GE(mostInWindow(service.arrivals(1), named + NAMED_FOR, lifted), limit)
             << "what the target accepts is used";
         EXPECT_EQ(service.answered(503, Millis::max()), 0) << "the other target has free slots";
-        service.setHeaders(1, "");
+        service.setNotice(1, {});
         auto before = service.arrivals(1).size();
         service.run(WINDOW, 90);
         EXPECT_GT(static_cast<double>(service.arrivals(1).size() - before), allowed(limit))
@@ -80,8 +78,8 @@
         CalledService service(options);
         auto limit = 0.5 * static_cast<double>(seed * seed);
         service.run(Millis(1000), 90);
-        service.setHeaders(1, limitHeader(limit));
-        service.setHeaders(2, limitHeader(4 * limit));
+        service.setNotice(1, { limit, false });
+        service.setNotice(2, { 4 * limit, false });
         auto named = service.now();
         service.run(Millis(2100), 90);
         for (int i = 0; i < 8; ++i) {
@@ -95,3 +93,58 @@
         EXPECT_LE(mostInWindow(service.arrivals(2), named + NAMED_FOR, service.now()), allowed(4 * limit));
     }
 }
+
+TEST(CappedTargetsStayWithinTheirLimit, WhenTheNodesBesideThemFreezeAndCallersResendAtOnce)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        options.resends = 3;
+        CalledService service(options);
+        auto limit = 0.5 * static_cast<double>(seed * seed);
+        service.run(Millis(1000), 90);
+        service.setNotice(1, { limit, false });
+        service.setNotice(2, { 4 * limit, false });
+        auto named = service.now();
+        service.run(Millis(2500), 90);
+        for (int i = 0; i < 6; ++i) {
+            int node = i % 3 == 2 ? 2 : 1;
+            service.run(Millis(300 + 170 * i), 90);
+            service.setFrozen(node, true);
+            service.run(Millis(200 + 350 * i), 90);
+            service.setFrozen(node, false);
+        }
+        service.run(Millis(3000), 90);
+        EXPECT_LE(mostInWindow(service.arrivals(1), named + NAMED_FOR, service.now()), allowed(limit));
+        EXPECT_LE(mostInWindow(service.arrivals(2), named + NAMED_FOR, service.now()), allowed(4 * limit));
+        EXPECT_GE(mostInWindow(service.arrivals(2), named + NAMED_FOR, service.now()), 4 * limit)
+            << "what the target accepts is used";
+    }
+}
+
+TEST(CappedTargetsStayWithinTheirLimit, WhenTheLimitRisesFallsAndEnds)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        CalledService::Options options;
+        options.seed = seed;
+        CalledService service(options);
+        service.run(Millis(1000), 90);
+        for (double limit : { 10.0, 2.0, 20.0, 0.0, 6.0 }) {
+            SCOPED_TRACE(limit);
+            service.setNotice(1, { limit, false });
+            auto named = service.now();
+            service.run(Millis(2700 + 190 * static_cast<int>(seed)), 90);
+            auto settled = named + WINDOW;
+            service.run(WINDOW, 90);
+            EXPECT_LE(mostInWindow(service.arrivals(1), settled, service.now()), allowed(limit));
+            EXPECT_GE(mostInWindow(service.arrivals(1), settled, service.now()), limit) << "a raised limit is used";
+        }
+        service.setNotice(1, {});
+        auto before = service.arrivals(1).size();
+        service.run(WINDOW, 90);
+        EXPECT_GT(static_cast<double>(service.arrivals(1).size() - before), allowed(20)) << "the limit has ended";
+        EXPECT_EQ(service.answered(503, Millis::max()), 0) << "the other target has free slots";
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
+#include <thread>
 #include <unistd.h>
 
 namespace pomelowind::tests {
@@ -18,6 +19,7 @@
     constexpr uint16_t CALL_PORT = 8002;
     constexpr uint16_t TARGET_PORT = 8003;
     constexpr auto SWEEP_PERIOD = base::Millis(20);
+    constexpr auto IDLE_PAUSE = std::chrono::microseconds(200);
     constexpr auto WAIT_TIMEOUT = base::Millis(20000);
 
     wire::Resource routeResource(const std::string& name, const std::string& path, bool idempotent)
@@ -111,8 +113,8 @@
         for (auto& connection : it->accepted)
             connection->close();
     }
-    m_io.restart();
-    m_io.poll();
+    while (pollOne())
+        ;
 }
 
 // Returns the loopback address of node `i`. Tests run in parallel processes, so each process uses its own addresses.
@@ -147,7 +149,7 @@
 void CallPathFixture::startPath(Node& node)
 {
     node.path = std::make_unique<node::CallPath>(
-        m_io, node.settings, *m_protocol, m_clock, [](const auto&) {}, 1);
+        node.io, node.settings, *m_protocol, m_clock, [](const auto&) {}, 1);
 }
 
 void CallPathFixture::restart(int i)
@@ -170,13 +172,25 @@
     runUntil([&] { return connectedPeers() >= before; });
 }
 
-void CallPathFixture::step()
+size_t CallPathFixture::pollOne()
 {
-    for (auto& it : m_nodes)
-        it->path->sweep();
     m_io.restart();
-    while (m_io.poll())
-        m_io.restart();
+    size_t n = m_io.poll_one();
+    for (auto& it : m_nodes) {
+        it->io.restart();
+        n += it->frozen ? 0 : it->io.poll_one();
+    }
+    return n;
+}
+
+void CallPathFixture::step()
+{
+    for (auto& it : m_nodes) {
+        if (!it->frozen)
+            it->path->sweep();
+    }
+    while (pollOne())
+        ;
 }
 
 void CallPathFixture::accept(Node& node)
@@ -251,11 +265,13 @@
             return false;
         if (now - swept >= SWEEP_PERIOD) {
             swept = now;
-            for (auto& it : m_nodes)
-                it->path->sweep();
+            for (auto& it : m_nodes) {
+                if (!it->frozen)
+                    it->path->sweep();
+            }
         }
-        m_io.restart();
-        m_io.run_one_for(base::Millis(5));
+        if (!pollOne())
+            std::this_thread::sleep_for(IDLE_PAUSE);
     }
     return true;
 }
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -62,7 +62,9 @@
     node::CallPath& path(int i) { return *m_nodes.at(static_cast<size_t>(i))->path; }
     // Ends node `i` at once and starts it again without what it knew; its target goes on and announces itself.
     void restart(int i);
-    // Runs the event loop until nothing is left to do at this instant, and sweeps all nodes.
+    // Stops node `i` from running, or lets it go on. Its connections stay open, and what arrives waits.
+    void setFrozen(int i, bool frozen) { m_nodes.at(static_cast<size_t>(i))->frozen = frozen; }
+    // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
     RawConnectionPtr connect(int i);
@@ -80,6 +82,8 @@
 
 private:
     struct Node {
+        boost::asio::io_context io; // of the node alone, so that it can be frozen
+        bool frozen { false };
         node::NodeSettings settings;
         std::unique_ptr<node::CallPath> path;
         std::unique_ptr<boost::asio::ip::tcp::acceptor> targetPort;
@@ -89,6 +93,8 @@
     std::string ip(int i) const;
     void addNode(int i);
     void startPath(Node& node);
+    // Runs at most one handler in each event loop, and returns how many ran.
+    size_t pollOne();
     void accept(Node& node);
     void publish();
 
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -1,6 +1,9 @@
 #include "CalledService.h"
 
+#include "platform/WireNames.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace pomelowind::tests {
 
@@ -8,6 +11,7 @@
 
     constexpr auto STEP = base::Millis(5);
     constexpr double STEPS_PER_SECOND = 200;
+    constexpr int STATUS_UNAVAILABLE = 503;
     constexpr char END_OF_HEADER[] = "\r\n\r\n";
     constexpr char ID_FIELD[] = "X-Request-Id: ";
     constexpr char LENGTH_FIELD[] = "Content-Length: ";
@@ -22,6 +26,8 @@
         return out;
     }
 
+    std::string headerLine(const std::string& name, const std::string& value) { return name + ": " + value + "\r\n"; }
+
     std::string bodyOf(int node) { return "from the target of node " + std::to_string(node) + "."; }
 
     std::string fieldOf(const std::string& message, const std::string& field)
@@ -60,7 +66,8 @@
     for (auto end = m_clock.now() + duration; m_clock.now() < end; m_clock.advance(STEP)) {
         for (double n = callsPerSecond / STEPS_PER_SECOND; n > 0; n -= 1) {
             if (m_random.bernoulli(std::min(1.0, n)))
-                send();
+                send(
+                    static_cast<int>(m_random.uniformBelow(static_cast<uint64_t>(m_options.nodes))), m_options.resends);
         }
         m_fixture.step();
         for (auto& [node, target] : m_targets)
@@ -70,11 +77,18 @@
     }
 }
 
-void CalledService::setHeaders(int i, const std::string& lines)
+void CalledService::setNotice(int i, const targets::TargetNotice& notice)
 {
+    using namespace platform::names;
     auto& target = m_targets.at(i);
-    target.headers = lines;
-    target.informedNodes.clear();
+    auto before = std::exchange(target.headers, {});
+    if (notice.maxCallsPerSecond)
+        target.headers += headerLine(SERVER_LIMIT, std::to_string(*notice.maxCallsPerSecond));
+    if (notice.leaving)
+        target.headers += headerLine(SERVER_LEAVING, LEAVING);
+    // A node that knows of a notice keeps to the next one from the first response on.
+    if (before.empty() || target.headers.empty())
+        target.informedNodes.clear();
 }
 
 RawConnectionPtr CalledService::idleConnection(int node)
@@ -89,20 +103,20 @@
     return m_fixture.connect(node);
 }
 
-void CalledService::send()
+void CalledService::send(int node, int resendsLeft)
 {
-    int node = static_cast<int>(m_random.uniformBelow(static_cast<uint64_t>(m_options.nodes)));
     auto id = "c" + std::to_string(m_calls.size());
     auto connection = idleConnection(node);
     connection->received.clear();
     connection->write(CallPathFixture::get(id));
-    m_calls[id] = { m_clock.now(), node, connection };
+    m_calls[id] = { m_clock.now(), node, connection, resendsLeft };
     m_open.push_back(id);
 }
 
 void CalledService::readAnswers()
 {
-    std::erase_if(m_open, [this](const std::string& id) {
+    std::vector<Sent> refused;
+    std::erase_if(m_open, [this, &refused](const std::string& id) {
         const auto& call = m_calls.at(id);
         int status = statusOf(call.connection->received);
         if (!status && !call.connection->closed)
@@ -115,8 +129,12 @@
         m_ended.push_back({ status, std::chrono::duration_cast<base::Millis>(m_clock.now() - call.at) });
         if (!call.connection->closed)
             m_idle[call.node].push_back(call.connection);
+        if (status == STATUS_UNAVAILABLE && call.resendsLeft > 0)
+            refused.push_back(call);
         return true;
     });
+    for (const auto& it : refused)
+        send(it.node, it.resendsLeft - 1);
 }
 
 void CalledService::serve(int node, Target& target)
@@ -151,8 +169,20 @@
 {
     m_fixture.restart(i);
     m_idle.erase(i);
-    for (auto& [node, target] : m_targets)
-        target.informedNodes.erase(i);
+    forgetInformed(i);
+}
+
+void CalledService::setFrozen(int i, bool frozen)
+{
+    m_fixture.setFrozen(i, frozen);
+    forgetInformed(i);
+}
+
+// A restart or a freeze of a node excuses its callers' calls until it has passed on a notice again.
+void CalledService::forgetInformed(int node)
+{
+    for (auto& [i, target] : m_targets)
+        target.informedNodes.erase(node);
 }
 
 int CalledService::answered(int status, base::Millis time) const
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -1,10 +1,11 @@
 // A service on the nodes of a CallPathFixture in simulated time: callers at every node keep their connections and send
-// calls at random moments, and its targets answer each call after a fixed time with headers that the test chooses.
+// calls at random moments, and its targets answer each call after a fixed time with the notice that the test chooses.
 #pragma once
 
 #include "CallPathFixture.h"
 #include "ManualClock.h"
 #include "pomelowind/base/Random.h"
+#include "pomelowind/targets/TargetNotice.h"
 
 #include <map>
 #include <optional>
@@ -18,8 +19,8 @@
     base::Instant at;
     base::Instant sentAt; // when its caller sent it
     int node; // where its caller sent it
-    // Since when callers at that node have got responses of this target with the headers that it sets now; empty: the
-    // node has passed on none, or has restarted since.
+    // Since when callers at that node have got responses of this target with a notice; empty: the node has passed on
+    // none, has been restarted or frozen since, or the target has stopped making any.
     std::optional<base::Instant> informedAt;
 };
 
@@ -32,15 +33,18 @@
         int slots { 8 };
         base::Millis serviceTime { 40 };
         uint64_t seed { 1 };
+        int resends { 0 }; // how often callers send a refused call again, at once
     };
     explicit CalledService(const Options& options);
 
     // Lets callers send about `callsPerSecond` calls for `duration`.
     void run(base::Millis duration, double callsPerSecond);
-    // Sets the header lines that the target of node `i` adds to its responses from now on, for example "A: b\r\n".
-    void setHeaders(int i, const std::string& lines);
+    // Sets what the target of node `i` says in its responses from now on.
+    void setNotice(int i, const targets::TargetNotice& notice);
     // Restarts node `i`, whose target goes on. The node forgets all that it knew.
     void restart(int i);
+    // Stops node `i` from running, or lets it go on.
+    void setFrozen(int i, bool frozen);
     // Calls that the target of node `i` has got, in order.
     const std::vector<ArrivedCall>& arrivals(int i) const { return m_targets.at(i).arrivals; }
     // Number of callers' calls that were answered with `status` within `time`.
@@ -60,7 +64,7 @@
         std::vector<Answer> answers;
     };
     struct Target {
-        std::string headers;
+        std::string headers; // that state the notice
         std::map<int, base::Instant> informedNodes; // and since when
         std::vector<Served> served;
         std::vector<ArrivedCall> arrivals;
@@ -69,14 +73,16 @@
         base::Instant at;
         int node;
         RawConnectionPtr connection;
+        int resendsLeft;
     };
     struct Ended {
         int status;
         base::Millis time;
     };
 
-    void send();
+    void send(int node, int resendsLeft);
     void readAnswers();
+    void forgetInformed(int node);
     void serve(int node, Target& target);
     RawConnectionPtr idleConnection(int node);
 
