--- a/tests/property/LeavingTargetsGetNoNewCalls.cpp
+++ b/tests/property/LeavingTargetsGetNoNewCalls.cpp
@@ -1,4 +1,4 @@
-// Guards against a target that says in its responses that it leaves and still gets calls, before its heartbeat says so.
+// Guards against a target that says in its responses that it leaves and still gets calls until it announces so.
 
 #include "tests/support/CalledService.h"
 
@@ -15,7 +15,7 @@
 
 }
 
-TEST(LeavingTargetsGetNoNewCalls, WhenTheirHeartbeatStillSaysServing)
+TEST(LeavingTargetsGetNoNewCalls, WhenTheirAnnouncementsStillSayServing)
 {
     for (uint64_t seed = 1; seed <= 4; ++seed) {
         SCOPED_TRACE(seed);
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -85,7 +85,7 @@
     if (notice.maxCallsPerSecond)
         target.headers += headerLine(SERVER_LIMIT, std::to_string(*notice.maxCallsPerSecond));
     if (notice.leaving)
-        target.headers += headerLine(SERVER_LEAVING, LEAVING);
+        target.headers += headerLine(SERVER_LEAVING, YES);
     // A node that knows of a notice keeps to the next one from the first response on.
     if (before.empty() || target.headers.empty())
         target.informedNodes.clear();
