--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -129,21 +129,25 @@
     done.get_future().wait();
 }
 
-std::string Mesh::writeSettingsFile(const std::string& name, const std::string& content)
+void Mesh::writeSettingsFile(const std::string& name, const std::string& content) const
 {
-    std::string file = m_folder + "/" + name + ".yaml";
-    std::ofstream(file) << content;
-    return file;
+    std::ofstream(settingsFile(name)) << content;
 }
 
-void Mesh::spawn(const std::string& name, const std::string& program, const std::string& settings,
-    const std::vector<std::string>& arguments)
+void Mesh::spawn(const std::string& name, const std::string& program, const std::vector<std::string>& arguments)
 {
-    std::string path = executableFolder() + "/" + program;
-    std::vector<std::string> argumentTexts { path, "--settings=" + settings };
-    argumentTexts.insert(argumentTexts.end(), arguments.begin(), arguments.end());
+    auto& command = m_commands[name];
+    command = { executableFolder() + "/" + program, "--settings=" + settingsFile(name) };
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    startAgain(name);
+}
+
+void Mesh::startAgain(const std::string& name)
+{
+    auto command = m_commands.at(name);
+    const std::string path = command.front();
     std::vector<char*> argv;
-    for (auto& it : argumentTexts)
+    for (auto& it : command)
         argv.push_back(it.data());
     argv.push_back(nullptr);
     std::string logFile = m_folder + "/" + name + ".log";
@@ -179,7 +183,8 @@
         << "  - { name: viv, team: viewers, token_sha256: " << base::sha256Hex("viewer") << " }\n"
         << "teams:\n  - { name: all, read: [\"*\"], change: [\"*\"], move: [\"*\"] }\n  - { name: viewers }\n"
         << m_options.extraControlSettings;
-    spawn("control-" + id, "pomelowind-control", writeSettingsFile("control-" + id, out.str()),
+    writeSettingsFile("control-" + id, out.str());
+    spawn("control-" + id, "pomelowind-control",
         bootstrap ? std::vector<std::string> { "--bootstrap" } : std::vector<std::string>());
 }
 
@@ -206,7 +211,8 @@
         out << "  - { id: control-" << j << ", data_centre: dc" << j % m_options.dataCentres << ", address: \""
             << proxyAddressFor("feed/" + centre + "/" + std::to_string(j), address("control", j)) << "\" }\n";
     out << m_options.extraNodeSettings;
-    spawn("node-" + id, "pomelowind-node", writeSettingsFile("node-" + id, out.str()), {});
+    writeSettingsFile("node-" + id, out.str());
+    spawn("node-" + id, "pomelowind-node", {});
 }
 
 void Mesh::startTarget(const TargetSpec& spec)
@@ -218,8 +224,8 @@
         << "\nannounce: " << address("announce", spec.node).text() << "\nslots: " << m_options.slots
         << "\nservice_ms: " << m_options.serviceMs << "\nruns_log: " << m_folder << "/runs.txt\n"
         << spec.extraSettings;
-    spawn(
-        spec.name, "pomelowind-target", writeSettingsFile(spec.name, out.str()), { "--seed=" + std::to_string(i + 1) });
+    writeSettingsFile(spec.name, out.str());
+    spawn(spec.name, "pomelowind-target", { "--seed=" + std::to_string(i + 1) });
 }
 
 void Mesh::startAll()
@@ -240,16 +246,41 @@
     m_pids.erase(it);
 }
 
-void Mesh::terminate(const std::string& process) { ::kill(m_pids.at(process), SIGTERM); }
+void Mesh::sendSignal(const std::string& process, int signal) { ::kill(m_pids.at(process), signal); }
 
-int Mesh::waitForExit(const std::string& process, Millis limit)
+void Mesh::terminate(const std::string& process) { sendSignal(process, SIGTERM); }
+
+std::optional<ProcessEnd> Mesh::waitForEnd(const std::string& process, Millis limit)
 {
     int status = -1;
     bool ended = waitFor([&] { return waitpid(m_pids.at(process), &status, WNOHANG) > 0; }, limit);
     if (!ended)
-        return -1;
+        return std::nullopt;
     m_pids.erase(process);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return WIFEXITED(status) ? ProcessEnd { WEXITSTATUS(status), 0 } : ProcessEnd { 0, WTERMSIG(status) };
+}
+
+int Mesh::waitForExit(const std::string& process, Millis limit)
+{
+    auto end = waitForEnd(process, limit);
+    return end && !end->signal ? end->exitCode : -1;
+}
+
+std::ostream& operator<<(std::ostream& out, const ProcessEnd& end)
+{
+    if (end.signal)
+        return out << "ended by signal " << end.signal;
+    return out << "exit code " << end.exitCode;
+}
+
+int Mesh::countLogLines(const std::string& process, const std::string& text) const
+{
+    std::ifstream in(m_folder + "/" + process + ".log");
+    std::string line;
+    int n = 0;
+    while (std::getline(in, line))
+        n += line.find(text) != line.npos ? 1 : 0;
+    return n;
 }
 
 void Mesh::deleteDataFolder(int control) { fs::remove_all(m_folder + "/disk-" + std::to_string(control)); }
--- a/benchmarks/Mesh.h
+++ b/benchmarks/Mesh.h
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,16 @@
     std::string extraSettings; // lines appended to its settings
 };
 
+// How a process ended: by itself with an exit code, or by a signal.
+struct ProcessEnd {
+    int exitCode { 0 }; // 0 if a signal ended it
+    int signal { 0 }; // 0 if it ended by itself
+    bool operator==(const ProcessEnd&) const = default;
+};
+
+// Prints how a process ended, for the messages of failed tests.
+std::ostream& operator<<(std::ostream& out, const ProcessEnd& end);
+
 // Starts, stops and observes the processes. The destructor kills the remaining ones and deletes the folder with their
 // data and logs, unless POMELOWIND_KEEP_LOGS is set. Thread safety: send, nodeState, metric, address and setFault
 // may be called from any thread; the other members must not run while another thread starts or ends a process.
@@ -52,12 +64,19 @@
     void startTarget(const TargetSpec& spec);
     // Starts all control hosts and nodes.
     void startAll();
+    // Starts a process again with the settings file and the arguments that it had. Precondition: it was started before
+    // and has ended.
+    void startAgain(const std::string& process);
 
     // Processes are named "control-0", "node-3", or a target's name.
     void kill(const std::string& process); // sends SIGKILL and waits for the end
     void terminate(const std::string& process); // sends SIGTERM and returns at once
+    // Sends `signal` and returns at once.
+    void sendSignal(const std::string& process, int signal);
     int waitForExit(const std::string& process, base::Millis limit); // exit code, or -1 after a timeout or a signal
-    // Whether the process was started and neither kill nor waitForExit has seen its end.
+    // Returns how the process ended, or nothing when it still runs after `limit`.
+    std::optional<ProcessEnd> waitForEnd(const std::string& process, base::Millis limit);
+    // Whether the process was started and none of kill, waitForExit and waitForEnd has seen its end.
     bool isRunning(const std::string& process) const { return m_pids.count(process) > 0; }
     int pid(const std::string& process) const { return m_pids.at(process); }
     // Deletes the data folder of a control host, which must not be running.
@@ -104,6 +123,10 @@
     std::vector<base::Address> callerAddresses() const;
     std::string dataCentreOf(int node) const { return "dc" + std::to_string(node % m_options.dataCentres); }
     const std::string& folder() const { return m_folder; }
+    // The settings file of a process that was started.
+    std::string settingsFile(const std::string& process) const { return m_folder + "/" + process + ".yaml"; }
+    // Returns how many of the lines that a process has logged contain `text`.
+    int countLogLines(const std::string& process, const std::string& text) const;
     const MeshOptions& options() const { return m_options; }
     // Returns how often each keyed request ran, from the logs of the targets.
     std::map<std::string, int> runCountsByKey() const;
@@ -111,12 +134,12 @@
     double metric(const base::Address& address, const std::string& name);
 
 private:
-    void spawn(const std::string& name, const std::string& program, const std::string& settings,
-        const std::vector<std::string>& arguments);
+    // Starts `program` with the settings file of process `name`.
+    void spawn(const std::string& name, const std::string& program, const std::vector<std::string>& arguments);
     std::string ip(int host) const;
     // Returns the address of the fault proxy in front of `to`; starts the proxy on first use of `name`.
     std::string proxyAddressFor(const std::string& name, const base::Address& to);
-    std::string writeSettingsFile(const std::string& name, const std::string& content);
+    void writeSettingsFile(const std::string& name, const std::string& content) const;
 
     MeshOptions m_options;
     std::string m_folder;
@@ -124,6 +147,7 @@
     int m_nextProxy { 0 };
     int m_nextTarget { 0 };
     std::map<std::string, int> m_pids;
+    std::map<std::string, std::vector<std::string>> m_commands; // program and arguments of each process, by its name
     std::map<std::string, std::string> m_proxyAddresses;
     base::EventLoopThread m_proxiesLoop;
     std::vector<std::unique_ptr<standins::FaultProxy>> m_proxies;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -174,6 +174,7 @@
     {
         if (std::exchange(m_stopped, true))
             return;
+        base::logInfo("control.draining", { { "id", m_settings.id } });
         drainApi();
         m_tickTimer.reset();
         m_metricsTimer.reset();
--- a/src/host/Program.cpp
+++ b/src/host/Program.cpp
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Log.h"
 
 #include <csignal>
+#include <cstring>
 #include <iostream>
 
 namespace pomelowind::host {
@@ -20,6 +21,11 @@
         return set;
     }
 
+    void logSignal(int signal)
+    {
+        base::logInfo("signal.received", { { "signal", std::string("SIG") + sigabbrev_np(signal) } });
+    }
+
 }
 
 int runProgram(const std::function<int()>& body)
@@ -49,6 +55,7 @@
     sigset_t set = handledSignals();
     int signal = 0;
     for (sigwait(&set, &signal); signal == SIGHUP; sigwait(&set, &signal)) {
+        logSignal(signal);
         try {
             if (reload)
                 reload();
@@ -56,6 +63,7 @@
             base::logError("settings.reload_failed", { { "error", e.what() } });
         }
     }
+    logSignal(signal);
 }
 
 } // namespace pomelowind::host
