No signal ends a process while it starts, reloads or stops

Cause: the main thread takes SIGTERM, SIGINT and SIGHUP by sigwait. The other threads block them, except for the log writer: startLogging() created it before blockStopSignals() ran. The kernel gives a signal that nobody waits for at that moment to a thread that does not block it, so the default action ended the process: during the start, while a reload ran and during the whole stop, in both programs and the stand-ins. Change: runDaemon() blocks the signals before anything else and for the rest of the process, so the mask no longer depends on the order of calls in each main(). Signals that come during the start or a reload are taken after it; those that come during a stop are logged as ignored.

--- a/include/pomelowind/host/Program.h
+++ b/include/pomelowind/host/Program.h
@@ -15,11 +15,14 @@
 // EXIT_USAGE for a UserError, EXIT_FAULT for any other.
 int runProgram(const std::function<int()>& body);
 
+// Runs the body of a long-running program as runProgram() does. From its call on, SIGTERM, SIGINT and SIGHUP never end
+// the process: they stay pending while the body starts, reloads or stops, until waitForStopSignal() takes them; those
+// that come after it are logged as ignored at the end. SIGPIPE is ignored, so that writing to a closed connection
+// returns an error. Precondition: no thread has been started, and main() does nothing that lasts before the call.
+int runDaemon(const std::function<int()>& body);
+
 // Blocks until SIGTERM or SIGINT arrives. Calls `reload` on each SIGHUP until then; an exception that it throws is
-// logged. Precondition: blockStopSignals() was called before any thread was started.
+// logged. Precondition: called on the thread that runs the body of runDaemon().
 void waitForStopSignal(const std::function<void()>& reload = {});
-// Blocks SIGTERM, SIGINT and SIGHUP in this thread and in the threads that it starts, for waitForStopSignal(), and
-// ignores SIGPIPE, so that writing to a closed connection returns an error instead of ending the process.
-void blockStopSignals();
 
 } // namespace pomelowind::host
--- a/programs/pomelowind-control.cpp
+++ b/programs/pomelowind-control.cpp
@@ -20,18 +20,17 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage(
-        "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
-        "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings or damaged storage");
-    absl::ParseCommandLine(argc, argv);
-    return host::runProgram([] {
+    return host::runDaemon([argc, argv] {
+        absl::SetProgramUsageMessage(
+            "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
+            "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings or damaged storage");
+        absl::ParseCommandLine(argc, argv);
         auto settings = control::readControlSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
             return host::EXIT_OK;
         }
         base::startLogging("control/" + settings.id, settings.logLevel);
-        host::blockStopSignals();
         bool firstStart = settings.firstStart || absl::GetFlag(FLAGS_bootstrap);
         auto emptyFolderMode = firstStart ? members::EmptyFolderMode::Bootstrap : members::EmptyFolderMode::Recover;
         operators::OperatorHandlerFactory operatorHandlerFactory;
--- a/programs/pomelowind-fault-proxy.cpp
+++ b/programs/pomelowind-fault-proxy.cpp
@@ -18,10 +18,10 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
-                                 "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
-    absl::ParseCommandLine(argc, argv);
-    return host::runProgram([] {
+    return host::runDaemon([argc, argv] {
+        absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
+                                     "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
+        absl::ParseCommandLine(argc, argv);
         auto reader = base::SettingsReader::fromFile(absl::GetFlag(FLAGS_settings));
         auto adminAddress = reader.address("admin_address");
         auto metricsAddress = reader.address("metrics_address");
@@ -36,7 +36,6 @@
             return host::EXIT_OK;
         }
         base::startLogging("fault-proxy", "info");
-        host::blockStopSignals();
         auto metrics = host::serveMetrics(metricsAddress);
         base::EventLoopThread eventLoop("proxy");
         standins::FaultProxy proxy(eventLoop.context(), links);
--- a/programs/pomelowind-node.cpp
+++ b/programs/pomelowind-node.cpp
@@ -19,10 +19,10 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("pomelowind-node --settings=FILE [--check_settings]\n"
-                                 "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
-    absl::ParseCommandLine(argc, argv);
-    return host::runProgram([] {
+    return host::runDaemon([argc, argv] {
+        absl::SetProgramUsageMessage("pomelowind-node --settings=FILE [--check_settings]\n"
+                                     "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
+        absl::ParseCommandLine(argc, argv);
         auto settings = node::readNodeSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
@@ -32,7 +32,6 @@
         if (settings.protocol == "platform")
             protocols = { platform::makeCallProtocol(), platform::makeInstanceHandler };
         base::startLogging("node/" + settings.id, settings.logLevel);
-        host::blockStopSignals();
         node::NodeHost host(std::move(settings), std::move(protocols));
         host::waitForStopSignal([&host] { host.reload(node::readNodeSettings(absl::GetFlag(FLAGS_settings))); });
         host.stop();
--- a/programs/pomelowind-target.cpp
+++ b/programs/pomelowind-target.cpp
@@ -21,18 +21,17 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage(
-        "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
-        "exit codes: 0 stopped by signal, 1 internal error or injected crash, 2 invalid settings");
-    absl::ParseCommandLine(argc, argv);
-    return host::runProgram([] {
+    return host::runDaemon([argc, argv] {
+        absl::SetProgramUsageMessage(
+            "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
+            "exit codes: 0 stopped by signal, 1 internal error or injected crash, 2 invalid settings");
+        absl::ParseCommandLine(argc, argv);
         auto settings = standins::readTargetSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
             return host::EXIT_OK;
         }
         base::startLogging("target/" + settings.id, settings.logLevel);
-        host::blockStopSignals();
         auto metrics = host::serveMetrics(settings.metricsAddress);
         base::EventLoopThread eventLoop("target");
         standins::Target target(eventLoop.context(), std::move(settings), absl::GetFlag(FLAGS_seed));
--- a/src/host/Program.cpp
+++ b/src/host/Program.cpp
@@ -21,9 +21,19 @@
         return set;
     }
 
-    void logSignal(int signal)
+    void logSignal(std::string_view event, int signal)
     {
-        base::logInfo("signal.received", { { "signal", std::string("SIG") + sigabbrev_np(signal) } });
+        base::logInfo(event, { { "signal", std::string("SIG") + sigabbrev_np(signal) } });
+    }
+
+    // A process that stops has nothing to reload and no second stop to begin.
+    void logIgnoredSignals()
+    {
+        sigset_t set = handledSignals();
+        timespec noWait {};
+        for (int signal = sigtimedwait(&set, nullptr, &noWait); signal > 0;
+             signal = sigtimedwait(&set, nullptr, &noWait))
+            logSignal("signal.ignored", signal);
     }
 
 }
@@ -43,11 +53,18 @@
     }
 }
 
-void blockStopSignals()
+int runDaemon(const std::function<int()>& body)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Threads inherit the mask. A thread without it would take each signal that waitForStopSignal() does not wait for
+    // at that moment, and the signal's default action ends the process.
     sigset_t set = handledSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    return runProgram([&body] {
+        int code = body();
+        logIgnoredSignals();
+        return code;
+    });
 }
 
 void waitForStopSignal(const std::function<void()>& reload)
@@ -55,7 +72,7 @@
     sigset_t set = handledSignals();
     int signal = 0;
     for (sigwait(&set, &signal); signal == SIGHUP; sigwait(&set, &signal)) {
-        logSignal(signal);
+        logSignal("signal.received", signal);
         try {
             if (reload)
                 reload();
@@ -63,7 +80,7 @@
             base::logError("settings.reload_failed", { { "error", e.what() } });
         }
     }
-    logSignal(signal);
+    logSignal("signal.received", signal);
 }
 
 } // namespace pomelowind::host
--- a/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
+++ b/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
@@ -153,6 +153,7 @@
 {
     bench::MeshOptions options;
     options.nodes = 3;
+    options.extraNodeSettings = "drain_grace_ms: 500\n";
     Mesh mesh(options);
     startMesh(mesh);
     for (const char* program : { "node", "control" }) {
@@ -173,6 +174,7 @@
 {
     bench::MeshOptions options;
     options.nodes = 3;
+    options.extraNodeSettings = "drain_grace_ms: 500\n";
     Mesh mesh(options);
     startMesh(mesh);
     for (const char* program : { "node", "control" }) {
@@ -194,7 +196,7 @@
 {
     bench::MeshOptions options;
     options.nodes = 3;
-    options.extraNodeSettings = "protocol: platform\n";
+    options.extraNodeSettings = "protocol: platform\ndrain_grace_ms: 500\n";
     Mesh mesh(options);
     mesh.startAll();
     for (size_t i = 0; i < std::size(SIGNALS); ++i) {
