A thread that logs while another ends logging does not end the process

Cause: stopLogging() takes the default logger away, and every line was written through its raw pointer. Change: a line holds the logger it is written with, and is dropped once logging has ended.

--- a/include/pomelowind/base/Log.h
+++ b/include/pomelowind/base/Log.h
@@ -40,7 +40,7 @@
 // Sets up the process's logger. `program` is written on each line; `level` is one of debug, info, warn, error.
 // Precondition: called once, before other threads log.
 void startLogging(const std::string& program, const std::string& level);
-// Writes the queued lines and stops the logger. Nothing may be logged afterwards.
+// Writes the queued lines and stops the logger. Lines that are logged afterwards are dropped. Thread safety: any thread.
 void stopLogging();
 
 // logDebug(), logInfo(), logWarn() and logError() write one event at that level, for example:
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -3,6 +3,7 @@
 #include "pomelowind/base/Time.h"
 #include "pomelowind/base/TokenBucket.h"
 
+#include <iostream>
 #include <mutex>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -38,7 +39,9 @@
 
     void write(spdlog::level::level_enum level, std::string_view event, std::initializer_list<Field> fields)
     {
-        if (!spdlog::should_log(level))
+        // Null after stopLogging(). Threads that log while the process exits keep the logger that they have taken.
+        auto logger = spdlog::default_logger();
+        if (!logger || !logger->should_log(level))
             return;
         std::string line = "event=";
         line += event;
@@ -48,7 +51,12 @@
             line += '=';
             appendValue(line, field.value());
         }
-        spdlog::log(level, line);
+        try {
+            logger->log(level, line);
+        } catch (const spdlog::spdlog_ex& e) {
+            // The log writer has ended meanwhile.
+            std::cerr << line << " (" << e.what() << ")" << std::endl;
+        }
     }
 
 }
