--- a/programs/pomelowind-control.cpp
+++ b/programs/pomelowind-control.cpp
@@ -20,11 +20,13 @@
 
 int main(int argc, char** argv)
 {
-    return host::runDaemon([argc, argv] {
-        absl::SetProgramUsageMessage(
-            "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
-            "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings or damaged storage");
-        absl::ParseCommandLine(argc, argv);
+    absl::SetProgramUsageMessage(
+        "pomelowind-control --settings=FILE [--bootstrap] [--check_settings]\n"
+        "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings or damaged storage");
+    absl::ParseCommandLine(argc, argv);
+    // A check of settings ends by itself, and a signal may end it.
+    auto* run = absl::GetFlag(FLAGS_check_settings) ? host::runProgram : host::runDaemon;
+    return run([] {
         auto settings = control::readControlSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
--- a/programs/pomelowind-fault-proxy.cpp
+++ b/programs/pomelowind-fault-proxy.cpp
@@ -18,10 +18,12 @@
 
 int main(int argc, char** argv)
 {
-    return host::runDaemon([argc, argv] {
-        absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
-                                     "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
-        absl::ParseCommandLine(argc, argv);
+    absl::SetProgramUsageMessage("pomelowind-fault-proxy --settings=FILE [--check_settings]\n"
+                                 "exit codes: 0 stopped by signal, 1 internal error, 2 invalid settings");
+    absl::ParseCommandLine(argc, argv);
+    // A check of settings ends by itself, and a signal may end it.
+    auto* run = absl::GetFlag(FLAGS_check_settings) ? host::runProgram : host::runDaemon;
+    return run([] {
         auto reader = base::SettingsReader::fromFile(absl::GetFlag(FLAGS_settings));
         auto adminAddress = reader.address("admin_address");
         auto metricsAddress = reader.address("metrics_address");
--- a/programs/pomelowind-target.cpp
+++ b/programs/pomelowind-target.cpp
@@ -21,11 +21,13 @@
 
 int main(int argc, char** argv)
 {
-    return host::runDaemon([argc, argv] {
-        absl::SetProgramUsageMessage(
-            "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
-            "exit codes: 0 stopped by signal, 1 internal error or injected crash, 2 invalid settings");
-        absl::ParseCommandLine(argc, argv);
+    absl::SetProgramUsageMessage(
+        "pomelowind-target --settings=FILE [--check_settings] [--seed=N]\n"
+        "exit codes: 0 stopped by signal, 1 internal error or injected crash, 2 invalid settings");
+    absl::ParseCommandLine(argc, argv);
+    // A check of settings ends by itself, and a signal may end it.
+    auto* run = absl::GetFlag(FLAGS_check_settings) ? host::runProgram : host::runDaemon;
+    return run([] {
         auto settings = standins::readTargetSettings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check_settings)) {
             std::cout << "settings are valid" << std::endl;
