A process whose log nobody reads exits after its stop; signals during a stop are logged when they come

What would be seen: a process whose standard output is a full pipe never exits after its stop, and only SIGKILL ends it; the time of signal.ignored is that of the exit. Cause: stopLogging() joined the log writer, which waits in write(); pending signals were looked at once, at the end. A thread takes the signals of a stop when they come.

--- a/include/pomelowind/base/Log.h
+++ b/include/pomelowind/base/Log.h
@@ -40,8 +40,9 @@
 // Sets up the process's logger. `program` is written on each line; `level` is one of debug, info, warn, error.
 // Precondition: called once, before other threads log.
 void startLogging(const std::string& program, const std::string& level);
-// Writes the queued lines and stops the logger. Lines that are logged afterwards are dropped. Thread safety: any thread.
-void stopLogging();
+// Writes the queued lines and stops the logger. Lines that are logged afterwards are dropped. Returns false if the
+// lines could not be written in time, because nobody reads standard output. Thread safety: any thread.
+bool stopLogging();
 
 // logDebug(), logInfo(), logWarn() and logError() write one event at that level, for example:
 // event=node.started id=eun-a-1. Thread safety: any thread.
--- a/include/pomelowind/host/Program.h
+++ b/include/pomelowind/host/Program.h
@@ -11,14 +11,15 @@
 constexpr int EXIT_FAULT = 1;
 constexpr int EXIT_USAGE = 2;
 
-// Runs `body` and returns its exit code. An exception is written to standard error and turned into an exit code:
-// EXIT_USAGE for a UserError, EXIT_FAULT for any other.
+// Runs the body of a program that ends by itself, and returns its exit code. An exception is written to standard error
+// and turned into an exit code: EXIT_USAGE for a UserError, EXIT_FAULT for any other.
 int runProgram(const std::function<int()>& body);
 
-// Runs the body of a long-running program as runProgram() does. From its call on, SIGTERM, SIGINT and SIGHUP never end
-// the process: they stay pending while the body starts, reloads or stops, until waitForStopSignal() takes them; those
-// that come after it are logged as ignored at the end. SIGPIPE is ignored, so that writing to a closed connection
-// returns an error. Precondition: no thread has been started, and main() does nothing that lasts before the call.
+// Runs the body of a program that runs until a signal stops it, and otherwise does the same as runProgram(). From its
+// call on, SIGTERM, SIGINT and SIGHUP do not end the process: they stay pending while the body starts, until
+// waitForStopSignal() takes them, SIGHUP first. A body that blocks before that ends only by SIGKILL. SIGPIPE is
+// ignored, so that writing to a closed connection returns an error; other signals keep their default action.
+// Precondition: no thread has been started, and main() does nothing that lasts before the call.
 int runDaemon(const std::function<int()>& body);
 
 // Applies settings that were read. Called on any thread, at most once, and never after waitForStopSignal() has
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -3,11 +3,15 @@
 #include "pomelowind/base/Time.h"
 #include "pomelowind/base/TokenBucket.h"
 
+#include <chrono>
+#include <future>
 #include <iostream>
+#include <memory>
 #include <mutex>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <thread>
 
 namespace pomelowind::base {
 
@@ -20,6 +24,9 @@
     constexpr double RATE_LIMITED_LINES_PER_SECOND = 100;
     constexpr double RATE_LIMITED_LINES_BURST = 300;
 
+    // Well within the time that a supervisor leaves between the end of a stop and SIGKILL.
+    constexpr auto FLUSH_TIMEOUT = std::chrono::milliseconds(500);
+
     bool needsQuotes(std::string_view value) { return value.empty() || value.find_first_of(" \"=\n\t") != value.npos; }
 
     void appendValue(std::string& line, std::string_view value)
@@ -72,7 +79,17 @@
     spdlog::set_level(spdlog::level::from_str(level));
 }
 
-void stopLogging() { spdlog::shutdown(); }
+bool stopLogging()
+{
+    // The log writer waits for as long as nobody reads standard output, so it is joined on a thread of its own.
+    auto isDone = std::make_shared<std::promise<void>>();
+    auto future = isDone->get_future();
+    std::thread([isDone] {
+        spdlog::shutdown();
+        isDone->set_value();
+    }).detach();
+    return future.wait_for(FLUSH_TIMEOUT) == std::future_status::ready;
+}
 
 void logRateLimited(std::string_view event, std::initializer_list<Field> fields)
 {
--- a/src/host/Program.cpp
+++ b/src/host/Program.cpp
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Log.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 #include <iostream>
 #include <memory>
@@ -87,14 +88,15 @@
         bool m_stopped { false };
     };
 
-    // A process that stops has nothing to reload and no second stop to begin.
-    void logIgnoredSignals()
+    // Takes the signals that come during a stop for the rest of the process: a process that stops has nothing to reload
+    // and no second stop to begin.
+    void logFurtherSignals()
     {
-        sigset_t set = handledSignals();
-        timespec noWait {};
-        for (int signal = sigtimedwait(&set, nullptr, &noWait); signal > 0;
-             signal = sigtimedwait(&set, nullptr, &noWait))
-            logSignal("signal.ignored", signal);
+        std::thread([set = handledSignals()] {
+            int signal = 0;
+            while (sigwait(&set, &signal) == 0)
+                logSignal("signal.ignored", signal);
+        }).detach();
     }
 
 }
@@ -103,7 +105,9 @@
 {
     try {
         int code = body();
-        base::stopLogging();
+        // Ending the static objects would wait for the log writer too.
+        if (!base::stopLogging())
+            std::_Exit(code);
         return code;
     } catch (const base::UserError& e) {
         std::cerr << e.what() << std::endl;
@@ -121,11 +125,7 @@
     // at that moment, and the signal's default action ends the process.
     sigset_t set = handledSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    return runProgram([&body] {
-        int code = body();
-        logIgnoredSignals();
-        return code;
-    });
+    return runProgram(body);
 }
 
 void waitForStopSignal(ReadSettings readSettings)
@@ -138,6 +138,7 @@
         reloader->request();
     }
     logSignal("signal.received", signal);
+    logFurtherSignals();
     reloader->stop();
 }
 
