--- a/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
+++ b/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
@@ -44,11 +44,11 @@
         std::signal(SIGPIPE, SIG_IGN);
     }
 
-    // Waits until the process reads its settings.
-    void waitForReader()
+    // Returns whether the process reads its settings. The opening fails until then.
+    bool hasReader()
     {
-        m_fd = open(m_file.c_str(), O_WRONLY | O_CLOEXEC);
-        ASSERT_GE(m_fd, 0);
+        m_fd = open(m_file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return m_fd >= 0;
     }
 
     // Lets the process read the settings that it had, now and from then on. Returns whether it was still reading.
@@ -131,6 +131,7 @@
         mesh.sendSignal(node, SIGNALS[i]);
         EXPECT_EQ(call.get().status, 200);
         EXPECT_EQ(mesh.waitForEnd(node, END_TIMEOUT), ENDED_BY_ITSELF);
+        EXPECT_EQ(mesh.countLogLines(node, "event=signal.ignored"), 1);
     }
 }
 
@@ -163,7 +164,7 @@
             SCOPED_TRACE(process + " " + strsignal(SIGNALS[i]));
             HeldSettings settings(mesh, process);
             mesh.sendSignal(process, SIGHUP);
-            settings.waitForReader();
+            ASSERT_TRUE(mesh.waitFor([&] { return settings.hasReader(); }));
             mesh.sendSignal(process, SIGNALS[i]);
             // A process that stops does not wait for its settings.
             EXPECT_TRUE(settings.release() || SIGNALS[i] != SIGHUP);
@@ -186,7 +187,7 @@
             mesh.kill(process);
             HeldSettings settings(mesh, process);
             mesh.startAgain(process);
-            settings.waitForReader();
+            ASSERT_TRUE(mesh.waitFor([&] { return settings.hasReader(); }));
             mesh.sendSignal(process, SIGNALS[i]);
             EXPECT_TRUE(settings.release());
             expectTaken(mesh, process, SIGNALS[i], 0);
