--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -326,6 +326,12 @@
     return out;
 }
 
+http::HttpRequest Mesh::operatorRequest(const std::string& method, const std::string& path, const std::string& body)
+{
+    return { method, path, { { "Host", "operator" }, { "Authorization", std::string("Bearer ") + OPERATOR_TOKEN } },
+        body };
+}
+
 json Mesh::readOperatorApi(const std::string& path, int control)
 {
     for (int i = 0; i < m_options.controlHosts; ++i) {
@@ -424,10 +430,10 @@
     return at == std::string::npos ? -1 : std::atof(response.body.c_str() + at + name.size() + 13);
 }
 
-std::map<std::string, int> Mesh::runCountsByKey() const
+std::map<std::string, int> Mesh::runCounts(const std::string& log) const
 {
     std::map<std::string, int> out;
-    std::ifstream in(m_folder + "/runs.txt");
+    std::ifstream in(m_folder + "/" + log);
     std::string time;
     std::string key;
     std::string rest;
--- a/benchmarks/Mesh.h
+++ b/benchmarks/Mesh.h
@@ -92,6 +92,9 @@
     // new one. Generates a request id when `requestId` is empty.
     std::pair<int, nlohmann::json> submit(const std::string& method, const std::string& path, nlohmann::json body,
         int64_t base = 0, const std::string& requestId = "");
+    // Returns a request to the operator API with the token that may change everything. Thread safety: any thread.
+    static http::HttpRequest operatorRequest(
+        const std::string& method, const std::string& path, const std::string& body);
     // Returns the answer of control host `control` to a GET of `path` in the operator API; when `control` is negative,
     // the answer of the first running control host that answers with 200. An empty object when there is none.
     nlohmann::json readOperatorApi(const std::string& path, int control = -1);
@@ -129,7 +132,9 @@
     int countLogLines(const std::string& process, const std::string& text) const;
     const MeshOptions& options() const { return m_options; }
     // Returns how often each keyed request ran, from the logs of the targets.
-    std::map<std::string, int> runCountsByKey() const;
+    std::map<std::string, int> runCountsByKey() const { return runCounts("runs.txt"); }
+    // Returns the same from another log in folder(), which targets write if their settings name it.
+    std::map<std::string, int> runCounts(const std::string& log) const;
     // Reads a value without labels from a process's /metrics; -1 when it cannot be read.
     double metric(const base::Address& address, const std::string& name);
 
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -65,6 +65,7 @@
     out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
     out.exponential = reader.flag("exponential", true);
     out.runsLogFile = reader.text("runs_log", "");
+    out.getsLogFile = reader.text("gets_log", "");
     out.fault = readInjectedFault(reader);
     if (reader.has("downstream_address")) {
         out.downstreamAddress = reader.address("downstream_address");
@@ -100,6 +101,8 @@
         m_downstream = http::makeHttpClient(io, m_settings.downstreamAddress, { MAX_DOWNSTREAM_CONNECTIONS });
     if (!m_settings.runsLogFile.empty())
         m_runsLog.open(m_settings.runsLogFile, std::ios::app);
+    if (!m_settings.getsLogFile.empty())
+        m_getsLog.open(m_settings.getsLogFile, std::ios::app);
 }
 
 // ---- announcements ----
@@ -245,12 +248,13 @@
 
 void Target::recordRun(const http::HttpRequest& request)
 {
-    if (request.method == "GET")
-        return;
+    bool isGet = request.method == "GET";
     std::string key = requestKeyOf(request);
-    ++m_runCountsByKey[key];
-    if (m_runsLog.is_open())
-        m_runsLog << wallMs() << ' ' << key << ' ' << m_settings.id << ' ' << m_settings.version << std::endl;
+    if (!isGet)
+        ++m_runCountsByKey[key];
+    auto& log = isGet ? m_getsLog : m_runsLog;
+    if (log.is_open())
+        log << wallMs() << ' ' << key << ' ' << m_settings.id << ' ' << m_settings.version << std::endl;
 }
 
 void Target::finish(const std::shared_ptr<RunningCall>& call)
--- a/standins/Target.h
+++ b/standins/Target.h
@@ -50,6 +50,7 @@
     bool exponential { true }; // service times are exponentially distributed; otherwise constant
     InjectedFault fault;
     std::string runsLogFile; // when set, a line for each counted run is appended: time key target version
+    std::string getsLogFile; // the same for GET requests
     std::string downstreamHost; // when set, a call calls this host and path through the own node before it is answered
     std::string downstreamPath;
     base::Address downstreamAddress;
@@ -101,6 +102,7 @@
     int m_running { 0 };
     std::map<std::string, int> m_runCountsByKey;
     std::ofstream m_runsLog;
+    std::ofstream m_getsLog;
 };
 
 } // namespace pomelowind::standins
