--- a/benchmarks/Mesh.cpp
+++ b/benchmarks/Mesh.cpp
@@ -157,8 +157,19 @@
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     // Otherwise the child would inherit the proxies' open sockets and keep them open after a proxy closes them.
     posix_spawn_file_actions_addclosefrom_np(&actions, 3);
+    // Shells start background jobs with some signals ignored, and a test may block some.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t signals;
+    sigemptyset(&signals);
+    posix_spawnattr_setsigmask(&attributes, &signals);
+    for (int it : { SIGHUP, SIGINT, SIGTERM, SIGPIPE })
+        sigaddset(&signals, it);
+    posix_spawnattr_setsigdefault(&attributes, &signals);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
     pid_t pid = 0;
-    int error = posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+    int error = posix_spawn(&pid, path.c_str(), &actions, &attributes, argv.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error)
         throw base::InternalFault("cannot start " + path);
