Failing test: a control host that has stopped holds and accepts links until its process ends

The stacks of two control hosts and two nodes in that time show the threads of civetweb, the HTTP server of the metrics library, whose end the destructor awaits. A node whose stop lasts for its stop_timeout_ms ends up to 2 s after it.

--- a/tests/integration/PlannedStopsLoseNoCalls.cpp
+++ b/tests/integration/PlannedStopsLoseNoCalls.cpp
@@ -111,3 +111,18 @@
     EXPECT_FALSE(isServing) << "node-1 has ended, and node-0 still sends calls to its target";
     EXPECT_EQ(call.get().status, 200);
 }
+
+// Its peers take a host that accepts links for one that lives.
+TEST(PlannedStopsLoseNoCalls, OfPeersOfAControlHostThatHasStopped)
+{
+    bench::MeshOptions options;
+    options.nodes = 0;
+    bench::Mesh mesh(options);
+    mesh.startAll();
+    ASSERT_GE(mesh.leader(), 0);
+    mesh.terminate("control-0");
+    ASSERT_TRUE(mesh.waitFor([&] { return logHolds(mesh, "control-0", " event=control.stopped "); }));
+    bench::CallerConnection connection;
+    EXPECT_FALSE(connection.ensureOpen(mesh.address("control", 0)));
+    EXPECT_EQ(mesh.waitForEnd("control-0", Millis(20000)), ProcessEnd());
+}
