--- a/benchmarks/SoakRun.cpp
+++ b/benchmarks/SoakRun.cpp
@@ -265,7 +265,8 @@
             m_settings.assign(std::istreambuf_iterator<char>(in), {});
         }
 
-        bool isDone() const { return m_steps.empty(); }
+        // Also waits until a restarted process has settled, so that an end right after its start is noticed.
+        bool isDone() const { return m_steps.empty() && wallMs() >= m_settledMs; }
 
         // Does what is due, and notices the end of the process.
         void advance()
