--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -22,7 +22,7 @@
     constexpr auto IDLE_PAUSE = std::chrono::microseconds(200);
     constexpr auto WAIT_TIMEOUT = base::Millis(20000);
 
-    wire::Resource routeResource(const std::string& name, const std::string& path, bool idempotent)
+    wire::Resource routeResource(const std::string& name, const std::string& path, bool idempotent, int maxAttempts)
     {
         wire::Route route;
         route.name = name;
@@ -32,7 +32,7 @@
         route.timeoutMs = 5000;
         route.idempotent = idempotent;
         route.largeBody = !idempotent;
-        route.maxAttempts = 2;
+        route.maxAttempts = maxAttempts;
         route.objectiveMs = 2000;
         route.priority = idempotent ? 8 : 1;
         wire::Resource out;
@@ -98,7 +98,7 @@
 CallPathFixture::CallPathFixture(Options options)
     : m_options(std::move(options))
     , m_clock(m_options.clock ? *m_options.clock : m_systemClock)
-    , m_protocol(platform::makeCallProtocol())
+    , m_protocol(m_options.usesProductProtocol ? node::makeProductCallProtocol() : platform::makeCallProtocol())
 {
     for (int i = 0; i < m_options.nodes; ++i)
         addNode(i);
@@ -139,6 +139,7 @@
     settings.bodyMemoryBytes = m_options.bodyMemoryBytes;
     settings.maxBodyBytes = m_options.bodyMemoryBytes;
     settings.firstAttemptPercent = 100;
+    settings.stopTimeout = m_options.stopTimeout;
     node->targetPort = std::make_unique<tcp::acceptor>(m_io);
     base::listenOn(*node->targetPort, { ip(i), TARGET_PORT });
     startPath(*node);
@@ -213,8 +214,10 @@
     resource.__set_serviceResource(service);
     config::ConfigState empty;
     auto view = std::make_shared<node::MeshView>();
-    view->config = std::make_shared<config::ConfigState>(empty.withChange(
-        { resource, routeResource("once", "/once/", false), routeResource("again", "/again/", true) }, {}));
+    view->config = std::make_shared<config::ConfigState>(
+        empty.withChange({ resource, routeResource("once", "/once/", false, m_options.maxAttempts),
+                             routeResource("again", "/again/", true, m_options.maxAttempts) },
+            {}));
     view->routes = std::make_shared<node::RouteTable>(view->config);
     view->serving = true;
     nodes::TargetList targets;
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -55,6 +55,9 @@
         std::vector<int> targetsAt { 1 }; // nodes with a target of service "s"
         std::vector<std::string> dataCentres { "east", "east", "east", "east" };
         const base::Clock* clock { nullptr }; // must outlive the fixture; null: the host's clock
+        bool usesProductProtocol { false }; // of callers and targets; false: the platform's
+        int maxAttempts { 2 }; // of both routes
+        base::Millis stopTimeout { 60000 }; // see NodeSettings
     };
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
