A request that failed is not sent again over the same connection

Callers saw: 503 with the promise 'not run' for a request that its target was running, or such a request ran twice.

Cause: a call that its target refused may go to the same target again when no other is left. The exchange was over, so the connection was back in the pool, and being the last one used it was the first to be taken. A target that writes its refusal once more then names the very id that the node expects; the check of the echoed id cannot tell the two responses apart.

Evidence: RefusalsCountForTheirOwnExchange.RepeatedBeforeTheSameRequestRunsAtTheSameTarget/platform failed before: 503 to the caller with max_attempts 2 while the target ran the request, a third arrival with 3. It passes now.

Why it works: a connection remembers the ids of the requests that failed on it and is closed instead of carrying one of them again. A repeated refusal can only arrive on a connection on which its id was refused, and none of them ever waits for that id again. The memory is bounded: after 256 failures the connection is replaced. A connection is lost only when the resend meets it, so refusals under overload cost no new connections otherwise.

--- a/include/pomelowind/http/HttpClient.h
+++ b/include/pomelowind/http/HttpClient.h
@@ -56,7 +56,8 @@
 struct HttpClientOptions {
     size_t maxConnections { 120 }; // maximum of open connections; a request that would need one more ends as NotSent
     // Name of a header that the server copies from the request into the response. A response with another value belongs
-    // to an earlier request and is discarded. If empty, responses are matched to requests by their order alone.
+    // to an earlier request and is discarded. A request that failed is sent again over another connection only. If
+    // empty, responses are matched to requests by their order alone.
     std::string echoHeader;
     // Idle connections are not reused after this time, or after the shorter one in the server's Keep-Alive header.
     base::Millis idleLifetime { 4000 };
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,5 +1,8 @@
 #include "pomelowind/http/HttpClient.h"
 
+#include "pomelowind/base/Hash.h"
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +26,9 @@
     // Interim (1xx) responses and responses to earlier requests that may precede the expected one.
     constexpr int MAX_SKIPPED_RESPONSES = 8;
     constexpr unsigned FIRST_FINAL_STATUS = 200;
+    constexpr unsigned FIRST_FAILURE_STATUS = 300;
+    // Failed requests after which a connection is replaced; few connections fail so often, and each id takes 8 bytes.
+    constexpr size_t MAX_FAILED_REQUESTS = 256;
     // Time to finish sending a request whose response arrived before the server had read all of it.
     constexpr auto REQUEST_REMAINDER_TIMEOUT = base::Millis(5000);
 
@@ -108,6 +114,14 @@
             return ec == boost::asio::error::would_block;
         }
 
+        // Returns whether a request with this value of the echo header has failed on the connection. The server may
+        // repeat that response, so the value no longer identifies the response of a resend.
+        bool hasFailed(std::string_view echo) const
+        {
+            return std::find(m_failedRequests.begin(), m_failedRequests.end(), base::hash64(echo))
+                != m_failedRequests.end();
+        }
+
         void closeAndRemove()
         {
             m_closed = true;
@@ -206,6 +220,8 @@
                 result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
             result.response.body = std::move(message.body());
             m_isReusable = message.keep_alive() && !m_buffer.size();
+            if (message.result_int() >= FIRST_FAILURE_STATUS)
+                onRequestFailed();
             m_usableUntil = std::chrono::steady_clock::now() + idleLifetime(message[beast::http::field::keep_alive]);
             m_timer.cancel();
             m_bodyReservation.release();
@@ -219,6 +235,15 @@
             done(std::move(result));
         }
 
+        void onRequestFailed()
+        {
+            if (m_expectedEcho.empty())
+                return;
+            m_failedRequests.push_back(base::hash64(m_expectedEcho));
+            if (m_failedRequests.size() >= MAX_FAILED_REQUESTS)
+                m_isReusable = false;
+        }
+
         // Keeps the connection out of the pool until the rest of the request is sent, since another request cannot be
         // sent before.
         void waitForRequestWritten()
@@ -286,6 +311,7 @@
         base::MemoryReservation m_bodyReservation;
         const HttpClientOptions m_options;
         std::string m_expectedEcho;
+        std::vector<uint64_t> m_failedRequests; // hashes of the values of their echo headers
         base::Instant m_usableUntil;
     };
 
@@ -321,7 +347,7 @@
 
         std::shared_ptr<Exchange> request(HttpRequest request, base::Millis budget, Callback done) override
         {
-            auto connection = acquire();
+            auto connection = acquire(findHeader(request.headers, m_options.echoHeader));
             if (!connection) {
                 boost::asio::post(m_io, [done = std::move(done)] {
                     ExchangeResult result;
@@ -361,12 +387,13 @@
         }
 
     private:
-        std::shared_ptr<Connection> acquire()
+        // Returns a connection for a request with this value of the echo header, or null if there is none.
+        std::shared_ptr<Connection> acquire(std::string_view echo)
         {
             while (!m_closed && !m_idleConnections.empty()) {
                 auto connection = m_idleConnections.back();
                 m_idleConnections.pop_back();
-                if (connection->isUsable())
+                if (connection->isUsable() && !connection->hasFailed(echo))
                     return connection;
                 connection->closeAndRemove();
             }
