A connection without echoed ids is closed after a refusal

Callers of the product's own protocol saw: 'not run, try again' for a request that its target ran, when the target had written the refusal of an earlier request once more after the next one was sent; a request ran twice when the node itself sent it again.

Cause: the product's targets echo no id, so responses are matched to requests by their order alone, and the connection went back to the pool after a refusal.

Why it works: nothing that arrives after a refusal on such a connection is ever read. Refusals of targets are rare, since the gate keeps to their slots, so few connections more are opened. The mark of a refusal comes from the protocol; the platform's targets echo ids and need none.

Not covered: a repeated response other than a refusal still cannot be told apart where ids are not echoed.

--- a/include/pomelowind/http/HttpClient.h
+++ b/include/pomelowind/http/HttpClient.h
@@ -59,6 +59,9 @@
     // to an earlier request and is discarded. A request that failed is sent again over another connection only. If
     // empty, responses are matched to requests by their order alone.
     std::string echoHeader;
+    // Header by which a server refuses a request as not executed. A connection without echoes is not reused after it,
+    // since the server may repeat the refusal where the response to the next request is due.
+    HttpHeader refusalMark;
     // Idle connections are not reused after this time, or after the shorter one in the server's Keep-Alive header.
     base::Millis idleLifetime { 4000 };
     base::MemoryBudgetPtr bodyMemory; // limits all response bodies together; if null, only each single one is limited
--- a/include/pomelowind/node/CallProtocol.h
+++ b/include/pomelowind/node/CallProtocol.h
@@ -52,6 +52,9 @@
     // Returns the name of the header that a target copies from the request to its response, or an empty string. A
     // response that lacks the header or has another value belongs to another request.
     virtual std::string echoHeader() const = 0;
+    // Returns the header by which a target refuses a call as not run, if its responses name no request; else an empty
+    // one.
+    virtual http::HttpHeader refusalMark() const = 0;
 };
 
 // Creates the protocol with the product's own headers; see docs/operate/api.md.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -221,7 +221,7 @@
             result.response.body = std::move(message.body());
             m_isReusable = message.keep_alive() && !m_buffer.size();
             if (message.result_int() >= FIRST_FAILURE_STATUS)
-                onRequestFailed();
+                onRequestFailed(message);
             m_usableUntil = std::chrono::steady_clock::now() + idleLifetime(message[beast::http::field::keep_alive]);
             m_timer.cancel();
             m_bodyReservation.release();
@@ -235,10 +235,14 @@
             done(std::move(result));
         }
 
-        void onRequestFailed()
+        void onRequestFailed(const beast::http::response<beast::http::string_body>& message)
         {
-            if (m_expectedEcho.empty())
+            const auto& mark = m_options.refusalMark;
+            if (m_expectedEcho.empty()) {
+                if (!mark.name.empty() && message[mark.name] == mark.value)
+                    m_isReusable = false;
                 return;
+            }
             m_failedRequests.push_back(base::hash64(m_expectedEcho));
             if (m_failedRequests.size() >= MAX_FAILED_REQUESTS)
                 m_isReusable = false;
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -49,6 +49,7 @@
             http::HttpClientOptions client;
             client.maxConnections = static_cast<size_t>(m_settings.targetConnections);
             client.echoHeader = m_protocol.echoHeader();
+            client.refusalMark = m_protocol.refusalMark();
             client.bodyMemory = m_bodyMemory;
             target->client = http::makeHttpClient(m_io, it.address, client);
         }
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -130,6 +130,7 @@
         }
 
         std::string echoHeader() const override { return {}; }
+        http::HttpHeader refusalMark() const override { return { OUTCOME_HEADER, NOT_RUN }; }
     };
 
 }
