A stopping node refuses at once what it may not be able to answer

Callers saw: a call that came late in the grace of a planned stop was taken and sent to a target, and its connection was closed without an answer when the process ended, also for calls that may not be repeated.

Cause: after the signal, calls were accepted for drain_grace_ms whatever time they may take, and calls of other nodes until the end; the stop ends after stop_timeout_ms.

Why it works: every call ends at its deadline, which the route's timeout bounds. While draining, a call is accepted only if its deadline lies before the end of the stop, at the caller's node before anything is sent, and at the target's node for calls of other nodes, which then try other targets. Both get 'not run' at once.

The price: where a route's timeout is longer than the stop may last, its calls are refused from the signal on, until the callers have moved away.

--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -42,6 +42,8 @@
     // Evidence threshold for a decision by this node alone: higher than the one that the control hosts use for the
     // whole mesh.
     constexpr double LOCAL_EVIDENCE_THRESHOLD = 11.5;
+    // Time from a call's deadline until its answer has left, sent by a sweep of this node or of the target's.
+    constexpr auto ANSWER_MARGIN = Millis(100);
     constexpr int MIN_FAILURE_STATUS = 500;
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr int STATUS_TIMEOUT = 504;
@@ -264,6 +266,10 @@
     auto parentObjective = m_localTargets.runningCalls().objectiveOf(parameters.parentId);
     call->nested = parameters.depth > 0 || parentObjective;
     call->objective = parentObjective && *parentObjective != Instant::max() ? parentObjective : objectiveOf(call);
+    // A nested call is part of one that has been accepted, which would fail with it.
+    if (m_lastDeadline && call->deadline > *m_lastDeadline && !call->nested)
+        return rejectCall(call, STATUS_UNAVAILABLE, "unavailable", "this node stops before the call has to end",
+            "send it to another node");
     // The rate limit applies to callers' own calls, so the nested calls that targets make for them are not counted
     // again.
     if (!isRootCall || !call->account || !m_settings.limitsEnabled)
@@ -752,6 +758,8 @@
 void CallPath::drain(std::function<void()> done)
 {
     m_onDrained = std::move(done);
+    m_lastDeadline = m_clock.now() + std::max(Millis(0), m_settings.stopTimeout - ANSWER_MARGIN);
+    m_localTargets.setLastDeadline(*m_lastDeadline);
     m_server->drain(m_settings.drainGrace, [this] {
         m_serverDrained = true;
         m_localTargets.startDraining();
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -57,7 +57,8 @@
     // Passes the evidence of the last period on to the parent and stops using candidate versions that this node alone
     // has proved bad. To be called every 250 ms.
     void reportEvidence();
-    // Begins a graceful shutdown; `done` is called when no call is left.
+    // Begins a graceful shutdown that ends after NodeSettings::stopTimeout at the latest: calls that may run longer are
+    // refused from now on. `done` is called when no call is left.
     void drain(std::function<void()> done);
     void close();
     // Sets the function that receives the seconds from each call's arrival to its answer.
@@ -146,6 +147,7 @@
     size_t m_openCalls { 0 }; // callers' calls that have no answer yet
     std::function<void()> m_onDrained; // called once when the last call has ended
     bool m_serverDrained { false };
+    std::optional<base::Instant> m_lastDeadline; // set while draining: latest deadline of a call that is accepted
 };
 
 } // namespace pomelowind::node
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -124,6 +124,10 @@
         refuse(id, "the target is not on this host");
         return id;
     }
+    if (m_lastDeadline && gateCall.deadline > *m_lastDeadline) {
+        refuse(id, "the target's node stops before the call has to end");
+        return id;
+    }
     if (heardRate && it->second->acceptedRate.onHint(*heardRate))
         it->second->gate->setMaxRate(it->second->acceptedRate.callsPerSecond(), now);
     std::optional<uint64_t> shed;
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -50,6 +50,8 @@
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
     void sweep();
+    // Refuses new calls with a later deadline than this.
+    void setLastDeadline(base::Instant lastDeadline) { m_lastDeadline = lastDeadline; }
     // Refuses queued and new calls; running ones continue.
     void startDraining();
     // Number of calls, running or queued.
@@ -116,6 +118,7 @@
     targets::BodyFlowControl m_bodyFlowControl;
     RunningCalls m_runningCalls;
     LeavingListener m_onLeaving;
+    std::optional<base::Instant> m_lastDeadline;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
 };
--- a/tests/integration/StoppingNodeAcceptsOnlyWhatItCanAnswer.cpp
+++ b/tests/integration/StoppingNodeAcceptsOnlyWhatItCanAnswer.cpp
@@ -115,3 +115,24 @@
 }
 
 TEST_P(StoppingNodeAcceptsOnlyWhatItCanAnswer, CallsOfOtherNodesToItsTarget) { expectOnlyAnswerableCalls({ 1 }, 1); }
+
+TEST_P(StoppingNodeAcceptsOnlyWhatItCanAnswer, CallOfItsTargetForAnAcceptedCallIsTaken)
+{
+    start({ 0, 1 }, 10);
+    // A call that runs at the target beside the stopping node, which makes a call of its own for it.
+    std::string parent;
+    for (size_t i = 0; parent.empty() && i < 8; ++i) {
+        auto id = "p" + std::to_string(i);
+        send(callers.at(i), id, Millis(5000));
+        ASSERT_TRUE(arrives(id));
+        for (const auto& it : fixture->targetConnections(0))
+            parent = it->has(id + "\r\n") ? id : parent;
+    }
+    ASSERT_FALSE(parent.empty());
+    fixture->path(0).drain([] {});
+    clock.advance(Millis(1000));
+    callers.at(9)->write("POST /once/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + parent
+        + ".1\r\nX-Deadline-Ms: 5000\r\nX-Pomelowind-Depth: 1\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_TRUE(fixture->runUntil([&] { return connectionWith(parent + ".1") || callers.at(9)->has("HTTP/1.1"); }));
+    EXPECT_TRUE(connectionWith(parent + ".1")) << callers.at(9)->received;
+}
