A planned stop answers the calls that still run at its end

Callers saw: a closed connection instead of an answer, for calls that outlasted the stop. They could not tell whether the node had read the request.

Cause: after stop_timeout_ms, NodeHost::stop closed the servers with the calls still open. Also, a stop_timeout_ms shorter than the first part of the grace was exceeded by it.

Why it works: before the servers close, the calls loop ends every call that is left.

--- a/include/pomelowind/node/NodeHost.h
+++ b/include/pomelowind/node/NodeHost.h
@@ -25,7 +25,8 @@
     // Thread safety: any thread.
     void reload(const NodeSettings& settings);
     // Shuts down gracefully: drains this host's targets, waits for calls in flight up to NodeSettings::stopTimeout,
-    // announces the stop to the mesh, then stops the threads. Blocks until done; later calls have no effect.
+    // answers those that are left, announces the stop to the mesh, then stops the threads. Blocks until done; later
+    // calls have no effect.
     void stop();
 
 private:
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -414,6 +414,12 @@
 
 void CallPath::dispatch(const CallPtr& call)
 {
+    if (m_isEnding) {
+        wire::CallAnswer answer;
+        answer.outcome = Outcome::NOT_RUN;
+        answer.reason = "this node stops";
+        return finish(call, std::move(answer));
+    }
     auto placement = chooseTarget(call);
     if (!placement) {
         wire::CallAnswer answer;
@@ -766,6 +772,13 @@
     });
 }
 
+void CallPath::endCalls()
+{
+    m_isEnding = true;
+    m_localTargets.endCalls();
+    m_peers.endRequests("this node stops");
+}
+
 void CallPath::close()
 {
     m_server->close();
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -60,6 +60,9 @@
     // Begins a graceful shutdown that ends after NodeSettings::stopTimeout at the latest: calls that may run longer are
     // refused from now on. `done` is called when no call is left.
     void drain(std::function<void()> done);
+    // Answers all calls now: those that a target may run as unknown, the others as not run. Calls that arrive later are
+    // refused as not run. Precondition: draining.
+    void endCalls();
     void close();
     // Sets the function that receives the seconds from each call's arrival to its answer.
     void setLatencyRecorder(std::function<void(double)> recorder) { m_latencyRecorder = std::move(recorder); }
@@ -147,6 +150,7 @@
     size_t m_openCalls { 0 }; // callers' calls that have no answer yet
     std::function<void()> m_onDrained; // called once when the last call has ended
     bool m_serverDrained { false };
+    bool m_isEnding { false };
     std::optional<base::Instant> m_lastDeadline; // set while draining: latest deadline of a call that is accepted
 };
 
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -404,4 +404,16 @@
         drain(*target);
 }
 
+void LocalTargets::endCalls()
+{
+    startDraining();
+    std::vector<std::shared_ptr<http::Exchange>> running;
+    for (const auto& [id, call] : m_calls) {
+        if (call.exchange)
+            running.push_back(call.exchange);
+    }
+    for (const auto& it : running)
+        it->cancel();
+}
+
 } // namespace pomelowind::node
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -54,6 +54,8 @@
     void setLastDeadline(base::Instant lastDeadline) { m_lastDeadline = lastDeadline; }
     // Refuses queued and new calls; running ones continue.
     void startDraining();
+    // The same, and ends the running ones by closing their connections; each is answered before this returns.
+    void endCalls();
     // Number of calls, running or queued.
     size_t callCount() const { return m_calls.size(); }
     // Calls sent to targets since the start.
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -10,6 +10,7 @@
 #include "pomelowind/base/TimerService.h"
 #include "pomelowind/host/Metrics.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <future>
@@ -126,11 +127,13 @@
             m_callsLoop.context(), [this, drained] { m_callPath->drain([drained] { drained->set_value(); }); });
         // Callers need the whole grace period to move to other nodes. Other nodes react much faster, so the targets
         // keep serving them until shortly before its end.
-        auto untilDrain = std::max(base::Millis(0), m_settings.drainGrace - DRAIN_NOTICE);
+        auto untilDrain = std::clamp(m_settings.drainGrace - DRAIN_NOTICE, base::Millis(0), m_settings.stopTimeout);
         bool allEnded = future.wait_for(untilDrain) == std::future_status::ready;
         runAndWait(m_distributionLoop, [this] { m_core->startDraining(m_clock.now()); });
         if (!allEnded)
             allEnded = future.wait_for(m_settings.stopTimeout - untilDrain) == std::future_status::ready;
+        if (!allEnded)
+            runAndWait(m_callsLoop, [this] { m_callPath->endCalls(); });
         runAndWait(m_distributionLoop, [this] { m_core->announceStop(m_clock.now()); });
         std::this_thread::sleep_for(FINAL_FLUSH_DELAY);
         m_subscriptions.clear();
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -113,19 +113,40 @@
     sendOrQueue(address, FrameKind::CLAIM_REQUEST, base::encode(request), request.id);
 }
 
-void PeerCalls::cancel(int64_t id)
+void PeerCalls::sendCancel(int64_t id, const Pending& pending)
 {
-    auto it = m_pending.find(id);
-    if (it == m_pending.end())
-        return;
-    if (auto link = it->second.link.lock()) {
+    if (auto link = pending.link.lock()) {
         wire::CallCancel message;
         message.id = id;
         link->sendMessage(FrameKind::CALL_CANCEL, message);
     }
+}
+
+void PeerCalls::cancel(int64_t id)
+{
+    auto it = m_pending.find(id);
+    if (it == m_pending.end())
+        return;
+    sendCancel(id, it->second);
     removePending(it);
 }
 
+void PeerCalls::endRequests(const std::string& reason)
+{
+    std::vector<int64_t> ids;
+    for (const auto& [id, it] : m_pending)
+        ids.push_back(id);
+    for (int64_t id : ids) {
+        auto it = m_pending.find(id);
+        if (it == m_pending.end())
+            continue;
+        bool sent = it->second.sent;
+        if (sent && it->second.callDone)
+            sendCancel(id, it->second);
+        failPending(id, sent ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN, reason);
+    }
+}
+
 PeerCalls::Pending PeerCalls::removePending(std::unordered_map<int64_t, Pending>::iterator it)
 {
     Pending out = std::move(it->second);
@@ -236,13 +257,8 @@
         if (it == m_pending.end())
             continue;
         bool sent = it->second.sent;
-        if (sent && it->second.callDone) {
-            if (auto link = it->second.link.lock()) {
-                wire::CallCancel message;
-                message.id = id;
-                link->sendMessage(FrameKind::CALL_CANCEL, message);
-            }
-        }
+        if (sent && it->second.callDone)
+            sendCancel(id, it->second);
         failPending(id, sent ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN,
             sent ? "no answer from the target's node in time" : "the target's node could not be reached in time", true);
     }
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -60,6 +60,9 @@
         ClaimCallback done);
     // Cancels a call at the other node and forgets it without calling its `done`. No effect when it has ended.
     void cancel(int64_t id);
+    // Ends all requests in flight with `reason`: as unknown if they were sent, and also cancelled at the peer; else as
+    // not run. Calls back before it returns.
+    void endRequests(const std::string& reason);
     // Addresses of nodes that are silent or cannot be connected, as of the last sweep. They are retried until they
     // answer.
     const std::set<std::string>& unreachable() const { return m_unreachable; }
@@ -115,6 +118,7 @@
     void abandonCalls(const std::string& address);
     void setReachable(const std::string& address, bool reachable);
     // Removes a pending request and returns it.
+    static void sendCancel(int64_t id, const Pending& pending);
     Pending removePending(std::unordered_map<int64_t, Pending>::iterator it);
     static bool isSilent(const Peer& peer, base::Instant now);
     Peer* findPeer(const std::shared_ptr<links::Link>& link);
