A planned stop uses the time that the platform gives it

Callers saw, where the platform kills a process 10 s after the signal: calls that were taken in the first 2.5 s of a planned stop were cut after 5.2 s, or (since the check of the time left) refused, although there was time to answer them.

Cause: the template said 5200 ms whatever the platform's own bound. It suits a grace of 6 s, in whose last sixth it ends. The product's own default of 60 s was no fault.

Why it works: kill_after_s takes the platform's bound in its own unit, and the stop ends 0.8 s before it, which is the same reserve as before at 6 s. With 10 s, calls of routes up to 6 s that come within the first 2.5 s end before 8.5 s, and the stop ends after 9.2 s. A stop still ends as soon as no call is left.

--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -58,7 +58,8 @@
     base::Millis callerTimeout { 10000 }; // for receiving one whole request from a caller
     base::Millis drainGrace { 2500 }; // time for callers to move to other nodes before a planned stop
     int64_t claimMemoryBytes { 8 * 1024 * 1024 };
-    base::Millis stopTimeout { 60000 }; // a planned stop ends after it even if calls are still running
+    // A planned stop ends after it even if calls are still running. Follows from kill_after_s unless it is set itself.
+    base::Millis stopTimeout { 60000 };
     // Percentage of the remaining time that a repeatable attempt may use, so that the retry has the rest.
     int64_t firstAttemptPercent { 60 };
     // The retry budget of a service is a token bucket: each call adds `retryShare` tokens and each second
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -1,5 +1,8 @@
 #include "pomelowind/node/NodeSettings.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace pomelowind::node {
 
 namespace {
@@ -8,6 +11,10 @@
 
     constexpr size_t MIN_MESH_KEY_BYTES = 16;
     constexpr int64_t MIB = 1024 * 1024;
+    // Part of the time until the process is killed that a stop leaves for the last answers and for ending the threads
+    // on a busy host.
+    constexpr auto KILL_RESERVE = Millis(800);
+    constexpr double MS_PER_SECOND = 1000;
 
     void readControlHosts(base::SettingsReader& reader, NodeSettings& out)
     {
@@ -64,6 +71,10 @@
     if (reader.has("target_address"))
         out.targetAddress = reader.address("target_address");
     out.localService = reader.text("local_service", "");
+    if (reader.has("kill_after_s")) {
+        auto killAfter = Millis(std::lround(reader.real("kill_after_s", 0, 1, 600) * MS_PER_SECOND));
+        out.stopTimeout = std::max(Millis(100), killAfter - KILL_RESERVE);
+    }
     out.stopTimeout = reader.millis("stop_timeout_ms", out.stopTimeout, Millis(100), Millis(600000));
     out.retryReserve = reader.real("retry_reserve", out.retryReserve, 0, 10000);
     out.retrySlack = reader.real("retry_slack", out.retrySlack, 0, 100000);
--- a/tests/integration/RefusalsCountForTheirOwnExchange.cpp
+++ b/tests/integration/RefusalsCountForTheirOwnExchange.cpp
@@ -17,7 +17,7 @@
     std::string mark;
 };
 
-void PrintTo(const Dialect& dialect, std::ostream* out) { *out << dialect.name; }
+std::ostream& operator<<(std::ostream& out, const Dialect& dialect) { return out << dialect.name; }
 
 const Dialect PLATFORM { "platform", false, "X-Not-Executed: full\r\n" };
 const Dialect PRODUCT { "product", true, "X-Pomelowind-Outcome: not-run\r\n" };
