--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -49,6 +49,7 @@
             http::HttpClientOptions client;
             client.maxConnections = static_cast<size_t>(m_settings.targetConnections);
             client.echoHeader = m_protocol.echoHeader();
+            client.refusalMark = m_protocol.refusalMark();
             client.bodyMemory = m_bodyMemory;
             target->client = http::makeHttpClient(m_io, it.address, client);
         }
@@ -123,6 +124,10 @@
         refuse(id, "the target is not on this host");
         return id;
     }
+    if (m_lastDeadline && gateCall.deadline > *m_lastDeadline) {
+        refuse(id, "the target's node stops before the call has to end");
+        return id;
+    }
     if (heardRate && it->second->acceptedRate.onHint(*heardRate))
         it->second->gate->setMaxRate(it->second->acceptedRate.callsPerSecond(), now);
     std::optional<uint64_t> shed;
@@ -399,4 +404,16 @@
         drain(*target);
 }
 
+void LocalTargets::endCalls()
+{
+    startDraining();
+    std::vector<std::shared_ptr<http::Exchange>> running;
+    for (const auto& [id, call] : m_calls) {
+        if (call.exchange)
+            running.push_back(call.exchange);
+    }
+    for (const auto& it : running)
+        it->cancel();
+}
+
 } // namespace pomelowind::node
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -50,8 +50,12 @@
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
     void sweep();
+    // Refuses new calls with a later deadline than this.
+    void setLastDeadline(base::Instant lastDeadline) { m_lastDeadline = lastDeadline; }
     // Refuses queued and new calls; running ones continue.
     void startDraining();
+    // The same, and ends the running ones by closing their connections; each is answered before this returns.
+    void endCalls();
     // Number of calls, running or queued.
     size_t callCount() const { return m_calls.size(); }
     // Calls sent to targets since the start.
@@ -116,6 +120,7 @@
     targets::BodyFlowControl m_bodyFlowControl;
     RunningCalls m_runningCalls;
     LeavingListener m_onLeaving;
+    std::optional<base::Instant> m_lastDeadline;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
 };
