A stopping node looks for a new parent when its own is lost

Cause: a draining node took no new parent, so nobody learned that its targets were leaving. Change: the parent is chosen as at any other time.

--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -104,8 +104,6 @@
 
 void DistributionCore::chooseParent(Instant now)
 {
-    if (m_draining)
-        return;
     bool attemptFailed = m_parent && !m_admitted && now >= m_attemptDeadline;
     bool silent = m_parent && m_admitted && !beaconIsFresh(now) && now >= m_attemptDeadline;
     if (attemptFailed || silent) {
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -117,8 +117,8 @@
     void pingIfSilent(Peer& peer, base::Instant now);
     void abandonCalls(const std::string& address);
     void setReachable(const std::string& address, bool reachable);
-    // Removes a pending request and returns it.
     static void sendCancel(int64_t id, const Pending& pending);
+    // Removes a pending request and returns it.
     Pending removePending(std::unordered_map<int64_t, Pending>::iterator it);
     static bool isSilent(const Peer& peer, base::Instant now);
     Peer* findPeer(const std::shared_ptr<links::Link>& link);
