A control host that stops answers the changes that still wait

Cause: the stop waits 2 s for open requests, a change up to 5 s, and the connection was closed then.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -260,6 +260,20 @@
     }
 }
 
+void ControlCore::endRequests()
+{
+    for (auto* map : { &m_pendingProposals, &m_pendingForwards }) {
+        auto ended = std::move(*map);
+        map->clear();
+        for (auto& [id, pending] : ended)
+            pending.reply(unavailable("this control host stops before the others have answered"));
+    }
+    auto reads = std::move(m_pendingReads);
+    m_pendingReads.clear();
+    for (auto& [index, done] : reads)
+        done(false);
+}
+
 void ControlCore::maybeSnapshot()
 {
     bool isDue = m_appliedIndex - m_snapshotIndex >= m_settings.snapshotEvery
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -53,6 +53,9 @@
     // Linearizable read barrier: calls `done` with true once this host has applied everything that was accepted before
     // the call, or with false when that cannot be established.
     void readBarrier(BarrierDone done, base::Instant now);
+    // Replies to all submissions and read barriers that still wait: UNAVAILABLE, and false. The log may accept such a
+    // submission later.
+    void endRequests();
     // Proposes new voters and learners of the control group. Returns false when this host does not lead, another
     // change is in flight, or more than one voter differs.
     bool changeMembers(const wire::Membership& next, base::Instant now);
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -26,6 +26,8 @@
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto DRAIN_GRACE_PERIOD = base::Millis(200);
     constexpr auto DRAIN_TIMEOUT = std::chrono::seconds(2);
+    // For the last answers to be sent, and their connections to be closed by the operators.
+    constexpr auto ANSWER_TIMEOUT = std::chrono::seconds(1);
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
@@ -335,7 +337,10 @@
         auto future = drained->get_future();
         boost::asio::post(m_apiThread.context(),
             [this, drained] { m_operatorServer->drain(DRAIN_GRACE_PERIOD, [drained] { drained->set_value(); }); });
-        future.wait_for(DRAIN_TIMEOUT);
+        if (future.wait_for(DRAIN_TIMEOUT) == std::future_status::ready)
+            return;
+        boost::asio::post(m_decisionThread.context(), [this] { m_core->endRequests(); });
+        future.wait_for(ANSWER_TIMEOUT);
     }
 
     ControlSettings m_settings;
