--- a/src/control/MemberNetwork.cpp
+++ b/src/control/MemberNetwork.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <future>
+#include <utility>
 
 namespace pomelowind::control {
 
@@ -53,9 +55,27 @@
 
 MemberNetwork::~MemberNetwork() { stop(); }
 
-void MemberNetwork::start() { m_thread.start(); }
+void MemberNetwork::start()
+{
+    m_thread.start();
+    m_started = true;
+}
 
-void MemberNetwork::stop() { m_thread.stop(); }
+void MemberNetwork::stop()
+{
+    // Peers notice the end of this host by the end of its links, and choose another one.
+    if (std::exchange(m_started, false)) {
+        std::promise<void> closed;
+        boost::asio::post(m_thread.context(), [this, &closed] {
+            m_server->close();
+            for (auto& [id, dialer] : m_memberDialers)
+                dialer->stop();
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+    m_thread.stop();
+}
 
 bool MemberNetwork::send(OutgoingFrame frame) { return m_outbox.tryPut(std::move(frame)); }
 
--- a/src/control/MemberNetwork.h
+++ b/src/control/MemberNetwork.h
@@ -44,6 +44,7 @@
     MemberNetwork(const ControlSettings& settings, EventSink eventSink);
     ~MemberNetwork() override;
     void start();
+    // Stops accepting, closes all links and ends the network thread.
     void stop();
     // Queues a frame; returns false when the bounded queue is full. Frames to an unconnected peer are dropped.
     bool send(OutgoingFrame frame);
@@ -69,6 +70,7 @@
     std::unique_ptr<links::LinkServer> m_server;
     std::map<std::string, std::shared_ptr<links::LinkDialer>> m_memberDialers;
     std::map<std::string, std::shared_ptr<links::Link>> m_nodeLinks;
+    bool m_started { false }; // used by start() and stop() only
 };
 
 } // namespace pomelowind::control
