A process ends as soon as it has stopped

Cause: the HTTP server of the metrics notices its end at its next connection or after 2 s. Change: it gets connections until it has ended.

--- a/src/host/Metrics.cpp
+++ b/src/host/Metrics.cpp
@@ -2,6 +2,11 @@
 
 #include "pomelowind/base/Errors.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
@@ -12,6 +17,9 @@
 
 namespace {
 
+    // Short beside a process's stop, and long enough for a thread to notice a connection.
+    constexpr auto WAKE_PERIOD = std::chrono::milliseconds(10);
+
     class PrometheusGauge final : public Gauge {
     public:
         explicit PrometheusGauge(prometheus::Gauge& gauge)
@@ -51,10 +59,20 @@
     class PrometheusMetrics final : public Metrics {
     public:
         explicit PrometheusMetrics(const base::Address& address)
-            : m_exposer(std::vector<std::string> { "listening_ports", address.text(), "num_threads", "2" })
+            : m_address(address)
             , m_registry(std::make_shared<prometheus::Registry>())
+            , m_exposer(std::make_unique<prometheus::Exposer>(
+                  std::vector<std::string> { "listening_ports", address.text(), "num_threads", "2" }))
+        {
+            m_exposer->RegisterCollectable(m_registry);
+        }
+
+        // The HTTP server's thread notices its end at the next connection, or up to two seconds later.
+        ~PrometheusMetrics() override
         {
-            m_exposer.RegisterCollectable(m_registry);
+            auto closed = std::async(std::launch::async, [this] { m_exposer.reset(); });
+            while (closed.wait_for(WAKE_PERIOD) != std::future_status::ready)
+                wakeServer();
         }
 
         std::shared_ptr<Gauge> gauge(const std::string& name, const std::string& help) override
@@ -78,8 +96,18 @@
         }
 
     private:
-        prometheus::Exposer m_exposer;
+        void wakeServer() const
+        {
+            boost::asio::io_context io;
+            boost::asio::ip::tcp::socket socket(io);
+            // Refused once the server has closed its listener.
+            boost::system::error_code ignored;
+            socket.connect({ boost::asio::ip::make_address(m_address.ip), m_address.port }, ignored);
+        }
+
+        const base::Address m_address;
         std::shared_ptr<prometheus::Registry> m_registry;
+        std::unique_ptr<prometheus::Exposer> m_exposer;
     };
 
 }
