Crashes of targets, and the calls that ran at them, in logs and metrics

A broken connection looked the same whether the target had crashed, lost one connection or been stopped, and nothing named the calls that ran there. The detector takes breaks for a crash when the target then refuses a connection or is replaced, with no response in between, and is not leaving. No change of logic.

--- a/include/pomelowind/http/HttpClient.h
+++ b/include/pomelowind/http/HttpClient.h
@@ -27,6 +27,8 @@
     ExchangeEnd end { ExchangeEnd::NotSent };
     HttpResponse response;
     std::string error;
+    bool connectionRefused { false }; // nothing listens at the server's address
+    bool connectionLost { false }; // the server's end of the connection was closed or reset after sending began
 };
 
 // Handle of one request in flight.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -26,6 +26,14 @@
     // Time to finish sending a request whose response arrived before the server had read all of it.
     constexpr auto REQUEST_REMAINDER_TIMEOUT = base::Millis(5000);
 
+    // Returns whether reading a response ended because the server closed or reset the connection.
+    bool isConnectionLoss(beast::error_code ec)
+    {
+        return ec == boost::asio::error::connection_reset || ec == boost::asio::error::broken_pipe
+            || ec == boost::asio::error::eof || ec == beast::http::error::end_of_stream
+            || ec == beast::http::error::partial_message;
+    }
+
     class Connection;
 
     // Receives the state changes of pooled connections.
@@ -70,7 +78,7 @@
                 if (!self->m_done)
                     return;
                 if (ec)
-                    return self->fail(ExchangeEnd::NotSent, ec.message());
+                    return self->fail(ExchangeEnd::NotSent, ec.message(), ec);
                 self->m_connected = true;
                 beast::error_code ignored;
                 self->m_socket.set_option(tcp::no_delay(true), ignored);
@@ -176,7 +184,7 @@
                     if (!self->m_done)
                         return;
                     if (ec)
-                        return self->fail(ExchangeEnd::Ambiguous, ec.message());
+                        return self->fail(ExchangeEnd::Ambiguous, ec.message(), ec);
                     if (!self->m_bodyReservation.growTo(self->m_parser->get().body().size()))
                         return self->fail(ExchangeEnd::Ambiguous, "no memory for the response");
                     if (!self->m_parser->is_done())
@@ -253,7 +261,7 @@
             return std::min(m_options.idleLifetime, base::Millis(std::max(0, seconds - 1) * 1000));
         }
 
-        void fail(ExchangeEnd end, const std::string& error)
+        void fail(ExchangeEnd end, const std::string& error, beast::error_code ec = {})
         {
             m_timer.cancel();
             m_bodyReservation.release();
@@ -264,6 +272,8 @@
             ExchangeResult result;
             result.end = end;
             result.error = error;
+            result.connectionRefused = end == ExchangeEnd::NotSent && ec == boost::asio::error::connection_refused;
+            result.connectionLost = end == ExchangeEnd::Ambiguous && isConnectionLoss(ec);
             done(std::move(result));
         }
 
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -19,6 +19,17 @@
     // Period of the log lines about a target that names a limit or leaves.
     constexpr auto LOAD_LOG_PERIOD = base::Millis(1000);
 
+    uint64_t fingerprintOf(const wire::CallRequest& request, const BodyPtr& body)
+    {
+        std::string_view host;
+        for (const auto& it : request.headers) {
+            if (http::equalNames(it.name, "Host"))
+                host = it.value;
+        }
+        return targets::callFingerprint(request.method, host, request.path, request.callerService,
+            body ? std::string_view(*body) : std::string_view());
+    }
+
 }
 
 LocalTargets::LocalTargets(boost::asio::io_context& io, const NodeSettings& settings, const CallProtocol& protocol,
@@ -63,6 +74,7 @@
         auto found = next.find(name);
         if (found != next.end() && found->second == target)
             continue;
+        onCrashed(*target, target->crashDetector.onReplaced(m_clock.now()), "replaced");
         drain(*target);
         target->client->close();
     }
@@ -237,7 +249,7 @@
     call.started = m_clock.now();
     auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
     auto request = m_protocol.makeTargetRequest(call.request, left);
-    request.sharedBody = std::move(call.body);
+    request.sharedBody = call.body;
     // The closure keeps the target and its gate alive until the call has ended, even if the target is gone by then.
     auto target = m_targets.at(call.target);
     ++m_sentCalls;
@@ -253,6 +265,8 @@
             if (found != m_calls.end() && !serviceTime)
                 target->gate->recordElapsed(
                     kind, std::chrono::duration_cast<base::Millis>(m_clock.now() - found->second.started));
+            if (found != m_calls.end())
+                watchForCrash(*target, found->second, result);
             if (auto notice = m_protocol.parseTargetNotice(result))
                 onNotice(*target, *notice, sentAt);
             auto step = target->gate->finished(kind, serviceTime, m_clock.now());
@@ -261,6 +275,35 @@
         });
 }
 
+// Tells the detector how an exchange ended. A target that leaves may end connections and its process at any time.
+void LocalTargets::watchForCrash(Target& target, const Call& call, const http::ExchangeResult& result)
+{
+    if (target.isDraining)
+        return;
+    auto now = m_clock.now();
+    if (result.end == http::ExchangeEnd::Answered)
+        target.crashDetector.onAnswered(call.started);
+    else if (result.connectionLost)
+        target.crashDetector.onCallBroken({ fingerprintOf(call.request, call.body), call.request.requestId, now });
+    else if (result.connectionRefused)
+        onCrashed(target, target.crashDetector.onConnectionRefused(now), "refused");
+}
+
+void LocalTargets::onCrashed(const Target& target, const std::vector<targets::BrokenCall>& calls, const char* evidence)
+{
+    if (calls.empty())
+        return;
+    ++m_crashes;
+    auto since = std::chrono::duration_cast<base::Millis>(m_clock.now() - calls.back().at);
+    base::logWarn("target.crashed",
+        { { "target", target.announcement.target }, { "incarnation", target.announcement.incarnation },
+            { "evidence", evidence }, { "calls", calls.size() }, { "since_ms", since.count() } });
+    for (const auto& it : calls)
+        base::logRateLimited("target.crashed_call",
+            { { "target", target.announcement.target }, { "request", it.requestId },
+                { "fingerprint", static_cast<int64_t>(it.fingerprint) } });
+}
+
 void LocalTargets::onExchangeEnded(uint64_t id, http::ExchangeResult result)
 {
     auto it = m_calls.find(id);
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -9,6 +9,7 @@
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/AcceptedRate.h"
 #include "pomelowind/targets/BodyFlowControl.h"
+#include "pomelowind/targets/CrashDetector.h"
 #include "pomelowind/targets/Gate.h"
 
 #include <map>
@@ -56,6 +57,8 @@
     size_t callCount() const { return m_calls.size(); }
     // Calls sent to targets since the start.
     uint64_t sentCalls() const { return m_sentCalls; }
+    // Crashes of targets since the start.
+    uint64_t crashes() const { return m_crashes; }
     // Calls per second that the targets of this host say they accept; 0 if none names a limit.
     double maxCallsPerSecond() const;
 
@@ -71,6 +74,7 @@
         Announcement announcement;
         targets::TargetNotice notice; // as of the last response
         targets::AcceptedRate acceptedRate;
+        targets::CrashDetector crashDetector;
         LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
         std::shared_ptr<http::HttpClient> client;
@@ -96,6 +100,8 @@
     void applyGateStep(Target& target, const targets::GateStep& step);
     void onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt);
     void drain(Target& target);
+    void watchForCrash(Target& target, const Call& call, const http::ExchangeResult& result);
+    void onCrashed(const Target& target, const std::vector<targets::BrokenCall>& calls, const char* evidence);
     void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
@@ -118,6 +124,7 @@
     LeavingListener m_onLeaving;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
+    uint64_t m_crashes { 0 };
 };
 
 } // namespace pomelowind::node
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -177,6 +177,7 @@
             m_retries->set(static_cast<double>(counts.retries));
             m_limited->set(static_cast<double>(counts.limited));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
+            m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
             m_targetLimit->set(m_callPath->localTargets().maxCallsPerSecond());
         }));
     }
@@ -192,6 +193,7 @@
         m_retries = m_metrics->gauge("call_retries", "Attempts after the first");
         m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
+        m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
         m_targetLimit
             = m_metrics->gauge("target_limit", "Calls per second that the targets of this host accept; 0: any");
     }
@@ -215,7 +217,7 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
-    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit;
+    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes;
     std::atomic<bool> m_stopped { false };
 };
 
