--- /dev/null
+++ b/tests/property/CallsThatCrashTargetsAreStopped.cpp
@@ -0,0 +1,165 @@
+// Guards against a call that crashes target after target, for as long as callers repeat it.
+
+#include "tests/support/CalledService.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace pomelowind;
+using base::Millis;
+using tests::CalledService;
+
+namespace {
+
+constexpr int NODES = 5;
+constexpr int OTHER_CALLERS_NODE = 4;
+constexpr char DEADLY_PATH[] = "/again/deadly";
+constexpr char DEADLY_BODY[] = "the body that crashes targets";
+constexpr double CALLS_PER_SECOND = 60;
+constexpr Millis REPEAT_PERIOD(150);
+// The bound for a connected mesh, and the number of crashes after which it holds.
+constexpr Millis TIME_TO_LEARN(3000);
+constexpr size_t CRASHES_TO_LEARN = 3;
+// A mended cause is noticed within this time.
+constexpr Millis LONGEST_BLOCK(900000);
+
+CalledService::Options serviceOptions(uint64_t seed, bool productProtocol)
+{
+    CalledService::Options out;
+    out.nodes = NODES;
+    out.targetsAt = { 0, 1, 2, 3 };
+    out.seed = seed;
+    out.distinctPaths = true;
+    out.services = { "s", "s", "s", "s", "other" };
+    out.productProtocol = productProtocol;
+    return out;
+}
+
+// Three seeds for the platform's protocol and for the product's.
+std::vector<CalledService::Options> variants()
+{
+    std::vector<CalledService::Options> out;
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        out.push_back(serviceOptions(seed, false));
+        out.push_back(serviceOptions(seed, true));
+    }
+    return out;
+}
+
+std::string nameOf(const CalledService::Options& options)
+{
+    return "seed " + std::to_string(options.seed) + (options.productProtocol ? ", product" : ", platform");
+}
+
+// Callers send the deadly call again and again at nodes in turn. Returns the ids of these calls.
+std::vector<std::string> repeatDeadlyCall(CalledService& service, Millis duration)
+{
+    std::vector<std::string> out;
+    for (Millis at(0); at < duration; at += REPEAT_PERIOD) {
+        out.push_back(service.send(static_cast<int>(out.size()) % OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY));
+        service.run(REPEAT_PERIOD, CALLS_PER_SECOND);
+    }
+    return out;
+}
+
+int arrivalsOf(const CalledService& service, const std::string& path, const std::string& body, base::Instant since)
+{
+    int n = 0;
+    for (int node = 0; node < OTHER_CALLERS_NODE; ++node) {
+        for (const auto& it : service.arrivals(node))
+            n += it.at > since && it.node != OTHER_CALLERS_NODE && it.path == path && it.body == body ? 1 : 0;
+    }
+    return n;
+}
+
+int answeredOk(const CalledService& service, const std::vector<std::string>& ids)
+{
+    return static_cast<int>(
+        std::count_if(ids.begin(), ids.end(), [&](const auto& it) { return service.statusOf(it) == 200; }));
+}
+
+}
+
+class CallsThatCrashTargetsAreStopped : public testing::TestWithParam<bool> { };
+
+TEST(CallsThatCrashTargetsAreStopped, ReachNoTargetLongAfterTheThirdCrash)
+{
+    for (const auto& options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        auto ids = repeatDeadlyCall(service, Millis(12000));
+        ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
+        auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
+        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+        service.run(Millis(1000), 0);
+        EXPECT_EQ(service.statusOf(ids.back()), 503) << "it has not run, and is refused at once";
+    }
+}
+
+TEST(CallsThatCrashTargetsAreStopped, StayBlockedWhenNodesRestart)
+{
+    for (const auto& options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        repeatDeadlyCall(service, Millis(8000));
+        ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
+        auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
+        for (int i = 0; i < OTHER_CALLERS_NODE; ++i) {
+            service.restart(i);
+            repeatDeadlyCall(service, Millis(1000));
+        }
+        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+    }
+}
+
+TEST(CallsThatCrashTargetsAreStopped, WhileInnocentCallsAreServed)
+{
+    for (const auto& options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        repeatDeadlyCall(service, Millis(8000));
+        std::vector<std::string> otherBody;
+        std::vector<std::string> otherCaller;
+        std::vector<std::string> bystanders;
+        for (int i = 0; i < 20; ++i) {
+            otherBody.push_back(service.send(i % OTHER_CALLERS_NODE, DEADLY_PATH, "another body"));
+            otherCaller.push_back(service.send(OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY));
+            service.run(Millis(50), 0);
+        }
+        for (const auto& crash : service.crashes()) {
+            for (const auto& it : crash.running) {
+                bystanders.push_back(service.sendAgain(0, it));
+                service.run(Millis(50), 0);
+            }
+        }
+        service.run(Millis(1000), 0);
+        EXPECT_EQ(answeredOk(service, otherBody), static_cast<int>(otherBody.size()));
+        EXPECT_EQ(answeredOk(service, otherCaller), static_cast<int>(otherCaller.size()));
+        EXPECT_GT(bystanders.size(), 0U);
+        EXPECT_EQ(answeredOk(service, bystanders), static_cast<int>(bystanders.size()));
+    }
+}
+
+TEST(CallsThatCrashTargetsAreStopped, UntilTheCauseIsGone)
+{
+    for (const auto& options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        repeatDeadlyCall(service, Millis(8000));
+        service.setDeadly({}, {});
+        service.run(Millis(5000), CALLS_PER_SECOND);
+        service.skip(LONGEST_BLOCK);
+        repeatDeadlyCall(service, Millis(3000));
+        auto ids = repeatDeadlyCall(service, Millis(3000));
+        service.run(Millis(1000), 0);
+        EXPECT_EQ(answeredOk(service, ids), static_cast<int>(ids.size()));
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -98,7 +98,7 @@
 CallPathFixture::CallPathFixture(Options options)
     : m_options(std::move(options))
     , m_clock(m_options.clock ? *m_options.clock : m_systemClock)
-    , m_protocol(platform::makeCallProtocol())
+    , m_protocol(m_options.productProtocol ? node::makeProductCallProtocol() : platform::makeCallProtocol())
 {
     for (int i = 0; i < m_options.nodes; ++i)
         addNode(i);
@@ -135,7 +135,8 @@
     settings.callerAddress = { ip(i), CALLER_PORT };
     settings.callAddress = { ip(i), CALL_PORT };
     settings.callAdvertised = settings.callAddress;
-    settings.localService = "s";
+    auto index = static_cast<size_t>(i);
+    settings.localService = index < m_options.services.size() ? m_options.services[index] : "s";
     settings.bodyMemoryBytes = m_options.bodyMemoryBytes;
     settings.maxBodyBytes = m_options.bodyMemoryBytes;
     settings.firstAttemptPercent = 100;
@@ -172,6 +173,24 @@
     runUntil([&] { return connectedPeers() >= before; });
 }
 
+void CallPathFixture::crashTarget(int i)
+{
+    auto& node = *m_nodes.at(static_cast<size_t>(i));
+    node.targetPort->close();
+    for (auto& it : node.accepted)
+        it->close();
+    node.accepted.clear();
+}
+
+void CallPathFixture::startTarget(int i)
+{
+    auto& node = *m_nodes.at(static_cast<size_t>(i));
+    ++node.targetIncarnation;
+    base::listenOn(*node.targetPort, { ip(i), TARGET_PORT });
+    accept(node);
+    publish();
+}
+
 size_t CallPathFixture::pollOne()
 {
     m_io.restart();
@@ -226,7 +245,7 @@
         announcement.version = "v1";
         announcement.address = { ip(i), TARGET_PORT };
         announcement.slots = m_options.slots;
-        announcement.incarnation = 1;
+        announcement.incarnation = node.targetIncarnation;
         announcement.coldLeft = base::Millis(0);
         node.path->setLocalTargets({ announcement });
         wire::Presence presence;
@@ -236,7 +255,8 @@
         presence.dataCentre = node.settings.dataCentre;
         presence.node = node.settings.id;
         presence.callAddress = node.settings.callAddress.text();
-        presence.incarnation = 1;
+        presence.incarnation = node.targetIncarnation;
+        presence.targetIncarnation = node.targetIncarnation;
         presence.state = wire::TargetState::SERVING;
         presence.slots = m_options.slots;
         targets.push_back(presence);
@@ -287,6 +307,12 @@
     return "GET /again/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 5000\r\n\r\n";
 }
 
+std::string CallPathFixture::request(const std::string& id, const std::string& path, const std::string& body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id
+        + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string CallPathFixture::answer(
     const std::string& id, const std::string& body, int status, const std::string& extraHeaders)
 {
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -55,6 +55,8 @@
         std::vector<int> targetsAt { 1 }; // nodes with a target of service "s"
         std::vector<std::string> dataCentres { "east", "east", "east", "east" };
         const base::Clock* clock { nullptr }; // must outlive the fixture; null: the host's clock
+        std::vector<std::string> services; // of the callers of each node; "s" where missing
+        bool productProtocol { false }; // the product's own headers instead of the platform's
     };
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
@@ -64,6 +66,10 @@
     void restart(int i);
     // Stops node `i` from running, or lets it go on. Its connections stay open, and what arrives waits.
     void setFrozen(int i, bool frozen) { m_nodes.at(static_cast<size_t>(i))->frozen = frozen; }
+    // Ends the target of node `i` as a crash does: its connections break, and new ones are refused.
+    void crashTarget(int i);
+    // Starts the next incarnation of the target of node `i`, which announces itself.
+    void startTarget(int i);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
@@ -76,6 +82,8 @@
     static std::string post(const std::string& id, size_t bodyBytes, const std::string& extraHeaders = "");
     // Returns a GET request to the idempotent route.
     static std::string get(const std::string& id);
+    // Returns a request to `path` with the given body.
+    static std::string request(const std::string& id, const std::string& path, const std::string& body);
     // Returns a complete response of a target to the request `id`.
     static std::string answer(
         const std::string& id, const std::string& body, int status = 200, const std::string& extraHeaders = "");
@@ -88,6 +96,7 @@
         std::unique_ptr<node::CallPath> path;
         std::unique_ptr<boost::asio::ip::tcp::acceptor> targetPort;
         std::vector<RawConnectionPtr> accepted;
+        int64_t targetIncarnation { 1 };
     };
 
     std::string ip(int i) const;
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -15,14 +15,19 @@
     constexpr char END_OF_HEADER[] = "\r\n\r\n";
     constexpr char ID_FIELD[] = "X-Request-Id: ";
     constexpr char LENGTH_FIELD[] = "Content-Length: ";
+    constexpr char USUAL_PATH[] = "/again/1";
+    constexpr char CALLERS_SERVICE[] = "s";
 
     CallPathFixture::Options fixtureOptions(const CalledService::Options& options, const base::Clock& clock)
     {
         CallPathFixture::Options out;
         out.nodes = options.nodes;
+        out.dataCentres.resize(static_cast<size_t>(options.nodes), "east");
         out.targetsAt = options.targetsAt;
         out.slots = options.slots;
         out.clock = &clock;
+        out.services = options.services;
+        out.productProtocol = options.productProtocol;
         return out;
     }
 
@@ -40,7 +45,7 @@
     }
 
     // Returns the status of a complete response, or 0 when it is not complete yet.
-    int statusOf(const std::string& received)
+    int statusOfResponse(const std::string& received)
     {
         auto end = received.find(END_OF_HEADER);
         if (end == std::string::npos)
@@ -65,9 +70,17 @@
 {
     for (auto end = m_clock.now() + duration; m_clock.now() < end; m_clock.advance(STEP)) {
         for (double n = callsPerSecond / STEPS_PER_SECOND; n > 0; n -= 1) {
-            if (m_random.bernoulli(std::min(1.0, n)))
-                send(
-                    static_cast<int>(m_random.uniformBelow(static_cast<uint64_t>(m_options.nodes))), m_options.resends);
+            if (!m_random.bernoulli(std::min(1.0, n)))
+                continue;
+            auto node = static_cast<int>(m_random.uniformBelow(static_cast<uint64_t>(m_options.nodes)));
+            auto path = m_options.distinctPaths ? "/again/" + std::to_string(m_calls.size()) : USUAL_PATH;
+            send(node, m_options.resends, path, {});
+        }
+        for (auto& [node, target] : m_targets) {
+            if (target.downUntil && m_clock.now() >= *target.downUntil) {
+                target.downUntil.reset();
+                m_fixture.startTarget(node);
+            }
         }
         m_fixture.step();
         for (auto& [node, target] : m_targets)
@@ -103,24 +116,66 @@
     return m_fixture.connect(node);
 }
 
-void CalledService::send(int node, int resendsLeft)
+std::string CalledService::send(int node, int resendsLeft, const std::string& path, const std::string& body)
 {
     auto id = "c" + std::to_string(m_calls.size());
     auto connection = idleConnection(node);
     connection->received.clear();
-    connection->write(CallPathFixture::get(id));
-    m_calls[id] = { m_clock.now(), node, connection, resendsLeft };
+    connection->write(path == USUAL_PATH ? CallPathFixture::get(id) : CallPathFixture::request(id, path, body));
+    m_calls[id] = { m_clock.now(), node, connection, resendsLeft, path, body };
     m_open.push_back(id);
+    return id;
+}
+
+std::string CalledService::send(int i, const std::string& path, const std::string& body)
+{
+    return send(i, 0, path, body);
+}
+
+std::string CalledService::sendAgain(int i, const std::string& id)
+{
+    auto call = m_calls.at(id);
+    return send(i, 0, call.path, call.body);
+}
+
+int CalledService::statusOf(const std::string& id) const { return m_calls.at(id).status; }
+
+void CalledService::setDeadly(const std::string& path, const std::string& body)
+{
+    m_deadlyPath = path;
+    m_deadlyBody = body;
+}
+
+bool CalledService::isDeadly(const ArrivedCall& call) const
+{
+    auto node = static_cast<size_t>(call.node);
+    auto service = node < m_options.services.size() ? m_options.services[node] : CALLERS_SERVICE;
+    return !m_deadlyPath.empty() && call.path == m_deadlyPath && call.body == m_deadlyBody
+        && service == CALLERS_SERVICE;
+}
+
+void CalledService::crash(int node, Target& target)
+{
+    TargetCrash out { m_clock.now(), node, {} };
+    for (const auto& served : target.served) {
+        for (const auto& it : served.answers)
+            out.running.push_back(it.id);
+    }
+    m_crashes.push_back(std::move(out));
+    target.served.clear();
+    target.downUntil = m_clock.now() + m_options.downTime;
+    m_fixture.crashTarget(node);
 }
 
 void CalledService::readAnswers()
 {
     std::vector<Sent> refused;
     std::erase_if(m_open, [this, &refused](const std::string& id) {
-        const auto& call = m_calls.at(id);
-        int status = statusOf(call.connection->received);
+        auto& call = m_calls.at(id);
+        int status = statusOfResponse(call.connection->received);
         if (!status && !call.connection->closed)
             return false;
+        call.status = status;
         for (auto& [node, target] : m_targets) {
             bool isFromIt = call.connection->has(bodyOf(node));
             if (isFromIt && !target.headers.empty() && call.connection->has(target.headers))
@@ -134,7 +189,7 @@
         return true;
     });
     for (const auto& it : refused)
-        send(it.node, it.resendsLeft - 1);
+        send(it.node, it.resendsLeft - 1, it.path, it.body);
 }
 
 void CalledService::serve(int node, Target& target)
@@ -146,13 +201,20 @@
         auto& served = target.served[i];
         for (auto end = connection.received.find(END_OF_HEADER, served.readBytes); end != std::string::npos;
              end = connection.received.find(END_OF_HEADER, served.readBytes)) {
-            auto id = fieldOf(connection.received.substr(served.readBytes, end - served.readBytes), ID_FIELD);
-            served.readBytes = end + sizeof END_OF_HEADER - 1;
+            auto header = connection.received.substr(served.readBytes, end - served.readBytes);
+            auto id = fieldOf(header, ID_FIELD);
+            auto bodyBytes = std::stoul("0" + fieldOf(header, LENGTH_FIELD));
+            if (connection.received.size() < end + sizeof END_OF_HEADER - 1 + bodyBytes)
+                break;
+            served.readBytes = end + sizeof END_OF_HEADER - 1 + bodyBytes;
             const auto& call = m_calls.at(id);
             auto informed = target.informedNodes.find(call.node);
             target.arrivals.push_back({ m_clock.now(), call.at, call.node,
-                informed == target.informedNodes.end() ? std::nullopt : std::optional(informed->second) });
-            served.answers.push_back({ m_clock.now() + m_options.serviceTime,
+                informed == target.informedNodes.end() ? std::nullopt : std::optional(informed->second), call.path,
+                call.body });
+            if (isDeadly(target.arrivals.back()))
+                return crash(node, target);
+            served.answers.push_back({ m_clock.now() + m_options.serviceTime, id,
                 CallPathFixture::answer(id, bodyOf(node), 200, target.headers) });
         }
         std::erase_if(served.answers, [&](const Answer& it) {
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -22,6 +22,15 @@
     // Since when callers at that node have got responses of this target with a notice; empty: the node has passed on
     // none, has been restarted or frozen since, or the target has stopped making any.
     std::optional<base::Instant> informedAt;
+    std::string path;
+    std::string body;
+};
+
+// A crash of a target.
+struct TargetCrash {
+    base::Instant at;
+    int node; // beside the target
+    std::vector<std::string> running; // ids of the calls that ran there, without the one that caused it
 };
 
 // Thread safety: confined to the test's thread.
@@ -34,6 +43,10 @@
         base::Millis serviceTime { 40 };
         uint64_t seed { 1 };
         int resends { 0 }; // how often callers send a refused call again, at once
+        bool distinctPaths { false }; // each random call has a path of its own
+        std::vector<std::string> services; // of the callers of each node; "s" where missing
+        bool productProtocol { false };
+        base::Millis downTime { 2000 }; // from a target's crash to its next incarnation
     };
     explicit CalledService(const Options& options);
 
@@ -45,6 +58,19 @@
     void restart(int i);
     // Stops node `i` from running, or lets it go on.
     void setFrozen(int i, bool frozen);
+    // Sends one call to the idempotent route at node `i`, and returns its id.
+    std::string send(int i, const std::string& path, const std::string& body);
+    // Sends the call `id` once more at node `i`, and returns the new id.
+    std::string sendAgain(int i, const std::string& id);
+    // Returns the status with which the call `id` was answered: 0 while it has no answer, or none came.
+    int statusOf(const std::string& id) const;
+    // From now on, calls with this path and body of callers of the service "s" crash their targets; an empty path:
+    // none.
+    void setDeadly(const std::string& path, const std::string& body);
+    // All crashes, in order.
+    const std::vector<TargetCrash>& crashes() const { return m_crashes; }
+    // Lets time pass in which nothing happens.
+    void skip(base::Millis duration) { m_clock.advance(duration); }
     // Calls that the target of node `i` has got, in order.
     const std::vector<ArrivedCall>& arrivals(int i) const { return m_targets.at(i).arrivals; }
     // Number of callers' calls that were answered with `status` within `time`.
@@ -56,6 +82,7 @@
 private:
     struct Answer {
         base::Instant due;
+        std::string id; // of the call
         std::string bytes;
     };
     // A connection of the target and the responses that it still owes on it.
@@ -68,22 +95,28 @@
         std::map<int, base::Instant> informedNodes; // and since when
         std::vector<Served> served;
         std::vector<ArrivedCall> arrivals;
+        std::optional<base::Instant> downUntil; // after a crash
     };
     struct Sent {
         base::Instant at;
         int node;
         RawConnectionPtr connection;
         int resendsLeft;
+        std::string path;
+        std::string body;
+        int status { 0 }; // of the answer
     };
     struct Ended {
         int status;
         base::Millis time;
     };
 
-    void send(int node, int resendsLeft);
+    std::string send(int node, int resendsLeft, const std::string& path, const std::string& body);
     void readAnswers();
     void forgetInformed(int node);
     void serve(int node, Target& target);
+    bool isDeadly(const ArrivedCall& call) const;
+    void crash(int node, Target& target);
     RawConnectionPtr idleConnection(int node);
 
     Options m_options;
@@ -95,6 +128,9 @@
     std::vector<std::string> m_open; // ids of those without an answer
     std::map<int, std::vector<RawConnectionPtr>> m_idle; // by node
     std::vector<Ended> m_ended;
+    std::vector<TargetCrash> m_crashes;
+    std::string m_deadlyPath;
+    std::string m_deadlyBody;
 };
 
 } // namespace pomelowind::tests
