--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -16,6 +16,8 @@
     std::shared_ptr<const config::ConfigState> config { std::make_shared<const config::ConfigState>() };
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<const nodes::TargetList> targets;
+    // Crashes of targets; null: none.
+    std::shared_ptr<const nodes::CrashList> crashes;
     int64_t claimsThroughMs { 0 }; // wall time until which the leader has promised not to start another claim epoch
     base::Instant beaconAt; // when the last heartbeat of the leader (beacon) was received
     // False until a restarted node knows that its version is not older than the one it ran before the restart.
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -16,6 +16,9 @@
 // A list of targets, for example those of one service version that accept new calls.
 using TargetList = std::vector<wire::Presence>;
 
+// Crashes of targets that calls may have caused.
+using CrashList = std::vector<wire::TargetCrash>;
+
 // A set of directory entries: those that a merge changed, to be forwarded, or those that differ from another directory.
 struct DirectoryEntries {
     std::vector<wire::NodeInfo> nodes;
@@ -32,6 +35,10 @@
     // Stores the entries that are newer than the known ones and returns them.
     DirectoryEntries merge(
         const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets, base::Instant now);
+    // Adds what is new about crashes of targets and returns the crashes that have changed. What is known of a crash
+    // only grows, so reports of several nodes may arrive in any order. Beyond a fixed number, the oldest crashes are
+    // dropped.
+    CrashList mergeCrashes(const CrashList& crashes, base::Instant now);
     // Removes entries that have been gone for longer than `retention`. Until then they act as tombstones, which stale
     // reports do not override.
     void expire(base::Instant now, base::Millis retention);
@@ -48,6 +55,8 @@
     const wire::NodeInfo* findNode(const std::string& node) const;
     // Returns the targets that are not gone and whose node is neither gone nor restarted since they were announced.
     TargetList liveTargets() const;
+    // Returns the crashes of the last hour.
+    CrashList crashes() const;
     size_t targetCount() const { return m_targets.size(); }
 
     // Returns a hash for each bucket of entries, for the anti-entropy comparison of two directories.
@@ -63,6 +72,7 @@
 
     std::map<std::string, Record<wire::NodeInfo>> m_nodes;
     std::map<std::string, Record<wire::Presence>> m_targets;
+    std::map<std::pair<std::string, int64_t>, Record<wire::TargetCrash>> m_crashes; // by target and incarnation
 };
 
 } // namespace pomelowind::nodes
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -437,6 +437,7 @@
     report.members = votersAndLearners();
     report.report.nodes = m_directory.allNodes();
     report.report.targets = m_directory.allTargets();
+    report.report.crashes = m_directory.crashes();
     report.report.acks = m_acks.recentAcks(m_now, TOMBSTONE_RETENTION);
     m_outputs.sendToMember(member, FrameKind::MEMBER_REPORT, base::encode(report));
 }
@@ -571,6 +572,7 @@
     wire::Spread presence;
     presence.nodes = m_directory.liveNodes();
     presence.targets = m_directory.allTargets();
+    presence.crashes = m_directory.crashes();
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
     publish();
 }
@@ -586,8 +588,10 @@
     auto changedAcks = m_acks.merge(report.acks, m_now);
     m_moveDriver.addEvidence(report.evidence, m_machine);
     m_moveDriver.addAlarms(report.alarms);
-    if (!change.empty()) {
+    auto changedCrashes = m_directory.mergeCrashes(report.crashes, m_now);
+    if (!change.empty() || !changedCrashes.empty()) {
         wire::Spread out;
+        out.crashes = changedCrashes;
         out.nodes = change.nodes;
         out.targets = change.targets;
         broadcastToNodes(out);
@@ -598,6 +602,7 @@
     forwarded.report = report;
     forwarded.report.nodes = change.nodes;
     forwarded.report.targets = change.targets;
+    forwarded.report.crashes = changedCrashes;
     broadcastToMembers(forwarded);
 }
 
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -93,6 +93,9 @@
     std::optional<ClaimHandle> claim;
     std::string version; // target version of the last attempt
     std::string target; // target of the last attempt
+    std::optional<uint64_t> fingerprint; // computed only while some call is suspected of crashing targets
+    bool isBlocked { false }; // refused because it crashes its targets
+    bool isTrial { false }; // a blocked call whose time for a trial has come
     bool ended { false }; // answered, or cancelled by the caller
     int64_t peerCallId { 0 }; // id in PeerCalls of the attempt in flight; 0 when it is at a local target
     uint64_t localCallId { 0 }; // id in LocalTargets of the attempt in flight; 0 when it is at another node
@@ -110,6 +113,7 @@
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_claimCoordinator(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
+    , m_crashSuspects(settings.id)
     , m_random(seed + 1)
     , m_startedAt(clock.now())
     , m_elapsedTimeEstimator(m_startedAt)
@@ -118,6 +122,11 @@
     http::HttpLimits limits;
     limits.maxBodyBytes = static_cast<size_t>(settings.maxBodyBytes);
     limits.requestTimeout = settings.callerTimeout;
+    m_localTargets.setCrashListener([this](wire::TargetCrash crash) {
+        wire::Report report;
+        report.crashes.push_back(std::move(crash));
+        m_reportSink(std::move(report));
+    });
     m_server = http::makeHttpServer(io, settings.callerAddress, limits, *this, m_bodyMemory);
 }
 
@@ -125,6 +134,7 @@
 {
     m_view = std::move(view);
     applyServerLimits();
+    updateCrashes();
     m_balancer.retain(*m_view->targets);
     m_notices.retain(*m_view->targets, m_clock.now());
     for (auto& [service, budget] : m_retryBudgets)
@@ -248,6 +258,8 @@
     const auto& serviceName
         = match.route->split.empty() ? match.route->serviceName : m_weightedSplitter.choose(*match.route);
     call->service = m_view->config->service(serviceName);
+    if (refuseIfBlocked(call))
+        return false;
     const auto& parameters = call->parameters;
     if (parameters.depth >= MAX_CALL_DEPTH)
         return rejectCall(
@@ -353,6 +365,69 @@
     finish(call, std::move(answer));
 }
 
+// ---- calls that crash their targets ----
+
+void CallPath::updateCrashes()
+{
+    if (m_view->crashes == m_knownCrashes)
+        return;
+    m_knownCrashes = m_view->crashes;
+    for (uint64_t it : m_crashSuspects.update(*m_knownCrashes, m_clock.now()))
+        base::logWarn("call.blocked", { { "fingerprint", static_cast<int64_t>(it) } });
+}
+
+uint64_t CallPath::fingerprintOf(const CallPtr& call)
+{
+    if (!call->fingerprint)
+        call->fingerprint = targets::callFingerprint(call->request.method,
+            http::findHeader(call->request.headers, "Host"), call->request.path, m_settings.localService, *call->body);
+    return *call->fingerprint;
+}
+
+bool CallPath::mayCrashTargets(const CallPtr& call)
+{
+    return !m_crashSuspects.empty() && m_crashSuspects.crashesOf(fingerprintOf(call)) > 0;
+}
+
+// Refuses a call that is known to crash its targets before it reaches one. Returns whether it did.
+bool CallPath::refuseIfBlocked(const CallPtr& call)
+{
+    if (call->isTrial || !mayCrashTargets(call))
+        return false;
+    auto suspicion = m_crashSuspects.check(fingerprintOf(call), m_clock.now());
+    call->isTrial = suspicion.isTrial;
+    if (!suspicion.blocked)
+        return false;
+    ++m_counts.blocked;
+    call->isBlocked = true;
+    wire::CallAnswer answer;
+    answer.outcome = Outcome::NOT_RUN;
+    answer.status = STATUS_UNAVAILABLE;
+    answer.reason = "calls like this one have crashed " + std::to_string(suspicion.crashes) + " targets";
+    answer.headers = { header("Content-Type", "application/json") };
+    answer.body = errorBody("unavailable", answer.reason, "mend the target or change the request");
+    answer.retryAfterMs = static_cast<int32_t>(suspicion.retryAfter.count());
+    finish(call, std::move(answer));
+    return true;
+}
+
+// A call that ends with a response did not crash the targets at whose crashes it ran, or does so no more.
+void CallPath::clearSuspicion(const CallPtr& call)
+{
+    if (!m_knownCrashes || !mayCrashTargets(call))
+        return;
+    auto fingerprint = static_cast<int64_t>(fingerprintOf(call));
+    wire::Report report;
+    for (const auto& it : *m_knownCrashes) {
+        if (std::find(it.calls.begin(), it.calls.end(), fingerprint) == it.calls.end())
+            continue;
+        report.crashes.push_back(it);
+        report.crashes.back().calls = report.crashes.back().cleared = { fingerprint };
+    }
+    m_crashSuspects.clear(fingerprintOf(call));
+    m_reportSink(std::move(report));
+}
+
 // ---- attempts ----
 
 // Returns the targets whose nodes are unreachable. Skipping them avoids one failed attempt for each target of a host
@@ -408,6 +483,8 @@
 
 void CallPath::dispatch(const CallPtr& call)
 {
+    if (refuseIfBlocked(call))
+        return;
     auto placement = chooseTarget(call);
     if (!placement) {
         wire::CallAnswer answer;
@@ -476,6 +553,8 @@
 {
     auto latency = std::chrono::duration_cast<Micros>(m_clock.now() - sentAt);
     recordOutcome(call, target, latency, answer);
+    if (answer.outcome == Outcome::RAN)
+        clearSuspicion(call);
     if (call->ended) {
         // The caller has gone away; its claim still records the outcome for a later resend.
         if (call->claim && answer.outcome != Outcome::NOT_RUN)
@@ -552,6 +631,9 @@
     bool safe = answer.outcome == Outcome::NOT_RUN || call->route->idempotent;
     if (!safe || call->deadline - m_clock.now() <= Millis(1))
         return false;
+    // The next target might crash as well.
+    if (answer.outcome == Outcome::UNKNOWN && mayCrashTargets(call))
+        return false;
     if (answer.outcome == Outcome::NOT_RUN && !answer.arrived)
         return ++call->refusals <= MAX_REFUSALS;
     ++call->attempts;
@@ -577,7 +659,7 @@
         else
             m_claimCoordinator.complete(*call->claim, answer);
     }
-    if (answer.outcome == Outcome::NOT_RUN && call->objective)
+    if (answer.outcome == Outcome::NOT_RUN && call->objective && !call->isBlocked)
         setRetryAdvice(call, answer);
     reply(call, answer);
     --m_openCalls;
@@ -603,7 +685,8 @@
         m_latencyRecorder(std::chrono::duration<double>(m_clock.now() - call->arrivedAt).count());
     if (answer.outcome != Outcome::RAN || answer.fault) {
         logCall(call, "call.failed", answer);
-        if (call->route)
+        // Callers of a blocked call are refused whatever the load is.
+        if (call->route && !call->isBlocked)
             m_elapsedTimeEstimator.recordRefusal(call->route->name, m_clock.now());
     }
     call->reply->send(m_protocol.makeCallerResponse(answer, call->parameters, call->version));
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -18,6 +18,7 @@
 #include "pomelowind/moves/EvidenceAggregator.h"
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/Balancer.h"
+#include "pomelowind/targets/CrashSuspects.h"
 #include "pomelowind/targets/NoticeMemory.h"
 
 #include <functional>
@@ -34,6 +35,7 @@
     uint64_t unknown { 0 }; // answered with an unknown outcome
     uint64_t retries { 0 }; // attempts after the first
     uint64_t limited { 0 }; // refused because of the client account's rate limit
+    uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
 
@@ -97,6 +99,11 @@
     void startClaim(const CallPtr& call);
     void onClaimDecided(const CallPtr& call, const ClaimOutcome& outcome);
     void dispatch(const CallPtr& call);
+    uint64_t fingerprintOf(const CallPtr& call);
+    bool mayCrashTargets(const CallPtr& call);
+    bool refuseIfBlocked(const CallPtr& call);
+    void clearSuspicion(const CallPtr& call);
+    void updateCrashes();
     std::set<std::string> unreachableTargets() const;
     std::optional<targets::Placement> chooseTarget(const CallPtr& call);
     void send(const CallPtr& call, const targets::Placement& placement);
@@ -129,6 +136,8 @@
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
     targets::NoticeMemory m_notices;
+    targets::CrashSuspects m_crashSuspects;
+    std::shared_ptr<const nodes::CrashList> m_knownCrashes;
     base::Random m_random;
     base::Instant m_startedAt;
     callers::ElapsedTimeEstimator m_elapsedTimeEstimator;
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -309,6 +309,20 @@
     m_pendingReport.targets.insert(m_pendingReport.targets.end(), change.targets.begin(), change.targets.end());
 }
 
+void DistributionCore::mergeCrashes(const nodes::CrashList& crashes, Instant now, bool fromSubtree)
+{
+    auto changed = m_directory.mergeCrashes(crashes, now);
+    if (changed.empty())
+        return;
+    m_crashes = std::make_shared<const nodes::CrashList>(m_directory.crashes());
+    m_viewDirty = true;
+    wire::Spread out;
+    out.crashes = changed;
+    broadcastToChildren(out, {});
+    if (fromSubtree)
+        m_pendingReport.crashes.insert(m_pendingReport.crashes.end(), changed.begin(), changed.end());
+}
+
 void DistributionCore::broadcastToChildren(const wire::Spread& spread, const std::string& except)
 {
     std::string payload = base::encode(spread);
@@ -321,6 +335,7 @@
 void DistributionCore::handleSpread(const wire::Spread& spread, Instant now)
 {
     mergePresence(spread.nodes, spread.targets, now, false);
+    mergeCrashes(spread.crashes, now, false);
     if (spread.__isset.beacon)
         handleBeacon(spread.beacon, now);
     publish();
@@ -388,6 +403,7 @@
     wire::Spread fullState;
     fullState.nodes = m_directory.liveNodes();
     fullState.targets = m_directory.allTargets();
+    fullState.crashes = m_directory.crashes();
     if (beaconIsFresh(now))
         fullState.__set_beacon(m_lastBeacon);
     m_outputs.sendChild(child, FrameKind::SPREAD, base::encode(fullState));
@@ -402,6 +418,7 @@
 void DistributionCore::handleReport(const wire::Report& report, Instant now)
 {
     mergePresence(report.nodes, report.targets, now, true);
+    mergeCrashes(report.crashes, now, true);
     for (const auto& it : m_acks.merge(report.acks, now))
         m_pendingReport.acks.push_back(it);
     m_pendingReport.alarms.insert(m_pendingReport.alarms.end(), report.alarms.begin(), report.alarms.end());
@@ -409,13 +426,14 @@
     publish();
 }
 
-void DistributionCore::addReport(const wire::Report& report)
+void DistributionCore::addReport(const wire::Report& report, Instant now)
 {
+    mergeCrashes(report.crashes, now, true);
     m_pendingReport.alarms.insert(m_pendingReport.alarms.end(), report.alarms.begin(), report.alarms.end());
     m_pendingReport.evidence.insert(m_pendingReport.evidence.end(), report.evidence.begin(), report.evidence.end());
 }
 
-// Reports all of this node's subtree to a new parent.
+// Reports all of this node's subtree, and the crashes that it knows, to a new parent.
 void DistributionCore::reportSubtree(Instant now)
 {
     wire::Report report;
@@ -432,6 +450,7 @@
         if (inSubtree)
             report.targets.push_back(it);
     }
+    report.crashes = m_directory.crashes();
     m_outputs.sendParent(FrameKind::REPORT, base::encode(report));
 }
 
@@ -658,7 +677,7 @@
         startDigestExchange(now);
     updateServing(now);
     bool urgent = !m_pendingReport.nodes.empty() || !m_pendingReport.targets.empty() || !m_pendingReport.acks.empty()
-        || !m_pendingReport.alarms.empty();
+        || !m_pendingReport.alarms.empty() || !m_pendingReport.crashes.empty();
     bool evidenceDue = now >= m_evidenceDue && !m_pendingReport.evidence.empty();
     if (evidenceDue)
         m_evidenceDue = now + EVIDENCE_PERIOD;
@@ -675,6 +694,7 @@
     view->config = m_activeConfig;
     view->routes = m_routes;
     view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets());
+    view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
     view->beaconAt = m_beaconAt;
     view->serving = m_serving;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -66,8 +66,8 @@
     // Replaces the learned control hosts (mesh addresses) that may be the parent, besides the configured ones. No
     // effect unless NodeSettings::usesDiscovery is set.
     void learnControlHosts(const std::vector<std::string>& hosts);
-    // Adds evidence and alarms of this node's calls to the next report.
-    void addReport(const wire::Report& report);
+    // Adds evidence, alarms and crashes that this node's calls have found to the next report.
+    void addReport(const wire::Report& report, base::Instant now);
     // Begins the stop of the node: announces its targets as draining, so that other nodes send them no new calls.
     void startDraining(base::Instant now);
     // Announces to parent and children that the node has stopped.
@@ -102,6 +102,7 @@
     void broadcastToChildren(const wire::Spread& spread, const std::string& except);
     void mergePresence(const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets,
         base::Instant now, bool fromSubtree);
+    void mergeCrashes(const nodes::CrashList& crashes, base::Instant now, bool fromSubtree);
     void publishToChildren();
     void acknowledge(base::Instant now);
     void publishTarget(const LocalTarget& target, base::Instant now);
@@ -146,6 +147,7 @@
     wire::Beacon m_lastBeacon; // last heartbeat of the leader
     base::Instant m_beaconAt; // when it was received
     base::Instant m_behindSince; // since when m_state is older than the leader's version; unset when it is not
+    std::shared_ptr<const nodes::CrashList> m_crashes; // as the calls event loop knows them
     wire::Report m_pendingReport; // next report to the parent
     bool m_viewDirty { true }; // a new snapshot has to be published
 
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -74,7 +74,8 @@
         auto found = next.find(name);
         if (found != next.end() && found->second == target)
             continue;
-        onCrashed(*target, target->crashDetector.onReplaced(m_clock.now()), "replaced");
+        if (!target->isDraining)
+            onCrashed(*target, target->crashDetector.onReplaced(m_clock.now()), "replaced");
         drain(*target);
         target->client->close();
     }
@@ -302,6 +303,14 @@
         base::logRateLimited("target.crashed_call",
             { { "target", target.announcement.target }, { "request", it.requestId },
                 { "fingerprint", static_cast<int64_t>(it.fingerprint) } });
+    if (!m_onCrashed)
+        return;
+    wire::TargetCrash crash;
+    crash.target = target.announcement.target;
+    crash.incarnation = target.announcement.incarnation;
+    for (const auto& it : calls)
+        crash.calls.push_back(static_cast<int64_t>(it.fingerprint));
+    m_onCrashed(std::move(crash));
 }
 
 void LocalTargets::onExchangeEnded(uint64_t id, http::ExchangeResult result)
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -22,6 +22,9 @@
 // Receives the id and the incarnation of a target that has said in a response that it leaves.
 using LeavingListener = std::function<void(const std::string& target, int64_t incarnation)>;
 
+// Receives a crash of a target of this host, with the fingerprints of the calls that ran there.
+using CrashListener = std::function<void(wire::TargetCrash crash)>;
+
 // Admits, queues and runs calls. Thread safety: confined to the calls event loop.
 class LocalTargets {
 public:
@@ -47,6 +50,8 @@
     void cancel(uint64_t id);
     // Sets the function that is called once for each target that has said in a response that it leaves.
     void setLeavingListener(LeavingListener listener) { m_onLeaving = std::move(listener); }
+    // Sets the function that learns of crashes of targets of this host.
+    void setCrashListener(CrashListener listener) { m_onCrashed = std::move(listener); }
     const RunningCalls& runningCalls() const { return m_runningCalls; }
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
@@ -122,6 +127,7 @@
     targets::BodyFlowControl m_bodyFlowControl;
     RunningCalls m_runningCalls;
     LeavingListener m_onLeaving;
+    CrashListener m_onCrashed;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
     uint64_t m_crashes { 0 };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -58,7 +58,7 @@
         , m_localTargets(m_callsLoop.context(), QUEUE_CAPACITY,
               [this](std::vector<Announcement>&& targets) { m_callPath->setLocalTargets(targets); })
         , m_reports(m_distributionLoop.context(), QUEUE_CAPACITY,
-              [this](wire::Report&& report) { m_core->addReport(report); })
+              [this](wire::Report&& report) { m_core->addReport(report, m_clock.now()); })
         , m_metrics(host::serveMetrics(m_settings.metricsAddress))
         , m_network(
               m_distributionLoop.context(), m_settings, m_clock,
@@ -176,6 +176,7 @@
             m_unknown->set(static_cast<double>(counts.unknown));
             m_retries->set(static_cast<double>(counts.retries));
             m_limited->set(static_cast<double>(counts.limited));
+            m_blocked->set(static_cast<double>(counts.blocked));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
             m_targetLimit->set(m_callPath->localTargets().maxCallsPerSecond());
@@ -192,6 +193,7 @@
         m_unknown = m_metrics->gauge("calls_unknown", "Calls of which it is unknown whether they ran");
         m_retries = m_metrics->gauge("call_retries", "Attempts after the first");
         m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
+        m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
         m_targetLimit
@@ -217,7 +219,7 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
-    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes;
+    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -2,12 +2,29 @@
 
 #include "pomelowind/base/Hash.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace pomelowind::nodes {
 
 namespace {
 
+    // Longer than a call stays blocked after its last crash.
+    constexpr auto CRASH_RETENTION = base::Millis(3600000);
+    // With the calls that run at a target, this bounds the memory and the state sent to a new subscriber to some 30 KB.
+    constexpr size_t MAX_CRASHES = 256;
+
+    // Adds the values that `set` lacks. Returns whether there were any.
+    bool addMissing(std::vector<int64_t>& set, const std::vector<int64_t>& values)
+    {
+        auto before = set.size();
+        for (int64_t it : values) {
+            if (std::find(set.begin(), set.end(), it) == set.end())
+                set.push_back(it);
+        }
+        return set.size() > before;
+    }
+
     template <class T> std::tuple<int64_t, int64_t> versionOrder(const T& it)
     {
         return { it.incarnation, it.sequence };
@@ -52,10 +69,40 @@
     return change;
 }
 
+CrashList Directory::mergeCrashes(const CrashList& crashes, base::Instant now)
+{
+    CrashList changed;
+    for (const auto& it : crashes) {
+        auto [found, isNew]
+            = m_crashes.try_emplace({ it.target, it.incarnation }, Record<wire::TargetCrash> { {}, now });
+        auto& entry = found->second.entry;
+        entry.target = it.target;
+        entry.incarnation = it.incarnation;
+        bool hasCalls = addMissing(entry.calls, it.calls);
+        bool hasCleared = addMissing(entry.cleared, it.cleared);
+        if (isNew || hasCalls || hasCleared)
+            changed.push_back(entry);
+    }
+    while (m_crashes.size() > MAX_CRASHES) {
+        m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(),
+            [](const auto& a, const auto& b) { return a.second.changedAt < b.second.changedAt; }));
+    }
+    return changed;
+}
+
+CrashList Directory::crashes() const
+{
+    CrashList out;
+    for (const auto& [key, record] : m_crashes)
+        out.push_back(record.entry);
+    return out;
+}
+
 void Directory::expire(base::Instant now, base::Millis retention)
 {
     std::erase_if(
         m_nodes, [&](const auto& it) { return it.second.entry.gone && now - it.second.changedAt > retention; });
+    std::erase_if(m_crashes, [&](const auto& it) { return now - it.second.changedAt > CRASH_RETENTION; });
     std::erase_if(m_targets, [&](const auto& it) {
         bool orphaned = !m_nodes.count(it.second.entry.node);
         bool gone = it.second.entry.state == wire::TargetState::GONE || orphaned;
--- a/tests/property/CallsThatCrashTargetsAreStopped.cpp
+++ b/tests/property/CallsThatCrashTargetsAreStopped.cpp
@@ -16,12 +16,15 @@
 constexpr char DEADLY_PATH[] = "/again/deadly";
 constexpr char DEADLY_BODY[] = "the body that crashes targets";
 constexpr double CALLS_PER_SECOND = 60;
+constexpr double FREQUENT_CALLS_PER_SECOND = 500;
 constexpr Millis REPEAT_PERIOD(150);
 // The bound for a connected mesh, and the number of crashes after which it holds.
 constexpr Millis TIME_TO_LEARN(3000);
 constexpr size_t CRASHES_TO_LEARN = 3;
 // A mended cause is noticed within this time.
 constexpr Millis LONGEST_BLOCK(900000);
+// Time until all nodes have had their first trial.
+constexpr Millis FIRST_BLOCK(62000);
 
 CalledService::Options serviceOptions(uint64_t seed, bool productProtocol)
 {
@@ -72,6 +75,13 @@
     return n;
 }
 
+// Returns at how many crashes calls ran.
+size_t runningAtCrashes(const CalledService& service)
+{
+    return static_cast<size_t>(std::count_if(
+        service.crashes().begin(), service.crashes().end(), [](const auto& it) { return !it.running.empty(); }));
+}
+
 int answeredOk(const CalledService& service, const std::vector<std::string>& ids)
 {
     return static_cast<int>(
@@ -163,3 +173,20 @@
         EXPECT_EQ(answeredOk(service, ids), static_cast<int>(ids.size()));
     }
 }
+
+TEST(CallsThatCrashTargetsAreStopped, ButNotForLongIfTargetsLostPowerTogether)
+{
+    for (auto options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        options.distinctPaths = false; // one frequent call runs at all targets
+        CalledService service(options);
+        service.run(Millis(1000), FREQUENT_CALLS_PER_SECOND);
+        for (int i = 0; i < OTHER_CALLERS_NODE; ++i)
+            service.crashTarget(i);
+        EXPECT_EQ(runningAtCrashes(service), static_cast<size_t>(OTHER_CALLERS_NODE));
+        service.run(FIRST_BLOCK, CALLS_PER_SECOND);
+        auto before = service.answered(200, Millis::max());
+        service.run(Millis(10000), CALLS_PER_SECOND);
+        EXPECT_GT(service.answered(200, Millis::max()) - before, 500) << "of about 600";
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -150,7 +150,11 @@
 void CallPathFixture::startPath(Node& node)
 {
     node.path = std::make_unique<node::CallPath>(
-        node.io, node.settings, *m_protocol, m_clock, [](const auto&) {}, 1);
+        node.io, node.settings, *m_protocol, m_clock,
+        [this](const wire::Report& report) {
+            m_crashesChanged |= !m_directory.mergeCrashes(report.crashes, m_clock.now()).empty();
+        },
+        1);
 }
 
 void CallPathFixture::restart(int i)
@@ -210,6 +214,8 @@
     }
     while (pollOne())
         ;
+    if (std::exchange(m_crashesChanged, false))
+        publish();
 }
 
 void CallPathFixture::accept(Node& node)
@@ -236,6 +242,7 @@
         { resource, routeResource("once", "/once/", false), routeResource("again", "/again/", true) }, {}));
     view->routes = std::make_shared<node::RouteTable>(view->config);
     view->serving = true;
+    view->crashes = std::make_shared<const nodes::CrashList>(m_directory.crashes());
     nodes::TargetList targets;
     for (int i : m_options.targetsAt) {
         auto& node = *m_nodes.at(static_cast<size_t>(i));
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -112,6 +112,8 @@
     base::SystemClock m_systemClock;
     const base::Clock& m_clock;
     std::unique_ptr<node::CallProtocol> m_protocol;
+    nodes::Directory m_directory; // shared at once, as by a connected mesh
+    bool m_crashesChanged { false };
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<node::CallPath>> m_endedPaths; // handlers of closed sockets may still refer to them
 };
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -67,6 +67,8 @@
     // From now on, calls with this path and body of callers of the service "s" crash their targets; an empty path:
     // none.
     void setDeadly(const std::string& path, const std::string& body);
+    // Lets the target of node `i` crash for another reason than a call.
+    void crashTarget(int i) { crash(i, m_targets.at(i)); }
     // All crashes, in order.
     const std::vector<TargetCrash>& crashes() const { return m_crashes; }
     // Lets time pass in which nothing happens.
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -141,6 +141,9 @@
   6: i64 calls, 7: i64 failures, 8: map<i16, i64> latency
 }
 struct Alarm { 1: string moveId, 2: i32 step, 3: string node, 4: string reason }
+// Crash of one incarnation of a target. `calls` are the fingerprints of those that ran there, `cleared` of those among
+// them that have ended with a response since.
+struct TargetCrash { 1: string target, 2: i64 incarnation, 3: list<i64> calls, 4: list<i64> cleared }
 
 // ---- distribution ----
 struct Beacon { 1: i64 term, 2: i64 sequence, 3: i64 version, 4: i64 claimsThroughMs }
@@ -151,10 +154,13 @@
 }
 struct Report {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: list<EvidenceCell> evidence, 4: list<Alarm> alarms,
-  5: list<NodeAck> acks
+  5: list<NodeAck> acks, 6: list<TargetCrash> crashes
 }
 struct MemberReport { 1: Report report, 2: optional Beacon beacon, 3: list<string> members }
-struct Spread { 1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts }
+struct Spread {
+  1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts,
+  5: list<TargetCrash> crashes
+}
 struct Digest { 1: i64 version, 2: i64 hash, 3: list<i64> buckets }
 struct DigestAnswer { 1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes }
 
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -9347,6 +9347,213 @@
 }
 
 
+TargetCrash::~TargetCrash() noexcept {
+}
+
+
+void TargetCrash::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetCrash::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void TargetCrash::__set_calls(const std::vector<int64_t> & val) {
+  this->calls = val;
+}
+
+void TargetCrash::__set_cleared(const std::vector<int64_t> & val) {
+  this->cleared = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->calls.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
+            {
+              xfer += iprot->readI64(this->calls[_i318]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cleared.clear();
+            uint32_t _size319;
+            ::apache::thrift::protocol::TType _etype322;
+            xfer += iprot->readListBegin(_etype322, _size319);
+            this->cleared.resize(_size319);
+            uint32_t _i323;
+            for (_i323 = 0; _i323 < _size319; ++_i323)
+            {
+              xfer += iprot->readI64(this->cleared[_i323]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetCrash");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
+    std::vector<int64_t> ::const_iterator _iter324;
+    for (_iter324 = this->calls.begin(); _iter324 != this->calls.end(); ++_iter324)
+    {
+      xfer += oprot->writeI64((*_iter324));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
+    std::vector<int64_t> ::const_iterator _iter325;
+    for (_iter325 = this->cleared.begin(); _iter325 != this->cleared.end(); ++_iter325)
+    {
+      xfer += oprot->writeI64((*_iter325));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetCrash &a, TargetCrash &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.incarnation, b.incarnation);
+  swap(a.calls, b.calls);
+  swap(a.cleared, b.cleared);
+  swap(a.__isset, b.__isset);
+}
+
+TargetCrash::TargetCrash(const TargetCrash& other326) {
+  target = other326.target;
+  incarnation = other326.incarnation;
+  calls = other326.calls;
+  cleared = other326.cleared;
+  __isset = other326.__isset;
+}
+TargetCrash::TargetCrash(TargetCrash&& other327) noexcept {
+  target = std::move(other327.target);
+  incarnation = other327.incarnation;
+  calls = std::move(other327.calls);
+  cleared = std::move(other327.cleared);
+  __isset = other327.__isset;
+}
+TargetCrash& TargetCrash::operator=(const TargetCrash& other328) {
+  target = other328.target;
+  incarnation = other328.incarnation;
+  calls = other328.calls;
+  cleared = other328.cleared;
+  __isset = other328.__isset;
+  return *this;
+}
+TargetCrash& TargetCrash::operator=(TargetCrash&& other329) noexcept {
+  target = std::move(other329.target);
+  incarnation = other329.incarnation;
+  calls = std::move(other329.calls);
+  cleared = std::move(other329.cleared);
+  __isset = other329.__isset;
+  return *this;
+}
+void TargetCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetCrash(";
+  out << "target=" << to_string(target);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ")";
+}
+
+
 Beacon::~Beacon() noexcept {
 }
 
@@ -9473,34 +9680,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Beacon::Beacon(const Beacon& other314) noexcept {
-  term = other314.term;
-  sequence = other314.sequence;
-  version = other314.version;
-  claimsThroughMs = other314.claimsThroughMs;
-  __isset = other314.__isset;
-}
-Beacon::Beacon(Beacon&& other315) noexcept {
-  term = other315.term;
-  sequence = other315.sequence;
-  version = other315.version;
-  claimsThroughMs = other315.claimsThroughMs;
-  __isset = other315.__isset;
-}
-Beacon& Beacon::operator=(const Beacon& other316) noexcept {
-  term = other316.term;
-  sequence = other316.sequence;
-  version = other316.version;
-  claimsThroughMs = other316.claimsThroughMs;
-  __isset = other316.__isset;
+Beacon::Beacon(const Beacon& other330) noexcept {
+  term = other330.term;
+  sequence = other330.sequence;
+  version = other330.version;
+  claimsThroughMs = other330.claimsThroughMs;
+  __isset = other330.__isset;
+}
+Beacon::Beacon(Beacon&& other331) noexcept {
+  term = other331.term;
+  sequence = other331.sequence;
+  version = other331.version;
+  claimsThroughMs = other331.claimsThroughMs;
+  __isset = other331.__isset;
+}
+Beacon& Beacon::operator=(const Beacon& other332) noexcept {
+  term = other332.term;
+  sequence = other332.sequence;
+  version = other332.version;
+  claimsThroughMs = other332.claimsThroughMs;
+  __isset = other332.__isset;
   return *this;
 }
-Beacon& Beacon::operator=(Beacon&& other317) noexcept {
-  term = other317.term;
-  sequence = other317.sequence;
-  version = other317.version;
-  claimsThroughMs = other317.claimsThroughMs;
-  __isset = other317.__isset;
+Beacon& Beacon::operator=(Beacon&& other333) noexcept {
+  term = other333.term;
+  sequence = other333.sequence;
+  version = other333.version;
+  claimsThroughMs = other333.claimsThroughMs;
+  __isset = other333.__isset;
   return *this;
 }
 void Beacon::printTo(std::ostream& out) const {
@@ -9623,30 +9830,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Subscribe::Subscribe(const Subscribe& other318) {
-  node = other318.node;
-  base = other318.base;
-  hash = other318.hash;
-  __isset = other318.__isset;
+Subscribe::Subscribe(const Subscribe& other334) {
+  node = other334.node;
+  base = other334.base;
+  hash = other334.hash;
+  __isset = other334.__isset;
 }
-Subscribe::Subscribe(Subscribe&& other319) noexcept {
-  node = std::move(other319.node);
-  base = other319.base;
-  hash = other319.hash;
-  __isset = other319.__isset;
+Subscribe::Subscribe(Subscribe&& other335) noexcept {
+  node = std::move(other335.node);
+  base = other335.base;
+  hash = other335.hash;
+  __isset = other335.__isset;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other320) {
-  node = other320.node;
-  base = other320.base;
-  hash = other320.hash;
-  __isset = other320.__isset;
+Subscribe& Subscribe::operator=(const Subscribe& other336) {
+  node = other336.node;
+  base = other336.base;
+  hash = other336.hash;
+  __isset = other336.__isset;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other321) noexcept {
-  node = std::move(other321.node);
-  base = other321.base;
-  hash = other321.hash;
-  __isset = other321.__isset;
+Subscribe& Subscribe::operator=(Subscribe&& other337) noexcept {
+  node = std::move(other337.node);
+  base = other337.base;
+  hash = other337.hash;
+  __isset = other337.__isset;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -9754,14 +9961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->directory.clear();
-            uint32_t _size322;
-            ::apache::thrift::protocol::TType _etype325;
-            xfer += iprot->readListBegin(_etype325, _size322);
-            this->directory.resize(_size322);
-            uint32_t _i326;
-            for (_i326 = 0; _i326 < _size322; ++_i326)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->directory.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->directory[_i326].read(iprot);
+              xfer += this->directory[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9782,14 +9989,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->controlHosts.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->controlHosts.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += iprot->readString(this->controlHosts[_i331]);
+              xfer += iprot->readString(this->controlHosts[_i347]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9834,10 +10041,10 @@
   xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->directory.size()));
-    std::vector<NodeInfo> ::const_iterator _iter332;
-    for (_iter332 = this->directory.begin(); _iter332 != this->directory.end(); ++_iter332)
+    std::vector<NodeInfo> ::const_iterator _iter348;
+    for (_iter348 = this->directory.begin(); _iter348 != this->directory.end(); ++_iter348)
     {
-      xfer += (*_iter332).write(oprot);
+      xfer += (*_iter348).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9850,10 +10057,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter333;
-    for (_iter333 = this->controlHosts.begin(); _iter333 != this->controlHosts.end(); ++_iter333)
+    std::vector<std::string> ::const_iterator _iter349;
+    for (_iter349 = this->controlHosts.begin(); _iter349 != this->controlHosts.end(); ++_iter349)
     {
-      xfer += oprot->writeString((*_iter333));
+      xfer += oprot->writeString((*_iter349));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9876,46 +10083,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other334) {
-  admitted = other334.admitted;
-  retryAfterMs = other334.retryAfterMs;
-  version = other334.version;
-  floor = other334.floor;
-  directory = other334.directory;
-  fresh = other334.fresh;
-  controlHosts = other334.controlHosts;
-  __isset = other334.__isset;
-}
-SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other335) noexcept {
-  admitted = other335.admitted;
-  retryAfterMs = other335.retryAfterMs;
-  version = other335.version;
-  floor = other335.floor;
-  directory = std::move(other335.directory);
-  fresh = other335.fresh;
-  controlHosts = std::move(other335.controlHosts);
-  __isset = other335.__isset;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other336) {
-  admitted = other336.admitted;
-  retryAfterMs = other336.retryAfterMs;
-  version = other336.version;
-  floor = other336.floor;
-  directory = other336.directory;
-  fresh = other336.fresh;
-  controlHosts = other336.controlHosts;
-  __isset = other336.__isset;
+SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other350) {
+  admitted = other350.admitted;
+  retryAfterMs = other350.retryAfterMs;
+  version = other350.version;
+  floor = other350.floor;
+  directory = other350.directory;
+  fresh = other350.fresh;
+  controlHosts = other350.controlHosts;
+  __isset = other350.__isset;
+}
+SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other351) noexcept {
+  admitted = other351.admitted;
+  retryAfterMs = other351.retryAfterMs;
+  version = other351.version;
+  floor = other351.floor;
+  directory = std::move(other351.directory);
+  fresh = other351.fresh;
+  controlHosts = std::move(other351.controlHosts);
+  __isset = other351.__isset;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other352) {
+  admitted = other352.admitted;
+  retryAfterMs = other352.retryAfterMs;
+  version = other352.version;
+  floor = other352.floor;
+  directory = other352.directory;
+  fresh = other352.fresh;
+  controlHosts = other352.controlHosts;
+  __isset = other352.__isset;
   return *this;
 }
-SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other337) noexcept {
-  admitted = other337.admitted;
-  retryAfterMs = other337.retryAfterMs;
-  version = other337.version;
-  floor = other337.floor;
-  directory = std::move(other337.directory);
-  fresh = other337.fresh;
-  controlHosts = std::move(other337.controlHosts);
-  __isset = other337.__isset;
+SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other353) noexcept {
+  admitted = other353.admitted;
+  retryAfterMs = other353.retryAfterMs;
+  version = other353.version;
+  floor = other353.floor;
+  directory = std::move(other353.directory);
+  fresh = other353.fresh;
+  controlHosts = std::move(other353.controlHosts);
+  __isset = other353.__isset;
   return *this;
 }
 void SubscribeAnswer::printTo(std::ostream& out) const {
@@ -9955,6 +10162,10 @@
 void Report::__set_acks(const std::vector<NodeAck> & val) {
   this->acks = val;
 }
+
+void Report::__set_crashes(const std::vector<TargetCrash> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -9987,14 +10198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size338;
-            ::apache::thrift::protocol::TType _etype341;
-            xfer += iprot->readListBegin(_etype341, _size338);
-            this->nodes.resize(_size338);
-            uint32_t _i342;
-            for (_i342 = 0; _i342 < _size338; ++_i342)
+            uint32_t _size354;
+            ::apache::thrift::protocol::TType _etype357;
+            xfer += iprot->readListBegin(_etype357, _size354);
+            this->nodes.resize(_size354);
+            uint32_t _i358;
+            for (_i358 = 0; _i358 < _size354; ++_i358)
             {
-              xfer += this->nodes[_i342].read(iprot);
+              xfer += this->nodes[_i358].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10007,14 +10218,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size343;
-            ::apache::thrift::protocol::TType _etype346;
-            xfer += iprot->readListBegin(_etype346, _size343);
-            this->targets.resize(_size343);
-            uint32_t _i347;
-            for (_i347 = 0; _i347 < _size343; ++_i347)
+            uint32_t _size359;
+            ::apache::thrift::protocol::TType _etype362;
+            xfer += iprot->readListBegin(_etype362, _size359);
+            this->targets.resize(_size359);
+            uint32_t _i363;
+            for (_i363 = 0; _i363 < _size359; ++_i363)
             {
-              xfer += this->targets[_i347].read(iprot);
+              xfer += this->targets[_i363].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10027,14 +10238,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size348;
-            ::apache::thrift::protocol::TType _etype351;
-            xfer += iprot->readListBegin(_etype351, _size348);
-            this->evidence.resize(_size348);
-            uint32_t _i352;
-            for (_i352 = 0; _i352 < _size348; ++_i352)
+            uint32_t _size364;
+            ::apache::thrift::protocol::TType _etype367;
+            xfer += iprot->readListBegin(_etype367, _size364);
+            this->evidence.resize(_size364);
+            uint32_t _i368;
+            for (_i368 = 0; _i368 < _size364; ++_i368)
             {
-              xfer += this->evidence[_i352].read(iprot);
+              xfer += this->evidence[_i368].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10047,14 +10258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->alarms.clear();
-            uint32_t _size353;
-            ::apache::thrift::protocol::TType _etype356;
-            xfer += iprot->readListBegin(_etype356, _size353);
-            this->alarms.resize(_size353);
-            uint32_t _i357;
-            for (_i357 = 0; _i357 < _size353; ++_i357)
+            uint32_t _size369;
+            ::apache::thrift::protocol::TType _etype372;
+            xfer += iprot->readListBegin(_etype372, _size369);
+            this->alarms.resize(_size369);
+            uint32_t _i373;
+            for (_i373 = 0; _i373 < _size369; ++_i373)
             {
-              xfer += this->alarms[_i357].read(iprot);
+              xfer += this->alarms[_i373].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10067,14 +10278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size358;
-            ::apache::thrift::protocol::TType _etype361;
-            xfer += iprot->readListBegin(_etype361, _size358);
-            this->acks.resize(_size358);
-            uint32_t _i362;
-            for (_i362 = 0; _i362 < _size358; ++_i362)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->acks.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += this->acks[_i362].read(iprot);
+              xfer += this->acks[_i378].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10083,6 +10294,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->crashes.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
+            {
+              xfer += this->crashes[_i383].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10103,10 +10334,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter363;
-    for (_iter363 = this->nodes.begin(); _iter363 != this->nodes.end(); ++_iter363)
+    std::vector<NodeInfo> ::const_iterator _iter384;
+    for (_iter384 = this->nodes.begin(); _iter384 != this->nodes.end(); ++_iter384)
     {
-      xfer += (*_iter363).write(oprot);
+      xfer += (*_iter384).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10115,10 +10346,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter364;
-    for (_iter364 = this->targets.begin(); _iter364 != this->targets.end(); ++_iter364)
+    std::vector<Presence> ::const_iterator _iter385;
+    for (_iter385 = this->targets.begin(); _iter385 != this->targets.end(); ++_iter385)
     {
-      xfer += (*_iter364).write(oprot);
+      xfer += (*_iter385).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10127,10 +10358,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<EvidenceCell> ::const_iterator _iter365;
-    for (_iter365 = this->evidence.begin(); _iter365 != this->evidence.end(); ++_iter365)
+    std::vector<EvidenceCell> ::const_iterator _iter386;
+    for (_iter386 = this->evidence.begin(); _iter386 != this->evidence.end(); ++_iter386)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter386).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10139,10 +10370,10 @@
   xfer += oprot->writeFieldBegin("alarms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->alarms.size()));
-    std::vector<Alarm> ::const_iterator _iter366;
-    for (_iter366 = this->alarms.begin(); _iter366 != this->alarms.end(); ++_iter366)
+    std::vector<Alarm> ::const_iterator _iter387;
+    for (_iter387 = this->alarms.begin(); _iter387 != this->alarms.end(); ++_iter387)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter387).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10151,10 +10382,22 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<NodeAck> ::const_iterator _iter367;
-    for (_iter367 = this->acks.begin(); _iter367 != this->acks.end(); ++_iter367)
+    std::vector<NodeAck> ::const_iterator _iter388;
+    for (_iter388 = this->acks.begin(); _iter388 != this->acks.end(); ++_iter388)
+    {
+      xfer += (*_iter388).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<TargetCrash> ::const_iterator _iter389;
+    for (_iter389 = this->crashes.begin(); _iter389 != this->crashes.end(); ++_iter389)
     {
-      xfer += (*_iter367).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10172,41 +10415,46 @@
   swap(a.evidence, b.evidence);
   swap(a.alarms, b.alarms);
   swap(a.acks, b.acks);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other368) {
-  nodes = other368.nodes;
-  targets = other368.targets;
-  evidence = other368.evidence;
-  alarms = other368.alarms;
-  acks = other368.acks;
-  __isset = other368.__isset;
-}
-Report::Report(Report&& other369) noexcept {
-  nodes = std::move(other369.nodes);
-  targets = std::move(other369.targets);
-  evidence = std::move(other369.evidence);
-  alarms = std::move(other369.alarms);
-  acks = std::move(other369.acks);
-  __isset = other369.__isset;
-}
-Report& Report::operator=(const Report& other370) {
-  nodes = other370.nodes;
-  targets = other370.targets;
-  evidence = other370.evidence;
-  alarms = other370.alarms;
-  acks = other370.acks;
-  __isset = other370.__isset;
+Report::Report(const Report& other390) {
+  nodes = other390.nodes;
+  targets = other390.targets;
+  evidence = other390.evidence;
+  alarms = other390.alarms;
+  acks = other390.acks;
+  crashes = other390.crashes;
+  __isset = other390.__isset;
+}
+Report::Report(Report&& other391) noexcept {
+  nodes = std::move(other391.nodes);
+  targets = std::move(other391.targets);
+  evidence = std::move(other391.evidence);
+  alarms = std::move(other391.alarms);
+  acks = std::move(other391.acks);
+  crashes = std::move(other391.crashes);
+  __isset = other391.__isset;
+}
+Report& Report::operator=(const Report& other392) {
+  nodes = other392.nodes;
+  targets = other392.targets;
+  evidence = other392.evidence;
+  alarms = other392.alarms;
+  acks = other392.acks;
+  crashes = other392.crashes;
+  __isset = other392.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other371) noexcept {
-  nodes = std::move(other371.nodes);
-  targets = std::move(other371.targets);
-  evidence = std::move(other371.evidence);
-  alarms = std::move(other371.alarms);
-  acks = std::move(other371.acks);
-  __isset = other371.__isset;
+Report& Report::operator=(Report&& other393) noexcept {
+  nodes = std::move(other393.nodes);
+  targets = std::move(other393.targets);
+  evidence = std::move(other393.evidence);
+  alarms = std::move(other393.alarms);
+  acks = std::move(other393.acks);
+  crashes = std::move(other393.crashes);
+  __isset = other393.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -10217,6 +10465,7 @@
   out << ", " << "evidence=" << to_string(evidence);
   out << ", " << "alarms=" << to_string(alarms);
   out << ", " << "acks=" << to_string(acks);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -10285,14 +10534,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size372;
-            ::apache::thrift::protocol::TType _etype375;
-            xfer += iprot->readListBegin(_etype375, _size372);
-            this->members.resize(_size372);
-            uint32_t _i376;
-            for (_i376 = 0; _i376 < _size372; ++_i376)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->members.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += iprot->readString(this->members[_i376]);
+              xfer += iprot->readString(this->members[_i398]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10330,10 +10579,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter377;
-    for (_iter377 = this->members.begin(); _iter377 != this->members.end(); ++_iter377)
+    std::vector<std::string> ::const_iterator _iter399;
+    for (_iter399 = this->members.begin(); _iter399 != this->members.end(); ++_iter399)
     {
-      xfer += oprot->writeString((*_iter377));
+      xfer += oprot->writeString((*_iter399));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10352,30 +10601,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other378) {
-  report = other378.report;
-  beacon = other378.beacon;
-  members = other378.members;
-  __isset = other378.__isset;
+MemberReport::MemberReport(const MemberReport& other400) {
+  report = other400.report;
+  beacon = other400.beacon;
+  members = other400.members;
+  __isset = other400.__isset;
 }
-MemberReport::MemberReport(MemberReport&& other379) noexcept {
-  report = std::move(other379.report);
-  beacon = std::move(other379.beacon);
-  members = std::move(other379.members);
-  __isset = other379.__isset;
+MemberReport::MemberReport(MemberReport&& other401) noexcept {
+  report = std::move(other401.report);
+  beacon = std::move(other401.beacon);
+  members = std::move(other401.members);
+  __isset = other401.__isset;
 }
-MemberReport& MemberReport::operator=(const MemberReport& other380) {
-  report = other380.report;
-  beacon = other380.beacon;
-  members = other380.members;
-  __isset = other380.__isset;
+MemberReport& MemberReport::operator=(const MemberReport& other402) {
+  report = other402.report;
+  beacon = other402.beacon;
+  members = other402.members;
+  __isset = other402.__isset;
   return *this;
 }
-MemberReport& MemberReport::operator=(MemberReport&& other381) noexcept {
-  report = std::move(other381.report);
-  beacon = std::move(other381.beacon);
-  members = std::move(other381.members);
-  __isset = other381.__isset;
+MemberReport& MemberReport::operator=(MemberReport&& other403) noexcept {
+  report = std::move(other403.report);
+  beacon = std::move(other403.beacon);
+  members = std::move(other403.members);
+  __isset = other403.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -10408,6 +10657,10 @@
 void Spread::__set_controlHosts(const std::vector<std::string> & val) {
   this->controlHosts = val;
 }
+
+void Spread::__set_crashes(const std::vector<TargetCrash> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Spread& obj)
 {
   obj.printTo(out);
@@ -10440,14 +10693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->nodes.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->nodes.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += this->nodes[_i386].read(iprot);
+              xfer += this->nodes[_i408].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10460,14 +10713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size387;
-            ::apache::thrift::protocol::TType _etype390;
-            xfer += iprot->readListBegin(_etype390, _size387);
-            this->targets.resize(_size387);
-            uint32_t _i391;
-            for (_i391 = 0; _i391 < _size387; ++_i391)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->targets.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->targets[_i391].read(iprot);
+              xfer += this->targets[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10488,14 +10741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size392;
-            ::apache::thrift::protocol::TType _etype395;
-            xfer += iprot->readListBegin(_etype395, _size392);
-            this->controlHosts.resize(_size392);
-            uint32_t _i396;
-            for (_i396 = 0; _i396 < _size392; ++_i396)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->controlHosts.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += iprot->readString(this->controlHosts[_i396]);
+              xfer += iprot->readString(this->controlHosts[_i418]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10504,6 +10757,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->crashes.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
+            {
+              xfer += this->crashes[_i423].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10524,10 +10797,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter397;
-    for (_iter397 = this->nodes.begin(); _iter397 != this->nodes.end(); ++_iter397)
+    std::vector<NodeInfo> ::const_iterator _iter424;
+    for (_iter424 = this->nodes.begin(); _iter424 != this->nodes.end(); ++_iter424)
     {
-      xfer += (*_iter397).write(oprot);
+      xfer += (*_iter424).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10536,10 +10809,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter398;
-    for (_iter398 = this->targets.begin(); _iter398 != this->targets.end(); ++_iter398)
+    std::vector<Presence> ::const_iterator _iter425;
+    for (_iter425 = this->targets.begin(); _iter425 != this->targets.end(); ++_iter425)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter425).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10553,10 +10826,22 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter399;
-    for (_iter399 = this->controlHosts.begin(); _iter399 != this->controlHosts.end(); ++_iter399)
+    std::vector<std::string> ::const_iterator _iter426;
+    for (_iter426 = this->controlHosts.begin(); _iter426 != this->controlHosts.end(); ++_iter426)
     {
-      xfer += oprot->writeString((*_iter399));
+      xfer += oprot->writeString((*_iter426));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<TargetCrash> ::const_iterator _iter427;
+    for (_iter427 = this->crashes.begin(); _iter427 != this->crashes.end(); ++_iter427)
+    {
+      xfer += (*_iter427).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10573,37 +10858,42 @@
   swap(a.targets, b.targets);
   swap(a.beacon, b.beacon);
   swap(a.controlHosts, b.controlHosts);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-Spread::Spread(const Spread& other400) {
-  nodes = other400.nodes;
-  targets = other400.targets;
-  beacon = other400.beacon;
-  controlHosts = other400.controlHosts;
-  __isset = other400.__isset;
+Spread::Spread(const Spread& other428) {
+  nodes = other428.nodes;
+  targets = other428.targets;
+  beacon = other428.beacon;
+  controlHosts = other428.controlHosts;
+  crashes = other428.crashes;
+  __isset = other428.__isset;
 }
-Spread::Spread(Spread&& other401) noexcept {
-  nodes = std::move(other401.nodes);
-  targets = std::move(other401.targets);
-  beacon = std::move(other401.beacon);
-  controlHosts = std::move(other401.controlHosts);
-  __isset = other401.__isset;
+Spread::Spread(Spread&& other429) noexcept {
+  nodes = std::move(other429.nodes);
+  targets = std::move(other429.targets);
+  beacon = std::move(other429.beacon);
+  controlHosts = std::move(other429.controlHosts);
+  crashes = std::move(other429.crashes);
+  __isset = other429.__isset;
 }
-Spread& Spread::operator=(const Spread& other402) {
-  nodes = other402.nodes;
-  targets = other402.targets;
-  beacon = other402.beacon;
-  controlHosts = other402.controlHosts;
-  __isset = other402.__isset;
+Spread& Spread::operator=(const Spread& other430) {
+  nodes = other430.nodes;
+  targets = other430.targets;
+  beacon = other430.beacon;
+  controlHosts = other430.controlHosts;
+  crashes = other430.crashes;
+  __isset = other430.__isset;
   return *this;
 }
-Spread& Spread::operator=(Spread&& other403) noexcept {
-  nodes = std::move(other403.nodes);
-  targets = std::move(other403.targets);
-  beacon = std::move(other403.beacon);
-  controlHosts = std::move(other403.controlHosts);
-  __isset = other403.__isset;
+Spread& Spread::operator=(Spread&& other431) noexcept {
+  nodes = std::move(other431.nodes);
+  targets = std::move(other431.targets);
+  beacon = std::move(other431.beacon);
+  controlHosts = std::move(other431.controlHosts);
+  crashes = std::move(other431.crashes);
+  __isset = other431.__isset;
   return *this;
 }
 void Spread::printTo(std::ostream& out) const {
@@ -10613,6 +10903,7 @@
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
   out << ", " << "controlHosts=" << to_string(controlHosts);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -10680,14 +10971,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->buckets.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->buckets.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += iprot->readI64(this->buckets[_i408]);
+              xfer += iprot->readI64(this->buckets[_i436]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10724,10 +11015,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter409;
-    for (_iter409 = this->buckets.begin(); _iter409 != this->buckets.end(); ++_iter409)
+    std::vector<int64_t> ::const_iterator _iter437;
+    for (_iter437 = this->buckets.begin(); _iter437 != this->buckets.end(); ++_iter437)
     {
-      xfer += oprot->writeI64((*_iter409));
+      xfer += oprot->writeI64((*_iter437));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10746,30 +11037,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other410) {
-  version = other410.version;
-  hash = other410.hash;
-  buckets = other410.buckets;
-  __isset = other410.__isset;
+Digest::Digest(const Digest& other438) {
+  version = other438.version;
+  hash = other438.hash;
+  buckets = other438.buckets;
+  __isset = other438.__isset;
 }
-Digest::Digest(Digest&& other411) noexcept {
-  version = other411.version;
-  hash = other411.hash;
-  buckets = std::move(other411.buckets);
-  __isset = other411.__isset;
+Digest::Digest(Digest&& other439) noexcept {
+  version = other439.version;
+  hash = other439.hash;
+  buckets = std::move(other439.buckets);
+  __isset = other439.__isset;
 }
-Digest& Digest::operator=(const Digest& other412) {
-  version = other412.version;
-  hash = other412.hash;
-  buckets = other412.buckets;
-  __isset = other412.__isset;
+Digest& Digest::operator=(const Digest& other440) {
+  version = other440.version;
+  hash = other440.hash;
+  buckets = other440.buckets;
+  __isset = other440.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other413) noexcept {
-  version = other413.version;
-  hash = other413.hash;
-  buckets = std::move(other413.buckets);
-  __isset = other413.__isset;
+Digest& Digest::operator=(Digest&& other441) noexcept {
+  version = other441.version;
+  hash = other441.hash;
+  buckets = std::move(other441.buckets);
+  __isset = other441.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -10850,14 +11141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->targets.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size442;
+            ::apache::thrift::protocol::TType _etype445;
+            xfer += iprot->readListBegin(_etype445, _size442);
+            this->targets.resize(_size442);
+            uint32_t _i446;
+            for (_i446 = 0; _i446 < _size442; ++_i446)
             {
-              xfer += this->targets[_i418].read(iprot);
+              xfer += this->targets[_i446].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10870,14 +11161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->nodes.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->nodes.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              xfer += this->nodes[_i423].read(iprot);
+              xfer += this->nodes[_i451].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10915,10 +11206,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter424;
-    for (_iter424 = this->targets.begin(); _iter424 != this->targets.end(); ++_iter424)
+    std::vector<Presence> ::const_iterator _iter452;
+    for (_iter452 = this->targets.begin(); _iter452 != this->targets.end(); ++_iter452)
     {
-      xfer += (*_iter424).write(oprot);
+      xfer += (*_iter452).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10927,10 +11218,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter425;
-    for (_iter425 = this->nodes.begin(); _iter425 != this->nodes.end(); ++_iter425)
+    std::vector<NodeInfo> ::const_iterator _iter453;
+    for (_iter453 = this->nodes.begin(); _iter453 != this->nodes.end(); ++_iter453)
     {
-      xfer += (*_iter425).write(oprot);
+      xfer += (*_iter453).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10950,34 +11241,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DigestAnswer::DigestAnswer(const DigestAnswer& other426) {
-  version = other426.version;
-  delta = other426.delta;
-  targets = other426.targets;
-  nodes = other426.nodes;
-  __isset = other426.__isset;
+DigestAnswer::DigestAnswer(const DigestAnswer& other454) {
+  version = other454.version;
+  delta = other454.delta;
+  targets = other454.targets;
+  nodes = other454.nodes;
+  __isset = other454.__isset;
 }
-DigestAnswer::DigestAnswer(DigestAnswer&& other427) noexcept {
-  version = other427.version;
-  delta = std::move(other427.delta);
-  targets = std::move(other427.targets);
-  nodes = std::move(other427.nodes);
-  __isset = other427.__isset;
+DigestAnswer::DigestAnswer(DigestAnswer&& other455) noexcept {
+  version = other455.version;
+  delta = std::move(other455.delta);
+  targets = std::move(other455.targets);
+  nodes = std::move(other455.nodes);
+  __isset = other455.__isset;
 }
-DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other428) {
-  version = other428.version;
-  delta = other428.delta;
-  targets = other428.targets;
-  nodes = other428.nodes;
-  __isset = other428.__isset;
+DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other456) {
+  version = other456.version;
+  delta = other456.delta;
+  targets = other456.targets;
+  nodes = other456.nodes;
+  __isset = other456.__isset;
   return *this;
 }
-DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other429) noexcept {
-  version = other429.version;
-  delta = std::move(other429.delta);
-  targets = std::move(other429.targets);
-  nodes = std::move(other429.nodes);
-  __isset = other429.__isset;
+DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other457) noexcept {
+  version = other457.version;
+  delta = std::move(other457.delta);
+  targets = std::move(other457.targets);
+  nodes = std::move(other457.nodes);
+  __isset = other457.__isset;
   return *this;
 }
 void DigestAnswer::printTo(std::ostream& out) const {
@@ -11083,26 +11374,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other430) {
-  name = other430.name;
-  value = other430.value;
-  __isset = other430.__isset;
+Header::Header(const Header& other458) {
+  name = other458.name;
+  value = other458.value;
+  __isset = other458.__isset;
 }
-Header::Header(Header&& other431) noexcept {
-  name = std::move(other431.name);
-  value = std::move(other431.value);
-  __isset = other431.__isset;
+Header::Header(Header&& other459) noexcept {
+  name = std::move(other459.name);
+  value = std::move(other459.value);
+  __isset = other459.__isset;
 }
-Header& Header::operator=(const Header& other432) {
-  name = other432.name;
-  value = other432.value;
-  __isset = other432.__isset;
+Header& Header::operator=(const Header& other460) {
+  name = other460.name;
+  value = other460.value;
+  __isset = other460.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other433) noexcept {
-  name = std::move(other433.name);
-  value = std::move(other433.value);
-  __isset = other433.__isset;
+Header& Header::operator=(Header&& other461) noexcept {
+  name = std::move(other461.name);
+  value = std::move(other461.value);
+  __isset = other461.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -11254,14 +11545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->headers.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size462;
+            ::apache::thrift::protocol::TType _etype465;
+            xfer += iprot->readListBegin(_etype465, _size462);
+            this->headers.resize(_size462);
+            uint32_t _i466;
+            for (_i466 = 0; _i466 < _size462; ++_i466)
             {
-              xfer += this->headers[_i438].read(iprot);
+              xfer += this->headers[_i466].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11430,10 +11721,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter439;
-    for (_iter439 = this->headers.begin(); _iter439 != this->headers.end(); ++_iter439)
+    std::vector<Header> ::const_iterator _iter467;
+    for (_iter467 = this->headers.begin(); _iter467 != this->headers.end(); ++_iter467)
     {
-      xfer += (*_iter439).write(oprot);
+      xfer += (*_iter467).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11534,98 +11825,98 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other440) {
-  id = other440.id;
-  method = other440.method;
-  path = other440.path;
-  headers = other440.headers;
-  body = other440.body;
-  budgetMs = other440.budgetMs;
-  serviceName = other440.serviceName;
-  target = other440.target;
-  account = other440.account;
-  priority = other440.priority;
-  incarnation = other440.incarnation;
-  requestId = other440.requestId;
-  callerService = other440.callerService;
-  objectiveMs = other440.objectiveMs;
-  mayWait = other440.mayWait;
-  nested = other440.nested;
-  usualMs = other440.usualMs;
-  laterBytes = other440.laterBytes;
-  mostWaitMs = other440.mostWaitMs;
-  maxCallsPerSecond = other440.maxCallsPerSecond;
-  __isset = other440.__isset;
+CallRequest::CallRequest(const CallRequest& other468) {
+  id = other468.id;
+  method = other468.method;
+  path = other468.path;
+  headers = other468.headers;
+  body = other468.body;
+  budgetMs = other468.budgetMs;
+  serviceName = other468.serviceName;
+  target = other468.target;
+  account = other468.account;
+  priority = other468.priority;
+  incarnation = other468.incarnation;
+  requestId = other468.requestId;
+  callerService = other468.callerService;
+  objectiveMs = other468.objectiveMs;
+  mayWait = other468.mayWait;
+  nested = other468.nested;
+  usualMs = other468.usualMs;
+  laterBytes = other468.laterBytes;
+  mostWaitMs = other468.mostWaitMs;
+  maxCallsPerSecond = other468.maxCallsPerSecond;
+  __isset = other468.__isset;
 }
-CallRequest::CallRequest(CallRequest&& other441) noexcept {
-  id = other441.id;
-  method = std::move(other441.method);
-  path = std::move(other441.path);
-  headers = std::move(other441.headers);
-  body = std::move(other441.body);
-  budgetMs = other441.budgetMs;
-  serviceName = std::move(other441.serviceName);
-  target = std::move(other441.target);
-  account = std::move(other441.account);
-  priority = other441.priority;
-  incarnation = other441.incarnation;
-  requestId = std::move(other441.requestId);
-  callerService = std::move(other441.callerService);
-  objectiveMs = other441.objectiveMs;
-  mayWait = other441.mayWait;
-  nested = other441.nested;
-  usualMs = other441.usualMs;
-  laterBytes = other441.laterBytes;
-  mostWaitMs = other441.mostWaitMs;
-  maxCallsPerSecond = other441.maxCallsPerSecond;
-  __isset = other441.__isset;
+CallRequest::CallRequest(CallRequest&& other469) noexcept {
+  id = other469.id;
+  method = std::move(other469.method);
+  path = std::move(other469.path);
+  headers = std::move(other469.headers);
+  body = std::move(other469.body);
+  budgetMs = other469.budgetMs;
+  serviceName = std::move(other469.serviceName);
+  target = std::move(other469.target);
+  account = std::move(other469.account);
+  priority = other469.priority;
+  incarnation = other469.incarnation;
+  requestId = std::move(other469.requestId);
+  callerService = std::move(other469.callerService);
+  objectiveMs = other469.objectiveMs;
+  mayWait = other469.mayWait;
+  nested = other469.nested;
+  usualMs = other469.usualMs;
+  laterBytes = other469.laterBytes;
+  mostWaitMs = other469.mostWaitMs;
+  maxCallsPerSecond = other469.maxCallsPerSecond;
+  __isset = other469.__isset;
 }
-CallRequest& CallRequest::operator=(const CallRequest& other442) {
-  id = other442.id;
-  method = other442.method;
-  path = other442.path;
-  headers = other442.headers;
-  body = other442.body;
-  budgetMs = other442.budgetMs;
-  serviceName = other442.serviceName;
-  target = other442.target;
-  account = other442.account;
-  priority = other442.priority;
-  incarnation = other442.incarnation;
-  requestId = other442.requestId;
-  callerService = other442.callerService;
-  objectiveMs = other442.objectiveMs;
-  mayWait = other442.mayWait;
-  nested = other442.nested;
-  usualMs = other442.usualMs;
-  laterBytes = other442.laterBytes;
-  mostWaitMs = other442.mostWaitMs;
-  maxCallsPerSecond = other442.maxCallsPerSecond;
-  __isset = other442.__isset;
+CallRequest& CallRequest::operator=(const CallRequest& other470) {
+  id = other470.id;
+  method = other470.method;
+  path = other470.path;
+  headers = other470.headers;
+  body = other470.body;
+  budgetMs = other470.budgetMs;
+  serviceName = other470.serviceName;
+  target = other470.target;
+  account = other470.account;
+  priority = other470.priority;
+  incarnation = other470.incarnation;
+  requestId = other470.requestId;
+  callerService = other470.callerService;
+  objectiveMs = other470.objectiveMs;
+  mayWait = other470.mayWait;
+  nested = other470.nested;
+  usualMs = other470.usualMs;
+  laterBytes = other470.laterBytes;
+  mostWaitMs = other470.mostWaitMs;
+  maxCallsPerSecond = other470.maxCallsPerSecond;
+  __isset = other470.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other443) noexcept {
-  id = other443.id;
-  method = std::move(other443.method);
-  path = std::move(other443.path);
-  headers = std::move(other443.headers);
-  body = std::move(other443.body);
-  budgetMs = other443.budgetMs;
-  serviceName = std::move(other443.serviceName);
-  target = std::move(other443.target);
-  account = std::move(other443.account);
-  priority = other443.priority;
-  incarnation = other443.incarnation;
-  requestId = std::move(other443.requestId);
-  callerService = std::move(other443.callerService);
-  objectiveMs = other443.objectiveMs;
-  mayWait = other443.mayWait;
-  nested = other443.nested;
-  usualMs = other443.usualMs;
-  laterBytes = other443.laterBytes;
-  mostWaitMs = other443.mostWaitMs;
-  maxCallsPerSecond = other443.maxCallsPerSecond;
-  __isset = other443.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other471) noexcept {
+  id = other471.id;
+  method = std::move(other471.method);
+  path = std::move(other471.path);
+  headers = std::move(other471.headers);
+  body = std::move(other471.body);
+  budgetMs = other471.budgetMs;
+  serviceName = std::move(other471.serviceName);
+  target = std::move(other471.target);
+  account = std::move(other471.account);
+  priority = other471.priority;
+  incarnation = other471.incarnation;
+  requestId = std::move(other471.requestId);
+  callerService = std::move(other471.callerService);
+  objectiveMs = other471.objectiveMs;
+  mayWait = other471.mayWait;
+  nested = other471.nested;
+  usualMs = other471.usualMs;
+  laterBytes = other471.laterBytes;
+  mostWaitMs = other471.mostWaitMs;
+  maxCallsPerSecond = other471.maxCallsPerSecond;
+  __isset = other471.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -11789,14 +12080,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size445;
-            ::apache::thrift::protocol::TType _etype448;
-            xfer += iprot->readListBegin(_etype448, _size445);
-            this->headers.resize(_size445);
-            uint32_t _i449;
-            for (_i449 = 0; _i449 < _size445; ++_i449)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _etype476;
+            xfer += iprot->readListBegin(_etype476, _size473);
+            this->headers.resize(_size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              xfer += this->headers[_i449].read(iprot);
+              xfer += this->headers[_i477].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11949,10 +12240,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter450;
-    for (_iter450 = this->headers.begin(); _iter450 != this->headers.end(); ++_iter450)
+    std::vector<Header> ::const_iterator _iter478;
+    for (_iter478 = this->headers.begin(); _iter478 != this->headers.end(); ++_iter478)
     {
-      xfer += (*_iter450).write(oprot);
+      xfer += (*_iter478).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12043,90 +12334,90 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other451) {
-  id = other451.id;
-  outcome = other451.outcome;
-  status = other451.status;
-  headers = other451.headers;
-  body = other451.body;
-  inFlight = other451.inFlight;
-  queued = other451.queued;
-  reason = other451.reason;
-  retryAfterMs = other451.retryAfterMs;
-  fault = other451.fault;
-  refused = other451.refused;
-  cold = other451.cold;
-  arrived = other451.arrived;
-  timedOut = other451.timedOut;
-  runMicros = other451.runMicros;
-  typicalMicros = other451.typicalMicros;
-  maxCallsPerSecond = other451.maxCallsPerSecond;
-  leaving = other451.leaving;
-  __isset = other451.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other452) noexcept {
-  id = other452.id;
-  outcome = other452.outcome;
-  status = other452.status;
-  headers = std::move(other452.headers);
-  body = std::move(other452.body);
-  inFlight = other452.inFlight;
-  queued = other452.queued;
-  reason = std::move(other452.reason);
-  retryAfterMs = other452.retryAfterMs;
-  fault = other452.fault;
-  refused = other452.refused;
-  cold = other452.cold;
-  arrived = other452.arrived;
-  timedOut = other452.timedOut;
-  runMicros = other452.runMicros;
-  typicalMicros = other452.typicalMicros;
-  maxCallsPerSecond = other452.maxCallsPerSecond;
-  leaving = other452.leaving;
-  __isset = other452.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other453) {
-  id = other453.id;
-  outcome = other453.outcome;
-  status = other453.status;
-  headers = other453.headers;
-  body = other453.body;
-  inFlight = other453.inFlight;
-  queued = other453.queued;
-  reason = other453.reason;
-  retryAfterMs = other453.retryAfterMs;
-  fault = other453.fault;
-  refused = other453.refused;
-  cold = other453.cold;
-  arrived = other453.arrived;
-  timedOut = other453.timedOut;
-  runMicros = other453.runMicros;
-  typicalMicros = other453.typicalMicros;
-  maxCallsPerSecond = other453.maxCallsPerSecond;
-  leaving = other453.leaving;
-  __isset = other453.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other479) {
+  id = other479.id;
+  outcome = other479.outcome;
+  status = other479.status;
+  headers = other479.headers;
+  body = other479.body;
+  inFlight = other479.inFlight;
+  queued = other479.queued;
+  reason = other479.reason;
+  retryAfterMs = other479.retryAfterMs;
+  fault = other479.fault;
+  refused = other479.refused;
+  cold = other479.cold;
+  arrived = other479.arrived;
+  timedOut = other479.timedOut;
+  runMicros = other479.runMicros;
+  typicalMicros = other479.typicalMicros;
+  maxCallsPerSecond = other479.maxCallsPerSecond;
+  leaving = other479.leaving;
+  __isset = other479.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other480) noexcept {
+  id = other480.id;
+  outcome = other480.outcome;
+  status = other480.status;
+  headers = std::move(other480.headers);
+  body = std::move(other480.body);
+  inFlight = other480.inFlight;
+  queued = other480.queued;
+  reason = std::move(other480.reason);
+  retryAfterMs = other480.retryAfterMs;
+  fault = other480.fault;
+  refused = other480.refused;
+  cold = other480.cold;
+  arrived = other480.arrived;
+  timedOut = other480.timedOut;
+  runMicros = other480.runMicros;
+  typicalMicros = other480.typicalMicros;
+  maxCallsPerSecond = other480.maxCallsPerSecond;
+  leaving = other480.leaving;
+  __isset = other480.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other481) {
+  id = other481.id;
+  outcome = other481.outcome;
+  status = other481.status;
+  headers = other481.headers;
+  body = other481.body;
+  inFlight = other481.inFlight;
+  queued = other481.queued;
+  reason = other481.reason;
+  retryAfterMs = other481.retryAfterMs;
+  fault = other481.fault;
+  refused = other481.refused;
+  cold = other481.cold;
+  arrived = other481.arrived;
+  timedOut = other481.timedOut;
+  runMicros = other481.runMicros;
+  typicalMicros = other481.typicalMicros;
+  maxCallsPerSecond = other481.maxCallsPerSecond;
+  leaving = other481.leaving;
+  __isset = other481.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other454) noexcept {
-  id = other454.id;
-  outcome = other454.outcome;
-  status = other454.status;
-  headers = std::move(other454.headers);
-  body = std::move(other454.body);
-  inFlight = other454.inFlight;
-  queued = other454.queued;
-  reason = std::move(other454.reason);
-  retryAfterMs = other454.retryAfterMs;
-  fault = other454.fault;
-  refused = other454.refused;
-  cold = other454.cold;
-  arrived = other454.arrived;
-  timedOut = other454.timedOut;
-  runMicros = other454.runMicros;
-  typicalMicros = other454.typicalMicros;
-  maxCallsPerSecond = other454.maxCallsPerSecond;
-  leaving = other454.leaving;
-  __isset = other454.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other482) noexcept {
+  id = other482.id;
+  outcome = other482.outcome;
+  status = other482.status;
+  headers = std::move(other482.headers);
+  body = std::move(other482.body);
+  inFlight = other482.inFlight;
+  queued = other482.queued;
+  reason = std::move(other482.reason);
+  retryAfterMs = other482.retryAfterMs;
+  fault = other482.fault;
+  refused = other482.refused;
+  cold = other482.cold;
+  arrived = other482.arrived;
+  timedOut = other482.timedOut;
+  runMicros = other482.runMicros;
+  typicalMicros = other482.typicalMicros;
+  maxCallsPerSecond = other482.maxCallsPerSecond;
+  leaving = other482.leaving;
+  __isset = other482.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -12229,22 +12520,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other455) noexcept {
-  id = other455.id;
-  __isset = other455.__isset;
+CallCancel::CallCancel(const CallCancel& other483) noexcept {
+  id = other483.id;
+  __isset = other483.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other456) noexcept {
-  id = other456.id;
-  __isset = other456.__isset;
+CallCancel::CallCancel(CallCancel&& other484) noexcept {
+  id = other484.id;
+  __isset = other484.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other457) noexcept {
-  id = other457.id;
-  __isset = other457.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other485) noexcept {
+  id = other485.id;
+  __isset = other485.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other458) noexcept {
-  id = other458.id;
-  __isset = other458.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other486) noexcept {
+  id = other486.id;
+  __isset = other486.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -12330,22 +12621,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallGrant::CallGrant(const CallGrant& other459) noexcept {
-  id = other459.id;
-  __isset = other459.__isset;
+CallGrant::CallGrant(const CallGrant& other487) noexcept {
+  id = other487.id;
+  __isset = other487.__isset;
 }
-CallGrant::CallGrant(CallGrant&& other460) noexcept {
-  id = other460.id;
-  __isset = other460.__isset;
+CallGrant::CallGrant(CallGrant&& other488) noexcept {
+  id = other488.id;
+  __isset = other488.__isset;
 }
-CallGrant& CallGrant::operator=(const CallGrant& other461) noexcept {
-  id = other461.id;
-  __isset = other461.__isset;
+CallGrant& CallGrant::operator=(const CallGrant& other489) noexcept {
+  id = other489.id;
+  __isset = other489.__isset;
   return *this;
 }
-CallGrant& CallGrant::operator=(CallGrant&& other462) noexcept {
-  id = other462.id;
-  __isset = other462.__isset;
+CallGrant& CallGrant::operator=(CallGrant&& other490) noexcept {
+  id = other490.id;
+  __isset = other490.__isset;
   return *this;
 }
 void CallGrant::printTo(std::ostream& out) const {
@@ -12448,26 +12739,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBody::CallBody(const CallBody& other463) {
-  id = other463.id;
-  part = other463.part;
-  __isset = other463.__isset;
+CallBody::CallBody(const CallBody& other491) {
+  id = other491.id;
+  part = other491.part;
+  __isset = other491.__isset;
 }
-CallBody::CallBody(CallBody&& other464) noexcept {
-  id = other464.id;
-  part = std::move(other464.part);
-  __isset = other464.__isset;
+CallBody::CallBody(CallBody&& other492) noexcept {
+  id = other492.id;
+  part = std::move(other492.part);
+  __isset = other492.__isset;
 }
-CallBody& CallBody::operator=(const CallBody& other465) {
-  id = other465.id;
-  part = other465.part;
-  __isset = other465.__isset;
+CallBody& CallBody::operator=(const CallBody& other493) {
+  id = other493.id;
+  part = other493.part;
+  __isset = other493.__isset;
   return *this;
 }
-CallBody& CallBody::operator=(CallBody&& other466) noexcept {
-  id = other466.id;
-  part = std::move(other466.part);
-  __isset = other466.__isset;
+CallBody& CallBody::operator=(CallBody&& other494) noexcept {
+  id = other494.id;
+  part = std::move(other494.part);
+  __isset = other494.__isset;
   return *this;
 }
 void CallBody::printTo(std::ostream& out) const {
@@ -12660,46 +12951,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other468) {
-  id = other468.id;
-  step = other468.step;
-  key = other468.key;
-  fingerprint = other468.fingerprint;
-  owner = other468.owner;
-  epoch = other468.epoch;
-  answer = other468.answer;
-  __isset = other468.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other469) noexcept {
-  id = other469.id;
-  step = other469.step;
-  key = std::move(other469.key);
-  fingerprint = other469.fingerprint;
-  owner = std::move(other469.owner);
-  epoch = other469.epoch;
-  answer = std::move(other469.answer);
-  __isset = other469.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other470) {
-  id = other470.id;
-  step = other470.step;
-  key = other470.key;
-  fingerprint = other470.fingerprint;
-  owner = other470.owner;
-  epoch = other470.epoch;
-  answer = other470.answer;
-  __isset = other470.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other496) {
+  id = other496.id;
+  step = other496.step;
+  key = other496.key;
+  fingerprint = other496.fingerprint;
+  owner = other496.owner;
+  epoch = other496.epoch;
+  answer = other496.answer;
+  __isset = other496.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other497) noexcept {
+  id = other497.id;
+  step = other497.step;
+  key = std::move(other497.key);
+  fingerprint = other497.fingerprint;
+  owner = std::move(other497.owner);
+  epoch = other497.epoch;
+  answer = std::move(other497.answer);
+  __isset = other497.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other498) {
+  id = other498.id;
+  step = other498.step;
+  key = other498.key;
+  fingerprint = other498.fingerprint;
+  owner = other498.owner;
+  epoch = other498.epoch;
+  answer = other498.answer;
+  __isset = other498.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other471) noexcept {
-  id = other471.id;
-  step = other471.step;
-  key = std::move(other471.key);
-  fingerprint = other471.fingerprint;
-  owner = std::move(other471.owner);
-  epoch = other471.epoch;
-  answer = std::move(other471.answer);
-  __isset = other471.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other499) noexcept {
+  id = other499.id;
+  step = other499.step;
+  key = std::move(other499.key);
+  fingerprint = other499.fingerprint;
+  owner = std::move(other499.owner);
+  epoch = other499.epoch;
+  answer = std::move(other499.answer);
+  __isset = other499.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -12829,30 +13120,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other473) {
-  id = other473.id;
-  verdict = other473.verdict;
-  answer = other473.answer;
-  __isset = other473.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other501) {
+  id = other501.id;
+  verdict = other501.verdict;
+  answer = other501.answer;
+  __isset = other501.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other474) noexcept {
-  id = other474.id;
-  verdict = other474.verdict;
-  answer = std::move(other474.answer);
-  __isset = other474.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other502) noexcept {
+  id = other502.id;
+  verdict = other502.verdict;
+  answer = std::move(other502.answer);
+  __isset = other502.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other475) {
-  id = other475.id;
-  verdict = other475.verdict;
-  answer = other475.answer;
-  __isset = other475.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other503) {
+  id = other503.id;
+  verdict = other503.verdict;
+  answer = other503.answer;
+  __isset = other503.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other476) noexcept {
-  id = other476.id;
-  verdict = other476.verdict;
-  answer = std::move(other476.answer);
-  __isset = other476.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other504) noexcept {
+  id = other504.id;
+  verdict = other504.verdict;
+  answer = std::move(other504.answer);
+  __isset = other504.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -312,6 +312,8 @@
 
 class Alarm;
 
+class TargetCrash;
+
 class Beacon;
 
 class Subscribe;
@@ -3572,6 +3574,70 @@
 
 std::ostream& operator<<(std::ostream& out, const Alarm& obj);
 
+typedef struct _TargetCrash__isset {
+  _TargetCrash__isset() : target(false), incarnation(false), calls(false), cleared(false) {}
+  bool target :1;
+  bool incarnation :1;
+  bool calls :1;
+  bool cleared :1;
+} _TargetCrash__isset;
+
+class TargetCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetCrash(const TargetCrash&);
+  TargetCrash(TargetCrash&&) noexcept;
+  TargetCrash& operator=(const TargetCrash&);
+  TargetCrash& operator=(TargetCrash&&) noexcept;
+  TargetCrash() noexcept
+              : target(),
+                incarnation(0) {
+  }
+
+  virtual ~TargetCrash() noexcept;
+  std::string target;
+  int64_t incarnation;
+  std::vector<int64_t>  calls;
+  std::vector<int64_t>  cleared;
+
+  _TargetCrash__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_calls(const std::vector<int64_t> & val);
+
+  void __set_cleared(const std::vector<int64_t> & val);
+
+  bool operator == (const TargetCrash & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetCrash &a, TargetCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj);
+
 typedef struct _Beacon__isset {
   _Beacon__isset() : term(false), sequence(false), version(false), claimsThroughMs(false) {}
   bool term :1;
@@ -3782,12 +3848,13 @@
 std::ostream& operator<<(std::ostream& out, const SubscribeAnswer& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : nodes(false), targets(false), evidence(false), alarms(false), acks(false) {}
+  _Report__isset() : nodes(false), targets(false), evidence(false), alarms(false), acks(false), crashes(false) {}
   bool nodes :1;
   bool targets :1;
   bool evidence :1;
   bool alarms :1;
   bool acks :1;
+  bool crashes :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -3806,6 +3873,7 @@
   std::vector<EvidenceCell>  evidence;
   std::vector<Alarm>  alarms;
   std::vector<NodeAck>  acks;
+  std::vector<TargetCrash>  crashes;
 
   _Report__isset __isset;
 
@@ -3819,6 +3887,8 @@
 
   void __set_acks(const std::vector<NodeAck> & val);
 
+  void __set_crashes(const std::vector<TargetCrash> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -3831,6 +3901,8 @@
       return false;
     if (!(acks == rhs.acks))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -3908,11 +3980,12 @@
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj);
 
 typedef struct _Spread__isset {
-  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false) {}
+  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false), crashes(false) {}
   bool nodes :1;
   bool targets :1;
   bool beacon :1;
   bool controlHosts :1;
+  bool crashes :1;
 } _Spread__isset;
 
 class Spread : public virtual ::apache::thrift::TBase {
@@ -3930,6 +4003,7 @@
   std::vector<Presence>  targets;
   Beacon beacon;
   std::vector<std::string>  controlHosts;
+  std::vector<TargetCrash>  crashes;
 
   _Spread__isset __isset;
 
@@ -3941,6 +4015,8 @@
 
   void __set_controlHosts(const std::vector<std::string> & val);
 
+  void __set_crashes(const std::vector<TargetCrash> & val);
+
   bool operator == (const Spread & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -3953,6 +4029,8 @@
       return false;
     if (!(controlHosts == rhs.controlHosts))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const Spread &rhs) const {
