Calls whose callers leave before the crash are counted at it

What callers saw: nothing yet; found by a test. A call that crashes its target some time after its start, and whose caller leaves before, crashed target after target without end.

Cause: only calls whose connection the target broke counted as running. A node closes the connection of a call whose caller has left or whose deadline has passed, but the target may go on running it.

Fix: calls that this node abandoned in the last second before a crash are reported with it. They are no evidence of a crash when the target is replaced, only when it refuses a connection.

--- a/include/pomelowind/targets/CrashDetector.h
+++ b/include/pomelowind/targets/CrashDetector.h
@@ -12,11 +12,11 @@
 
 namespace pomelowind::targets {
 
-// A call whose connection to the target broke before the response was complete.
+// A call whose connection to the target ended before the response was complete.
 struct BrokenCall {
     uint64_t fingerprint { 0 }; // see callFingerprint()
     std::string requestId;
-    base::Instant at; // when the connection broke
+    base::Instant at; // when the connection ended
     bool operator==(const BrokenCall&) const = default;
 };
 
@@ -25,6 +25,9 @@
 public:
     // Records a running call whose connection has broken.
     void onCallBroken(BrokenCall call);
+    // Records a running call whose connection this node has closed, because its caller has left or its deadline has
+    // passed. The target may go on running it for a while.
+    void onCallAbandoned(BrokenCall call);
     // Records a response to a request that was sent at `sentAt`: the target lived then, so earlier breaks are no crash.
     void onAnswered(base::Instant sentAt);
     // The target has refused a connection. Returns the calls that ran when it crashed; empty if it did not crash.
@@ -33,9 +36,10 @@
     std::vector<BrokenCall> onReplaced(base::Instant now);
 
 private:
-    std::vector<BrokenCall> takeSince(base::Instant earliest);
+    std::vector<BrokenCall> takeSince(base::Instant earliest, base::Instant crashedBy);
 
     std::vector<BrokenCall> m_broken; // since the last response, in order
+    std::vector<BrokenCall> m_abandoned; // of the last moments, in order
 };
 
 // Returns a hash that is equal for calls with the same method, host, path with query, calling service and body, and in
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -282,10 +282,15 @@
     if (target.isDraining)
         return;
     auto now = m_clock.now();
+    auto brokenCall = [&] {
+        return targets::BrokenCall { fingerprintOf(call.request, call.body), call.request.requestId, now };
+    };
     if (result.end == http::ExchangeEnd::Answered)
         target.crashDetector.onAnswered(call.started);
+    else if (result.end == http::ExchangeEnd::Cancelled || result.end == http::ExchangeEnd::TimedOut)
+        target.crashDetector.onCallAbandoned(brokenCall());
     else if (result.connectionLost)
-        target.crashDetector.onCallBroken({ fingerprintOf(call.request, call.body), call.request.requestId, now });
+        target.crashDetector.onCallBroken(brokenCall());
     else if (result.connectionRefused)
         onCrashed(target, target.crashDetector.onConnectionRefused(now), "refused");
 }
--- a/tests/correctness/CrashesAreToldFromBrokenConnections.cpp
+++ b/tests/correctness/CrashesAreToldFromBrokenConnections.cpp
@@ -56,6 +56,23 @@
     EXPECT_TRUE(detector.onConnectionRefused(T0 + Millis(5000)).empty());
 }
 
+TEST(CrashesAreToldFromBrokenConnections, CallThatItsCallerLeftBeforeTheCrashIsNamed)
+{
+    CrashDetector detector;
+    detector.onCallAbandoned({ 3, "long gone", T0 - Millis(5000) });
+    detector.onCallAbandoned({ 1, "a", T0 });
+    detector.onAnswered(T0 + Millis(10));
+    detector.onCallBroken({ 2, "b", T0 + Millis(50) });
+    EXPECT_EQ(detector.onConnectionRefused(T0 + Millis(60)).size(), 2U);
+}
+
+TEST(CrashesAreToldFromBrokenConnections, ReplacementAfterACallThatItsCallerLeftIsNoCrash)
+{
+    CrashDetector detector;
+    detector.onCallAbandoned({ 1, "a", T0 });
+    EXPECT_TRUE(detector.onReplaced(T0 + Millis(100)).empty());
+}
+
 TEST(CrashesAreToldFromBrokenConnections, FingerprintsDifferInEachPart)
 {
     auto base = callFingerprint("GET", "a.example", "/p", "s", "body");
--- a/tests/property/CallsThatCrashTargetsAreStopped.cpp
+++ b/tests/property/CallsThatCrashTargetsAreStopped.cpp
@@ -108,6 +108,26 @@
     }
 }
 
+TEST(CallsThatCrashTargetsAreStopped, WhenTheirCallersLeaveBeforeTheCrash)
+{
+    for (auto options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        options.crashDelay = Millis(30);
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        for (int i = 0; i < 80; ++i) {
+            auto id = service.send(i % OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY);
+            service.run(Millis(20), CALLS_PER_SECOND);
+            service.leave(id);
+            service.run(REPEAT_PERIOD, CALLS_PER_SECOND);
+        }
+        ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
+        auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
+        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+    }
+}
+
 TEST(CallsThatCrashTargetsAreStopped, StayBlockedWhenNodesRestart)
 {
     for (const auto& options : variants()) {
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -163,6 +163,7 @@
     }
     m_crashes.push_back(std::move(out));
     target.served.clear();
+    target.crashAt.reset();
     target.downUntil = m_clock.now() + m_options.downTime;
     m_fixture.crashTarget(node);
 }
@@ -212,11 +213,15 @@
             target.arrivals.push_back({ m_clock.now(), call.at, call.node,
                 informed == target.informedNodes.end() ? std::nullopt : std::optional(informed->second), call.path,
                 call.body });
-            if (isDeadly(target.arrivals.back()))
-                return crash(node, target);
+            if (isDeadly(target.arrivals.back())) {
+                target.crashAt = target.crashAt.value_or(m_clock.now() + m_options.crashDelay);
+                continue;
+            }
             served.answers.push_back({ m_clock.now() + m_options.serviceTime, id,
                 CallPathFixture::answer(id, bodyOf(node), 200, target.headers) });
         }
+        if (target.crashAt && m_clock.now() >= *target.crashAt)
+            return crash(node, target);
         std::erase_if(served.answers, [&](const Answer& it) {
             if (it.due > m_clock.now())
                 return false;
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -46,6 +46,7 @@
         bool distinctPaths { false }; // each random call has a path of its own
         std::vector<std::string> services; // of the callers of each node; "s" where missing
         bool productProtocol { false };
+        base::Millis crashDelay { 0 }; // from the arrival of a deadly call to the crash
         base::Millis downTime { 2000 }; // from a target's crash to its next incarnation
     };
     explicit CalledService(const Options& options);
@@ -62,6 +63,8 @@
     std::string send(int i, const std::string& path, const std::string& body);
     // Sends the call `id` once more at node `i`, and returns the new id.
     std::string sendAgain(int i, const std::string& id);
+    // Lets the caller of the call `id` close its connection.
+    void leave(const std::string& id) { m_calls.at(id).connection->close(); }
     // Returns the status with which the call `id` was answered: 0 while it has no answer, or none came.
     int statusOf(const std::string& id) const;
     // From now on, calls with this path and body of callers of the service "s" crash their targets; an empty path:
@@ -97,6 +100,7 @@
         std::map<int, base::Instant> informedNodes; // and since when
         std::vector<Served> served;
         std::vector<ArrivedCall> arrivals;
+        std::optional<base::Instant> crashAt; // runs a deadly call
         std::optional<base::Instant> downUntil; // after a crash
     };
     struct Sent {
