--- a/tests/property/CallsThatCrashTargetsAreStopped.cpp
+++ b/tests/property/CallsThatCrashTargetsAreStopped.cpp
@@ -108,6 +108,24 @@
     }
 }
 
+TEST(CallsThatCrashTargetsAreStopped, AndNotRetriedByNodesOnceSuspected)
+{
+    for (const auto& options : variants()) {
+        SCOPED_TRACE(nameOf(options));
+        CalledService service(options);
+        service.run(Millis(1000), CALLS_PER_SECOND);
+        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        service.send(0, DEADLY_PATH, DEADLY_BODY);
+        service.run(Millis(5000), CALLS_PER_SECOND);
+        ASSERT_LT(service.crashes().size(), CRASHES_TO_LEARN);
+        auto suspected = service.now();
+        service.run(Millis(5), 0);
+        service.send(1, DEADLY_PATH, DEADLY_BODY);
+        service.run(Millis(2000), CALLS_PER_SECOND);
+        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, suspected), 1);
+    }
+}
+
 TEST(CallsThatCrashTargetsAreStopped, WhenTheirCallersLeaveBeforeTheCrash)
 {
     for (auto options : variants()) {
