--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -9,6 +9,7 @@
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/AcceptedRate.h"
 #include "pomelowind/targets/BodyFlowControl.h"
+#include "pomelowind/targets/CrashDetector.h"
 #include "pomelowind/targets/Gate.h"
 
 #include <map>
@@ -21,6 +22,9 @@
 // Receives the id and the incarnation of a target that has said in a response that it leaves.
 using LeavingListener = std::function<void(const std::string& target, int64_t incarnation)>;
 
+// Receives a crash of a target of this host, with the fingerprints of the calls that ran there.
+using CrashListener = std::function<void(wire::TargetCrash crash)>;
+
 // Admits, queues and runs calls. Thread safety: confined to the calls event loop.
 class LocalTargets {
 public:
@@ -46,6 +50,8 @@
     void cancel(uint64_t id);
     // Sets the function that is called once for each target that has said in a response that it leaves.
     void setLeavingListener(LeavingListener listener) { m_onLeaving = std::move(listener); }
+    // Sets the function that learns of crashes of targets of this host.
+    void setCrashListener(CrashListener listener) { m_onCrashed = std::move(listener); }
     const RunningCalls& runningCalls() const { return m_runningCalls; }
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
@@ -60,6 +66,8 @@
     size_t callCount() const { return m_calls.size(); }
     // Calls sent to targets since the start.
     uint64_t sentCalls() const { return m_sentCalls; }
+    // Crashes of targets since the start.
+    uint64_t crashes() const { return m_crashes; }
     // Calls per second that the targets of this host say they accept; 0 if none names a limit.
     double maxCallsPerSecond() const;
 
@@ -75,6 +83,7 @@
         Announcement announcement;
         targets::TargetNotice notice; // as of the last response
         targets::AcceptedRate acceptedRate;
+        targets::CrashDetector crashDetector;
         LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
         std::shared_ptr<http::HttpClient> client;
@@ -100,6 +109,8 @@
     void applyGateStep(Target& target, const targets::GateStep& step);
     void onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt);
     void drain(Target& target);
+    void watchForCrash(Target& target, const Call& call, const http::ExchangeResult& result);
+    void onCrashed(const Target& target, const std::vector<targets::BrokenCall>& calls, const char* evidence);
     void logLoad(base::Instant now);
     void reportLongRuns(base::Instant now);
     targets::BodyFlowControl::Lane laneOf(const Call& call) const;
@@ -121,8 +132,10 @@
     RunningCalls m_runningCalls;
     LeavingListener m_onLeaving;
     std::optional<base::Instant> m_lastDeadline;
+    CrashListener m_onCrashed;
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
+    uint64_t m_crashes { 0 };
 };
 
 } // namespace pomelowind::node
