--- a/src/targets/CrashSuspects.cpp
+++ b/src/targets/CrashSuspects.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     // Crashes without a response in between after which a call is blocked. With fewer, a bystander of two crashes is
-    // blocked; with more, each deadly call costs one more target.
+    // blocked; with more, each crashing call costs one more target.
     constexpr int BLOCKING_CRASHES = 3;
     // Several times as long as crashed targets take to start again. A frequent call that ran at three targets that lost
     // power together is blocked, too, and the first trial soon shows that it is innocent.
--- a/tests/property/CallsThatCrashTargetsAreStopped.cpp
+++ b/tests/property/CallsThatCrashTargetsAreStopped.cpp
@@ -13,8 +13,8 @@
 
 constexpr int NODES = 5;
 constexpr int OTHER_CALLERS_NODE = 4;
-constexpr char DEADLY_PATH[] = "/again/deadly";
-constexpr char DEADLY_BODY[] = "the body that crashes targets";
+constexpr char CRASHING_PATH[] = "/again/crashing";
+constexpr char CRASHING_BODY[] = "the body that crashes targets";
 constexpr double CALLS_PER_SECOND = 60;
 constexpr double FREQUENT_CALLS_PER_SECOND = 500;
 constexpr Millis REPEAT_PERIOD(150);
@@ -54,12 +54,12 @@
     return "seed " + std::to_string(options.seed) + (options.usesProductProtocol ? ", product" : ", platform");
 }
 
-// Callers send the deadly call again and again at nodes in turn. Returns the ids of these calls.
-std::vector<std::string> repeatDeadlyCall(CalledService& service, Millis duration)
+// Callers send the crashing call again and again at nodes in turn. Returns the ids of these calls.
+std::vector<std::string> repeatCrashingCall(CalledService& service, Millis duration)
 {
     std::vector<std::string> out;
     for (Millis at(0); at < duration; at += REPEAT_PERIOD) {
-        out.push_back(service.send(static_cast<int>(out.size()) % OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY));
+        out.push_back(service.send(static_cast<int>(out.size()) % OTHER_CALLERS_NODE, CRASHING_PATH, CRASHING_BODY));
         service.run(REPEAT_PERIOD, CALLS_PER_SECOND);
     }
     return out;
@@ -98,11 +98,11 @@
         SCOPED_TRACE(nameOf(options));
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
-        auto ids = repeatDeadlyCall(service, Millis(12000));
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
+        auto ids = repeatCrashingCall(service, Millis(12000));
         ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
         auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
-        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+        EXPECT_EQ(arrivalsOf(service, CRASHING_PATH, CRASHING_BODY, learned), 0);
         service.run(Millis(1000), 0);
         EXPECT_EQ(service.statusOf(ids.back()), 503) << "it has not run, and is refused at once";
     }
@@ -114,15 +114,15 @@
         SCOPED_TRACE(nameOf(options));
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
-        service.send(0, DEADLY_PATH, DEADLY_BODY);
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
+        service.send(0, CRASHING_PATH, CRASHING_BODY);
         service.run(Millis(5000), CALLS_PER_SECOND);
         ASSERT_LT(service.crashes().size(), CRASHES_TO_LEARN);
         auto suspected = service.now();
         service.run(Millis(5), 0);
-        service.send(1, DEADLY_PATH, DEADLY_BODY);
+        service.send(1, CRASHING_PATH, CRASHING_BODY);
         service.run(Millis(2000), CALLS_PER_SECOND);
-        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, suspected), 1);
+        EXPECT_EQ(arrivalsOf(service, CRASHING_PATH, CRASHING_BODY, suspected), 1);
     }
 }
 
@@ -133,16 +133,16 @@
         options.crashDelay = Millis(30);
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
         for (int i = 0; i < 80; ++i) {
-            auto id = service.send(i % OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY);
+            auto id = service.send(i % OTHER_CALLERS_NODE, CRASHING_PATH, CRASHING_BODY);
             service.run(Millis(20), CALLS_PER_SECOND);
             service.leave(id);
             service.run(REPEAT_PERIOD, CALLS_PER_SECOND);
         }
         ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
         auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
-        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+        EXPECT_EQ(arrivalsOf(service, CRASHING_PATH, CRASHING_BODY, learned), 0);
     }
 }
 
@@ -152,15 +152,15 @@
         SCOPED_TRACE(nameOf(options));
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
-        repeatDeadlyCall(service, Millis(8000));
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
+        repeatCrashingCall(service, Millis(8000));
         ASSERT_GE(service.crashes().size(), CRASHES_TO_LEARN);
         auto learned = service.crashes()[CRASHES_TO_LEARN - 1].at + TIME_TO_LEARN;
         for (int i = 0; i < OTHER_CALLERS_NODE; ++i) {
             service.restart(i);
-            repeatDeadlyCall(service, Millis(1000));
+            repeatCrashingCall(service, Millis(1000));
         }
-        EXPECT_EQ(arrivalsOf(service, DEADLY_PATH, DEADLY_BODY, learned), 0);
+        EXPECT_EQ(arrivalsOf(service, CRASHING_PATH, CRASHING_BODY, learned), 0);
     }
 }
 
@@ -170,14 +170,14 @@
         SCOPED_TRACE(nameOf(options));
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
-        repeatDeadlyCall(service, Millis(8000));
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
+        repeatCrashingCall(service, Millis(8000));
         std::vector<std::string> otherBody;
         std::vector<std::string> otherCaller;
         std::vector<std::string> bystanders;
         for (int i = 0; i < 20; ++i) {
-            otherBody.push_back(service.send(i % OTHER_CALLERS_NODE, DEADLY_PATH, "another body"));
-            otherCaller.push_back(service.send(OTHER_CALLERS_NODE, DEADLY_PATH, DEADLY_BODY));
+            otherBody.push_back(service.send(i % OTHER_CALLERS_NODE, CRASHING_PATH, "another body"));
+            otherCaller.push_back(service.send(OTHER_CALLERS_NODE, CRASHING_PATH, CRASHING_BODY));
             service.run(Millis(50), 0);
         }
         for (const auto& crash : service.crashes()) {
@@ -200,13 +200,13 @@
         SCOPED_TRACE(nameOf(options));
         CalledService service(options);
         service.run(Millis(1000), CALLS_PER_SECOND);
-        service.setDeadly(DEADLY_PATH, DEADLY_BODY);
-        repeatDeadlyCall(service, Millis(8000));
-        service.setDeadly({}, {});
+        service.setCrashing(CRASHING_PATH, CRASHING_BODY);
+        repeatCrashingCall(service, Millis(8000));
+        service.setCrashing({}, {});
         service.run(Millis(5000), CALLS_PER_SECOND);
         service.skip(LONGEST_BLOCK);
-        repeatDeadlyCall(service, Millis(3000));
-        auto ids = repeatDeadlyCall(service, Millis(3000));
+        repeatCrashingCall(service, Millis(3000));
+        auto ids = repeatCrashingCall(service, Millis(3000));
         service.run(Millis(1000), 0);
         EXPECT_EQ(answeredOk(service, ids), static_cast<int>(ids.size()));
     }
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -140,13 +140,13 @@
 
 int CalledService::statusOf(const std::string& id) const { return m_calls.at(id).status; }
 
-void CalledService::setDeadly(const std::string& path, const std::string& body)
+void CalledService::setCrashing(const std::string& path, const std::string& body)
 {
     m_deadlyPath = path;
     m_deadlyBody = body;
 }
 
-bool CalledService::isDeadly(const ArrivedCall& call) const
+bool CalledService::isCrashing(const ArrivedCall& call) const
 {
     auto node = static_cast<size_t>(call.node);
     auto service = node < m_options.services.size() ? m_options.services[node] : CALLERS_SERVICE;
@@ -213,7 +213,7 @@
             target.arrivals.push_back({ m_clock.now(), call.at, call.node,
                 informed == target.informedNodes.end() ? std::nullopt : std::optional(informed->second), call.path,
                 call.body });
-            if (isDeadly(target.arrivals.back())) {
+            if (isCrashing(target.arrivals.back())) {
                 target.crashAt = target.crashAt.value_or(m_clock.now() + m_options.crashDelay);
                 continue;
             }
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -46,7 +46,7 @@
         bool distinctPaths { false }; // each random call has a path of its own
         std::vector<std::string> services; // of the callers of each node; "s" where missing
         bool usesProductProtocol { false };
-        base::Millis crashDelay { 0 }; // from the arrival of a deadly call to the crash
+        base::Millis crashDelay { 0 }; // from the arrival of a crashing call to the crash
         base::Millis downTime { 2000 }; // from a target's crash to its next incarnation
     };
     explicit CalledService(const Options& options);
@@ -69,7 +69,7 @@
     int statusOf(const std::string& id) const;
     // From now on, calls with this path and body of callers of the service "s" crash their targets; an empty path:
     // none.
-    void setDeadly(const std::string& path, const std::string& body);
+    void setCrashing(const std::string& path, const std::string& body);
     // Lets the target of node `i` crash for another reason than a call.
     void crashTarget(int i) { crash(i, m_targets.at(i)); }
     // All crashes, in order.
@@ -100,7 +100,7 @@
         std::map<int, base::Instant> informedNodes; // and since when
         std::vector<Served> served;
         std::vector<ArrivedCall> arrivals;
-        std::optional<base::Instant> crashAt; // runs a deadly call
+        std::optional<base::Instant> crashAt; // runs a crashing call
         std::optional<base::Instant> downUntil; // after a crash
     };
     struct Sent {
@@ -121,7 +121,7 @@
     void readAnswers();
     void forgetInformed(int node);
     void serve(int node, Target& target);
-    bool isDeadly(const ArrivedCall& call) const;
+    bool isCrashing(const ArrivedCall& call) const;
     void crash(int node, Target& target);
     RawConnectionPtr idleConnection(int node);
 
