--- a/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
+++ b/tests/integration/SignalsAtAnyMomentEndNoProcessEarly.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <future>
 #include <gtest/gtest.h>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <sys/stat.h>
@@ -84,14 +85,14 @@
     for (const auto& it : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task")) {
         std::ifstream status(it.path() / "status");
         std::string line;
-        uint64_t blocked = 0;
+        std::optional<uint64_t> blocked; // empty: the thread has ended meanwhile
         while (std::getline(status, line)) {
             if (line.rfind("SigBlk:", 0) == 0)
                 blocked = std::strtoull(line.c_str() + std::strlen("SigBlk:"), nullptr, 16);
         }
         auto thread = it.path().filename().string();
         for (int signal : SIGNALS) {
-            if (thread != std::to_string(pid) && !(blocked >> (signal - 1) & 1))
+            if (thread != std::to_string(pid) && blocked && !(*blocked >> (signal - 1) & 1))
                 out.insert(thread);
         }
     }
