review: silent connections stop the control plane for good

Cause: links between control hosts have no time-out of their own and are dialled again only after TCP closes them.

--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -154,6 +154,10 @@
         self.log_path = os.path.join(mesh.folder, name + ".log")
         self.ended = asyncio.Event()
         self.watcher = None
+        self.edit_settings = lambda text: text  # changes the settings that the template gives
+
+    def mesh_address(self):
+        return f"{self.fields['ip']}:{self.fields['port_range'][0]}"
 
     def address(self, name):
         return self.fields["listen_addrs"][name]
@@ -168,7 +172,7 @@
         spec = self.mesh.deploy["roles"][self.role]
         self.fields["is_first_start"] = self.mesh.first_start and self.starts == 0
         with open(os.path.join(REPOSITORY, spec["template"]), encoding="utf-8") as f:
-            text = render(f.read(), self.fields)
+            text = self.edit_settings(render(f.read(), self.fields))
         with open(self.settings, "w", encoding="utf-8") as f:
             f.write(text)
         words = [word.replace(SETTINGS_WORD, self.settings) for word in spec["run"].split()]
@@ -311,6 +315,53 @@
     raise CannotRun(what + " did not happen in time")
 
 
+# ---- network ----
+
+class Proxy:
+    """Forwards connections to a process. Those that are open when silence() is called carry nothing more, in either
+    direction, and are never closed; later ones work."""
+
+    def __init__(self, listen, to):
+        self.listen, self.to, self.open, self.server = listen, to, [], None
+
+    async def start(self):
+        host, _, port = self.listen.rpartition(":")
+        self.server = await asyncio.start_server(self.accept, host, int(port))
+
+    def silence(self):
+        silenced = sum(not it["silent"] for it in self.open)
+        for it in self.open:
+            it["silent"] = True
+        return silenced
+
+    async def accept(self, reader, writer):
+        host, _, port = self.to.rpartition(":")
+        try:
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        connection = {"silent": False}
+        self.open.append(connection)
+        try:
+            await asyncio.gather(self.forward(connection, reader, to_writer), self.forward(connection, to_reader, writer))
+        finally:
+            self.open.remove(connection)
+            for it in (writer, to_writer):
+                it.close()
+
+    async def forward(self, connection, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                if not connection["silent"]:
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        if not connection["silent"]:
+            writer.close()
+
+
 # ---- operator ----
 
 class Operator:
