--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins of the scripts: they are Python programs that need only its standard library.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - standins/*.py [0-9]*/*.py <<'P'
+python3 - standins/*.py [0-9]*/*.py left-out/*/*.py <<'P'
 import sys
 assert sys.version_info >= (3, 11), "Python 3.11 or later is needed"
 for name in sys.argv[1:]:
