--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -15,6 +15,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -28,6 +29,7 @@
     "exposure_slack": 50, "rollback_ms": 5000, "recovery_s": 15,
 }
 HEARTBEAT_INTERVAL_S = 1.5
+CASE_LIMIT_S, RUN_LIMIT_S = 110, 117  # of the 120 s that a script may take
 
 
 class CannotRun(Exception):
@@ -284,9 +286,6 @@
         return task
 
     async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
         for it in self.processes:
             it.wanted = False
             it.signal(signal.SIGCONT)
@@ -296,6 +295,8 @@
                 await it.child.wait()
             if it.watcher:
                 it.watcher.cancel()
+        for task in self.tasks:  # the process ends without waiting for them
+            task.cancel()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             print("logs:", self.folder)
@@ -591,22 +592,36 @@
 def main(case, file):
     """Runs `case(mesh)`, which returns True if the rule held. Exits with 0 if it held, 1 if not, 2 if it could not run."""
     folder = os.path.dirname(os.path.abspath(file))
+    meshes = []
+
+    def give_up():
+        for it in (process for mesh in meshes for process in mesh.processes):
+            it.wanted = False
+            if it.child and it.child.returncode is None:
+                os.kill(it.child.pid, signal.SIGKILL)
+        print("the case could not run: it did not end in time", flush=True)
+        os._exit(2)
+
+    limit = threading.Timer(RUN_LIMIT_S, give_up)
+    limit.daemon = True
+    limit.start()
 
     async def run():
         mesh = Mesh(folder)
+        meshes.append(mesh)
         mesh.record.write(f"TROUBLE={1 if trouble() else 0}")
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(mesh), 115)
+            return await asyncio.wait_for(case(mesh), CASE_LIMIT_S)
         finally:
             await mesh.stop()
 
     try:
         held = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as e:
+    except (Exception, asyncio.CancelledError) as e:
         print("the case could not run:", type(e).__name__, e, flush=True)
         os._exit(2)
     print("the rule held" if held else "the rule was broken", flush=True)
