Answer requests with unreadable bytes instead of ending the process

Cause: the parse error quotes the unreadable byte. The handler serialized that text as JSON, which throws for text that is not UTF-8, from a catch block on an event loop; nothing catches it there. The same class on related paths: the path of a read and the audit trail (decision thread), a trailer or header field of 64 KiB or more and a TRACE with a body (nodes; Beast throws), a status and body that HTTP forbids together, and a committed command that does not decode, after which a host processed nothing any more.

Change: base::jsonText() replaces bytes that are not UTF-8, base::parseJson() bounds nesting and values, log values are escaped, parsers buffer less than Beast's limit, and each input is handled in base::runIsolated(), so that one that throws fails alone. Invariants and failed allocations still end the process.

--- a/include/pomelowind/base/Log.h
+++ b/include/pomelowind/base/Log.h
@@ -37,6 +37,10 @@
     std::string m_value;
 };
 
+// Returns `value` as it appears behind "key=": in quotes if needed, and with control characters and bytes that are not
+// UTF-8 as \xNN, so that a value from outside can neither end its line nor forge another field. Thread safety: pure.
+std::string quoteForLog(std::string_view value);
+
 // Sets up the process's logger. `program` is written on each line; `level` is one of debug, info, warn, error.
 // Precondition: called once, before other threads log.
 void startLogging(const std::string& program, const std::string& level);
--- a/include/pomelowind/http/HttpServer.h
+++ b/include/pomelowind/http/HttpServer.h
@@ -15,7 +15,7 @@
 
 // Limits of one server; sizes and times are per request.
 struct HttpLimits {
-    size_t maxHeaderBytes { 16 * 1024 };
+    size_t maxHeaderBytes { 16 * 1024 }; // of the whole header; 64 KiB at most
     size_t maxBodyBytes { 1024 * 1024 };
     base::Millis requestTimeout { 10000 }; // for reading a request, and again for writing its response
     base::Millis headerTimeout { 10000 }; // of reading the header; stored, but not enforced apart from requestTimeout
@@ -37,7 +37,8 @@
     virtual void onCancel(std::function<void()> callback) = 0;
 };
 
-// Handles complete requests on the server's event loop thread.
+// Handles complete requests on the server's event loop thread. A request whose handler throws gets 500, unless it is an
+// InternalFault.
 class HttpHandler {
 public:
     virtual ~HttpHandler() = default;
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -3,7 +3,9 @@
 #include "pomelowind/base/Time.h"
 #include "pomelowind/base/TokenBucket.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <future>
 #include <iostream>
 #include <memory>
@@ -27,21 +29,33 @@
     // Well within the time that a supervisor leaves between the end of a stop and SIGKILL.
     constexpr auto FLUSH_TIMEOUT = std::chrono::milliseconds(500);
 
-    bool needsQuotes(std::string_view value) { return value.empty() || value.find_first_of(" \"=\n\t") != value.npos; }
+    constexpr unsigned char FIRST_PRINTABLE = 0x20;
+    constexpr unsigned char DELETE = 0x7f;
 
-    void appendValue(std::string& line, std::string_view value)
+    // Returns the length of the UTF-8 character at the start of `text`, or 0 if there is none.
+    size_t characterLength(std::string_view text)
     {
-        if (!needsQuotes(value)) {
-            line += value;
-            return;
-        }
-        line += '"';
-        for (char c : value) {
-            if (c == '"' || c == '\\')
-                line += '\\';
-            line += c == '\n' ? ' ' : c;
+        auto byte = [&](size_t i) { return static_cast<unsigned char>(text[i]); };
+        unsigned char first = byte(0);
+        size_t n = first < 0x80 ? 1 : first < 0xc2 ? 0 : first < 0xe0 ? 2 : first < 0xf0 ? 3 : first < 0xf5 ? 4 : 0;
+        if (!n || n > text.size())
+            return 0;
+        for (size_t i = 1; i < n; ++i) {
+            if ((byte(i) & 0xc0) != 0x80)
+                return 0;
         }
-        line += '"';
+        // Overlong forms, surrogates and values above U+10FFFF.
+        bool isForbidden = (first == 0xe0 && byte(1) < 0xa0) || (first == 0xed && byte(1) > 0x9f)
+            || (first == 0xf0 && byte(1) < 0x90) || (first == 0xf4 && byte(1) > 0x8f);
+        return isForbidden ? 0 : n;
+    }
+
+    bool needsQuotes(std::string_view value)
+    {
+        return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
+            auto byte = static_cast<unsigned char>(c);
+            return byte <= FIRST_PRINTABLE || byte >= DELETE || c == '"' || c == '=' || c == '\\';
+        });
     }
 
     void write(spdlog::level::level_enum level, std::string_view event, std::initializer_list<Field> fields)
@@ -56,7 +70,7 @@
             line += ' ';
             line += field.key();
             line += '=';
-            appendValue(line, field.value());
+            line += quoteForLog(field.value());
         }
         try {
             logger->log(level, line);
@@ -68,6 +82,29 @@
 
 }
 
+std::string quoteForLog(std::string_view value)
+{
+    if (!needsQuotes(value))
+        return std::string(value);
+    std::string out = "\"";
+    while (!value.empty()) {
+        size_t n = characterLength(value);
+        auto byte = static_cast<unsigned char>(value.front());
+        if (!n || byte < FIRST_PRINTABLE || byte == DELETE) {
+            char escaped[8];
+            std::snprintf(escaped, sizeof escaped, "\\x%02x", byte);
+            out += escaped;
+            n = 1;
+        } else {
+            if (value.front() == '"' || value.front() == '\\')
+                out += '\\';
+            out += value.substr(0, n);
+        }
+        value.remove_prefix(n);
+    }
+    return out + '"';
+}
+
 void startLogging(const std::string& program, const std::string& level)
 {
     spdlog::init_thread_pool(MAX_QUEUED_LINES, 1);
--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -6,6 +6,7 @@
 #include "pomelowind/moves/MoveMachine.h"
 
 #include <algorithm>
+#include <new>
 
 namespace pomelowind::config {
 
@@ -246,6 +247,14 @@
         }
     } catch (const UserError& e) {
         return refuse(e);
+    } catch (const base::InternalFault&) {
+        throw;
+    } catch (const std::bad_alloc&) {
+        throw;
+    } catch (const std::exception& e) {
+        // The same on every host. One that ended here would end again at each replay of the log.
+        return refuse(ResultCode::INVALID, std::string("the command cannot be carried out: ") + e.what(),
+            "check its fields and send it again");
     }
     return refuse(ResultCode::INVALID, "unknown command", "run the same release on all hosts");
 }
--- a/src/config/ConfigSource.cpp
+++ b/src/config/ConfigSource.cpp
@@ -1,9 +1,10 @@
 #include "pomelowind/config/ConfigSource.h"
 
+#include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Json.h"
+#include "pomelowind/base/Log.h"
 #include "pomelowind/http/HttpClient.h"
 
-#include <nlohmann/json.hpp>
-
 namespace pomelowind::config {
 
 namespace {
@@ -13,6 +14,12 @@
     constexpr base::Millis POLL_TIMEOUT(3000);
     constexpr char SOURCE_ACTOR[] = "source";
 
+    std::nullopt_t unreadable(const std::exception& e)
+    {
+        base::logRateLimited("source.unreadable", { { "error", e.what() } });
+        return std::nullopt;
+    }
+
     class HttpSource final : public ConfigSource {
     public:
         HttpSource(boost::asio::io_context& io, const base::Address& address)
@@ -42,7 +49,7 @@
 {
     try {
         std::vector<SourceUpdate> out;
-        for (const auto& it : json::parse(text)) {
+        for (const auto& it : base::parseJson(text)) {
             SourceUpdate update;
             update.sequence = it.at("sequence").get<int64_t>();
             update.name = it.at("name").get<std::string>();
@@ -55,8 +62,10 @@
             out.push_back(std::move(update));
         }
         return out;
-    } catch (const json::exception&) {
-        return std::nullopt;
+    } catch (const json::exception& e) {
+        return unreadable(e);
+    } catch (const base::UserError& e) {
+        return unreadable(e);
     }
 }
 
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -135,11 +135,13 @@
     if (m_processingReady)
         return;
     m_processingReady = true;
+    // Also cleared when an exception leaves, or this host would never process anything again.
+    std::unique_ptr<bool, void (*)(bool*)> guard(&m_processingReady, [](bool* it) { *it = false; });
     for (Ready ready = m_replica.takeReady(); ready.needsPersist() || !ready.messages.empty()
          || !ready.messagesAfterPersist.empty() || !ready.committed.empty();
          ready = m_replica.takeReady())
         handleReady(std::move(ready));
-    m_processingReady = false;
+    guard.reset();
     logRoleChange();
     publish();
     maybeSnapshot();
@@ -193,21 +195,39 @@
     m_appliedIndex = entry.index;
     wire::CommandResult result;
     if (entry.kind == wire::EntryKind::COMMAND) {
-        auto plain = base::unpack(entry.data);
-        m_bytesSinceSnapshot += plain.size();
-        auto command = base::decode<wire::Command>(plain);
-        result = m_machine.apply(entry.index, command);
-        base::logInfo("command.applied",
-            { { "index", entry.index }, { "kind", config::commandKindName(command.kind) }, { "actor", command.actor },
-                { "result", config::resultCodeName(result.code) }, { "version", m_machine.state().version() },
-                { "request", command.requestId }, { "detail", result.message } });
-        if (command.kind == wire::CommandKind::MOVE_EVENT)
-            logMoveEvent(command.moveEvent);
+        result = applyCommand(entry);
     }
     completeProposal(entry, result);
     completeReads();
 }
 
+// A committed command that cannot be decoded is refused: every host finds the same, and a host that stopped at it would
+// stop at it again after each restart.
+wire::CommandResult ControlCore::applyCommand(const wire::Entry& entry)
+{
+    wire::Command command;
+    try {
+        auto plain = base::unpack(entry.data);
+        m_bytesSinceSnapshot += plain.size();
+        command = base::decode<wire::Command>(plain);
+    } catch (const base::UserError& e) {
+        base::logError("command.unreadable", { { "index", entry.index }, { "error", e.what() } });
+        wire::CommandResult out;
+        out.code = wire::ResultCode::INVALID;
+        out.message = "the command cannot be read";
+        out.remedy = e.remedy();
+        return out;
+    }
+    auto result = m_machine.apply(entry.index, command);
+    base::logInfo("command.applied",
+        { { "index", entry.index }, { "kind", config::commandKindName(command.kind) }, { "actor", command.actor },
+            { "result", config::resultCodeName(result.code) }, { "version", m_machine.state().version() },
+            { "request", command.requestId }, { "detail", result.message } });
+    if (command.kind == wire::CommandKind::MOVE_EVENT)
+        logMoveEvent(command.moveEvent);
+    return result;
+}
+
 void ControlCore::logMoveEvent(const wire::MoveEvent& event) const
 {
     const auto* move = m_machine.findMove(event.moveId);
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -84,6 +84,7 @@
     void logRoleChange();
     void sendMessages(const std::vector<members::OutgoingMessage>& messages);
     void applyEntry(const wire::Entry& entry);
+    wire::CommandResult applyCommand(const wire::Entry& entry);
     void restoreSnapshot(const wire::SnapshotRecord& snapshot);
     void completeReads();
     void logMoveEvent(const wire::MoveEvent& event) const;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -4,6 +4,7 @@
 #include "MemberNetwork.h"
 #include "SourcePoller.h"
 #include "Views.h"
+#include "pomelowind/base/Isolation.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/TimerService.h"
 #include "pomelowind/host/Metrics.h"
@@ -28,7 +29,10 @@
     constexpr auto DRAIN_TIMEOUT = std::chrono::seconds(2);
     // For the last answers to be sent, and their connections to be closed by the operators.
     constexpr auto ANSWER_TIMEOUT = std::chrono::seconds(1);
+    constexpr int STATUS_INTERNAL_ERROR = 500;
     constexpr int STATUS_UNAVAILABLE = 503;
+    constexpr char INTERNAL_ERROR_BODY[]
+        = R"({"error":"internal","message":"the view cannot be rendered","remedy":"see the log of this control host"})";
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
     // Disk space becomes free when an operator or the host frees it; ten retries a second are cheap.
@@ -218,9 +222,7 @@
 
     void submit(wire::Command command, CommandDone done) override
     {
-        auto reply = [this, done](const wire::CommandResult& result) {
-            boost::asio::post(m_apiThread.context(), [done, result] { done(result); });
-        };
+        auto reply = [this, done](const wire::CommandResult& result) { postToApi([done, result] { done(result); }); };
         bool queued = m_apiRequests.tryPut([this, command = std::move(command), reply] {
             m_core->submit(command, reply, m_clock.now(), m_clock.wallMs());
         });
@@ -240,7 +242,7 @@
                 [this, view, name, limit, done](bool current) {
                     if (current)
                         return sendView(view, name, limit, done);
-                    boost::asio::post(m_apiThread.context(), [done] { done(STATUS_UNAVAILABLE, STALE_BODY); });
+                    postToApi([done] { done(STATUS_UNAVAILABLE, STALE_BODY); });
                 },
                 m_clock.now());
         });
@@ -252,7 +254,7 @@
     {
         bool queued = m_apiRequests.tryPut([this, next = std::move(next), done] {
             bool accepted = m_core->changeMembers(next, m_clock.now());
-            boost::asio::post(m_apiThread.context(), [done, accepted] { done(accepted); });
+            postToApi([done, accepted] { done(accepted); });
         });
         if (!queued)
             done(false);
@@ -261,8 +263,15 @@
 private:
     void sendView(operators::View view, const std::string& name, size_t limit, const ViewDone& done)
     {
-        auto answer = renderView(*m_core, view, name, limit);
-        boost::asio::post(m_apiThread.context(), [done, answer] { done(answer.status, answer.json); });
+        ViewResponse answer { STATUS_INTERNAL_ERROR, INTERNAL_ERROR_BODY };
+        base::runIsolated("control.view", [&] { answer = renderView(*m_core, view, name, limit); });
+        postToApi([done, answer] { done(answer.status, answer.json); });
+    }
+
+    void postToApi(std::function<void()> task)
+    {
+        boost::asio::post(
+            m_apiThread.context(), [task = std::move(task)] { base::runIsolated("control.answer", task); });
     }
 
     static wire::CommandResult busyResult()
@@ -286,11 +295,13 @@
 
     void handleNetworkEvent(NetworkEvent event)
     {
-        try {
-            dispatch(event);
-        } catch (const base::UserError& e) {
-            base::logWarn("frame.refused", { { "peer", event.peer }, { "error", e.what() } });
-        }
+        base::runIsolated("control.frame", [&] {
+            try {
+                dispatch(event);
+            } catch (const base::UserError& e) {
+                base::logWarn("frame.refused", { { "peer", event.peer }, { "error", e.what() } });
+            }
+        });
     }
 
     void dispatch(const NetworkEvent& event)
--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -1,9 +1,8 @@
 #include "Views.h"
 
+#include "pomelowind/base/Json.h"
 #include "pomelowind/moves/MoveMachine.h"
 
-#include <nlohmann/json.hpp>
-
 namespace pomelowind::control {
 
 namespace {
@@ -19,7 +18,7 @@
     {
         json body { { "error", "not_found" }, { "message", kind + " '" + name + "' does not exist" },
             { "remedy", "check its name with '" + kind + " list'" } };
-        return { 404, body.dump() };
+        return { 404, base::jsonText(body) };
     }
 
     json sampleJson(const moves::Sample& sample) { return { { "calls", sample.calls }, { "failed", sample.faults } }; }
@@ -146,10 +145,10 @@
         for (const auto* it : state.services()) {
             auto item = serviceJson(*it, state.versionOf(config::serviceKey(it->name)));
             if (it->name == name)
-                return { 200, item.dump() };
+                return { 200, base::jsonText(item) };
             out.push_back(item);
         }
-        return name.empty() ? ViewResponse { 200, out.dump() } : notFound("service", name);
+        return name.empty() ? ViewResponse { 200, base::jsonText(out) } : notFound("service", name);
     }
 
     ViewResponse templatesView(const ControlCore& core, const std::string& name)
@@ -158,10 +157,10 @@
         for (const auto& [key, it] : core.machine().templates()) {
             if (key == name)
                 return { 200,
-                    json { { "name", it.name }, { "base_version", it.version }, { "body", it.body } }.dump() };
+                    base::jsonText({ { "name", it.name }, { "base_version", it.version }, { "body", it.body } }) };
             out.push_back({ { "name", it.name }, { "base_version", it.version } });
         }
-        return name.empty() ? ViewResponse { 200, out.dump() } : notFound("template", name);
+        return name.empty() ? ViewResponse { 200, base::jsonText(out) } : notFound("template", name);
     }
 
     ViewResponse accountsView(const ControlCore& core, const std::string& name)
@@ -171,22 +170,22 @@
             json item { { "name", it.name }, { "template", it.templateName }, { "parameters", it.parameters },
                 { "base_version", it.version } };
             if (key == name)
-                return { 200, item.dump() };
+                return { 200, base::jsonText(item) };
             out.push_back(item);
         }
-        return name.empty() ? ViewResponse { 200, out.dump() } : notFound("account", name);
+        return name.empty() ? ViewResponse { 200, base::jsonText(out) } : notFound("account", name);
     }
 
     ViewResponse movesView(const ControlCore& core, const std::string& name)
     {
         if (!name.empty()) {
             const auto* move = core.machine().findMove(name);
-            return move ? ViewResponse { 200, moveJson(core, *move).dump() } : notFound("move", name);
+            return move ? ViewResponse { 200, base::jsonText(moveJson(core, *move)) } : notFound("move", name);
         }
         json out = json::array();
         for (const auto& it : core.machine().moves())
             out.push_back(moveJson(core, it));
-        return { 200, out.dump() };
+        return { 200, base::jsonText(out) };
     }
 
     // The latest release document, exactly as submitted.
@@ -217,7 +216,7 @@
             return notFound("move", service);
         auto out = moveJson(core, *move);
         out["settled"] = moves::isFinished(*move) && isSettled(core, *move);
-        return { 200, out.dump() };
+        return { 200, base::jsonText(out) };
     }
 
 }
@@ -238,13 +237,13 @@
     case View::ServiceMove:
         return serviceMoveView(core, name);
     case View::Status:
-        return { 200, statusJson(core).dump() };
+        return { 200, base::jsonText(statusJson(core)) };
     case View::History:
-        return { 200, auditList(core, limit, true).dump() };
+        return { 200, base::jsonText(auditList(core, limit, true)) };
     case View::Audit:
-        return { 200, auditList(core, limit, false).dump() };
+        return { 200, base::jsonText(auditList(core, limit, false)) };
     case View::Members:
-        return { 200, membersJson(core).dump() };
+        return { 200, base::jsonText(membersJson(core)) };
     case View::Resources:
         return { 200, base::encode(core.machine().state().deltaSince(0)) };
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,8 @@
 #include "pomelowind/http/HttpClient.h"
 
+#include "ParserLimits.h"
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Isolation.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,9 +22,6 @@
     using boost::asio::ip::tcp;
 
     constexpr uint64_t MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-    // Limits input that the parser has not consumed: a header, chunk extensions or trailers. Bodies leave the buffer as
-    // they arrive.
-    constexpr size_t MAX_UNPARSED_BYTES = 128 * 1024;
     // Interim (1xx) responses and responses to earlier requests that may precede the expected one.
     constexpr int MAX_SKIPPED_RESPONSES = 8;
     constexpr unsigned FIRST_FINAL_STATUS = 200;
@@ -69,8 +68,9 @@
             HttpRequest request, base::Millis budget, HttpClient::Callback done, const tcp::endpoint& endpoint)
         {
             m_done = std::move(done);
-            prepareRequest(std::move(request));
             m_sendingBegan = false;
+            if (!base::runIsolated("http.client_request", [&] { prepareRequest(std::move(request)); }))
+                return failLater("the request cannot be sent over HTTP");
             m_skippedResponses = 0;
             m_bodyReservation = base::MemoryReservation(m_options.bodyMemory);
             m_timer.expires_after(budget);
@@ -140,6 +140,17 @@
         }
 
     private:
+        // Ends the exchange as not sent, but not before the caller of startExchange() has its handle.
+        void failLater(const std::string& error)
+        {
+            boost::asio::post(
+                m_socket.get_executor(), [self = shared_from_this(), exchangeNumber = m_exchangeNumber, error] {
+                    if (exchangeNumber == self->m_exchangeNumber && self->m_done)
+                        self->fail(ExchangeEnd::NotSent, error);
+                });
+        }
+
+        // Throws std::exception for a request that HTTP forbids, for example a TRACE with a body.
         void prepareRequest(HttpRequest request)
         {
             m_request = {};
@@ -240,7 +251,7 @@
                 waitForRequestWritten();
             else
                 releaseOrClose();
-            done(std::move(result));
+            report(done, std::move(result));
         }
 
         void onRequestFailed(const beast::http::response<beast::http::string_body>& message)
@@ -256,6 +267,12 @@
                 m_isReusable = false;
         }
 
+        // Calls the caller of request(), whose failure must not end the event loop.
+        static void report(const HttpClient::Callback& done, ExchangeResult result)
+        {
+            base::runIsolated("http.client_response", [&] { done(std::move(result)); });
+        }
+
         // Keeps the connection out of the pool until the rest of the request is sent, since another request cannot be
         // sent before.
         void waitForRequestWritten()
@@ -303,7 +320,7 @@
             result.error = error;
             result.connectionRefused = end == ExchangeEnd::NotSent && ec == boost::asio::error::connection_refused;
             result.connectionLost = end == ExchangeEnd::Ambiguous && isConnectionLoss(ec);
-            done(std::move(result));
+            report(done, std::move(result));
         }
 
         tcp::socket m_socket;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,9 +1,12 @@
 #include "pomelowind/http/HttpServer.h"
 
+#include "ParserLimits.h"
 #include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Isolation.h"
 #include "pomelowind/base/Listener.h"
 #include "pomelowind/base/Log.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -21,6 +24,8 @@
     using boost::asio::ip::tcp;
 
     constexpr auto SWEEP_PERIOD = base::Millis(200);
+    constexpr int STATUS_BAD_REQUEST = 400;
+    constexpr int STATUS_INTERNAL_ERROR = 500;
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr auto LINGER_TIMEOUT = base::Millis(500);
     // Most requests are answered, and the memory of their bodies is released, within about this time.
@@ -49,7 +54,7 @@
     {
         if (ec == beast::http::error::body_limit)
             return 413;
-        if (ec == beast::http::error::header_limit)
+        if (ec == beast::http::error::header_limit || ec == beast::http::error::buffer_overflow)
             return 431;
         return 400;
     }
@@ -61,6 +66,7 @@
         Session(tcp::socket socket, SessionOwner& owner)
             : m_socket(std::move(socket))
             , m_owner(owner)
+            , m_buffer(MAX_UNPARSED_BYTES)
         {
         }
 
@@ -111,12 +117,8 @@
             enterPhase(Phase::Writing, m_owner.limits().requestTimeout);
             m_onCancel = nullptr;
             m_keepAlive = m_keepAlive && !m_owner.isDraining();
-            m_response.emplace(static_cast<beast::http::status>(response.status), m_version);
-            for (const auto& it : response.headers)
-                m_response->insert(it.name, it.value);
-            m_response->keep_alive(m_keepAlive);
-            m_response->body() = std::move(response.body);
-            m_response->prepare_payload();
+            if (!base::runIsolated("http.response", [&] { prepareResponse(std::move(response)); }))
+                return close();
             if (m_isHeadRequest)
                 return writeHead();
             beast::http::async_write(m_socket, *m_response,
@@ -152,10 +154,22 @@
             m_phaseDeadline = steadyNow() + limit;
         }
 
+        // Throws std::exception for a response that HTTP forbids, for example a 204 with a body.
+        void prepareResponse(HttpResponse response)
+        {
+            m_response.emplace(static_cast<beast::http::status>(response.status), m_version);
+            for (const auto& it : response.headers)
+                m_response->insert(it.name, it.value);
+            m_response->keep_alive(m_keepAlive);
+            m_response->body() = std::move(response.body);
+            m_response->prepare_payload();
+        }
+
         void waitForNextRequest()
         {
             m_parser.emplace();
-            m_parser->header_limit(static_cast<uint32_t>(m_owner.limits().maxHeaderBytes));
+            m_parser->header_limit(
+                static_cast<uint32_t>(std::min(m_owner.limits().maxHeaderBytes, MAX_UNPARSED_BYTES)));
             m_parser->body_limit(m_owner.limits().maxBodyBytes);
             m_bodyReservation = base::MemoryReservation(m_owner.bodyMemory());
             if (m_buffer.size())
@@ -215,6 +229,9 @@
             if (ec)
                 return refuseMalformed(ec);
             auto message = m_parser->release();
+            if (message.method() == beast::http::verb::trace && !message.body().empty())
+                return respondAndClose(STATUS_BAD_REQUEST, {},
+                    R"({"error":"invalid_input","message":"a TRACE request has a body","remedy":"send it without one"})");
             HttpRequest request;
             request.method = message.method_string();
             request.path = message.target();
@@ -369,8 +386,15 @@
         enterPhase(Phase::Handling, base::Millis(0));
         ++m_requestNumber;
         watchForDisconnect();
-        m_owner.handler().handle(
-            std::move(request), std::make_shared<SessionReply>(shared_from_this(), m_requestNumber));
+        auto requestNumber = m_requestNumber;
+        auto reply = std::make_shared<SessionReply>(shared_from_this(), requestNumber);
+        if (base::runIsolated("http.request", [&] { m_owner.handler().handle(std::move(request), reply); }))
+            return;
+        HttpResponse response;
+        response.status = STATUS_INTERNAL_ERROR;
+        response.headers = { { "Content-Type", "application/json" } };
+        response.body = R"({"error":"internal","message":"the request failed here","remedy":"report it"})";
+        respond(std::move(response), requestNumber);
     }
 
     class BeastServer final : public HttpServer, public SessionOwner {
--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -1,6 +1,7 @@
 #include "pomelowind/links/Link.h"
 
 #include "pomelowind/base/Hash.h"
+#include "pomelowind/base/Isolation.h"
 #include "pomelowind/base/Listener.h"
 #include "pomelowind/base/Log.h"
 
@@ -128,16 +129,21 @@
             return self->close(ec.message());
         self->m_traffic.received += n;
         self->m_inputSize += n;
-        try {
-            size_t used = self->parseFrames();
-            if (self->m_closed)
-                return;
-            std::memmove(self->m_inputBuffer.data(), self->m_inputBuffer.data() + used, self->m_inputSize - used);
-            self->m_inputSize -= used;
-        } catch (const base::UserError& e) {
-            base::logWarn("link.refused", { { "peer", self->m_peerId }, { "error", e.what() } });
-            return self->close(e.what());
-        }
+        size_t used = 0;
+        bool handled = base::runIsolated("link.frame", [&] {
+            try {
+                used = self->parseFrames();
+            } catch (const base::UserError& e) {
+                base::logWarn("link.refused", { { "peer", self->m_peerId }, { "error", e.what() } });
+                self->close(e.what());
+            }
+        });
+        if (!handled)
+            self->close("a frame could not be handled");
+        if (self->m_closed)
+            return;
+        std::memmove(self->m_inputBuffer.data(), self->m_inputBuffer.data() + used, self->m_inputSize - used);
+        self->m_inputSize -= used;
         if (!self->m_inputSize && self->m_inputBuffer.size() > MAX_RETAINED_BUFFER_BYTES)
             std::string().swap(self->m_inputBuffer);
         self->read();
--- a/src/node/AnnounceApi.cpp
+++ b/src/node/AnnounceApi.cpp
@@ -1,8 +1,7 @@
 #include "AnnounceApi.h"
 
 #include "pomelowind/base/Errors.h"
-
-#include <nlohmann/json.hpp>
+#include "pomelowind/base/Json.h"
 
 namespace pomelowind::node {
 
@@ -17,7 +16,7 @@
         http::HttpResponse out;
         out.status = status;
         out.headers = { { "Content-Type", "application/json" } };
-        out.body = body.dump();
+        out.body = base::jsonText(body);
         return out;
     }
 
@@ -42,7 +41,7 @@
 
     Announcement parseAnnouncement(const std::string& body)
     {
-        auto fields = json::parse(body);
+        auto fields = base::parseJson(body);
         Announcement out;
         out.target = fields.at("target").get<std::string>();
         out.serviceName = fields.at("service").get<std::string>();
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -5,6 +5,7 @@
 #include "DistributionNetwork.h"
 #include "ReadyApi.h"
 #include "pomelowind/base/EventLoopThread.h"
+#include "pomelowind/base/Isolation.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/Mailbox.h"
 #include "pomelowind/base/TimerService.h"
@@ -55,11 +56,17 @@
         , m_distributionLoop("distribution")
         , m_callsLoop("calls")
         , m_views(m_callsLoop.context(), QUEUE_CAPACITY,
-              [this](MeshViewPtr&& view) { m_callPath->setView(std::move(view)); })
+              [this](MeshViewPtr&& view) {
+                  base::runIsolated("calls.view", [&] { m_callPath->setView(std::move(view)); });
+              })
         , m_localTargets(m_callsLoop.context(), QUEUE_CAPACITY,
-              [this](std::vector<Announcement>&& targets) { m_callPath->setLocalTargets(targets); })
+              [this](std::vector<Announcement>&& targets) {
+                  base::runIsolated("calls.targets", [&] { m_callPath->setLocalTargets(targets); });
+              })
         , m_reports(m_distributionLoop.context(), QUEUE_CAPACITY,
-              [this](wire::Report&& report) { m_core->addReport(report, m_clock.now()); })
+              [this](wire::Report&& report) {
+                  base::runIsolated("distribution.report", [&] { m_core->addReport(report, m_clock.now()); });
+              })
         , m_metrics(host::serveMetrics(m_settings.metricsAddress))
         , m_network(
               m_distributionLoop.context(), m_settings, m_clock,
@@ -85,8 +92,10 @@
             [histogram = m_metrics->histogram("call_seconds", "Time from a call's arrival to its answer",
                  LATENCY_BOUNDS_SECONDS)](double seconds) { histogram->observe(seconds); });
         m_callPath->setLeavingListener([this](const std::string& target, int64_t incarnation) {
-            boost::asio::post(m_distributionLoop.context(),
-                [this, target, incarnation] { m_core->drainTarget(target, incarnation, m_clock.now()); });
+            boost::asio::post(m_distributionLoop.context(), [this, target, incarnation] {
+                base::runIsolated(
+                    "distribution.drain", [&] { m_core->drainTarget(target, incarnation, m_clock.now()); });
+            });
         });
         if (m_settings.readyAddress)
             m_readyServer
@@ -106,7 +115,8 @@
         std::vector<std::string> seeds;
         for (const auto& it : settings.control)
             seeds.push_back(it.address.text());
-        boost::asio::post(m_distributionLoop.context(), [this, seeds] { m_core->learnControlHosts(seeds); });
+        boost::asio::post(m_distributionLoop.context(),
+            [this, seeds] { base::runIsolated("distribution.seeds", [&] { m_core->learnControlHosts(seeds); }); });
         base::logInfo("settings.reloaded", { { "id", m_settings.id }, { "seeds", seeds.size() } });
     }
 
@@ -157,16 +167,21 @@
             base::logInfo("node.ready", { { "id", m_settings.id }, { "ready", ready ? 1 : 0 } });
     }
 
+    // Runs `task` periodically on the thread of `loop`. A period in which it fails is logged and does not end the
+    // others.
+    void subscribe(base::EventLoopThread& loop, base::Millis period, const char* place, std::function<void()> task)
+    {
+        m_subscriptions.push_back(m_timers->subscribe(
+            loop.context(), period, [place, task = std::move(task)] { base::runIsolated(place, task); }));
+    }
+
     void subscribeTimers()
     {
-        m_subscriptions.push_back(m_timers->subscribe(m_distributionLoop.context(), DISTRIBUTION_TICK, [this] {
-            m_network.tick(m_clock.now());
-            m_core->tick(m_clock.now());
-        }));
-        m_subscriptions.push_back(
-            m_timers->subscribe(m_callsLoop.context(), CALLS_TICK, [this] { m_callPath->sweep(); }));
-        m_subscriptions.push_back(
-            m_timers->subscribe(m_callsLoop.context(), EVIDENCE_PERIOD, [this] { m_callPath->reportEvidence(); }));
+        subscribe(
+            m_distributionLoop, DISTRIBUTION_TICK, "distribution.network", [this] { m_network.tick(m_clock.now()); });
+        subscribe(m_distributionLoop, DISTRIBUTION_TICK, "distribution.core", [this] { m_core->tick(m_clock.now()); });
+        subscribe(m_callsLoop, CALLS_TICK, "calls.sweep", [this] { m_callPath->sweep(); });
+        subscribe(m_callsLoop, EVIDENCE_PERIOD, "calls.evidence", [this] { m_callPath->reportEvidence(); });
         m_subscriptions.push_back(m_timers->subscribe(m_distributionLoop.context(), METRICS_PERIOD, [this] {
             m_version->set(static_cast<double>(m_core->state().version()));
             m_sent->set(static_cast<double>(m_network.traffic().sent));
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -1,8 +1,9 @@
 #include "CallHeaders.h"
+
+#include "pomelowind/base/Json.h"
 #include "pomelowind/node/CallProtocol.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace pomelowind::node {
 
@@ -137,7 +138,7 @@
 
 std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy)
 {
-    return nlohmann::json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump();
+    return base::jsonText({ { "error", error }, { "message", message }, { "remedy", remedy } });
 }
 
 std::unique_ptr<CallProtocol> makeProductCallProtocol() { return std::make_unique<ProductCallProtocol>(); }
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -1,11 +1,11 @@
 #include "pomelowind/operators/OperatorApi.h"
 
 #include "pomelowind/base/Errors.h"
+#include "pomelowind/base/Json.h"
 #include "pomelowind/config/ConfigMachine.h"
 
 #include <algorithm>
 #include <map>
-#include <nlohmann/json.hpp>
 
 namespace pomelowind::operators {
 
@@ -66,7 +66,8 @@
     http::HttpResponse errorResponse(
         int status, const std::string& error, const std::string& message, const std::string& remedy)
     {
-        return jsonResponse(status, json { { "error", error }, { "message", message }, { "remedy", remedy } }.dump());
+        return jsonResponse(
+            status, base::jsonText({ { "error", error }, { "message", message }, { "remedy", remedy } }));
     }
 
     int httpStatusOf(ResultCode::type code)
@@ -100,7 +101,7 @@
             body["message"] = result.message;
             body["remedy"] = result.remedy;
         }
-        return jsonResponse(httpStatusOf(result.code), body.dump());
+        return jsonResponse(httpStatusOf(result.code), base::jsonText(body));
     }
 
     // Typed access to the fields of a JSON body. Throws UserError(InvalidInput) that names the wrong field.
@@ -108,7 +109,7 @@
     public:
         explicit JsonBody(const std::string& text)
         {
-            m_json = json::parse(text.empty() ? "{}" : text, nullptr, false);
+            m_json = base::parseJson(text.empty() ? "{}" : text);
             if (!m_json.is_object())
                 throw UserError(ErrorKind::InvalidInput, "the body is not a JSON object", "send a JSON object");
         }
