Keep the departures of targets across restarts of their node

Cause: departures were known only to the process that took them. A restarted node acknowledged a deregistration without a record and took a late heartbeat of the instance for news; its entry replaced the former one everywhere.

Change: a departure is recorded by target and incarnation even if the process does not know the target, and reported before it is acknowledged. Directory entries carry the target's last notice, which a merge keeps whichever process reports the entry. A started node holds back announcements that would open a gate until it has learned the directory.

The fixture of OutdatedAnnouncementsAreIgnored now learns an empty directory first, as each node does at its admission; its checks are unchanged.

--- a/include/pomelowind/node/TargetRegistry.h
+++ b/include/pomelowind/node/TargetRegistry.h
@@ -33,8 +33,10 @@
     virtual ~TargetRegistry() = default;
     // Registers a target or renews its lease. Throws UserError(InvalidInput) when the target is not one of this host.
     virtual void announce(const Announcement& announcement) = 0;
-    // Drains the target with this id, which has announced its departure.
-    virtual void depart(const std::string& target) = 0;
+    // Drains the target with this id, which has announced its departure, and ignores what that incarnation announced
+    // before. Without `incarnation`, the departure covers each incarnation that has started by now. Throws
+    // UserError(InvalidInput) when the departure cannot be recorded.
+    virtual void depart(const std::string& target, std::optional<int64_t> incarnation) = 0;
 };
 
 // Creates the HTTP handler of the address to which targets announce themselves.
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -7,6 +7,7 @@
 #include "pomelowind/base/Wire.h"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,16 +24,27 @@
 struct DirectoryEntries {
     std::vector<wire::NodeInfo> nodes;
     std::vector<wire::Presence> targets;
+    // Of a merge: those among `targets` whose reporter did not know what the target has said last.
+    std::vector<wire::Presence> corrected;
     bool empty() const { return nodes.empty() && targets.empty(); }
 };
 
+// Number of a notice that no later announcement of the same incarnation takes back.
+inline constexpr int64_t FINAL_NOTICE = std::numeric_limits<int64_t>::max();
+
+// Returns whether `a` holds a later notice of the target than `b`. Both are entries of the same incarnation of it.
+// Thread safety: pure.
+bool hasLaterNotice(const wire::Presence& a, const wire::Presence& b);
+
 // Holds the newest known entry of each node and target. Thread safety: confined to one event loop thread.
 class Directory {
 public:
     static constexpr size_t DIGEST_BUCKETS = 32;
     using Buckets = std::array<uint64_t, DIGEST_BUCKETS>;
 
-    // Stores the entries that are newer than the known ones and returns them.
+    // Stores the entries that are newer than the known ones and returns them. The node beside a target decides on its
+    // entry, but what an incarnation of a target has said of its departure only grows, whichever process reports it: a
+    // restarted node does not know it.
     DirectoryEntries merge(
         const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets, base::Instant now);
     // Adds what is new about crashes of targets and returns the crashes that have changed. What is known of a crash
@@ -53,6 +65,8 @@
     std::vector<wire::Presence> allTargets() const;
     // Returns the entry of a node, or null when it is unknown. The pointer is valid until the next change.
     const wire::NodeInfo* findNode(const std::string& node) const;
+    // Returns the entry of a target, or null when it is unknown. The pointer is valid until the next change.
+    const wire::Presence* findTarget(const std::string& target) const;
     // Returns the targets that are not gone and whose node is neither gone nor restarted since they were announced.
     TargetList liveTargets() const;
     // Returns the crashes of the last hour.
@@ -65,6 +79,8 @@
     DirectoryEntries entriesDifferingFrom(const std::vector<int64_t>& theirs) const;
 
 private:
+    void mergeTarget(const wire::Presence& reported, base::Instant now, DirectoryEntries& change);
+
     template <class T> struct Record {
         T entry;
         base::Instant changedAt;
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -600,14 +600,15 @@
     m_outputs.sendToNode(node, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
     if (!admission.admitted)
         return;
-    wire::Report report;
-    report.nodes.push_back(request.node);
-    mergeReport(report, true);
+    // Sent before anything else is spread: a restarted node takes the first one for the whole directory.
     wire::Spread presence;
     presence.nodes = m_directory.liveNodes();
     presence.targets = m_directory.allTargets();
     presence.crashes = m_directory.crashes();
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
+    wire::Report report;
+    report.nodes.push_back(request.node);
+    mergeReport(report, true);
     publish();
 }
 
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -6,6 +6,7 @@
 #include "pomelowind/moves/EvidenceAggregator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelowind::node {
 
@@ -38,6 +39,8 @@
     constexpr auto PARTITIONED_START_WAIT = Millis(3000);
     constexpr int PARTITIONED_START_MIN_ANSWERS = 1;
     constexpr int MAX_CHILDREN = 32;
+    // Targets and departed targets of one host. A host has a few; the rest is a bound on what other writers can add.
+    constexpr size_t MAX_LOCAL_TARGETS = 256;
 
     nodes::ConfigPublisherOptions publisherOptions()
     {
@@ -297,12 +300,16 @@
     if (change.empty())
         return;
     m_viewDirty = true;
+    applyRememberedNotices(change.targets, now);
     wire::Spread out;
     out.nodes = change.nodes;
     out.targets = change.targets;
     broadcastToChildren(out, {});
-    if (!fromSubtree)
+    if (!fromSubtree) {
+        // The parent and the reporter do not know it, for example after both have restarted.
+        m_pendingReport.targets.insert(m_pendingReport.targets.end(), change.corrected.begin(), change.corrected.end());
         return;
+    }
     m_pendingReport.nodes.insert(m_pendingReport.nodes.end(), change.nodes.begin(), change.nodes.end());
     m_pendingReport.targets.insert(m_pendingReport.targets.end(), change.targets.begin(), change.targets.end());
 }
@@ -334,6 +341,8 @@
 {
     mergePresence(spread.nodes, spread.targets, now, false);
     mergeCrashes(spread.crashes, now, false);
+    if (m_admitted)
+        learnDirectory(now);
     if (spread.__isset.beacon)
         handleBeacon(spread.beacon, now);
     publish();
@@ -397,7 +406,7 @@
     m_outputs.sendChild(child, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
     if (!answer.admitted)
         return;
-    mergePresence({ request.node }, {}, now, true);
+    // Sent before anything else is spread: a restarted child takes the first one for the whole directory.
     wire::Spread fullState;
     fullState.nodes = m_directory.liveNodes();
     fullState.targets = m_directory.allTargets();
@@ -405,6 +414,7 @@
     if (beaconIsFresh(now))
         fullState.__set_beacon(m_lastBeacon);
     m_outputs.sendChild(child, FrameKind::SPREAD, base::encode(fullState));
+    mergePresence({ request.node }, {}, now, true);
     publishToChildren();
 }
 
@@ -506,6 +516,7 @@
     ++m_digestAnswers;
     m_versionFloor = std::max(m_versionFloor, m_serving ? m_versionFloor : answer.version);
     mergePresence(answer.nodes, answer.targets, now, true);
+    learnDirectory(now);
     if (answer.__isset.delta)
         applyDelta(answer.delta, now);
     updateServing(now);
@@ -514,7 +525,9 @@
 
 // ---- targets of this host ----
 
-void DistributionCore::announce(const Announcement& announcement, Instant now)
+int64_t DistributionCore::wallMs(Instant now) const { return m_incarnation + base::toMillis(now - m_started); }
+
+void DistributionCore::checkIsLocal(const Announcement& announcement) const
 {
     bool isForeign = (m_settings.targetAddress && announcement.address != *m_settings.targetAddress)
         || (!m_settings.localService.empty() && announcement.serviceName != m_settings.localService);
@@ -523,24 +536,68 @@
             "target '" + announcement.target + "' at " + announcement.address.text() + " of service '"
                 + announcement.serviceName + "' is not this host's",
             "announce it to the node of its own host");
+}
+
+// Returns whether this process knows something later of the target than the announcement says.
+bool DistributionCore::isOutdated(const Announcement& announcement) const
+{
     for (const auto& [name, entry] : m_localTargets) {
         const auto& known = entry.announcement;
-        bool sameIncarnation = name == announcement.target && known.incarnation == announcement.incarnation;
+        bool isSameTarget = name == announcement.target;
+        bool sameIncarnation = isSameTarget && known.incarnation == announcement.incarnation;
         bool isOutdated = (sameIncarnation && announcement.sequence && announcement.sequence <= known.sequence)
             || (sameIncarnation && entry.departed)
+            || (isSameTarget && entry.departed && known.incarnation > announcement.incarnation)
             || (known.address == announcement.address && known.incarnation > announcement.incarnation);
-        if (isOutdated) {
-            base::logInfo("target.late_announcement",
-                { { "target", announcement.target }, { "sequence", announcement.sequence },
-                    { "known_sequence", known.sequence } });
-            return;
-        }
+        if (isOutdated)
+            return true;
     }
+    return !m_localTargets.count(announcement.target) && isOlderThanDirectory(announcement);
+}
+
+// Returns whether the mesh knows something later, from before this process started.
+bool DistributionCore::isOlderThanDirectory(const Announcement& announcement) const
+{
+    const auto* known = m_directory.findTarget(announcement.target);
+    if (!known || known->targetIncarnation < announcement.incarnation)
+        return false;
+    bool isFinal = known->leaves && known->noticeSequence == nodes::FINAL_NOTICE;
+    if (known->targetIncarnation > announcement.incarnation)
+        return isFinal || known->state != wire::TargetState::GONE;
+    bool isEarlier = announcement.sequence && announcement.sequence <= known->noticeSequence;
+    return isFinal || (known->leaves && isEarlier && announcement.state == wire::TargetState::SERVING);
+}
+
+DistributionCore::LocalTarget& DistributionCore::localTarget(const std::string& target)
+{
+    if (!m_localTargets.count(target) && m_localTargets.size() >= MAX_LOCAL_TARGETS)
+        throw base::UserError(base::ErrorKind::InvalidInput, "too many targets have been announced on this host",
+            "announce each target under one id until it ends");
+    return m_localTargets[target];
+}
+
+void DistributionCore::announce(const Announcement& announcement, Instant now)
+{
+    checkIsLocal(announcement);
+    if (isOutdated(announcement)) {
+        base::logInfo("target.late_announcement",
+            { { "target", announcement.target }, { "sequence", announcement.sequence },
+                { "incarnation", announcement.incarnation } });
+        return;
+    }
+    bool says = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
+    if (!m_directoryKnown && !says && !m_localTargets.count(announcement.target)
+        && m_heldAnnouncements.size() < MAX_LOCAL_TARGETS) {
+        m_heldAnnouncements[announcement.target] = announcement;
+        return;
+    }
+    m_heldAnnouncements.erase(announcement.target);
+    auto& entry = localTarget(announcement.target);
     retireReplacedTargets(announcement, now);
-    auto& entry = m_localTargets[announcement.target];
     bool isNewIncarnation = entry.announcement.incarnation != announcement.incarnation;
     if (isNewIncarnation)
         entry.departed = entry.leaving = false;
+    entry.announcedLeaving = says;
     // Sequence number and remaining ramp-up time change with every announcement; a change of them alone is not
     // reported.
     Announcement comparable = announcement;
@@ -555,6 +612,8 @@
     if (!changed)
         return;
     publishTarget(entry, now);
+    if (says)
+        reportDepartureNow();
     publish();
 }
 
@@ -569,22 +628,81 @@
             continue;
         base::logInfo("target.replaced", { { "target", name }, { "by", announcement.target } });
         entry.announcement.state = wire::TargetState::GONE;
+        entry.departed = true;
         publishTarget(entry, now);
     }
 }
 
-// A departing target still answers its running calls, so it is drained rather than removed.
-void DistributionCore::depart(const std::string& target, Instant now)
+// A departing target still answers its running calls, so it is drained rather than removed. The departure of a target
+// that this process has not heard of is recorded too: it may have been announced to an earlier process of this node.
+void DistributionCore::depart(const std::string& target, std::optional<int64_t> incarnation, Instant now)
 {
-    auto it = m_localTargets.find(target);
-    if (it == m_localTargets.end() || it->second.announcement.state == wire::TargetState::GONE)
+    auto known = m_localTargets.find(target);
+    bool isKnown = known != m_localTargets.end();
+    int64_t departing = incarnation.value_or(isKnown ? known->second.announcement.incarnation : wallMs(now));
+    if (isKnown && departing < known->second.announcement.incarnation) {
+        base::logInfo("target.late_departure", { { "target", target }, { "incarnation", departing } });
         return;
-    it->second.announcement.state = wire::TargetState::LEAVING;
-    it->second.departed = true;
-    publishTarget(it->second, now);
+    }
+    auto& entry = localTarget(target);
+    m_heldAnnouncements.erase(target);
+    if (!isKnown || departing > entry.announcement.incarnation) {
+        entry = {};
+        entry.announcement.target = target;
+        entry.announcement.incarnation = departing;
+        entry.announcement.state = wire::TargetState::GONE;
+        entry.leaseEnd = now;
+    }
+    if (std::exchange(entry.departed, true))
+        return;
+    if (entry.announcement.state != wire::TargetState::GONE)
+        entry.announcement.state = wire::TargetState::LEAVING;
+    publishTarget(entry, now);
+    reportDepartureNow();
     publish();
 }
 
+// Sends the report before the departure is acknowledged: this process may end at any time afterwards.
+void DistributionCore::reportDepartureNow()
+{
+    if (m_admitted)
+        flushReport();
+}
+
+// Drains targets of this host of which the mesh remembers, from before a restart of this node, that they leave.
+void DistributionCore::applyRememberedNotices(const std::vector<wire::Presence>& targets, Instant now)
+{
+    for (const auto& it : targets) {
+        auto local = m_localTargets.find(it.target);
+        if (!it.leaves || local == m_localTargets.end())
+            continue;
+        auto& entry = local->second;
+        bool isServing = entry.announcement.state != wire::TargetState::LEAVING
+            && entry.announcement.state != wire::TargetState::GONE;
+        if (!isServing || entry.announcement.incarnation != it.targetIncarnation)
+            continue;
+        base::logInfo("target.departure_remembered", { { "target", it.target } });
+        if (it.noticeSequence == nodes::FINAL_NOTICE)
+            entry.leaving = true;
+        else
+            entry.announcement.sequence = std::max(entry.announcement.sequence, it.noticeSequence);
+        entry.announcedLeaving = true;
+        entry.announcement.state = wire::TargetState::LEAVING;
+        publishTarget(entry, now);
+    }
+}
+
+// To be called once the directory of a parent or peer has been merged.
+void DistributionCore::learnDirectory(Instant now)
+{
+    if (std::exchange(m_directoryKnown, true))
+        return;
+    auto held = std::move(m_heldAnnouncements);
+    m_heldAnnouncements.clear();
+    for (const auto& [target, it] : held)
+        announce(it, now);
+}
+
 void DistributionCore::drainTarget(const std::string& target, int64_t incarnation, Instant now)
 {
     auto it = m_localTargets.find(target);
@@ -612,6 +730,8 @@
     presence.incarnation = std::max(it.incarnation, m_incarnation);
     presence.targetIncarnation = it.incarnation;
     presence.sequence = ++m_presenceSequence;
+    presence.leaves = target.announcedLeaving || target.leavesForGood();
+    presence.noticeSequence = target.leavesForGood() ? nodes::FINAL_NOTICE : it.sequence;
     bool isDraining = m_draining && it.state != wire::TargetState::GONE;
     presence.state = isDraining ? wire::TargetState::LEAVING : it.state;
     presence.slots = it.slots;
@@ -637,6 +757,11 @@
         entry.announcement.state = wire::TargetState::GONE;
         publishTarget(entry, now);
     }
+    // The directory remembers them for as long.
+    std::erase_if(m_localTargets, [now](const auto& it) {
+        return it.second.announcement.state == wire::TargetState::GONE
+            && now - it.second.leaseEnd > TOMBSTONE_RETENTION;
+    });
 }
 
 void DistributionCore::startDraining(Instant now)
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -58,8 +58,8 @@
     // Registers a target of this host or renews its lease; announcements that are out of date are ignored. Throws
     // UserError(InvalidInput) when the target is not one of this host.
     void announce(const Announcement& announcement, base::Instant now);
-    // Drains a target that has announced its departure.
-    void depart(const std::string& target, base::Instant now);
+    // Drains a target of this host that has announced its departure; see TargetRegistry::depart().
+    void depart(const std::string& target, std::optional<int64_t> incarnation, base::Instant now);
     // Drains a target of this host that has said in a response that it leaves. Its announcements go on renewing its
     // lease, but only a new incarnation of it serves again.
     void drainTarget(const std::string& target, int64_t incarnation, base::Instant now);
@@ -86,12 +86,22 @@
     struct LocalTarget {
         Announcement announcement;
         base::Instant leaseEnd;
+        bool announcedLeaving { false }; // by the last announcement
         bool leaving { false }; // has said so, whatever its announcements say
         bool departed { false }; // has announced its departure; later announcements of the incarnation are out of date
+        bool leavesForGood() const { return leaving || departed; }
     };
 
     void chooseParent(base::Instant now);
+    void checkIsLocal(const Announcement& announcement) const;
+    bool isOutdated(const Announcement& announcement) const;
+    bool isOlderThanDirectory(const Announcement& announcement) const;
+    LocalTarget& localTarget(const std::string& target);
     void retireReplacedTargets(const Announcement& announcement, base::Instant now);
+    void applyRememberedNotices(const std::vector<wire::Presence>& targets, base::Instant now);
+    void learnDirectory(base::Instant now);
+    void reportDepartureNow();
+    int64_t wallMs(base::Instant now) const;
     void subscribe(int64_t base);
     void handleSubscribeAnswer(const wire::SubscribeAnswer& answer, base::Instant now);
     void applyDelta(const wire::Delta& delta, base::Instant now);
@@ -128,6 +138,10 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::string m_rejection;
     std::map<std::string, LocalTarget> m_localTargets;
+    // A started node does not know what targets of its host have said before. Until a parent or peer has told it,
+    // announcements that would open a gate wait here, the latest of each target.
+    bool m_directoryKnown { false };
+    std::map<std::string, Announcement> m_heldAnnouncements;
 
     int64_t m_incarnation;
     int64_t m_sequence { 0 };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -123,7 +123,10 @@
     // ---- TargetRegistry, on the distribution event loop ----
 
     void announce(const Announcement& announcement) override { m_core->announce(announcement, m_clock.now()); }
-    void depart(const std::string& target) override { m_core->depart(target, m_clock.now()); }
+    void depart(const std::string& target, std::optional<int64_t> incarnation) override
+    {
+        m_core->depart(target, incarnation, m_clock.now());
+    }
 
     void stop()
     {
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -46,29 +46,64 @@
 
     size_t bucketOf(const std::string& key) { return base::hash64(key) % Directory::DIGEST_BUCKETS; }
 
-    template <class Map, class T, class KeyOf>
-    void mergeInto(Map& map, const std::vector<T>& entries, base::Instant now, std::vector<T>& changed, KeyOf keyOf)
+    // Takes over what `other` knows later about the same incarnation of the target.
+    void adoptLaterNotice(wire::Presence& entry, const wire::Presence& other)
     {
-        for (const auto& it : entries) {
-            auto found = map.find(keyOf(it));
-            if (found != map.end() && !supersedes(it, found->second.entry))
-                continue;
-            map[keyOf(it)] = { it, now };
-            changed.push_back(it);
+        if (entry.targetIncarnation == other.targetIncarnation && hasLaterNotice(other, entry)) {
+            entry.noticeSequence = other.noticeSequence;
+            entry.leaves = other.leaves;
         }
+        if (entry.leaves && entry.state != wire::TargetState::GONE)
+            entry.state = wire::TargetState::LEAVING;
     }
 
 }
 
+bool hasLaterNotice(const wire::Presence& a, const wire::Presence& b)
+{
+    // Announcements without numbers have no order but that in which their node took them.
+    if (!a.noticeSequence)
+        return false;
+    return std::tuple(a.noticeSequence, a.leaves) > std::tuple(b.noticeSequence, b.leaves);
+}
+
 DirectoryEntries Directory::merge(
     const std::vector<wire::NodeInfo>& nodes, const std::vector<wire::Presence>& targets, base::Instant now)
 {
     DirectoryEntries change;
-    mergeInto(m_nodes, nodes, now, change.nodes, [](const wire::NodeInfo& it) { return it.node; });
-    mergeInto(m_targets, targets, now, change.targets, [](const wire::Presence& it) { return it.target; });
+    for (const auto& it : nodes) {
+        auto found = m_nodes.find(it.node);
+        if (found != m_nodes.end() && !supersedes(it, found->second.entry))
+            continue;
+        m_nodes[it.node] = { it, now };
+        change.nodes.push_back(it);
+    }
+    for (const auto& it : targets)
+        mergeTarget(it, now, change);
     return change;
 }
 
+void Directory::mergeTarget(const wire::Presence& reported, base::Instant now, DirectoryEntries& change)
+{
+    auto found = m_targets.find(reported.target);
+    if (found == m_targets.end()) {
+        m_targets[reported.target] = { reported, now };
+        change.targets.push_back(reported);
+        return;
+    }
+    auto& record = found->second;
+    bool isNewer = supersedes(reported, record.entry);
+    wire::Presence merged = isNewer ? reported : record.entry;
+    adoptLaterNotice(merged, isNewer ? record.entry : reported);
+    if (merged == record.entry)
+        return;
+    bool isCorrected = isNewer && merged != reported;
+    record = { merged, now };
+    change.targets.push_back(merged);
+    if (isCorrected)
+        change.corrected.push_back(merged);
+}
+
 CrashList Directory::mergeCrashes(const CrashList& crashes, base::Instant now)
 {
     CrashList changed;
@@ -149,6 +184,12 @@
     return it == m_nodes.end() ? nullptr : &it->second.entry;
 }
 
+const wire::Presence* Directory::findTarget(const std::string& target) const
+{
+    auto it = m_targets.find(target);
+    return it == m_targets.end() ? nullptr : &it->second.entry;
+}
+
 TargetList Directory::liveTargets() const
 {
     TargetList out;
--- a/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
+++ b/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
@@ -27,6 +27,8 @@
         settings.targetLease = Millis(3000);
         settings.control = { { "c1", "east", { "10.0.0.1", 7000 } }, { "c2", "west", { "10.0.0.2", 7000 } } };
         core = std::make_unique<node::DistributionCore>(settings, outputs, T0, 1000, 1);
+        // Until it has learned the directory, a started node holds back announcements.
+        core->digestAnswered(base::encode(wire::DigestAnswer()), T0);
     }
 
     void announce(const std::string& id, int64_t incarnation, int64_t sequence, TargetState::type state)
@@ -70,7 +72,7 @@
 TEST_F(OutdatedAnnouncementsAreIgnored, OnlyANewIncarnationServesAfterADeparture)
 {
     announce("i-1", 5, 3, TargetState::SERVING);
-    core->depart("i-1", T0);
+    core->depart("i-1", 5, T0);
     EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
     announce("i-1", 5, 4, TargetState::SERVING);
     EXPECT_EQ(stateOf("i-1"), TargetState::LEAVING);
--- a/tests/error/UnreadableBytesAreAnswered.cpp
+++ b/tests/error/UnreadableBytesAreAnswered.cpp
@@ -54,7 +54,7 @@
 class NoTargets final : public node::TargetRegistry {
 public:
     void announce(const node::Announcement&) override { }
-    void depart(const std::string&) override { }
+    void depart(const std::string&, std::optional<int64_t>) override { }
 };
 
 class UnreadableBytesAreAnswered : public testing::Test {
--- a/tests/platform/HeartbeatsAreDecodedOrRejected.cpp
+++ b/tests/platform/HeartbeatsAreDecodedOrRejected.cpp
@@ -49,3 +49,12 @@
     expectRejected([](json& it) { it = json::array(); });
     EXPECT_THROW(platform::decodeHeartbeat("i-1", "{\"address\":"), base::UserError);
 }
+
+TEST(HeartbeatsAreDecodedOrRejected, DeregistrationNamesItsIncarnationOrNone)
+{
+    EXPECT_EQ(platform::decodeDeregistration(R"({"born":1700000000000})"), 1700000000000);
+    EXPECT_EQ(platform::decodeDeregistration("{}"), std::nullopt);
+    EXPECT_EQ(platform::decodeDeregistration(""), std::nullopt);
+    for (const char* body : { "[]", "{", "7", R"({"born":"1"})", R"({"born":-1})", R"({"born":1.5})", "\xff" })
+        EXPECT_THROW(platform::decodeDeregistration(body), base::UserError) << body;
+}
--- a/tests/support/SingleControlHost.h
+++ b/tests/support/SingleControlHost.h
@@ -54,7 +54,10 @@
     }
 
     void sendToMember(const std::string&, links::Kind, std::string) override { }
-    void sendToNode(const std::string&, links::Kind, std::string) override { }
+    void sendToNode(const std::string& node, links::Kind kind, std::string payload) override
+    {
+        sentToNodes.push_back({ node, kind, std::move(payload) });
+    }
     void connectMember(const std::string&) override { }
     bool persist(control::DiskWork work) override
     {
@@ -62,10 +65,17 @@
         return true;
     }
 
+    struct NodeFrame {
+        std::string node;
+        links::Kind kind;
+        std::string payload;
+    };
+
     static constexpr int64_t WALL_MS = 1700000000000;
     control::ControlSettings settings;
     base::Instant now = base::Instant() + std::chrono::hours(1);
     std::unique_ptr<control::ControlCore> core;
+    std::vector<NodeFrame> sentToNodes; // in order
 
 private:
     void completeWrites()
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -128,7 +128,10 @@
   1: string target, 2: string serviceName, 3: string version, 4: string dataCentre, 5: string node,
   6: string callAddress, 7: i64 incarnation, 8: i64 sequence, 9: TargetState state, 10: i32 slots, 11: i32 coldLeftMs,
   // Start of the target's own process; `incarnation` also rises when the node beside it restarts.
-  12: i64 targetIncarnation
+  12: i64 targetIncarnation,
+  // What this incarnation of the target has said last of its departure: the number of that announcement (0 when the
+  // target numbers none, the highest when no later one can take it back), and whether it leaves.
+  13: i64 noticeSequence, 14: bool leaves
 }
 struct NodeInfo {
   1: string node, 2: string dataCentre, 3: string meshAddress, 4: string callAddress, 5: i64 incarnation,
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -8227,6 +8227,14 @@
 void Presence::__set_targetIncarnation(const int64_t val) {
   this->targetIncarnation = val;
 }
+
+void Presence::__set_noticeSequence(const int64_t val) {
+  this->noticeSequence = val;
+}
+
+void Presence::__set_leaves(const bool val) {
+  this->leaves = val;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -8353,6 +8361,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->noticeSequence);
+          this->__isset.noticeSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaves);
+          this->__isset.leaves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8418,6 +8442,14 @@
   xfer += oprot->writeI64(this->targetIncarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("noticeSequence", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->noticeSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaves", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->leaves);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8437,6 +8469,8 @@
   swap(a.slots, b.slots);
   swap(a.coldLeftMs, b.coldLeftMs);
   swap(a.targetIncarnation, b.targetIncarnation);
+  swap(a.noticeSequence, b.noticeSequence);
+  swap(a.leaves, b.leaves);
   swap(a.__isset, b.__isset);
 }
 
@@ -8453,6 +8487,8 @@
   slots = other285.slots;
   coldLeftMs = other285.coldLeftMs;
   targetIncarnation = other285.targetIncarnation;
+  noticeSequence = other285.noticeSequence;
+  leaves = other285.leaves;
   __isset = other285.__isset;
 }
 Presence::Presence(Presence&& other286) noexcept {
@@ -8468,6 +8504,8 @@
   slots = other286.slots;
   coldLeftMs = other286.coldLeftMs;
   targetIncarnation = other286.targetIncarnation;
+  noticeSequence = other286.noticeSequence;
+  leaves = other286.leaves;
   __isset = other286.__isset;
 }
 Presence& Presence::operator=(const Presence& other287) {
@@ -8483,6 +8521,8 @@
   slots = other287.slots;
   coldLeftMs = other287.coldLeftMs;
   targetIncarnation = other287.targetIncarnation;
+  noticeSequence = other287.noticeSequence;
+  leaves = other287.leaves;
   __isset = other287.__isset;
   return *this;
 }
@@ -8499,6 +8539,8 @@
   slots = other288.slots;
   coldLeftMs = other288.coldLeftMs;
   targetIncarnation = other288.targetIncarnation;
+  noticeSequence = other288.noticeSequence;
+  leaves = other288.leaves;
   __isset = other288.__isset;
   return *this;
 }
@@ -8517,6 +8559,8 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
   out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
+  out << ", " << "noticeSequence=" << to_string(noticeSequence);
+  out << ", " << "leaves=" << to_string(leaves);
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -3140,7 +3140,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false), targetIncarnation(false) {}
+  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false), targetIncarnation(false), noticeSequence(false), leaves(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -3153,6 +3153,8 @@
   bool slots :1;
   bool coldLeftMs :1;
   bool targetIncarnation :1;
+  bool noticeSequence :1;
+  bool leaves :1;
 } _Presence__isset;
 
 class Presence : public virtual ::apache::thrift::TBase {
@@ -3174,7 +3176,9 @@
              state(static_cast<TargetState::type>(0)),
              slots(0),
              coldLeftMs(0),
-             targetIncarnation(0) {
+             targetIncarnation(0),
+             noticeSequence(0),
+             leaves(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -3194,6 +3198,8 @@
   int32_t slots;
   int32_t coldLeftMs;
   int64_t targetIncarnation;
+  int64_t noticeSequence;
+  bool leaves;
 
   _Presence__isset __isset;
 
@@ -3221,6 +3227,10 @@
 
   void __set_targetIncarnation(const int64_t val);
 
+  void __set_noticeSequence(const int64_t val);
+
+  void __set_leaves(const bool val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(target == rhs.target))
@@ -3247,6 +3257,10 @@
       return false;
     if (!(targetIncarnation == rhs.targetIncarnation))
       return false;
+    if (!(noticeSequence == rhs.noticeSequence))
+      return false;
+    if (!(leaves == rhs.leaves))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
