Leave out odd entries instead of ending or ignoring the others

Cause: lists from outside were read all or nothing, reported addresses were parsed where nothing could refuse them, and heartbeats of other writers were taken for the instance's own, after which its draining was acknowledged and ignored.

The control host's directory held already.

Change: nodes::peerAddress() for addresses that others report, complete heartbeats with numbers in range only, a departure counts whatever its sequence, updates of the external source are read one by one, ports are digits.

--- a/include/pomelowind/config/ConfigSource.h
+++ b/include/pomelowind/config/ConfigSource.h
@@ -40,7 +40,8 @@
 // or {sequence, name, template, parameters}. Precondition: `io` outlives the source.
 std::unique_ptr<ConfigSource> makeHttpSource(boost::asio::io_context& io, const base::Address& address);
 
-// Parses such a list. Returns nothing when any part of it is malformed. Thread safety: pure.
+// Parses such a list. Leaves out entries that are malformed or have a sequence below 1 or above 2^53 - 1, which would
+// end the polling of all later ones, and logs them. Returns nothing when the text is no list. Thread safety: pure.
 std::optional<std::vector<SourceUpdate>> parseSourceUpdates(const std::string& text);
 
 // Returns the command that submits an update. Thread safety: pure.
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -3,6 +3,7 @@
 #include "pomelowind/base/Errors.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <charconv>
 #include <sstream>
 
 namespace pomelowind::base {
@@ -27,7 +28,10 @@
     int port = 0;
     if (colon != std::string::npos) {
         boost::asio::ip::make_address(text.substr(0, colon), ec);
-        port = std::atoi(text.c_str() + colon + 1);
+        const char* end = text.data() + text.size();
+        auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+        if (parsed.ec != std::errc() || parsed.ptr != end)
+            port = 0;
     }
     if (colon == std::string::npos || ec || port < 1 || port > MAX_PORT)
         throw UserError(ErrorKind::InvalidInput, "'" + text + "' is not an address",
--- a/src/config/ConfigSource.cpp
+++ b/src/config/ConfigSource.cpp
@@ -14,10 +14,32 @@
     constexpr base::Millis POLL_TIMEOUT(3000);
     constexpr char SOURCE_ACTOR[] = "source";
 
-    std::nullopt_t unreadable(const std::exception& e)
+    constexpr int64_t MAX_SEQUENCE = (int64_t(1) << 53) - 1;
+
+    // Returns the update, or nothing, after logging it, when the entry is malformed.
+    std::optional<SourceUpdate> parseSourceUpdate(const json& it)
     {
-        base::logRateLimited("source.unreadable", { { "error", e.what() } });
-        return std::nullopt;
+        try {
+            SourceUpdate out;
+            const auto& sequence = it.at("sequence");
+            bool isInRange = sequence.is_number_unsigned() && sequence.get<uint64_t>() >= 1
+                && sequence.get<uint64_t>() <= static_cast<uint64_t>(MAX_SEQUENCE);
+            if (!isInRange)
+                throw base::UserError(base::ErrorKind::InvalidInput, "the sequence of an update is out of range",
+                    "number the updates from 1");
+            out.sequence = sequence.get<int64_t>();
+            out.name = it.at("name").get<std::string>();
+            if (it.contains("body")) {
+                out.body = it.at("body").get<std::string>();
+            } else {
+                out.templateName = it.at("template").get<std::string>();
+                out.parameters = it.at("parameters").get<std::map<std::string, std::string>>();
+            }
+            return out;
+        } catch (const std::exception& e) {
+            base::logRateLimited("source.bad_update", { { "error", e.what() } });
+            return std::nullopt;
+        }
     }
 
     class HttpSource final : public ConfigSource {
@@ -47,26 +69,21 @@
 
 std::optional<std::vector<SourceUpdate>> parseSourceUpdates(const std::string& text)
 {
+    json list;
     try {
-        std::vector<SourceUpdate> out;
-        for (const auto& it : base::parseJson(text)) {
-            SourceUpdate update;
-            update.sequence = it.at("sequence").get<int64_t>();
-            update.name = it.at("name").get<std::string>();
-            if (it.contains("body")) {
-                update.body = it.at("body").get<std::string>();
-            } else {
-                update.templateName = it.at("template").get<std::string>();
-                update.parameters = it.at("parameters").get<std::map<std::string, std::string>>();
-            }
-            out.push_back(std::move(update));
-        }
-        return out;
-    } catch (const json::exception& e) {
-        return unreadable(e);
+        list = base::parseJson(text);
     } catch (const base::UserError& e) {
-        return unreadable(e);
+        base::logRateLimited("source.unreadable", { { "error", e.what() } });
+        return std::nullopt;
+    }
+    if (!list.is_array())
+        return std::nullopt;
+    std::vector<SourceUpdate> out;
+    for (const auto& it : list) {
+        if (auto update = parseSourceUpdate(it))
+            out.push_back(std::move(*update));
     }
+    return out;
 }
 
 wire::Command toCommand(const SourceUpdate& update)
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/Packing.h"
 #include "pomelowind/moves/EvidenceAggregator.h"
+#include "pomelowind/nodes/PeerAddress.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +42,12 @@
     constexpr int MAX_CHILDREN = 32;
     // Targets and departed targets of one host. A host has a few; the rest is a bound on what other writers can add.
     constexpr size_t MAX_LOCAL_TARGETS = 256;
+    // Largest whole number that every JSON implementation represents exactly. A sequence beyond it is none that counts
+    // announcements, and would make all later ones look outdated.
+    constexpr int64_t MAX_SEQUENCE = (int64_t(1) << 53) - 1;
+    // An incarnation is the time of a start on this host's clock, which may have been stepped since.
+    constexpr auto MAX_CLOCK_STEP = std::chrono::hours(1);
+    constexpr auto MAX_RAMP_UP = Millis(3600000);
 
     nodes::ConfigPublisherOptions publisherOptions()
     {
@@ -196,11 +203,12 @@
         return;
     auto all = m_settings.control;
     for (const auto& it : hosts) {
-        auto address = base::parseAddress(it);
-        bool known
-            = std::any_of(all.begin(), all.end(), [&](const ControlAddress& host) { return host.address == address; });
-        if (!known)
-            all.push_back({ it, {}, address });
+        auto address = nodes::peerAddress(it);
+        bool isNew = address && std::none_of(all.begin(), all.end(), [&](const ControlAddress& host) {
+            return host.address == *address;
+        });
+        if (isNew)
+            all.push_back({ it, {}, *address });
     }
     m_parentChooser.setControlHosts(controlParents(m_settings, std::move(all)));
 }
@@ -496,8 +504,9 @@
     m_digestDue = now + (m_serving ? DIGEST_PERIOD : PARTITIONED_START_WAIT / 4) + jitter;
     std::vector<base::Address> peers = m_serving ? std::vector<base::Address>() : m_settings.seeds;
     for (const auto& it : m_directory.liveNodes(m_settings.dataCentre)) {
-        if (it.node != m_settings.id)
-            peers.push_back(base::parseAddress(it.meshAddress));
+        auto address = it.node == m_settings.id ? std::nullopt : nodes::peerAddress(it.meshAddress);
+        if (address)
+            peers.push_back(*address);
     }
     std::erase(peers, m_settings.meshAdvertised);
     if (peers.empty())
@@ -538,6 +547,18 @@
             "announce it to the node of its own host");
 }
 
+void DistributionCore::checkNumbers(const Announcement& announcement, Instant now) const
+{
+    auto coldLeft = announcement.coldLeft.value_or(Millis(0));
+    bool isOdd = announcement.sequence < 0 || announcement.sequence > MAX_SEQUENCE || announcement.incarnation < 0
+        || announcement.incarnation > wallMs(now) + Millis(MAX_CLOCK_STEP).count() || coldLeft < Millis(0)
+        || coldLeft > MAX_RAMP_UP;
+    if (isOdd)
+        throw base::UserError(base::ErrorKind::InvalidInput,
+            "the announcement of target '" + announcement.target + "' holds a number out of range",
+            "announce the start of the process in Unix milliseconds, and count its announcements from 1");
+}
+
 // Returns whether this process knows something later of the target than the announcement says.
 bool DistributionCore::isOutdated(const Announcement& announcement) const
 {
@@ -545,8 +566,10 @@
         const auto& known = entry.announcement;
         bool isSameTarget = name == announcement.target;
         bool sameIncarnation = isSameTarget && known.incarnation == announcement.incarnation;
-        bool isOutdated = (sameIncarnation && announcement.sequence && announcement.sequence <= known.sequence)
-            || (sameIncarnation && entry.departed)
+        // That a target leaves always counts, since the acknowledgement binds this node.
+        bool isEarlier = announcement.sequence && announcement.sequence <= known.sequence
+            && announcement.state != wire::TargetState::LEAVING;
+        bool isOutdated = (sameIncarnation && isEarlier) || (sameIncarnation && entry.departed)
             || (isSameTarget && entry.departed && known.incarnation > announcement.incarnation)
             || (known.address == announcement.address && known.incarnation > announcement.incarnation);
         if (isOutdated)
@@ -579,6 +602,7 @@
 void DistributionCore::announce(const Announcement& announcement, Instant now)
 {
     checkIsLocal(announcement);
+    checkNumbers(announcement, now);
     if (isOutdated(announcement)) {
         base::logInfo("target.late_announcement",
             { { "target", announcement.target }, { "sequence", announcement.sequence },
@@ -597,6 +621,7 @@
     bool isNewIncarnation = entry.announcement.incarnation != announcement.incarnation;
     if (isNewIncarnation)
         entry.departed = entry.leaving = false;
+    int64_t lastSequence = isNewIncarnation ? 0 : entry.announcement.sequence;
     entry.announcedLeaving = says;
     // Sequence number and remaining ramp-up time change with every announcement; a change of them alone is not
     // reported.
@@ -608,6 +633,7 @@
     bool changed = !(entry.announcement == comparable);
     entry.announcement = announcement;
     entry.announcement.state = comparable.state;
+    entry.announcement.sequence = std::max(announcement.sequence, lastSequence);
     entry.leaseEnd = now + m_settings.targetLease;
     if (!changed)
         return;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -94,6 +94,7 @@
 
     void chooseParent(base::Instant now);
     void checkIsLocal(const Announcement& announcement) const;
+    void checkNumbers(const Announcement& announcement, base::Instant now) const;
     bool isOutdated(const Announcement& announcement) const;
     bool isOlderThanDirectory(const Announcement& announcement) const;
     LocalTarget& localTarget(const std::string& target);
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -1,6 +1,7 @@
 #include "PeerCalls.h"
 
 #include "pomelowind/base/Log.h"
+#include "pomelowind/nodes/PeerAddress.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -36,33 +37,42 @@
 {
 }
 
-PeerCalls::Peer& PeerCalls::peer(const std::string& address)
+PeerCalls::Peer* PeerCalls::peer(const std::string& address)
 {
-    auto& out = m_peers[address];
-    if (!out.dialer) {
-        out.dialer
-            = std::make_shared<links::LinkDialer>(m_io, base::parseAddress(address), m_identity, *this, m_traffic);
-        out.dialer->start();
+    auto known = m_peers.find(address);
+    if (known != m_peers.end())
+        return &known->second;
+    auto parsed = nodes::peerAddress(address);
+    if (!parsed) {
+        setReachable(address, false);
+        return nullptr;
     }
-    return out;
+    auto& out = m_peers[address];
+    out.dialer = std::make_shared<links::LinkDialer>(m_io, *parsed, m_identity, *this, m_traffic);
+    out.dialer->start();
+    return &out;
 }
 
 void PeerCalls::sendOrQueue(const std::string& address, links::Kind kind, std::string payload, int64_t id)
 {
-    auto& to = peer(address);
-    auto link = to.dialer->link();
+    auto* to = peer(address);
+    if (!to) {
+        m_deadlines.emplace(base::Instant(), id);
+        return;
+    }
+    auto link = to->dialer->link();
     if (link) {
         auto& pending = m_pending.at(id);
         pending.link = link;
         pending.sent = link->send(kind, payload);
         if (!pending.sent)
             m_deadlines.emplace(base::Instant(), id); // A deadline in the past: the next sweep fails this call.
-        else if (!to.unanswered++)
-            to.lastReceivedAt = m_clock.now();
+        else if (!to->unanswered++)
+            to->lastReceivedAt = m_clock.now();
         return;
     }
-    if (to.queued.size() < MAX_QUEUED_REQUESTS)
-        to.queued.push_back({ kind, std::move(payload), id });
+    if (to->queued.size() < MAX_QUEUED_REQUESTS)
+        to->queued.push_back({ kind, std::move(payload), id });
 }
 
 int64_t PeerCalls::addPending(Pending pending)
@@ -76,11 +86,13 @@
 int64_t PeerCalls::call(const std::string& address, wire::CallRequest request, BodyPtr body, base::Millis budget,
     bool mayAbandon, base::Instant now, CallCallback done)
 {
-    if (isSilent(peer(address), now)) {
-        boost::asio::post(m_io, [done = std::move(done)] {
+    const auto* to = peer(address);
+    if (!to || isSilent(*to, now)) {
+        const char* reason = to ? "the target's node has fallen silent" : "the target's node has no usable address";
+        boost::asio::post(m_io, [reason, done = std::move(done)] {
             wire::CallAnswer answer;
             answer.outcome = wire::Outcome::NOT_RUN;
-            answer.reason = "the target's node has fallen silent";
+            answer.reason = reason;
             answer.fault = true;
             done(std::move(answer));
         });
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -108,7 +108,8 @@
         base::Instant deadline;
     };
 
-    Peer& peer(const std::string& address);
+    // Returns the peer, or null when the address cannot be used.
+    Peer* peer(const std::string& address);
     int64_t addPending(Pending pending);
     void sendOrQueue(const std::string& address, links::Kind kind, std::string payload, int64_t id);
     void failPending(int64_t id, wire::Outcome::type outcome, const std::string& reason, bool timedOut = false);
--- a/src/nodes/ParentChooser.cpp
+++ b/src/nodes/ParentChooser.cpp
@@ -1,7 +1,7 @@
 #include "pomelowind/nodes/ParentChooser.h"
 
-#include "pomelowind/base/Errors.h"
 #include "pomelowind/nodes/FanOutTree.h"
+#include "pomelowind/nodes/PeerAddress.h"
 
 #include <algorithm>
 
@@ -16,11 +16,8 @@
 
     std::optional<Parent> toParent(const wire::NodeInfo& node)
     {
-        try {
-            return Parent { node.node, base::parseAddress(node.meshAddress), false };
-        } catch (const base::UserError&) {
-            return std::nullopt;
-        }
+        auto address = peerAddress(node.meshAddress);
+        return address ? std::optional(Parent { node.node, *address, false }) : std::nullopt;
     }
 
 }
