Bound numbers from outside before they are converted or added

Cause: the range of numbers was not checked before they were converted to int64_t or added to a time.

Change: durations, deadlines, limits and integers of JSON bodies are checked where they are read; a move's times are clamped again where it is applied.

--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -515,7 +515,7 @@
         request.id = request.serviceName + "." + request.toVersion + "." + std::to_string(m_moves.size() + 1);
     }
     if (request.durationMs > 0)
-        request.deadlineMs = command.timeMs + request.durationMs;
+        request.deadlineMs = command.timeMs + std::min(request.durationMs, MAX_MOVE_DURATION_MS + 1);
     const auto* service = m_state.service(request.serviceName);
     if (!service)
         return refuse(ResultCode::NOT_FOUND, "service '" + request.serviceName + "' does not exist",
@@ -531,6 +531,9 @@
         return refuse(ResultCode::INVALID,
             "service '" + request.serviceName + "' runs version '" + request.toVersion + "' already",
             "name another version");
+    // Clamped before they are added to or subtracted from each other.
+    request.watchMs = std::clamp<int64_t>(request.watchMs, 0, MAX_MOVE_DURATION_MS);
+    request.deadlineMs = std::clamp<int64_t>(request.deadlineMs, 0, command.timeMs + MAX_MOVE_DURATION_MS + 1);
     int64_t minDurationMs = request.watchMs + MIN_RAMP_MS;
     int64_t timeToDeadlineMs = request.deadlineMs - command.timeMs;
     bool tooShort
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -302,9 +302,9 @@
             if (at == keepAlive.npos)
                 return m_options.idleLifetime;
             auto text = keepAlive.substr(at + KEY.size());
-            int seconds = 0;
+            int32_t seconds = 0;
             std::from_chars(text.data(), text.data() + text.size(), seconds);
-            return std::min(m_options.idleLifetime, base::Millis(std::max(0, seconds - 1) * 1000));
+            return std::min<base::Millis>(m_options.idleLifetime, std::chrono::seconds(std::max(1, seconds) - 1));
         }
 
         void fail(ExchangeEnd end, const std::string& error, beast::error_code ec = {})
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -16,6 +16,8 @@
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr int STATUS_TIMEOUT = 504;
     constexpr int MIN_ERROR_STATUS = 400;
+    // Longer than any timeout of a route, and safe to add to a time.
+    constexpr int64_t MAX_BUDGET_MS = 24 * 3600 * 1000;
 
     wire::Header header(const std::string& name, const std::string& value)
     {
@@ -34,7 +36,7 @@
             CallParameters out;
             int64_t budget = integerHeader(request.headers, DEADLINE_HEADER, -1);
             if (budget >= 0)
-                out.budget = base::Millis(budget);
+                out.budget = base::Millis(std::min(budget, MAX_BUDGET_MS));
             int64_t retries = integerHeader(request.headers, RETRIES_HEADER, -1);
             if (retries >= 0)
                 out.retriesLeft = retries;
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -5,6 +5,7 @@
 #include "pomelowind/config/ConfigMachine.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 namespace pomelowind::operators {
@@ -126,7 +127,9 @@
         int64_t integerField(const std::string& key) const
         {
             auto it = m_json.find(key);
-            if (it == m_json.end() || !it->is_number_integer())
+            bool isTooLarge = it != m_json.end() && it->is_number_unsigned()
+                && it->get<uint64_t>() > static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+            if (it == m_json.end() || !it->is_number_integer() || isTooLarge)
                 throw UserError(ErrorKind::InvalidInput, "field '" + key + "' is missing or not a whole number",
                     "add \"" + key + "\" to the body");
             return it->get<int64_t>();
