Lose no acknowledged entry on a disk that refuses to truncate

Callers saw: nothing yet; found while testing the report of disks that are full in turn. An acknowledged change could be gone after a restart.

Cause: an append that failed half way was truncated at once. Where a full disk refused that too, the retry wrote behind the partial record, and the next start cut both off.

--- a/include/pomelowind/members/LogStore.h
+++ b/include/pomelowind/members/LogStore.h
@@ -45,6 +45,7 @@
     // entries.front().index on. Throws UserError(StorageFull); the caller must then acknowledge nothing, and may retry
     // the same write.
     void write(const std::optional<wire::HardState>& hardState, const std::vector<wire::Entry>& entries);
+    // The methods below throw like write(), and may be retried like it.
     // Stores a snapshot of this host's state machine and deletes the segments that it covers.
     void writeSnapshot(const wire::SnapshotRecord& snapshot);
     // Stores a snapshot received from the leader, with the hard state, and deletes all log entries.
@@ -74,6 +75,8 @@
     wire::HardState m_hardState;
     int64_t m_nextSegment { 1 };
     size_t m_segmentBytes { 0 };
+    bool m_hasPartialRecord { false }; // behind m_segmentBytes, after a failed append
+    bool m_nextSegmentTouched { false }; // an attempt to open the next segment has failed
 };
 
 } // namespace pomelowind::members
--- a/src/members/LogStore.cpp
+++ b/src/members/LogStore.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace pomelowind::members {
 
@@ -135,7 +136,10 @@
     }
     replaySegments(state);
     if (state.snapshot) {
-        std::erase_if(state.entries, [&](const wire::Entry& it) { return it.index <= state.snapshot->index; });
+        // Terms never decrease along a log. An older one above the snapshot is left from a log that the snapshot has
+        // replaced, when the process ended before it had deleted all of it.
+        std::erase_if(state.entries,
+            [&](const wire::Entry& it) { return it.index <= state.snapshot->index || it.term < state.snapshot->term; });
         int64_t expected = state.snapshot->index + 1;
         if (!state.entries.empty() && state.entries.front().index != expected)
             throw damagedRecordError("log before index " + std::to_string(state.entries.front().index), 0);
@@ -215,26 +219,35 @@
     }
 }
 
+// Changes nothing but the new file until that file holds the hard state, without which a vote could be forgotten once
+// the older segments are deleted.
 void LogStore::openNextSegment()
 {
-    std::string name = segmentName(m_nextSegment++);
-    m_file = m_disk.open(name);
+    std::string name = segmentName(m_nextSegment);
+    auto file = m_disk.open(name);
+    if (std::exchange(m_nextSegmentTouched, true))
+        file->truncate(0); // an earlier attempt may have written a part
+    std::string bytes = frameRecord(HARD_STATE, base::encode(m_hardState));
+    file->append(bytes);
+    file->sync();
+    m_file = std::move(file);
     m_segments.push_back({ name, 0 });
-    m_segmentBytes = 0;
-    appendRecord(HARD_STATE, base::encode(m_hardState));
+    m_segmentBytes = bytes.size();
+    m_hasPartialRecord = m_nextSegmentTouched = false;
+    ++m_nextSegment;
 }
 
 void LogStore::appendRecord(uint8_t type, const std::string& payload)
 {
-    std::string bytes = frameRecord(type, payload);
-    try {
-        m_file->append(bytes);
-        m_file->sync();
-    } catch (const base::Error&) {
-        // A partly written record must not remain in front of later records.
+    // A partly written record must not remain in front of later records. A full disk may refuse to truncate too, so
+    // this is done by the next attempt.
+    if (m_hasPartialRecord)
         m_file->truncate(m_segmentBytes);
-        throw;
-    }
+    std::string bytes = frameRecord(type, payload);
+    m_hasPartialRecord = true;
+    m_file->append(bytes);
+    m_file->sync();
+    m_hasPartialRecord = false;
     m_segmentBytes += bytes.size();
 }
 
@@ -277,11 +290,13 @@
 {
     writeSnapshotFile(snapshot);
     m_hardState = hardState;
-    auto oldSegments = std::move(m_segments);
-    m_segments.clear();
     openNextSegment();
-    for (const auto& it : oldSegments)
-        m_disk.remove(it.name);
+    // Newest first: if the process ends meanwhile, what remains has no gap behind the snapshot.
+    while (m_segments.size() > 1) {
+        auto old = m_segments.end() - 2;
+        m_disk.remove(old->name);
+        m_segments.erase(old);
+    }
 }
 
 void LogStore::markReinstated() { m_disk.remove(RECOVERING_FILE); }
