Step aside while the disk is far behind instead of ending the process

Callers saw: nothing yet. A control host whose disk stayed full for some minutes ended with an internal fault.

Cause: each heartbeat adds a message that waits for the disk, and the bounded queue to the disk thread filled up.

Change: a host with 1,024 writes outstanding answers submissions and reads as unavailable and takes no part in the group until its disk has caught up; the others elect a leader. The disk thread is a class of its own, so that tests can drive its writes. A lost disk result is an internal fault rather than a write that is never reported.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -30,6 +30,9 @@
     constexpr auto VOTER_REPLACEMENT_TIMEOUT = Millis(2500);
     constexpr auto MEMBER_REMOVAL_TIMEOUT = Millis(120000);
     constexpr char SYSTEM_ACTOR[] = "system";
+    // Writes that may wait for the disk, below the capacity of its queue. A host with more takes no part in the group
+    // until its disk has caught up.
+    constexpr int MAX_OUTSTANDING_DISK_WORK = 1024;
     // A snapshot is written when the commands since the last one have this many times its size. This bounds the replay
     // at start, and limits the cost of writing snapshots to a fraction of the cost of applying the commands.
     constexpr size_t SNAPSHOT_REPLAY_RATIO = 4;
@@ -327,11 +330,23 @@
     processReady();
 }
 
+// A disk that has been full or stalled for long. What the group would ask of this host could not be made durable, so
+// the host is silent like one that is down: another one leads, and a learner takes its place as a voter.
+bool ControlCore::isDiskBehind() const { return m_outstandingDiskWork >= MAX_OUTSTANDING_DISK_WORK; }
+
+void ControlCore::logDiskBacklog()
+{
+    if (std::exchange(m_loggedDiskBehind, isDiskBehind()) != isDiskBehind())
+        base::logWarn("disk.backlog", { { "behind", isDiskBehind() ? 1 : 0 }, { "writes", m_outstandingDiskWork } });
+}
+
 // ---- submissions ----
 
 void ControlCore::submit(wire::Command command, SubmissionReply reply, base::Instant now, int64_t wallMs)
 {
     setTime(now, wallMs);
+    if (isDiskBehind())
+        return reply(unavailable("the disk of this control host is full or stalled"));
     if (m_replica.isLeader()) {
         command.timeMs = wallMs;
         auto index = m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), now);
@@ -357,7 +372,8 @@
     wire::ForwardAnswer answer;
     answer.id = request.id;
     bool isBarrier = request.command.empty();
-    if (!m_replica.isLeader() || (isBarrier && !(m_replica.hasCommittedInTerm() && m_replica.hasLease(m_now)))) {
+    if (isDiskBehind() || !m_replica.isLeader()
+        || (isBarrier && !(m_replica.hasCommittedInTerm() && m_replica.hasLease(m_now)))) {
         answer.notLeader = true;
         return m_outputs.sendToMember(member, FrameKind::FORWARD_ANSWER, base::encode(answer));
     }
@@ -392,6 +408,8 @@
 void ControlCore::readBarrier(BarrierDone done, base::Instant now)
 {
     m_now = now;
+    if (isDiskBehind())
+        return done(false);
     if (m_replica.hasCommittedInTerm() && m_replica.hasLease(now))
         return done(true);
     if (m_replica.isLeader() || m_replica.leader().empty())
@@ -432,6 +450,9 @@
 {
     setTime(now, wallMs);
     recordContact(member);
+    bool isOfReplica = kind >= FrameKind::VOTE_REQUEST && kind <= FrameKind::SNAPSHOT_REQUEST;
+    if (isOfReplica && isDiskBehind())
+        return;
     switch (kind) {
     case FrameKind::VOTE_REQUEST:
         m_replica.receive(member, base::decode<wire::VoteRequest>(payload), now);
@@ -661,7 +682,9 @@
 void ControlCore::tick(base::Instant now, int64_t wallMs)
 {
     setTime(now, wallMs);
-    m_replica.tick(now);
+    logDiskBacklog();
+    if (!isDiskBehind())
+        m_replica.tick(now);
     expireRequests();
     failForwardsToPreviousLeader();
     reportExpiredNodes();
@@ -671,7 +694,7 @@
         m_evidenceBatchDue = now + EVIDENCE_BATCH_PERIOD;
         m_moveDriver.closeEvidenceBatches({ m_machine, m_directory, m_acks, now, wallMs });
     }
-    bool leadsWithLease = m_replica.hasCommittedInTerm() && m_replica.hasLease(now);
+    bool leadsWithLease = !isDiskBehind() && m_replica.hasCommittedInTerm() && m_replica.hasLease(now);
     if (leadsWithLease && now >= m_beaconDue) {
         m_beaconDue = now + BEACON_PERIOD;
         sendBeacon();
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -92,6 +92,8 @@
     void expireRequests();
     void failForwardsToPreviousLeader();
     void maybeSnapshot();
+    bool isDiskBehind() const;
+    void logDiskBacklog();
     void publish();
 
     void handleForwardRequest(const std::string& member, const wire::ForwardRequest& request);
@@ -139,6 +141,7 @@
     size_t m_bytesSinceSnapshot { 0 }; // size of the commands applied since the last snapshot
     bool m_snapshotInFlight { false };
     int m_outstandingDiskWork { 0 }; // writes passed to persist() that are not durable yet
+    bool m_loggedDiskBehind { false };
     bool m_processingReady { false }; // guards processReady() against recursion
     base::Instant m_beaconDue;
     base::Instant m_evidenceBatchDue;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -1,6 +1,7 @@
 #include "pomelowind/control/ControlHost.h"
 
 #include "ControlCore.h"
+#include "DiskWriter.h"
 #include "MemberNetwork.h"
 #include "SourcePoller.h"
 #include "Views.h"
@@ -11,18 +12,14 @@
 #include "pomelowind/operators/OperatorApi.h"
 
 #include <algorithm>
-#include <atomic>
 #include <boost/asio/post.hpp>
-#include <cstdlib>
 #include <future>
-#include <thread>
 
 namespace pomelowind::control {
 
 namespace {
 
     constexpr size_t QUEUE_CAPACITY = 8192;
-    constexpr size_t DISK_QUEUE_CAPACITY = 4096;
     constexpr auto TICK_PERIOD = base::Millis(20);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
     constexpr auto DRAIN_GRACE_PERIOD = base::Millis(200);
@@ -35,93 +32,8 @@
         = R"({"error":"internal","message":"the view cannot be rendered","remedy":"see the log of this control host"})";
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
-    // Disk space becomes free when an operator or the host frees it; ten retries a second are cheap.
-    constexpr auto FULL_DISK_RETRY_PERIOD = std::chrono::milliseconds(100);
     constexpr size_t MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024;
 
-    // The disk thread. It makes queued writes durable in order and reports each to the decision thread, together with
-    // the messages that may be sent from then on.
-    class DiskWriter {
-    public:
-        using Done = std::function<void(DiskResult)>;
-
-        DiskWriter(members::LogStore& store, Done done)
-            : m_store(store)
-            , m_done(std::move(done))
-            , m_thread("disk")
-            , m_queue(m_thread.context(), DISK_QUEUE_CAPACITY, [this](DiskWork&& work) { handleWork(std::move(work)); })
-        {
-        }
-        void start() { m_thread.start(); }
-        void stop()
-        {
-            m_stopping = true;
-            m_thread.stop();
-        }
-        bool enqueue(DiskWork work) { return m_queue.tryPut(std::move(work)); }
-
-    private:
-        void handleWork(DiskWork work)
-        {
-            DiskResult result;
-            try {
-                writeWithRetry(work, result);
-            } catch (const base::Error& e) {
-                // Only durable entries may be acknowledged, and the files may end in a torn record. Therefore the
-                // process exits; the next start truncates the torn record.
-                base::logError("disk.failed", { { "error", e.what() }, { "remedy", e.remedy() } });
-                base::stopLogging();
-                std::_Exit(EXIT_FAILURE);
-            }
-            result.send = std::move(work.ready.messagesAfterPersist);
-            m_done(std::move(result));
-        }
-
-        // Retries while the disk is full. Until then this host acknowledges nothing, and the other hosts continue.
-        void writeWithRetry(DiskWork& work, DiskResult& result)
-        {
-            for (bool isFirst = true;; isFirst = false) {
-                try {
-                    write(work, result);
-                    if (!isFirst)
-                        base::logInfo("disk.has_room");
-                    return;
-                } catch (const base::UserError& e) {
-                    if (e.kind() != base::ErrorKind::StorageFull || m_stopping)
-                        throw;
-                    if (isFirst)
-                        base::logError("disk.full", { { "error", e.what() }, { "remedy", e.remedy() } });
-                    std::this_thread::sleep_for(FULL_DISK_RETRY_PERIOD);
-                }
-            }
-        }
-
-        void write(DiskWork& work, DiskResult& result)
-        {
-            auto& ready = work.ready;
-            if (ready.snapshotToInstall)
-                m_store.installSnapshot(*ready.snapshotToInstall, work.hardState);
-            if (ready.hardState || !ready.entriesToAppend.empty())
-                m_store.write(ready.hardState, ready.entriesToAppend);
-            if (ready.reinstated)
-                m_store.markReinstated();
-            if (!ready.entriesToAppend.empty()) {
-                result.lastIndex = ready.entriesToAppend.back().index;
-                result.lastTerm = ready.entriesToAppend.back().term;
-            }
-            if (work.snapshot) {
-                m_store.writeSnapshot(*work.snapshot);
-                result.snapshot = std::move(work.snapshot);
-            }
-        }
-
-        members::LogStore& m_store;
-        Done m_done;
-        std::atomic<bool> m_stopping { false };
-        base::EventLoopThread m_thread;
-        base::Mailbox<DiskWork> m_queue;
-    };
-
 }
 
 // Connects the threads through bounded queues: network -> decisions, decisions -> network, decisions -> disk ->
@@ -141,7 +53,12 @@
               [this](DiskResult&& result) { m_core->handleDiskResult(std::move(result), m_clock.now()); })
         , m_apiRequests(m_decisionThread.context(), QUEUE_CAPACITY, [](std::function<void()>&& request) { request(); })
         , m_network(m_settings, [this](NetworkEvent event) { return m_networkEvents.tryPut(std::move(event)); })
-        , m_diskWriter(m_store, [this](DiskResult result) { m_diskResults.tryPut(std::move(result)); })
+        , m_diskWriter(m_store,
+              [this](DiskResult result) {
+                  // The queue has room for the results of all writes that can be outstanding.
+                  if (!m_diskResults.tryPut(std::move(result)))
+                      throw base::InternalFault("the result of a disk write is lost");
+              })
         , m_operatorHandler(handlerFactory ? handlerFactory(*this)
                                            : std::make_unique<operators::OperatorApi>(m_settings.roles, *this))
         , m_metrics(host::serveMetrics(m_settings.metricsAddress))
