Rename and explain what a newcomer would stumble over

Cause: read through the diff as a newcomer. `says` and `isOdd` did not tell what they hold, and a unique_ptr with a custom deleter cleared a flag.

No behaviour.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -58,6 +58,21 @@
         return out;
     }
 
+    // Clears a flag at the end of its scope, also when an exception leaves it.
+    class FlagReset {
+    public:
+        explicit FlagReset(bool& flag)
+            : m_flag(flag)
+        {
+        }
+        ~FlagReset() { m_flag = false; }
+        FlagReset(const FlagReset&) = delete;
+        FlagReset& operator=(const FlagReset&) = delete;
+
+    private:
+        bool& m_flag;
+    };
+
     struct EncodedMessage {
         links::Kind kind;
         std::string payload;
@@ -138,13 +153,12 @@
     if (m_processingReady)
         return;
     m_processingReady = true;
-    // Also cleared when an exception leaves, or this host would never process anything again.
-    std::unique_ptr<bool, void (*)(bool*)> guard(&m_processingReady, [](bool* it) { *it = false; });
+    FlagReset reset(m_processingReady);
     for (Ready ready = m_replica.takeReady(); ready.needsPersist() || !ready.messages.empty()
          || !ready.messagesAfterPersist.empty() || !ready.committed.empty();
          ready = m_replica.takeReady())
         handleReady(std::move(ready));
-    guard.reset();
+    m_processingReady = false;
     logRoleChange();
     publish();
     maybeSnapshot();
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -550,10 +550,10 @@
 void DistributionCore::checkNumbers(const Announcement& announcement, Instant now) const
 {
     auto coldLeft = announcement.coldLeft.value_or(Millis(0));
-    bool isOdd = announcement.sequence < 0 || announcement.sequence > MAX_SEQUENCE || announcement.incarnation < 0
-        || announcement.incarnation > wallMs(now) + Millis(MAX_CLOCK_STEP).count() || coldLeft < Millis(0)
-        || coldLeft > MAX_RAMP_UP;
-    if (isOdd)
+    bool isOutOfRange = announcement.sequence < 0 || announcement.sequence > MAX_SEQUENCE
+        || announcement.incarnation < 0 || announcement.incarnation > wallMs(now) + Millis(MAX_CLOCK_STEP).count()
+        || coldLeft < Millis(0) || coldLeft > MAX_RAMP_UP;
+    if (isOutOfRange)
         throw base::UserError(base::ErrorKind::InvalidInput,
             "the announcement of target '" + announcement.target + "' holds a number out of range",
             "announce the start of the process in Unix milliseconds, and count its announcements from 1");
@@ -609,8 +609,8 @@
                 { "incarnation", announcement.incarnation } });
         return;
     }
-    bool says = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
-    if (!m_directoryKnown && !says && !m_localTargets.count(announcement.target)
+    bool isLeaving = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
+    if (!m_directoryKnown && !isLeaving && !m_localTargets.count(announcement.target)
         && m_heldAnnouncements.size() < MAX_LOCAL_TARGETS) {
         m_heldAnnouncements[announcement.target] = announcement;
         return;
@@ -622,7 +622,7 @@
     if (isNewIncarnation)
         entry.departed = entry.leaving = false;
     int64_t lastSequence = isNewIncarnation ? 0 : entry.announcement.sequence;
-    entry.announcedLeaving = says;
+    entry.announcedLeaving = isLeaving;
     // Sequence number and remaining ramp-up time change with every announcement; a change of them alone is not
     // reported.
     Announcement comparable = announcement;
@@ -638,7 +638,7 @@
     if (!changed)
         return;
     publishTarget(entry, now);
-    if (says)
+    if (isLeaving)
         reportDepartureNow();
     publish();
 }
--- a/tests/support/ControlGroupSim.cpp
+++ b/tests/support/ControlGroupSim.cpp
@@ -37,7 +37,7 @@
     {
         for (size_t to = 0; to < m_sim.m_hosts.size(); ++to) {
             if (to != m_index && addressOf(to).text() == member)
-                m_sim.m_frames.push_back({ m_sim.m_now + STEP, m_index, to, kind, std::move(payload) });
+                m_sim.m_frames.push_back({ m_sim.m_now + STEP, m_index, to, kind, payload });
         }
     }
     void sendToNode(const std::string&, links::Kind, std::string) override { }
