--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -604,9 +604,11 @@
     checkIsLocal(announcement);
     checkNumbers(announcement, now);
     if (isOutdated(announcement)) {
+        auto known = m_localTargets.find(announcement.target);
         base::logInfo("target.late_announcement",
-            { { "target", announcement.target }, { "sequence", announcement.sequence },
-                { "incarnation", announcement.incarnation } });
+            { { "target", announcement.target }, { "incarnation", announcement.incarnation },
+                { "sequence", announcement.sequence },
+                { "known_sequence", known == m_localTargets.end() ? 0 : known->second.announcement.sequence } });
         return;
     }
     bool isLeaving = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
