--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -7,7 +7,7 @@
   VOTE_REQUEST = 10, VOTE_ANSWER = 11, APPEND_REQUEST = 12, APPEND_ANSWER = 13,
   SNAPSHOT_REQUEST = 14, FORWARD_REQUEST = 16, FORWARD_ANSWER = 17, MEMBER_REPORT = 18,
   SUBSCRIBE = 20, SUBSCRIBE_ANSWER = 21, DELTA = 22, REPORT = 23, SPREAD = 24,
-  DIGEST = 25, DIGEST_ANSWER = 26,
+  DIGEST = 25, DIGEST_ANSWER = 26, FRESHNESS_REQUEST = 27, FRESHNESS_ANSWER = 28,
   CALL_REQUEST = 40, CALL_ANSWER = 41, CALL_CANCEL = 42,
   CLAIM_REQUEST = 43, CLAIM_ANSWER = 44, PING = 45, PONG = 46, CALL_GRANT = 47, CALL_BODY = 48
 }
@@ -21,7 +21,9 @@
 struct Route {
   1: string host, 2: string path, 3: list<string> methods, 4: string serviceName,
   5: i32 timeoutMs, 6: bool idempotent,
-  7: string name, 8: i32 objectiveMs, 9: i32 priority, 10: i32 maxAttempts, 11: list<SplitPart> split, 12: bool largeBody
+  7: string name, 8: i32 objectiveMs, 9: i32 priority, 10: i32 maxAttempts, 11: list<SplitPart> split, 12: bool largeBody,
+  // Calls need no key of a client account.
+  13: bool withoutAccount
 }
 struct AccountResource {
   1: string name, 2: string templateName, 3: list<Route> routes,
@@ -30,8 +32,16 @@
 struct ServiceResource {
   1: string name, 2: string stable, 3: string candidate, 4: i32 permille,
   5: string moveId, 6: i32 step, 7: i32 grantMs, 8: string healthPath, 9: i32 maxConnections,
-  10: string excluded
+  10: string excluded,
+  // How long a started target is cold, and the calls per second that it accepts meanwhile; 0: no limit.
+  11: i32 coldStartMs, 12: double coldCallsPerSecond
 }
+// A client account of a release. Nodes know only the SHA-256 digests of its keys.
+struct ClientAccount {
+  1: string name, 2: list<binary> keyDigests, 3: i32 priority, 4: double ratePerSecond, 5: double burst
+}
+// No call may reach the targets of this data centre.
+struct Evacuation { 1: string dataCentre }
 // Bounds on what callers may send, and the number of the release that set them.
 struct ReleaseResource {
   1: i64 number, 2: i64 headerBytes, 3: i64 bodyBytes, 4: i32 headerTimeoutMs, 5: i32 idleTimeoutMs
@@ -42,7 +52,8 @@
 struct Resource {
   1: string key, 2: i64 version,
   3: optional ServiceResource serviceResource, 4: optional AccountResource accountResource, 5: optional ClaimRing claimRing,
-  6: optional Route route, 7: optional ReleaseResource releaseResource
+  6: optional Route route, 7: optional ReleaseResource releaseResource, 8: optional ClientAccount clientAccount,
+  9: optional Evacuation evacuation
 }
 struct Tombstone { 1: string key, 2: i64 version }
 struct Delta {
@@ -76,14 +87,18 @@
 struct ForwardAnswer { 1: i64 id, 2: bool notLeader, 3: binary result }
 
 // ---- commands and what they leave behind ----
-struct ServiceSpec { 1: string name, 2: string healthPath, 3: i32 maxConnections }
+struct ServiceSpec {
+  1: string name, 2: string healthPath, 3: i32 maxConnections, 4: i32 coldStartMs, 5: double coldCallsPerSecond
+}
 // A whole configuration in one submission. `document` is what the operator sent, kept for reading back.
 struct Release {
-  1: ReleaseResource header, 2: i64 baseNumber, 3: list<Route> routes, 4: list<ServiceSpec> services, 5: binary document
+  1: ReleaseResource header, 2: i64 baseNumber, 3: list<Route> routes, 4: list<ServiceSpec> services, 5: binary document,
+  6: list<ClientAccount> accounts
 }
 enum CommandKind {
   SET_SERVICE = 1, REMOVE_SERVICE = 2, SUBMIT_TEMPLATE = 3, SET_ACCOUNT = 4, REMOVE_ACCOUNT = 5,
-  START_MOVE = 6, TAKE_BACK_MOVE = 7, MOVE_EVENT = 8, CLAIM_EPOCH = 9, DENIED = 10, SOURCE_UPDATE = 11, SUBMIT_RELEASE = 12
+  START_MOVE = 6, TAKE_BACK_MOVE = 7, MOVE_EVENT = 8, CLAIM_EPOCH = 9, DENIED = 10, SOURCE_UPDATE = 11, SUBMIT_RELEASE = 12,
+  START_EVACUATION = 13, FINISH_EVACUATION = 14
 }
 enum MoveEventKind { RAISE = 1, REACHED_ALL = 2, BAD = 3, WATCH_ENDED = 4, LATE = 5, ASKED_BACK = 6, PAUSE = 7, RESUME = 8 }
 struct MoveEvent { 1: string moveId, 2: i32 step, 3: MoveEventKind kind, 4: i32 permille, 5: string reason, 6: i32 slotsNeeded }
@@ -148,7 +163,16 @@
 // them that have ended with a response since.
 struct TargetCrash { 1: string target, 2: i64 incarnation, 3: list<i64> calls, 4: list<i64> cleared }
 
+// Calls of one client account at a node since its last report: offered by callers, and admitted.
+struct AccountUsage { 1: string account, 2: i64 offered, 3: i64 admitted }
+// Part of the offered calls of a client account that nodes may admit.
+struct AccountRatio { 1: string account, 2: i32 permille }
+
 // ---- distribution ----
+// Proof that a configuration is the newest. `sentAt` is the sender's monotonic time in milliseconds, returned unchanged.
+struct FreshnessRequest { 1: i64 sentAt }
+// The answering host knew at most `ageMs` before it answered that `version` was the newest; below 0: it has no proof.
+struct FreshnessAnswer { 1: i64 sentAt, 2: i64 ageMs, 3: i64 version }
 struct Beacon { 1: i64 term, 2: i64 sequence, 3: i64 version, 4: i64 claimsThroughMs }
 struct Subscribe { 1: NodeInfo node, 2: i64 base, 3: i64 hash }
 struct SubscribeAnswer {
@@ -157,12 +181,14 @@
 }
 struct Report {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: list<EvidenceCell> evidence, 4: list<Alarm> alarms,
-  5: list<NodeAck> acks, 6: list<TargetCrash> crashes
+  5: list<NodeAck> acks, 6: list<TargetCrash> crashes, 7: list<AccountUsage> usage
+}
+struct MemberReport {
+  1: Report report, 2: optional Beacon beacon, 3: list<string> members, 4: list<AccountRatio> accountRatios
 }
-struct MemberReport { 1: Report report, 2: optional Beacon beacon, 3: list<string> members }
 struct Spread {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts,
-  5: list<TargetCrash> crashes
+  5: list<TargetCrash> crashes, 6: list<AccountRatio> accountRatios
 }
 struct Digest { 1: i64 version, 2: i64 hash, 3: list<i64> buckets }
 struct DigestAnswer { 1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes }
@@ -180,7 +206,9 @@
   // The longest wait at the gate that is better than a refusal; 0 when there is no bound.
   19: i32 mostWaitMs,
   // Calls per second that the target accepts, as the sender last heard; unset when it has heard of no limit.
-  20: optional double maxCallsPerSecond
+  20: optional double maxCallsPerSecond,
+  // Name of the client account whose key the call carries; empty when it carries none.
+  21: string clientAccount
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -31,6 +31,8 @@
   FrameKind::SPREAD,
   FrameKind::DIGEST,
   FrameKind::DIGEST_ANSWER,
+  FrameKind::FRESHNESS_REQUEST,
+  FrameKind::FRESHNESS_ANSWER,
   FrameKind::CALL_REQUEST,
   FrameKind::CALL_ANSWER,
   FrameKind::CALL_CANCEL,
@@ -59,6 +61,8 @@
   "SPREAD",
   "DIGEST",
   "DIGEST_ANSWER",
+  "FRESHNESS_REQUEST",
+  "FRESHNESS_ANSWER",
   "CALL_REQUEST",
   "CALL_ANSWER",
   "CALL_CANCEL",
@@ -69,7 +73,7 @@
   "CALL_GRANT",
   "CALL_BODY"
 };
-const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(26, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(28, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const FrameKind::type& val) {
   std::map<int, const char*>::const_iterator it = _FrameKind_VALUES_TO_NAMES.find(val);
@@ -135,7 +139,9 @@
   CommandKind::CLAIM_EPOCH,
   CommandKind::DENIED,
   CommandKind::SOURCE_UPDATE,
-  CommandKind::SUBMIT_RELEASE
+  CommandKind::SUBMIT_RELEASE,
+  CommandKind::START_EVACUATION,
+  CommandKind::FINISH_EVACUATION
 };
 const char* _kCommandKindNames[] = {
   "SET_SERVICE",
@@ -149,9 +155,11 @@
   "CLAIM_EPOCH",
   "DENIED",
   "SOURCE_UPDATE",
-  "SUBMIT_RELEASE"
+  "SUBMIT_RELEASE",
+  "START_EVACUATION",
+  "FINISH_EVACUATION"
 };
-const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(12, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(14, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CommandKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CommandKind_VALUES_TO_NAMES.find(val);
@@ -903,6 +911,10 @@
 void Route::__set_largeBody(const bool val) {
   this->largeBody = val;
 }
+
+void Route::__set_withoutAccount(const bool val) {
+  this->withoutAccount = val;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -1051,6 +1063,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withoutAccount);
+          this->__isset.withoutAccount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1132,6 +1152,10 @@
   xfer += oprot->writeBool(this->largeBody);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("withoutAccount", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->withoutAccount);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1151,6 +1175,7 @@
   swap(a.maxAttempts, b.maxAttempts);
   swap(a.split, b.split);
   swap(a.largeBody, b.largeBody);
+  swap(a.withoutAccount, b.withoutAccount);
   swap(a.__isset, b.__isset);
 }
 
@@ -1167,6 +1192,7 @@
   maxAttempts = other24.maxAttempts;
   split = other24.split;
   largeBody = other24.largeBody;
+  withoutAccount = other24.withoutAccount;
   __isset = other24.__isset;
 }
 Route::Route(Route&& other25) noexcept {
@@ -1182,6 +1208,7 @@
   maxAttempts = other25.maxAttempts;
   split = std::move(other25.split);
   largeBody = other25.largeBody;
+  withoutAccount = other25.withoutAccount;
   __isset = other25.__isset;
 }
 Route& Route::operator=(const Route& other26) {
@@ -1197,6 +1224,7 @@
   maxAttempts = other26.maxAttempts;
   split = other26.split;
   largeBody = other26.largeBody;
+  withoutAccount = other26.withoutAccount;
   __isset = other26.__isset;
   return *this;
 }
@@ -1213,6 +1241,7 @@
   maxAttempts = other27.maxAttempts;
   split = std::move(other27.split);
   largeBody = other27.largeBody;
+  withoutAccount = other27.withoutAccount;
   __isset = other27.__isset;
   return *this;
 }
@@ -1231,6 +1260,7 @@
   out << ", " << "maxAttempts=" << to_string(maxAttempts);
   out << ", " << "split=" << to_string(split);
   out << ", " << "largeBody=" << to_string(largeBody);
+  out << ", " << "withoutAccount=" << to_string(withoutAccount);
   out << ")";
 }
 
@@ -1509,6 +1539,14 @@
 void ServiceResource::__set_excluded(const std::string& val) {
   this->excluded = val;
 }
+
+void ServiceResource::__set_coldStartMs(const int32_t val) {
+  this->coldStartMs = val;
+}
+
+void ServiceResource::__set_coldCallsPerSecond(const double val) {
+  this->coldCallsPerSecond = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceResource& obj)
 {
   obj.printTo(out);
@@ -1617,6 +1655,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldStartMs);
+          this->__isset.coldStartMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldCallsPerSecond);
+          this->__isset.coldCallsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1674,6 +1728,14 @@
   xfer += oprot->writeString(this->excluded);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("coldStartMs", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->coldStartMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 12);
+  xfer += oprot->writeDouble(this->coldCallsPerSecond);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1691,6 +1753,8 @@
   swap(a.healthPath, b.healthPath);
   swap(a.maxConnections, b.maxConnections);
   swap(a.excluded, b.excluded);
+  swap(a.coldStartMs, b.coldStartMs);
+  swap(a.coldCallsPerSecond, b.coldCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -1705,6 +1769,8 @@
   healthPath = other38.healthPath;
   maxConnections = other38.maxConnections;
   excluded = other38.excluded;
+  coldStartMs = other38.coldStartMs;
+  coldCallsPerSecond = other38.coldCallsPerSecond;
   __isset = other38.__isset;
 }
 ServiceResource::ServiceResource(ServiceResource&& other39) noexcept {
@@ -1718,6 +1784,8 @@
   healthPath = std::move(other39.healthPath);
   maxConnections = other39.maxConnections;
   excluded = std::move(other39.excluded);
+  coldStartMs = other39.coldStartMs;
+  coldCallsPerSecond = other39.coldCallsPerSecond;
   __isset = other39.__isset;
 }
 ServiceResource& ServiceResource::operator=(const ServiceResource& other40) {
@@ -1731,6 +1799,8 @@
   healthPath = other40.healthPath;
   maxConnections = other40.maxConnections;
   excluded = other40.excluded;
+  coldStartMs = other40.coldStartMs;
+  coldCallsPerSecond = other40.coldCallsPerSecond;
   __isset = other40.__isset;
   return *this;
 }
@@ -1745,6 +1815,8 @@
   healthPath = std::move(other41.healthPath);
   maxConnections = other41.maxConnections;
   excluded = std::move(other41.excluded);
+  coldStartMs = other41.coldStartMs;
+  coldCallsPerSecond = other41.coldCallsPerSecond;
   __isset = other41.__isset;
   return *this;
 }
@@ -1761,41 +1833,43 @@
   out << ", " << "healthPath=" << to_string(healthPath);
   out << ", " << "maxConnections=" << to_string(maxConnections);
   out << ", " << "excluded=" << to_string(excluded);
+  out << ", " << "coldStartMs=" << to_string(coldStartMs);
+  out << ", " << "coldCallsPerSecond=" << to_string(coldCallsPerSecond);
   out << ")";
 }
 
 
-ReleaseResource::~ReleaseResource() noexcept {
+ClientAccount::~ClientAccount() noexcept {
 }
 
 
-void ReleaseResource::__set_number(const int64_t val) {
-  this->number = val;
+void ClientAccount::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void ReleaseResource::__set_headerBytes(const int64_t val) {
-  this->headerBytes = val;
+void ClientAccount::__set_keyDigests(const std::vector<std::string> & val) {
+  this->keyDigests = val;
 }
 
-void ReleaseResource::__set_bodyBytes(const int64_t val) {
-  this->bodyBytes = val;
+void ClientAccount::__set_priority(const int32_t val) {
+  this->priority = val;
 }
 
-void ReleaseResource::__set_headerTimeoutMs(const int32_t val) {
-  this->headerTimeoutMs = val;
+void ClientAccount::__set_ratePerSecond(const double val) {
+  this->ratePerSecond = val;
 }
 
-void ReleaseResource::__set_idleTimeoutMs(const int32_t val) {
-  this->idleTimeoutMs = val;
+void ClientAccount::__set_burst(const double val) {
+  this->burst = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReleaseResource& obj)
+std::ostream& operator<<(std::ostream& out, const ClientAccount& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ReleaseResource::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClientAccount::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1817,41 +1891,53 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->headerBytes);
-          this->__isset.headerBytes = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keyDigests.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->keyDigests.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += iprot->readBinary(this->keyDigests[_i46]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keyDigests = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->bodyBytes);
-          this->__isset.bodyBytes = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->headerTimeoutMs);
-          this->__isset.headerTimeoutMs = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ratePerSecond);
+          this->__isset.ratePerSecond = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->idleTimeoutMs);
-          this->__isset.idleTimeoutMs = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1868,29 +1954,37 @@
   return xfer;
 }
 
-uint32_t ReleaseResource::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClientAccount::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReleaseResource");
+  xfer += oprot->writeStructBegin("ClientAccount");
 
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("headerBytes", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->headerBytes);
+  xfer += oprot->writeFieldBegin("keyDigests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keyDigests.size()));
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->keyDigests.begin(); _iter47 != this->keyDigests.end(); ++_iter47)
+    {
+      xfer += oprot->writeBinary((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("headerTimeoutMs", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->headerTimeoutMs);
+  xfer += oprot->writeFieldBegin("ratePerSecond", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->ratePerSecond);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("idleTimeoutMs", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->idleTimeoutMs);
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->burst);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1898,85 +1992,77 @@
   return xfer;
 }
 
-void swap(ReleaseResource &a, ReleaseResource &b) {
+void swap(ClientAccount &a, ClientAccount &b) {
   using ::std::swap;
-  swap(a.number, b.number);
-  swap(a.headerBytes, b.headerBytes);
-  swap(a.bodyBytes, b.bodyBytes);
-  swap(a.headerTimeoutMs, b.headerTimeoutMs);
-  swap(a.idleTimeoutMs, b.idleTimeoutMs);
+  swap(a.name, b.name);
+  swap(a.keyDigests, b.keyDigests);
+  swap(a.priority, b.priority);
+  swap(a.ratePerSecond, b.ratePerSecond);
+  swap(a.burst, b.burst);
   swap(a.__isset, b.__isset);
 }
 
-ReleaseResource::ReleaseResource(const ReleaseResource& other42) noexcept {
-  number = other42.number;
-  headerBytes = other42.headerBytes;
-  bodyBytes = other42.bodyBytes;
-  headerTimeoutMs = other42.headerTimeoutMs;
-  idleTimeoutMs = other42.idleTimeoutMs;
-  __isset = other42.__isset;
-}
-ReleaseResource::ReleaseResource(ReleaseResource&& other43) noexcept {
-  number = other43.number;
-  headerBytes = other43.headerBytes;
-  bodyBytes = other43.bodyBytes;
-  headerTimeoutMs = other43.headerTimeoutMs;
-  idleTimeoutMs = other43.idleTimeoutMs;
-  __isset = other43.__isset;
-}
-ReleaseResource& ReleaseResource::operator=(const ReleaseResource& other44) noexcept {
-  number = other44.number;
-  headerBytes = other44.headerBytes;
-  bodyBytes = other44.bodyBytes;
-  headerTimeoutMs = other44.headerTimeoutMs;
-  idleTimeoutMs = other44.idleTimeoutMs;
-  __isset = other44.__isset;
-  return *this;
-}
-ReleaseResource& ReleaseResource::operator=(ReleaseResource&& other45) noexcept {
-  number = other45.number;
-  headerBytes = other45.headerBytes;
-  bodyBytes = other45.bodyBytes;
-  headerTimeoutMs = other45.headerTimeoutMs;
-  idleTimeoutMs = other45.idleTimeoutMs;
-  __isset = other45.__isset;
+ClientAccount::ClientAccount(const ClientAccount& other48) {
+  name = other48.name;
+  keyDigests = other48.keyDigests;
+  priority = other48.priority;
+  ratePerSecond = other48.ratePerSecond;
+  burst = other48.burst;
+  __isset = other48.__isset;
+}
+ClientAccount::ClientAccount(ClientAccount&& other49) noexcept {
+  name = std::move(other49.name);
+  keyDigests = std::move(other49.keyDigests);
+  priority = other49.priority;
+  ratePerSecond = other49.ratePerSecond;
+  burst = other49.burst;
+  __isset = other49.__isset;
+}
+ClientAccount& ClientAccount::operator=(const ClientAccount& other50) {
+  name = other50.name;
+  keyDigests = other50.keyDigests;
+  priority = other50.priority;
+  ratePerSecond = other50.ratePerSecond;
+  burst = other50.burst;
+  __isset = other50.__isset;
   return *this;
 }
-void ReleaseResource::printTo(std::ostream& out) const {
+ClientAccount& ClientAccount::operator=(ClientAccount&& other51) noexcept {
+  name = std::move(other51.name);
+  keyDigests = std::move(other51.keyDigests);
+  priority = other51.priority;
+  ratePerSecond = other51.ratePerSecond;
+  burst = other51.burst;
+  __isset = other51.__isset;
+  return *this;
+}
+void ClientAccount::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ReleaseResource(";
-  out << "number=" << to_string(number);
-  out << ", " << "headerBytes=" << to_string(headerBytes);
-  out << ", " << "bodyBytes=" << to_string(bodyBytes);
-  out << ", " << "headerTimeoutMs=" << to_string(headerTimeoutMs);
-  out << ", " << "idleTimeoutMs=" << to_string(idleTimeoutMs);
+  out << "ClientAccount(";
+  out << "name=" << to_string(name);
+  out << ", " << "keyDigests=" << to_string(keyDigests);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "ratePerSecond=" << to_string(ratePerSecond);
+  out << ", " << "burst=" << to_string(burst);
   out << ")";
 }
 
 
-ClaimHolder::~ClaimHolder() noexcept {
-}
-
-
-void ClaimHolder::__set_node(const std::string& val) {
-  this->node = val;
+Evacuation::~Evacuation() noexcept {
 }
 
-void ClaimHolder::__set_address(const std::string& val) {
-  this->address = val;
-}
 
-void ClaimHolder::__set_dataCentre(const std::string& val) {
+void Evacuation::__set_dataCentre(const std::string& val) {
   this->dataCentre = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimHolder& obj)
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1998,22 +2084,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->dataCentre);
           this->__isset.dataCentre = true;
@@ -2033,20 +2103,12 @@
   return xfer;
 }
 
-uint32_t ClaimHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimHolder");
-
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->address);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Evacuation");
 
-  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
@@ -2055,73 +2117,69 @@
   return xfer;
 }
 
-void swap(ClaimHolder &a, ClaimHolder &b) {
+void swap(Evacuation &a, Evacuation &b) {
   using ::std::swap;
-  swap(a.node, b.node);
-  swap(a.address, b.address);
   swap(a.dataCentre, b.dataCentre);
   swap(a.__isset, b.__isset);
 }
 
-ClaimHolder::ClaimHolder(const ClaimHolder& other46) {
-  node = other46.node;
-  address = other46.address;
-  dataCentre = other46.dataCentre;
-  __isset = other46.__isset;
+Evacuation::Evacuation(const Evacuation& other52) {
+  dataCentre = other52.dataCentre;
+  __isset = other52.__isset;
 }
-ClaimHolder::ClaimHolder(ClaimHolder&& other47) noexcept {
-  node = std::move(other47.node);
-  address = std::move(other47.address);
-  dataCentre = std::move(other47.dataCentre);
-  __isset = other47.__isset;
+Evacuation::Evacuation(Evacuation&& other53) noexcept {
+  dataCentre = std::move(other53.dataCentre);
+  __isset = other53.__isset;
 }
-ClaimHolder& ClaimHolder::operator=(const ClaimHolder& other48) {
-  node = other48.node;
-  address = other48.address;
-  dataCentre = other48.dataCentre;
-  __isset = other48.__isset;
+Evacuation& Evacuation::operator=(const Evacuation& other54) {
+  dataCentre = other54.dataCentre;
+  __isset = other54.__isset;
   return *this;
 }
-ClaimHolder& ClaimHolder::operator=(ClaimHolder&& other49) noexcept {
-  node = std::move(other49.node);
-  address = std::move(other49.address);
-  dataCentre = std::move(other49.dataCentre);
-  __isset = other49.__isset;
+Evacuation& Evacuation::operator=(Evacuation&& other55) noexcept {
+  dataCentre = std::move(other55.dataCentre);
+  __isset = other55.__isset;
   return *this;
 }
-void ClaimHolder::printTo(std::ostream& out) const {
+void Evacuation::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimHolder(";
-  out << "node=" << to_string(node);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << "Evacuation(";
+  out << "dataCentre=" << to_string(dataCentre);
   out << ")";
 }
 
 
-ClaimEpoch::~ClaimEpoch() noexcept {
+ReleaseResource::~ReleaseResource() noexcept {
 }
 
 
-void ClaimEpoch::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void ReleaseResource::__set_number(const int64_t val) {
+  this->number = val;
 }
 
-void ClaimEpoch::__set_fromMs(const int64_t val) {
-  this->fromMs = val;
+void ReleaseResource::__set_headerBytes(const int64_t val) {
+  this->headerBytes = val;
 }
 
-void ClaimEpoch::__set_holders(const std::vector<ClaimHolder> & val) {
-  this->holders = val;
+void ReleaseResource::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimEpoch& obj)
+
+void ReleaseResource::__set_headerTimeoutMs(const int32_t val) {
+  this->headerTimeoutMs = val;
+}
+
+void ReleaseResource::__set_idleTimeoutMs(const int32_t val) {
+  this->idleTimeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleaseResource& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimEpoch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReleaseResource::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2144,36 +2202,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fromMs);
-          this->__isset.fromMs = true;
+          xfer += iprot->readI64(this->headerBytes);
+          this->__isset.headerBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->holders.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->holders.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
-            {
-              xfer += this->holders[_i54].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.holders = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          this->__isset.bodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->headerTimeoutMs);
+          this->__isset.headerTimeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->idleTimeoutMs);
+          this->__isset.idleTimeoutMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2190,29 +2252,29 @@
   return xfer;
 }
 
-uint32_t ClaimEpoch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReleaseResource::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimEpoch");
+  xfer += oprot->writeStructBegin("ReleaseResource");
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fromMs", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->fromMs);
+  xfer += oprot->writeFieldBegin("headerBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->headerBytes);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<ClaimHolder> ::const_iterator _iter55;
-    for (_iter55 = this->holders.begin(); _iter55 != this->holders.end(); ++_iter55)
-    {
-      xfer += (*_iter55).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headerTimeoutMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->headerTimeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleTimeoutMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->idleTimeoutMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2220,65 +2282,85 @@
   return xfer;
 }
 
-void swap(ClaimEpoch &a, ClaimEpoch &b) {
+void swap(ReleaseResource &a, ReleaseResource &b) {
   using ::std::swap;
-  swap(a.epoch, b.epoch);
-  swap(a.fromMs, b.fromMs);
-  swap(a.holders, b.holders);
+  swap(a.number, b.number);
+  swap(a.headerBytes, b.headerBytes);
+  swap(a.bodyBytes, b.bodyBytes);
+  swap(a.headerTimeoutMs, b.headerTimeoutMs);
+  swap(a.idleTimeoutMs, b.idleTimeoutMs);
   swap(a.__isset, b.__isset);
 }
 
-ClaimEpoch::ClaimEpoch(const ClaimEpoch& other56) {
-  epoch = other56.epoch;
-  fromMs = other56.fromMs;
-  holders = other56.holders;
+ReleaseResource::ReleaseResource(const ReleaseResource& other56) noexcept {
+  number = other56.number;
+  headerBytes = other56.headerBytes;
+  bodyBytes = other56.bodyBytes;
+  headerTimeoutMs = other56.headerTimeoutMs;
+  idleTimeoutMs = other56.idleTimeoutMs;
   __isset = other56.__isset;
 }
-ClaimEpoch::ClaimEpoch(ClaimEpoch&& other57) noexcept {
-  epoch = other57.epoch;
-  fromMs = other57.fromMs;
-  holders = std::move(other57.holders);
+ReleaseResource::ReleaseResource(ReleaseResource&& other57) noexcept {
+  number = other57.number;
+  headerBytes = other57.headerBytes;
+  bodyBytes = other57.bodyBytes;
+  headerTimeoutMs = other57.headerTimeoutMs;
+  idleTimeoutMs = other57.idleTimeoutMs;
   __isset = other57.__isset;
 }
-ClaimEpoch& ClaimEpoch::operator=(const ClaimEpoch& other58) {
-  epoch = other58.epoch;
-  fromMs = other58.fromMs;
-  holders = other58.holders;
+ReleaseResource& ReleaseResource::operator=(const ReleaseResource& other58) noexcept {
+  number = other58.number;
+  headerBytes = other58.headerBytes;
+  bodyBytes = other58.bodyBytes;
+  headerTimeoutMs = other58.headerTimeoutMs;
+  idleTimeoutMs = other58.idleTimeoutMs;
   __isset = other58.__isset;
   return *this;
 }
-ClaimEpoch& ClaimEpoch::operator=(ClaimEpoch&& other59) noexcept {
-  epoch = other59.epoch;
-  fromMs = other59.fromMs;
-  holders = std::move(other59.holders);
+ReleaseResource& ReleaseResource::operator=(ReleaseResource&& other59) noexcept {
+  number = other59.number;
+  headerBytes = other59.headerBytes;
+  bodyBytes = other59.bodyBytes;
+  headerTimeoutMs = other59.headerTimeoutMs;
+  idleTimeoutMs = other59.idleTimeoutMs;
   __isset = other59.__isset;
   return *this;
 }
-void ClaimEpoch::printTo(std::ostream& out) const {
+void ReleaseResource::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimEpoch(";
-  out << "epoch=" << to_string(epoch);
-  out << ", " << "fromMs=" << to_string(fromMs);
-  out << ", " << "holders=" << to_string(holders);
+  out << "ReleaseResource(";
+  out << "number=" << to_string(number);
+  out << ", " << "headerBytes=" << to_string(headerBytes);
+  out << ", " << "bodyBytes=" << to_string(bodyBytes);
+  out << ", " << "headerTimeoutMs=" << to_string(headerTimeoutMs);
+  out << ", " << "idleTimeoutMs=" << to_string(idleTimeoutMs);
   out << ")";
 }
 
 
-ClaimRing::~ClaimRing() noexcept {
+ClaimHolder::~ClaimHolder() noexcept {
 }
 
 
-void ClaimRing::__set_epochs(const std::vector<ClaimEpoch> & val) {
-  this->epochs = val;
+void ClaimHolder::__set_node(const std::string& val) {
+  this->node = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimRing& obj)
+
+void ClaimHolder::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ClaimHolder::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimHolder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimRing::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2300,21 +2382,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->epochs.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->epochs.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
-            {
-              xfer += this->epochs[_i64].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.epochs = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2331,21 +2417,21 @@
   return xfer;
 }
 
-uint32_t ClaimRing::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimRing");
+  xfer += oprot->writeStructBegin("ClaimHolder");
 
-  xfer += oprot->writeFieldBegin("epochs", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->epochs.size()));
-    std::vector<ClaimEpoch> ::const_iterator _iter65;
-    for (_iter65 = this->epochs.begin(); _iter65 != this->epochs.end(); ++_iter65)
-    {
-      xfer += (*_iter65).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2353,82 +2439,73 @@
   return xfer;
 }
 
-void swap(ClaimRing &a, ClaimRing &b) {
+void swap(ClaimHolder &a, ClaimHolder &b) {
   using ::std::swap;
-  swap(a.epochs, b.epochs);
+  swap(a.node, b.node);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
   swap(a.__isset, b.__isset);
 }
 
-ClaimRing::ClaimRing(const ClaimRing& other66) {
-  epochs = other66.epochs;
-  __isset = other66.__isset;
+ClaimHolder::ClaimHolder(const ClaimHolder& other60) {
+  node = other60.node;
+  address = other60.address;
+  dataCentre = other60.dataCentre;
+  __isset = other60.__isset;
 }
-ClaimRing::ClaimRing(ClaimRing&& other67) noexcept {
-  epochs = std::move(other67.epochs);
-  __isset = other67.__isset;
+ClaimHolder::ClaimHolder(ClaimHolder&& other61) noexcept {
+  node = std::move(other61.node);
+  address = std::move(other61.address);
+  dataCentre = std::move(other61.dataCentre);
+  __isset = other61.__isset;
 }
-ClaimRing& ClaimRing::operator=(const ClaimRing& other68) {
-  epochs = other68.epochs;
-  __isset = other68.__isset;
+ClaimHolder& ClaimHolder::operator=(const ClaimHolder& other62) {
+  node = other62.node;
+  address = other62.address;
+  dataCentre = other62.dataCentre;
+  __isset = other62.__isset;
   return *this;
 }
-ClaimRing& ClaimRing::operator=(ClaimRing&& other69) noexcept {
-  epochs = std::move(other69.epochs);
-  __isset = other69.__isset;
+ClaimHolder& ClaimHolder::operator=(ClaimHolder&& other63) noexcept {
+  node = std::move(other63.node);
+  address = std::move(other63.address);
+  dataCentre = std::move(other63.dataCentre);
+  __isset = other63.__isset;
   return *this;
 }
-void ClaimRing::printTo(std::ostream& out) const {
+void ClaimHolder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimRing(";
-  out << "epochs=" << to_string(epochs);
+  out << "ClaimHolder(";
+  out << "node=" << to_string(node);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
   out << ")";
 }
 
 
-Resource::~Resource() noexcept {
-}
-
-
-void Resource::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void Resource::__set_version(const int64_t val) {
-  this->version = val;
-}
-
-void Resource::__set_serviceResource(const ServiceResource& val) {
-  this->serviceResource = val;
-__isset.serviceResource = true;
+ClaimEpoch::~ClaimEpoch() noexcept {
 }
 
-void Resource::__set_accountResource(const AccountResource& val) {
-  this->accountResource = val;
-__isset.accountResource = true;
-}
 
-void Resource::__set_claimRing(const ClaimRing& val) {
-  this->claimRing = val;
-__isset.claimRing = true;
+void ClaimEpoch::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void Resource::__set_route(const Route& val) {
-  this->route = val;
-__isset.route = true;
+void ClaimEpoch::__set_fromMs(const int64_t val) {
+  this->fromMs = val;
 }
 
-void Resource::__set_releaseResource(const ReleaseResource& val) {
-  this->releaseResource = val;
-__isset.releaseResource = true;
+void ClaimEpoch::__set_holders(const std::vector<ClaimHolder> & val) {
+  this->holders = val;
 }
-std::ostream& operator<<(std::ostream& out, const Resource& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimEpoch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Resource::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimEpoch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2450,57 +2527,37 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->fromMs);
+          this->__isset.fromMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->serviceResource.read(iprot);
-          this->__isset.serviceResource = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->accountResource.read(iprot);
-          this->__isset.accountResource = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claimRing.read(iprot);
-          this->__isset.claimRing = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->route.read(iprot);
-          this->__isset.route = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->releaseResource.read(iprot);
-          this->__isset.releaseResource = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->holders.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->holders[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holders = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2517,136 +2574,95 @@
   return xfer;
 }
 
-uint32_t Resource::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimEpoch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Resource");
+  xfer += oprot->writeStructBegin("ClaimEpoch");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("fromMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fromMs);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.serviceResource) {
-    xfer += oprot->writeFieldBegin("serviceResource", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->serviceResource.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.accountResource) {
-    xfer += oprot->writeFieldBegin("accountResource", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->accountResource.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.claimRing) {
-    xfer += oprot->writeFieldBegin("claimRing", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->claimRing.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.route) {
-    xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->route.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.releaseResource) {
-    xfer += oprot->writeFieldBegin("releaseResource", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->releaseResource.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<ClaimHolder> ::const_iterator _iter69;
+    for (_iter69 = this->holders.begin(); _iter69 != this->holders.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Resource &a, Resource &b) {
+void swap(ClaimEpoch &a, ClaimEpoch &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.version, b.version);
-  swap(a.serviceResource, b.serviceResource);
-  swap(a.accountResource, b.accountResource);
-  swap(a.claimRing, b.claimRing);
-  swap(a.route, b.route);
-  swap(a.releaseResource, b.releaseResource);
+  swap(a.epoch, b.epoch);
+  swap(a.fromMs, b.fromMs);
+  swap(a.holders, b.holders);
   swap(a.__isset, b.__isset);
 }
 
-Resource::Resource(const Resource& other70) {
-  key = other70.key;
-  version = other70.version;
-  serviceResource = other70.serviceResource;
-  accountResource = other70.accountResource;
-  claimRing = other70.claimRing;
-  route = other70.route;
-  releaseResource = other70.releaseResource;
+ClaimEpoch::ClaimEpoch(const ClaimEpoch& other70) {
+  epoch = other70.epoch;
+  fromMs = other70.fromMs;
+  holders = other70.holders;
   __isset = other70.__isset;
 }
-Resource::Resource(Resource&& other71) noexcept {
-  key = std::move(other71.key);
-  version = other71.version;
-  serviceResource = std::move(other71.serviceResource);
-  accountResource = std::move(other71.accountResource);
-  claimRing = std::move(other71.claimRing);
-  route = std::move(other71.route);
-  releaseResource = std::move(other71.releaseResource);
+ClaimEpoch::ClaimEpoch(ClaimEpoch&& other71) noexcept {
+  epoch = other71.epoch;
+  fromMs = other71.fromMs;
+  holders = std::move(other71.holders);
   __isset = other71.__isset;
 }
-Resource& Resource::operator=(const Resource& other72) {
-  key = other72.key;
-  version = other72.version;
-  serviceResource = other72.serviceResource;
-  accountResource = other72.accountResource;
-  claimRing = other72.claimRing;
-  route = other72.route;
-  releaseResource = other72.releaseResource;
+ClaimEpoch& ClaimEpoch::operator=(const ClaimEpoch& other72) {
+  epoch = other72.epoch;
+  fromMs = other72.fromMs;
+  holders = other72.holders;
   __isset = other72.__isset;
   return *this;
 }
-Resource& Resource::operator=(Resource&& other73) noexcept {
-  key = std::move(other73.key);
-  version = other73.version;
-  serviceResource = std::move(other73.serviceResource);
-  accountResource = std::move(other73.accountResource);
-  claimRing = std::move(other73.claimRing);
-  route = std::move(other73.route);
-  releaseResource = std::move(other73.releaseResource);
+ClaimEpoch& ClaimEpoch::operator=(ClaimEpoch&& other73) noexcept {
+  epoch = other73.epoch;
+  fromMs = other73.fromMs;
+  holders = std::move(other73.holders);
   __isset = other73.__isset;
   return *this;
 }
-void Resource::printTo(std::ostream& out) const {
+void ClaimEpoch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Resource(";
-  out << "key=" << to_string(key);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "serviceResource="; (__isset.serviceResource ? (out << to_string(serviceResource)) : (out << "<null>"));
-  out << ", " << "accountResource="; (__isset.accountResource ? (out << to_string(accountResource)) : (out << "<null>"));
-  out << ", " << "claimRing="; (__isset.claimRing ? (out << to_string(claimRing)) : (out << "<null>"));
-  out << ", " << "route="; (__isset.route ? (out << to_string(route)) : (out << "<null>"));
-  out << ", " << "releaseResource="; (__isset.releaseResource ? (out << to_string(releaseResource)) : (out << "<null>"));
+  out << "ClaimEpoch(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "fromMs=" << to_string(fromMs);
+  out << ", " << "holders=" << to_string(holders);
   out << ")";
 }
 
 
-Tombstone::~Tombstone() noexcept {
+ClaimRing::~ClaimRing() noexcept {
 }
 
 
-void Tombstone::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void Tombstone::__set_version(const int64_t val) {
-  this->version = val;
+void ClaimRing::__set_epochs(const std::vector<ClaimEpoch> & val) {
+  this->epochs = val;
 }
-std::ostream& operator<<(std::ostream& out, const Tombstone& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimRing& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Tombstone::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimRing::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2668,17 +2684,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->epochs.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->epochs.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->epochs[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.epochs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2695,17 +2715,21 @@
   return xfer;
 }
 
-uint32_t Tombstone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimRing::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Tombstone");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ClaimRing");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("epochs", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->epochs.size()));
+    std::vector<ClaimEpoch> ::const_iterator _iter79;
+    for (_iter79 = this->epochs.begin(); _iter79 != this->epochs.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2713,75 +2737,92 @@
   return xfer;
 }
 
-void swap(Tombstone &a, Tombstone &b) {
+void swap(ClaimRing &a, ClaimRing &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.version, b.version);
+  swap(a.epochs, b.epochs);
   swap(a.__isset, b.__isset);
 }
 
-Tombstone::Tombstone(const Tombstone& other74) {
-  key = other74.key;
-  version = other74.version;
-  __isset = other74.__isset;
+ClaimRing::ClaimRing(const ClaimRing& other80) {
+  epochs = other80.epochs;
+  __isset = other80.__isset;
 }
-Tombstone::Tombstone(Tombstone&& other75) noexcept {
-  key = std::move(other75.key);
-  version = other75.version;
-  __isset = other75.__isset;
+ClaimRing::ClaimRing(ClaimRing&& other81) noexcept {
+  epochs = std::move(other81.epochs);
+  __isset = other81.__isset;
 }
-Tombstone& Tombstone::operator=(const Tombstone& other76) {
-  key = other76.key;
-  version = other76.version;
-  __isset = other76.__isset;
+ClaimRing& ClaimRing::operator=(const ClaimRing& other82) {
+  epochs = other82.epochs;
+  __isset = other82.__isset;
   return *this;
 }
-Tombstone& Tombstone::operator=(Tombstone&& other77) noexcept {
-  key = std::move(other77.key);
-  version = other77.version;
-  __isset = other77.__isset;
+ClaimRing& ClaimRing::operator=(ClaimRing&& other83) noexcept {
+  epochs = std::move(other83.epochs);
+  __isset = other83.__isset;
   return *this;
 }
-void Tombstone::printTo(std::ostream& out) const {
+void ClaimRing::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Tombstone(";
-  out << "key=" << to_string(key);
-  out << ", " << "version=" << to_string(version);
+  out << "ClaimRing(";
+  out << "epochs=" << to_string(epochs);
   out << ")";
 }
 
 
-Delta::~Delta() noexcept {
+Resource::~Resource() noexcept {
 }
 
 
-void Delta::__set_base(const int64_t val) {
-  this->base = val;
+void Resource::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void Delta::__set_version(const int64_t val) {
+void Resource::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void Delta::__set_changed(const std::vector<Resource> & val) {
-  this->changed = val;
+void Resource::__set_serviceResource(const ServiceResource& val) {
+  this->serviceResource = val;
+__isset.serviceResource = true;
 }
 
-void Delta::__set_removed(const std::vector<Tombstone> & val) {
-  this->removed = val;
+void Resource::__set_accountResource(const AccountResource& val) {
+  this->accountResource = val;
+__isset.accountResource = true;
 }
 
-void Delta::__set_hash(const int64_t val) {
-  this->hash = val;
+void Resource::__set_claimRing(const ClaimRing& val) {
+  this->claimRing = val;
+__isset.claimRing = true;
 }
-std::ostream& operator<<(std::ostream& out, const Delta& obj)
+
+void Resource::__set_route(const Route& val) {
+  this->route = val;
+__isset.route = true;
+}
+
+void Resource::__set_releaseResource(const ReleaseResource& val) {
+  this->releaseResource = val;
+__isset.releaseResource = true;
+}
+
+void Resource::__set_clientAccount(const ClientAccount& val) {
+  this->clientAccount = val;
+__isset.clientAccount = true;
+}
+
+void Resource::__set_evacuation(const Evacuation& val) {
+  this->evacuation = val;
+__isset.evacuation = true;
+}
+std::ostream& operator<<(std::ostream& out, const Resource& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Delta::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Resource::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2803,9 +2844,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->base);
-          this->__isset.base = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2819,49 +2860,57 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->changed.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->changed.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
-            {
-              xfer += this->changed[_i82].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.changed = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serviceResource.read(iprot);
+          this->__isset.serviceResource = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->removed.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->removed.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
-            {
-              xfer += this->removed[_i87].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.removed = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->accountResource.read(iprot);
+          this->__isset.accountResource = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->hash);
-          this->__isset.hash = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claimRing.read(iprot);
+          this->__isset.claimRing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->route.read(iprot);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->releaseResource.read(iprot);
+          this->__isset.releaseResource = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->clientAccount.read(iprot);
+          this->__isset.clientAccount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2878,127 +2927,158 @@
   return xfer;
 }
 
-uint32_t Delta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Resource::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Delta");
+  xfer += oprot->writeStructBegin("Resource");
 
-  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Resource> ::const_iterator _iter88;
-    for (_iter88 = this->changed.begin(); _iter88 != this->changed.end(); ++_iter88)
-    {
-      xfer += (*_iter88).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.serviceResource) {
+    xfer += oprot->writeFieldBegin("serviceResource", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->serviceResource.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
-    std::vector<Tombstone> ::const_iterator _iter89;
-    for (_iter89 = this->removed.begin(); _iter89 != this->removed.end(); ++_iter89)
-    {
-      xfer += (*_iter89).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.accountResource) {
+    xfer += oprot->writeFieldBegin("accountResource", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->accountResource.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claimRing) {
+    xfer += oprot->writeFieldBegin("claimRing", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->claimRing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.route) {
+    xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->route.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.releaseResource) {
+    xfer += oprot->writeFieldBegin("releaseResource", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->releaseResource.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.clientAccount) {
+    xfer += oprot->writeFieldBegin("clientAccount", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->clientAccount.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuation) {
+    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->hash);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Delta &a, Delta &b) {
+void swap(Resource &a, Resource &b) {
   using ::std::swap;
-  swap(a.base, b.base);
+  swap(a.key, b.key);
   swap(a.version, b.version);
-  swap(a.changed, b.changed);
-  swap(a.removed, b.removed);
-  swap(a.hash, b.hash);
+  swap(a.serviceResource, b.serviceResource);
+  swap(a.accountResource, b.accountResource);
+  swap(a.claimRing, b.claimRing);
+  swap(a.route, b.route);
+  swap(a.releaseResource, b.releaseResource);
+  swap(a.clientAccount, b.clientAccount);
+  swap(a.evacuation, b.evacuation);
   swap(a.__isset, b.__isset);
 }
 
-Delta::Delta(const Delta& other90) {
-  base = other90.base;
-  version = other90.version;
-  changed = other90.changed;
-  removed = other90.removed;
-  hash = other90.hash;
-  __isset = other90.__isset;
-}
-Delta::Delta(Delta&& other91) noexcept {
-  base = other91.base;
-  version = other91.version;
-  changed = std::move(other91.changed);
-  removed = std::move(other91.removed);
-  hash = other91.hash;
-  __isset = other91.__isset;
-}
-Delta& Delta::operator=(const Delta& other92) {
-  base = other92.base;
-  version = other92.version;
-  changed = other92.changed;
-  removed = other92.removed;
-  hash = other92.hash;
-  __isset = other92.__isset;
+Resource::Resource(const Resource& other84) {
+  key = other84.key;
+  version = other84.version;
+  serviceResource = other84.serviceResource;
+  accountResource = other84.accountResource;
+  claimRing = other84.claimRing;
+  route = other84.route;
+  releaseResource = other84.releaseResource;
+  clientAccount = other84.clientAccount;
+  evacuation = other84.evacuation;
+  __isset = other84.__isset;
+}
+Resource::Resource(Resource&& other85) noexcept {
+  key = std::move(other85.key);
+  version = other85.version;
+  serviceResource = std::move(other85.serviceResource);
+  accountResource = std::move(other85.accountResource);
+  claimRing = std::move(other85.claimRing);
+  route = std::move(other85.route);
+  releaseResource = std::move(other85.releaseResource);
+  clientAccount = std::move(other85.clientAccount);
+  evacuation = std::move(other85.evacuation);
+  __isset = other85.__isset;
+}
+Resource& Resource::operator=(const Resource& other86) {
+  key = other86.key;
+  version = other86.version;
+  serviceResource = other86.serviceResource;
+  accountResource = other86.accountResource;
+  claimRing = other86.claimRing;
+  route = other86.route;
+  releaseResource = other86.releaseResource;
+  clientAccount = other86.clientAccount;
+  evacuation = other86.evacuation;
+  __isset = other86.__isset;
   return *this;
 }
-Delta& Delta::operator=(Delta&& other93) noexcept {
-  base = other93.base;
-  version = other93.version;
-  changed = std::move(other93.changed);
-  removed = std::move(other93.removed);
-  hash = other93.hash;
-  __isset = other93.__isset;
+Resource& Resource::operator=(Resource&& other87) noexcept {
+  key = std::move(other87.key);
+  version = other87.version;
+  serviceResource = std::move(other87.serviceResource);
+  accountResource = std::move(other87.accountResource);
+  claimRing = std::move(other87.claimRing);
+  route = std::move(other87.route);
+  releaseResource = std::move(other87.releaseResource);
+  clientAccount = std::move(other87.clientAccount);
+  evacuation = std::move(other87.evacuation);
+  __isset = other87.__isset;
   return *this;
 }
-void Delta::printTo(std::ostream& out) const {
+void Resource::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Delta(";
-  out << "base=" << to_string(base);
+  out << "Resource(";
+  out << "key=" << to_string(key);
   out << ", " << "version=" << to_string(version);
-  out << ", " << "changed=" << to_string(changed);
-  out << ", " << "removed=" << to_string(removed);
-  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "serviceResource="; (__isset.serviceResource ? (out << to_string(serviceResource)) : (out << "<null>"));
+  out << ", " << "accountResource="; (__isset.accountResource ? (out << to_string(accountResource)) : (out << "<null>"));
+  out << ", " << "claimRing="; (__isset.claimRing ? (out << to_string(claimRing)) : (out << "<null>"));
+  out << ", " << "route="; (__isset.route ? (out << to_string(route)) : (out << "<null>"));
+  out << ", " << "releaseResource="; (__isset.releaseResource ? (out << to_string(releaseResource)) : (out << "<null>"));
+  out << ", " << "clientAccount="; (__isset.clientAccount ? (out << to_string(clientAccount)) : (out << "<null>"));
+  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
   out << ")";
 }
 
 
-Membership::~Membership() noexcept {
+Tombstone::~Tombstone() noexcept {
 }
 
 
-void Membership::__set_voters(const std::vector<std::string> & val) {
-  this->voters = val;
+void Tombstone::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void Membership::__set_learners(const std::vector<std::string> & val) {
-  this->learners = val;
+void Tombstone::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Membership& obj)
+std::ostream& operator<<(std::ostream& out, const Tombstone& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Tombstone::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3020,41 +3100,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->voters.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->voters.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
-            {
-              xfer += iprot->readString(this->voters[_i98]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.voters = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->learners.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->learners.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
-            {
-              xfer += iprot->readString(this->learners[_i103]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.learners = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3071,33 +3127,17 @@
   return xfer;
 }
 
-uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Tombstone::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Membership");
+  xfer += oprot->writeStructBegin("Tombstone");
 
-  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->voters.begin(); _iter104 != this->voters.end(); ++_iter104)
-    {
-      xfer += oprot->writeString((*_iter104));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter105;
-    for (_iter105 = this->learners.begin(); _iter105 != this->learners.end(); ++_iter105)
-    {
-      xfer += oprot->writeString((*_iter105));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3105,63 +3145,75 @@
   return xfer;
 }
 
-void swap(Membership &a, Membership &b) {
+void swap(Tombstone &a, Tombstone &b) {
   using ::std::swap;
-  swap(a.voters, b.voters);
-  swap(a.learners, b.learners);
+  swap(a.key, b.key);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other106) {
-  voters = other106.voters;
-  learners = other106.learners;
-  __isset = other106.__isset;
+Tombstone::Tombstone(const Tombstone& other88) {
+  key = other88.key;
+  version = other88.version;
+  __isset = other88.__isset;
 }
-Membership::Membership(Membership&& other107) noexcept {
-  voters = std::move(other107.voters);
-  learners = std::move(other107.learners);
-  __isset = other107.__isset;
+Tombstone::Tombstone(Tombstone&& other89) noexcept {
+  key = std::move(other89.key);
+  version = other89.version;
+  __isset = other89.__isset;
 }
-Membership& Membership::operator=(const Membership& other108) {
-  voters = other108.voters;
-  learners = other108.learners;
-  __isset = other108.__isset;
+Tombstone& Tombstone::operator=(const Tombstone& other90) {
+  key = other90.key;
+  version = other90.version;
+  __isset = other90.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other109) noexcept {
-  voters = std::move(other109.voters);
-  learners = std::move(other109.learners);
-  __isset = other109.__isset;
+Tombstone& Tombstone::operator=(Tombstone&& other91) noexcept {
+  key = std::move(other91.key);
+  version = other91.version;
+  __isset = other91.__isset;
   return *this;
 }
-void Membership::printTo(std::ostream& out) const {
+void Tombstone::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Membership(";
-  out << "voters=" << to_string(voters);
-  out << ", " << "learners=" << to_string(learners);
+  out << "Tombstone(";
+  out << "key=" << to_string(key);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
 
-Reinstate::~Reinstate() noexcept {
+Delta::~Delta() noexcept {
 }
 
 
-void Reinstate::__set_member(const std::string& val) {
-  this->member = val;
+void Delta::__set_base(const int64_t val) {
+  this->base = val;
 }
 
-void Reinstate::__set_diskId(const std::string& val) {
-  this->diskId = val;
+void Delta::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Reinstate& obj)
+
+void Delta::__set_changed(const std::vector<Resource> & val) {
+  this->changed = val;
+}
+
+void Delta::__set_removed(const std::vector<Tombstone> & val) {
+  this->removed = val;
+}
+
+void Delta::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+std::ostream& operator<<(std::ostream& out, const Delta& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Reinstate::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Delta::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3183,17 +3235,65 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->diskId);
-          this->__isset.diskId = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changed.clear();
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->changed.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
+            {
+              xfer += this->changed[_i96].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->removed.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
+            {
+              xfer += this->removed[_i101].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3210,17 +3310,45 @@
   return xfer;
 }
 
-uint32_t Reinstate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Delta::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Reinstate");
+  xfer += oprot->writeStructBegin("Delta");
 
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("diskId", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->diskId);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
+    std::vector<Resource> ::const_iterator _iter102;
+    for (_iter102 = this->changed.begin(); _iter102 != this->changed.end(); ++_iter102)
+    {
+      xfer += (*_iter102).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+    std::vector<Tombstone> ::const_iterator _iter103;
+    for (_iter103 = this->removed.begin(); _iter103 != this->removed.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->hash);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3228,71 +3356,81 @@
   return xfer;
 }
 
-void swap(Reinstate &a, Reinstate &b) {
+void swap(Delta &a, Delta &b) {
   using ::std::swap;
-  swap(a.member, b.member);
-  swap(a.diskId, b.diskId);
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.changed, b.changed);
+  swap(a.removed, b.removed);
+  swap(a.hash, b.hash);
   swap(a.__isset, b.__isset);
 }
 
-Reinstate::Reinstate(const Reinstate& other110) {
-  member = other110.member;
-  diskId = other110.diskId;
-  __isset = other110.__isset;
-}
-Reinstate::Reinstate(Reinstate&& other111) noexcept {
-  member = std::move(other111.member);
-  diskId = std::move(other111.diskId);
-  __isset = other111.__isset;
-}
-Reinstate& Reinstate::operator=(const Reinstate& other112) {
-  member = other112.member;
-  diskId = other112.diskId;
-  __isset = other112.__isset;
+Delta::Delta(const Delta& other104) {
+  base = other104.base;
+  version = other104.version;
+  changed = other104.changed;
+  removed = other104.removed;
+  hash = other104.hash;
+  __isset = other104.__isset;
+}
+Delta::Delta(Delta&& other105) noexcept {
+  base = other105.base;
+  version = other105.version;
+  changed = std::move(other105.changed);
+  removed = std::move(other105.removed);
+  hash = other105.hash;
+  __isset = other105.__isset;
+}
+Delta& Delta::operator=(const Delta& other106) {
+  base = other106.base;
+  version = other106.version;
+  changed = other106.changed;
+  removed = other106.removed;
+  hash = other106.hash;
+  __isset = other106.__isset;
   return *this;
 }
-Reinstate& Reinstate::operator=(Reinstate&& other113) noexcept {
-  member = std::move(other113.member);
-  diskId = std::move(other113.diskId);
-  __isset = other113.__isset;
+Delta& Delta::operator=(Delta&& other107) noexcept {
+  base = other107.base;
+  version = other107.version;
+  changed = std::move(other107.changed);
+  removed = std::move(other107.removed);
+  hash = other107.hash;
+  __isset = other107.__isset;
   return *this;
 }
-void Reinstate::printTo(std::ostream& out) const {
+void Delta::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Reinstate(";
-  out << "member=" << to_string(member);
-  out << ", " << "diskId=" << to_string(diskId);
+  out << "Delta(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "hash=" << to_string(hash);
   out << ")";
 }
 
 
-Entry::~Entry() noexcept {
-}
-
-
-void Entry::__set_index(const int64_t val) {
-  this->index = val;
+Membership::~Membership() noexcept {
 }
 
-void Entry::__set_term(const int64_t val) {
-  this->term = val;
-}
 
-void Entry::__set_kind(const EntryKind::type val) {
-  this->kind = val;
+void Membership::__set_voters(const std::vector<std::string> & val) {
+  this->voters = val;
 }
 
-void Entry::__set_data(const std::string& val) {
-  this->data = val;
+void Membership::__set_learners(const std::vector<std::string> & val) {
+  this->learners = val;
 }
-std::ostream& operator<<(std::ostream& out, const Entry& obj)
+std::ostream& operator<<(std::ostream& out, const Membership& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Entry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3314,35 +3452,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast114;
-          xfer += iprot->readI32(ecast114);
-          this->kind = static_cast<EntryKind::type>(ecast114);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->voters.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->voters.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readString(this->voters[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.voters = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->data);
-          this->__isset.data = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->learners.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->learners.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += iprot->readString(this->learners[_i117]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.learners = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3359,25 +3503,33 @@
   return xfer;
 }
 
-uint32_t Entry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Entry");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Membership");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
+    std::vector<std::string> ::const_iterator _iter118;
+    for (_iter118 = this->voters.begin(); _iter118 != this->voters.end(); ++_iter118)
+    {
+      xfer += oprot->writeString((*_iter118));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
+    std::vector<std::string> ::const_iterator _iter119;
+    for (_iter119 = this->learners.begin(); _iter119 != this->learners.end(); ++_iter119)
+    {
+      xfer += oprot->writeString((*_iter119));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3385,79 +3537,63 @@
   return xfer;
 }
 
-void swap(Entry &a, Entry &b) {
+void swap(Membership &a, Membership &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.kind, b.kind);
-  swap(a.data, b.data);
+  swap(a.voters, b.voters);
+  swap(a.learners, b.learners);
   swap(a.__isset, b.__isset);
 }
 
-Entry::Entry(const Entry& other115) {
-  index = other115.index;
-  term = other115.term;
-  kind = other115.kind;
-  data = other115.data;
-  __isset = other115.__isset;
+Membership::Membership(const Membership& other120) {
+  voters = other120.voters;
+  learners = other120.learners;
+  __isset = other120.__isset;
 }
-Entry::Entry(Entry&& other116) noexcept {
-  index = other116.index;
-  term = other116.term;
-  kind = other116.kind;
-  data = std::move(other116.data);
-  __isset = other116.__isset;
+Membership::Membership(Membership&& other121) noexcept {
+  voters = std::move(other121.voters);
+  learners = std::move(other121.learners);
+  __isset = other121.__isset;
 }
-Entry& Entry::operator=(const Entry& other117) {
-  index = other117.index;
-  term = other117.term;
-  kind = other117.kind;
-  data = other117.data;
-  __isset = other117.__isset;
+Membership& Membership::operator=(const Membership& other122) {
+  voters = other122.voters;
+  learners = other122.learners;
+  __isset = other122.__isset;
   return *this;
 }
-Entry& Entry::operator=(Entry&& other118) noexcept {
-  index = other118.index;
-  term = other118.term;
-  kind = other118.kind;
-  data = std::move(other118.data);
-  __isset = other118.__isset;
+Membership& Membership::operator=(Membership&& other123) noexcept {
+  voters = std::move(other123.voters);
+  learners = std::move(other123.learners);
+  __isset = other123.__isset;
   return *this;
 }
-void Entry::printTo(std::ostream& out) const {
+void Membership::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Entry(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "data=" << to_string(data);
+  out << "Membership(";
+  out << "voters=" << to_string(voters);
+  out << ", " << "learners=" << to_string(learners);
   out << ")";
 }
 
 
-HardState::~HardState() noexcept {
+Reinstate::~Reinstate() noexcept {
 }
 
 
-void HardState::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void HardState::__set_votedFor(const std::string& val) {
-  this->votedFor = val;
+void Reinstate::__set_member(const std::string& val) {
+  this->member = val;
 }
 
-void HardState::__set_leader(const std::string& val) {
-  this->leader = val;
+void Reinstate::__set_diskId(const std::string& val) {
+  this->diskId = val;
 }
-std::ostream& operator<<(std::ostream& out, const HardState& obj)
+std::ostream& operator<<(std::ostream& out, const Reinstate& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Reinstate::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3479,25 +3615,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->votedFor);
-          this->__isset.votedFor = true;
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader);
-          this->__isset.leader = true;
+          xfer += iprot->readString(this->diskId);
+          this->__isset.diskId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3514,21 +3642,17 @@
   return xfer;
 }
 
-uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Reinstate::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HardState");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Reinstate");
 
-  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->votedFor);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldBegin("diskId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->diskId);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3536,77 +3660,71 @@
   return xfer;
 }
 
-void swap(HardState &a, HardState &b) {
+void swap(Reinstate &a, Reinstate &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.votedFor, b.votedFor);
-  swap(a.leader, b.leader);
+  swap(a.member, b.member);
+  swap(a.diskId, b.diskId);
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other119) {
-  term = other119.term;
-  votedFor = other119.votedFor;
-  leader = other119.leader;
-  __isset = other119.__isset;
+Reinstate::Reinstate(const Reinstate& other124) {
+  member = other124.member;
+  diskId = other124.diskId;
+  __isset = other124.__isset;
 }
-HardState::HardState(HardState&& other120) noexcept {
-  term = other120.term;
-  votedFor = std::move(other120.votedFor);
-  leader = std::move(other120.leader);
-  __isset = other120.__isset;
+Reinstate::Reinstate(Reinstate&& other125) noexcept {
+  member = std::move(other125.member);
+  diskId = std::move(other125.diskId);
+  __isset = other125.__isset;
 }
-HardState& HardState::operator=(const HardState& other121) {
-  term = other121.term;
-  votedFor = other121.votedFor;
-  leader = other121.leader;
-  __isset = other121.__isset;
+Reinstate& Reinstate::operator=(const Reinstate& other126) {
+  member = other126.member;
+  diskId = other126.diskId;
+  __isset = other126.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other122) noexcept {
-  term = other122.term;
-  votedFor = std::move(other122.votedFor);
-  leader = std::move(other122.leader);
-  __isset = other122.__isset;
+Reinstate& Reinstate::operator=(Reinstate&& other127) noexcept {
+  member = std::move(other127.member);
+  diskId = std::move(other127.diskId);
+  __isset = other127.__isset;
   return *this;
 }
-void HardState::printTo(std::ostream& out) const {
+void Reinstate::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HardState(";
-  out << "term=" << to_string(term);
-  out << ", " << "votedFor=" << to_string(votedFor);
-  out << ", " << "leader=" << to_string(leader);
+  out << "Reinstate(";
+  out << "member=" << to_string(member);
+  out << ", " << "diskId=" << to_string(diskId);
   out << ")";
 }
 
 
-SnapshotRecord::~SnapshotRecord() noexcept {
+Entry::~Entry() noexcept {
 }
 
 
-void SnapshotRecord::__set_index(const int64_t val) {
+void Entry::__set_index(const int64_t val) {
   this->index = val;
 }
 
-void SnapshotRecord::__set_term(const int64_t val) {
+void Entry::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void SnapshotRecord::__set_membership(const Membership& val) {
-  this->membership = val;
+void Entry::__set_kind(const EntryKind::type val) {
+  this->kind = val;
 }
 
-void SnapshotRecord::__set_state(const std::string& val) {
-  this->state = val;
+void Entry::__set_data(const std::string& val) {
+  this->data = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+std::ostream& operator<<(std::ostream& out, const Entry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Entry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3644,17 +3762,19 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->membership.read(iprot);
-          this->__isset.membership = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast128;
+          xfer += iprot->readI32(ecast128);
+          this->kind = static_cast<EntryKind::type>(ecast128);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->state);
-          this->__isset.state = true;
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3671,10 +3791,10 @@
   return xfer;
 }
 
-uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Entry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRecord");
+  xfer += oprot->writeStructBegin("Entry");
 
   xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->index);
@@ -3684,12 +3804,12 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->membership.write(oprot);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->data);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3697,83 +3817,79 @@
   return xfer;
 }
 
-void swap(SnapshotRecord &a, SnapshotRecord &b) {
+void swap(Entry &a, Entry &b) {
   using ::std::swap;
   swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.membership, b.membership);
-  swap(a.state, b.state);
+  swap(a.kind, b.kind);
+  swap(a.data, b.data);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other123) {
-  index = other123.index;
-  term = other123.term;
-  membership = other123.membership;
-  state = other123.state;
-  __isset = other123.__isset;
+Entry::Entry(const Entry& other129) {
+  index = other129.index;
+  term = other129.term;
+  kind = other129.kind;
+  data = other129.data;
+  __isset = other129.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other124) noexcept {
-  index = other124.index;
-  term = other124.term;
-  membership = std::move(other124.membership);
-  state = std::move(other124.state);
-  __isset = other124.__isset;
+Entry::Entry(Entry&& other130) noexcept {
+  index = other130.index;
+  term = other130.term;
+  kind = other130.kind;
+  data = std::move(other130.data);
+  __isset = other130.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other125) {
-  index = other125.index;
-  term = other125.term;
-  membership = other125.membership;
-  state = other125.state;
-  __isset = other125.__isset;
+Entry& Entry::operator=(const Entry& other131) {
+  index = other131.index;
+  term = other131.term;
+  kind = other131.kind;
+  data = other131.data;
+  __isset = other131.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other126) noexcept {
-  index = other126.index;
-  term = other126.term;
-  membership = std::move(other126.membership);
-  state = std::move(other126.state);
-  __isset = other126.__isset;
+Entry& Entry::operator=(Entry&& other132) noexcept {
+  index = other132.index;
+  term = other132.term;
+  kind = other132.kind;
+  data = std::move(other132.data);
+  __isset = other132.__isset;
   return *this;
 }
-void SnapshotRecord::printTo(std::ostream& out) const {
+void Entry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRecord(";
+  out << "Entry(";
   out << "index=" << to_string(index);
   out << ", " << "term=" << to_string(term);
-  out << ", " << "membership=" << to_string(membership);
-  out << ", " << "state=" << to_string(state);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "data=" << to_string(data);
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+HardState::~HardState() noexcept {
 }
 
 
-void VoteRequest::__set_term(const int64_t val) {
+void HardState::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void VoteRequest::__set_preVote(const bool val) {
-  this->preVote = val;
-}
-
-void VoteRequest::__set_lastIndex(const int64_t val) {
-  this->lastIndex = val;
+void HardState::__set_votedFor(const std::string& val) {
+  this->votedFor = val;
 }
 
-void VoteRequest::__set_lastTerm(const int64_t val) {
-  this->lastTerm = val;
+void HardState::__set_leader(const std::string& val) {
+  this->leader = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+std::ostream& operator<<(std::ostream& out, const HardState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3803,25 +3919,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->votedFor);
+          this->__isset.votedFor = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastIndex);
-          this->__isset.lastIndex = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastTerm);
-          this->__isset.lastTerm = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3838,25 +3946,21 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
+  xfer += oprot->writeStructBegin("HardState");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->votedFor);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3864,79 +3968,77 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(HardState &a, HardState &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.preVote, b.preVote);
-  swap(a.lastIndex, b.lastIndex);
-  swap(a.lastTerm, b.lastTerm);
+  swap(a.votedFor, b.votedFor);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other127) noexcept {
-  term = other127.term;
-  preVote = other127.preVote;
-  lastIndex = other127.lastIndex;
-  lastTerm = other127.lastTerm;
-  __isset = other127.__isset;
+HardState::HardState(const HardState& other133) {
+  term = other133.term;
+  votedFor = other133.votedFor;
+  leader = other133.leader;
+  __isset = other133.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other128) noexcept {
-  term = other128.term;
-  preVote = other128.preVote;
-  lastIndex = other128.lastIndex;
-  lastTerm = other128.lastTerm;
-  __isset = other128.__isset;
+HardState::HardState(HardState&& other134) noexcept {
+  term = other134.term;
+  votedFor = std::move(other134.votedFor);
+  leader = std::move(other134.leader);
+  __isset = other134.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other129) noexcept {
-  term = other129.term;
-  preVote = other129.preVote;
-  lastIndex = other129.lastIndex;
-  lastTerm = other129.lastTerm;
-  __isset = other129.__isset;
+HardState& HardState::operator=(const HardState& other135) {
+  term = other135.term;
+  votedFor = other135.votedFor;
+  leader = other135.leader;
+  __isset = other135.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other130) noexcept {
-  term = other130.term;
-  preVote = other130.preVote;
-  lastIndex = other130.lastIndex;
-  lastTerm = other130.lastTerm;
-  __isset = other130.__isset;
+HardState& HardState::operator=(HardState&& other136) noexcept {
+  term = other136.term;
+  votedFor = std::move(other136.votedFor);
+  leader = std::move(other136.leader);
+  __isset = other136.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void HardState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
+  out << "HardState(";
   out << "term=" << to_string(term);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "lastIndex=" << to_string(lastIndex);
-  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
 
-VoteAnswer::~VoteAnswer() noexcept {
+SnapshotRecord::~SnapshotRecord() noexcept {
 }
 
 
-void VoteAnswer::__set_term(const int64_t val) {
+void SnapshotRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotRecord::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void VoteAnswer::__set_preVote(const bool val) {
-  this->preVote = val;
+void SnapshotRecord::__set_membership(const Membership& val) {
+  this->membership = val;
 }
 
-void VoteAnswer::__set_granted(const bool val) {
-  this->granted = val;
+void SnapshotRecord::__set_state(const std::string& val) {
+  this->state = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3959,24 +4061,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3993,21 +4103,25 @@
   return xfer;
 }
 
-uint32_t VoteAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteAnswer");
+  xfer += oprot->writeStructBegin("SnapshotRecord");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->membership.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4015,85 +4129,83 @@
   return xfer;
 }
 
-void swap(VoteAnswer &a, VoteAnswer &b) {
+void swap(SnapshotRecord &a, SnapshotRecord &b) {
   using ::std::swap;
+  swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.preVote, b.preVote);
-  swap(a.granted, b.granted);
+  swap(a.membership, b.membership);
+  swap(a.state, b.state);
   swap(a.__isset, b.__isset);
 }
 
-VoteAnswer::VoteAnswer(const VoteAnswer& other131) noexcept {
-  term = other131.term;
-  preVote = other131.preVote;
-  granted = other131.granted;
-  __isset = other131.__isset;
-}
-VoteAnswer::VoteAnswer(VoteAnswer&& other132) noexcept {
-  term = other132.term;
-  preVote = other132.preVote;
-  granted = other132.granted;
-  __isset = other132.__isset;
-}
-VoteAnswer& VoteAnswer::operator=(const VoteAnswer& other133) noexcept {
-  term = other133.term;
-  preVote = other133.preVote;
-  granted = other133.granted;
-  __isset = other133.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other137) {
+  index = other137.index;
+  term = other137.term;
+  membership = other137.membership;
+  state = other137.state;
+  __isset = other137.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other138) noexcept {
+  index = other138.index;
+  term = other138.term;
+  membership = std::move(other138.membership);
+  state = std::move(other138.state);
+  __isset = other138.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other139) {
+  index = other139.index;
+  term = other139.term;
+  membership = other139.membership;
+  state = other139.state;
+  __isset = other139.__isset;
   return *this;
 }
-VoteAnswer& VoteAnswer::operator=(VoteAnswer&& other134) noexcept {
-  term = other134.term;
-  preVote = other134.preVote;
-  granted = other134.granted;
-  __isset = other134.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other140) noexcept {
+  index = other140.index;
+  term = other140.term;
+  membership = std::move(other140.membership);
+  state = std::move(other140.state);
+  __isset = other140.__isset;
   return *this;
 }
-void VoteAnswer::printTo(std::ostream& out) const {
+void SnapshotRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteAnswer(";
-  out << "term=" << to_string(term);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "granted=" << to_string(granted);
+  out << "SnapshotRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "membership=" << to_string(membership);
+  out << ", " << "state=" << to_string(state);
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void AppendRequest::__set_term(const int64_t val) {
+void VoteRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void AppendRequest::__set_prevIndex(const int64_t val) {
-  this->prevIndex = val;
-}
-
-void AppendRequest::__set_prevTerm(const int64_t val) {
-  this->prevTerm = val;
-}
-
-void AppendRequest::__set_entries(const std::vector<Entry> & val) {
-  this->entries = val;
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
 }
 
-void AppendRequest::__set_round(const int64_t val) {
-  this->round = val;
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4123,53 +4235,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevIndex);
-          this->__isset.prevIndex = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevTerm);
-          this->__isset.prevTerm = true;
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->entries.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
-            {
-              xfer += this->entries[_i139].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->round);
-          this->__isset.round = true;
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4186,41 +4270,25 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prevIndex);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prevTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<Entry> ::const_iterator _iter140;
-    for (_iter140 = this->entries.begin(); _iter140 != this->entries.end(); ++_iter140)
-    {
-      xfer += (*_iter140).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4228,103 +4296,79 @@
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.prevIndex, b.prevIndex);
-  swap(a.prevTerm, b.prevTerm);
-  swap(a.entries, b.entries);
-  swap(a.commit, b.commit);
-  swap(a.round, b.round);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other141) {
+VoteRequest::VoteRequest(const VoteRequest& other141) noexcept {
   term = other141.term;
-  prevIndex = other141.prevIndex;
-  prevTerm = other141.prevTerm;
-  entries = other141.entries;
-  commit = other141.commit;
-  round = other141.round;
+  preVote = other141.preVote;
+  lastIndex = other141.lastIndex;
+  lastTerm = other141.lastTerm;
   __isset = other141.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other142) noexcept {
+VoteRequest::VoteRequest(VoteRequest&& other142) noexcept {
   term = other142.term;
-  prevIndex = other142.prevIndex;
-  prevTerm = other142.prevTerm;
-  entries = std::move(other142.entries);
-  commit = other142.commit;
-  round = other142.round;
+  preVote = other142.preVote;
+  lastIndex = other142.lastIndex;
+  lastTerm = other142.lastTerm;
   __isset = other142.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other143) {
+VoteRequest& VoteRequest::operator=(const VoteRequest& other143) noexcept {
   term = other143.term;
-  prevIndex = other143.prevIndex;
-  prevTerm = other143.prevTerm;
-  entries = other143.entries;
-  commit = other143.commit;
-  round = other143.round;
+  preVote = other143.preVote;
+  lastIndex = other143.lastIndex;
+  lastTerm = other143.lastTerm;
   __isset = other143.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other144) noexcept {
+VoteRequest& VoteRequest::operator=(VoteRequest&& other144) noexcept {
   term = other144.term;
-  prevIndex = other144.prevIndex;
-  prevTerm = other144.prevTerm;
-  entries = std::move(other144.entries);
-  commit = other144.commit;
-  round = other144.round;
+  preVote = other144.preVote;
+  lastIndex = other144.lastIndex;
+  lastTerm = other144.lastTerm;
   __isset = other144.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
+  out << "VoteRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "prevIndex=" << to_string(prevIndex);
-  out << ", " << "prevTerm=" << to_string(prevTerm);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "round=" << to_string(round);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ")";
 }
 
 
-AppendAnswer::~AppendAnswer() noexcept {
+VoteAnswer::~VoteAnswer() noexcept {
 }
 
 
-void AppendAnswer::__set_term(const int64_t val) {
+void VoteAnswer::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void AppendAnswer::__set_success(const bool val) {
-  this->success = val;
-}
-
-void AppendAnswer::__set_match(const int64_t val) {
-  this->match = val;
-}
-
-void AppendAnswer::__set_round(const int64_t val) {
-  this->round = val;
-}
-
-void AppendAnswer::__set_recovering(const bool val) {
-  this->recovering = val;
+void VoteAnswer::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void AppendAnswer::__set_diskId(const std::string& val) {
-  this->diskId = val;
+void VoteAnswer::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const VoteAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4355,40 +4399,16 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->success);
-          this->__isset.success = true;
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->match);
-          this->__isset.match = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->round);
-          this->__isset.round = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->recovering);
-          this->__isset.recovering = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->diskId);
-          this->__isset.diskId = true;
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4405,33 +4425,21 @@
   return xfer;
 }
 
-uint32_t AppendAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendAnswer");
+  xfer += oprot->writeStructBegin("VoteAnswer");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->success);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->match);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->round);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("recovering", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->recovering);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("diskId", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->diskId);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4439,91 +4447,85 @@
   return xfer;
 }
 
-void swap(AppendAnswer &a, AppendAnswer &b) {
+void swap(VoteAnswer &a, VoteAnswer &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.success, b.success);
-  swap(a.match, b.match);
-  swap(a.round, b.round);
-  swap(a.recovering, b.recovering);
-  swap(a.diskId, b.diskId);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
   swap(a.__isset, b.__isset);
 }
 
-AppendAnswer::AppendAnswer(const AppendAnswer& other145) {
+VoteAnswer::VoteAnswer(const VoteAnswer& other145) noexcept {
   term = other145.term;
-  success = other145.success;
-  match = other145.match;
-  round = other145.round;
-  recovering = other145.recovering;
-  diskId = other145.diskId;
+  preVote = other145.preVote;
+  granted = other145.granted;
   __isset = other145.__isset;
 }
-AppendAnswer::AppendAnswer(AppendAnswer&& other146) noexcept {
+VoteAnswer::VoteAnswer(VoteAnswer&& other146) noexcept {
   term = other146.term;
-  success = other146.success;
-  match = other146.match;
-  round = other146.round;
-  recovering = other146.recovering;
-  diskId = std::move(other146.diskId);
+  preVote = other146.preVote;
+  granted = other146.granted;
   __isset = other146.__isset;
 }
-AppendAnswer& AppendAnswer::operator=(const AppendAnswer& other147) {
+VoteAnswer& VoteAnswer::operator=(const VoteAnswer& other147) noexcept {
   term = other147.term;
-  success = other147.success;
-  match = other147.match;
-  round = other147.round;
-  recovering = other147.recovering;
-  diskId = other147.diskId;
+  preVote = other147.preVote;
+  granted = other147.granted;
   __isset = other147.__isset;
   return *this;
 }
-AppendAnswer& AppendAnswer::operator=(AppendAnswer&& other148) noexcept {
+VoteAnswer& VoteAnswer::operator=(VoteAnswer&& other148) noexcept {
   term = other148.term;
-  success = other148.success;
-  match = other148.match;
-  round = other148.round;
-  recovering = other148.recovering;
-  diskId = std::move(other148.diskId);
+  preVote = other148.preVote;
+  granted = other148.granted;
   __isset = other148.__isset;
   return *this;
 }
-void AppendAnswer::printTo(std::ostream& out) const {
+void VoteAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendAnswer(";
+  out << "VoteAnswer(";
   out << "term=" << to_string(term);
-  out << ", " << "success=" << to_string(success);
-  out << ", " << "match=" << to_string(match);
-  out << ", " << "round=" << to_string(round);
-  out << ", " << "recovering=" << to_string(recovering);
-  out << ", " << "diskId=" << to_string(diskId);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
   out << ")";
 }
 
 
-SnapshotRequest::~SnapshotRequest() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void SnapshotRequest::__set_term(const int64_t val) {
+void AppendRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void SnapshotRequest::__set_snapshot(const SnapshotRecord& val) {
-  this->snapshot = val;
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
 }
 
-void SnapshotRequest::__set_round(const int64_t val) {
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<Entry> & val) {
+  this->entries = val;
+}
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_round(const int64_t val) {
   this->round = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4553,14 +4555,50 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->entries.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
+            {
+              xfer += this->entries[_i153].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->round);
           this->__isset.round = true;
@@ -4580,20 +4618,40 @@
   return xfer;
 }
 
-uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRequest");
+  xfer += oprot->writeStructBegin("AppendRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->snapshot.write(oprot);
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<Entry> ::const_iterator _iter154;
+    for (_iter154 = this->entries.begin(); _iter154 != this->entries.end(); ++_iter154)
+    {
+      xfer += (*_iter154).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
@@ -4602,69 +4660,103 @@
   return xfer;
 }
 
-void swap(SnapshotRequest &a, SnapshotRequest &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.snapshot, b.snapshot);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.entries, b.entries);
+  swap(a.commit, b.commit);
   swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other149) {
-  term = other149.term;
-  snapshot = other149.snapshot;
-  round = other149.round;
-  __isset = other149.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other155) {
+  term = other155.term;
+  prevIndex = other155.prevIndex;
+  prevTerm = other155.prevTerm;
+  entries = other155.entries;
+  commit = other155.commit;
+  round = other155.round;
+  __isset = other155.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other150) noexcept {
-  term = other150.term;
-  snapshot = std::move(other150.snapshot);
-  round = other150.round;
-  __isset = other150.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other156) noexcept {
+  term = other156.term;
+  prevIndex = other156.prevIndex;
+  prevTerm = other156.prevTerm;
+  entries = std::move(other156.entries);
+  commit = other156.commit;
+  round = other156.round;
+  __isset = other156.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other151) {
-  term = other151.term;
-  snapshot = other151.snapshot;
-  round = other151.round;
-  __isset = other151.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other157) {
+  term = other157.term;
+  prevIndex = other157.prevIndex;
+  prevTerm = other157.prevTerm;
+  entries = other157.entries;
+  commit = other157.commit;
+  round = other157.round;
+  __isset = other157.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other152) noexcept {
-  term = other152.term;
-  snapshot = std::move(other152.snapshot);
-  round = other152.round;
-  __isset = other152.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other158) noexcept {
+  term = other158.term;
+  prevIndex = other158.prevIndex;
+  prevTerm = other158.prevTerm;
+  entries = std::move(other158.entries);
+  commit = other158.commit;
+  round = other158.round;
+  __isset = other158.__isset;
   return *this;
 }
-void SnapshotRequest::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRequest(";
+  out << "AppendRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "commit=" << to_string(commit);
   out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
 
-ForwardRequest::~ForwardRequest() noexcept {
+AppendAnswer::~AppendAnswer() noexcept {
 }
 
 
-void ForwardRequest::__set_id(const int64_t val) {
-  this->id = val;
+void AppendAnswer::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void ForwardRequest::__set_command(const std::string& val) {
-  this->command = val;
+void AppendAnswer::__set_success(const bool val) {
+  this->success = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
+
+void AppendAnswer::__set_match(const int64_t val) {
+  this->match = val;
+}
+
+void AppendAnswer::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void AppendAnswer::__set_recovering(const bool val) {
+  this->recovering = val;
+}
+
+void AppendAnswer::__set_diskId(const std::string& val) {
+  this->diskId = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4687,43 +4779,91 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->command);
-          this->__isset.command = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->match);
+          this->__isset.match = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->recovering);
+          this->__isset.recovering = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->diskId);
+          this->__isset.diskId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
 
   return xfer;
 }
 
-uint32_t ForwardRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardRequest");
+  xfer += oprot->writeStructBegin("AppendAnswer");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->command);
+  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->success);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->match);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recovering", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->recovering);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("diskId", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->diskId);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4731,67 +4871,91 @@
   return xfer;
 }
 
-void swap(ForwardRequest &a, ForwardRequest &b) {
+void swap(AppendAnswer &a, AppendAnswer &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.command, b.command);
+  swap(a.term, b.term);
+  swap(a.success, b.success);
+  swap(a.match, b.match);
+  swap(a.round, b.round);
+  swap(a.recovering, b.recovering);
+  swap(a.diskId, b.diskId);
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other153) {
-  id = other153.id;
-  command = other153.command;
-  __isset = other153.__isset;
+AppendAnswer::AppendAnswer(const AppendAnswer& other159) {
+  term = other159.term;
+  success = other159.success;
+  match = other159.match;
+  round = other159.round;
+  recovering = other159.recovering;
+  diskId = other159.diskId;
+  __isset = other159.__isset;
 }
-ForwardRequest::ForwardRequest(ForwardRequest&& other154) noexcept {
-  id = other154.id;
-  command = std::move(other154.command);
-  __isset = other154.__isset;
+AppendAnswer::AppendAnswer(AppendAnswer&& other160) noexcept {
+  term = other160.term;
+  success = other160.success;
+  match = other160.match;
+  round = other160.round;
+  recovering = other160.recovering;
+  diskId = std::move(other160.diskId);
+  __isset = other160.__isset;
 }
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other155) {
-  id = other155.id;
-  command = other155.command;
-  __isset = other155.__isset;
+AppendAnswer& AppendAnswer::operator=(const AppendAnswer& other161) {
+  term = other161.term;
+  success = other161.success;
+  match = other161.match;
+  round = other161.round;
+  recovering = other161.recovering;
+  diskId = other161.diskId;
+  __isset = other161.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other156) noexcept {
-  id = other156.id;
-  command = std::move(other156.command);
-  __isset = other156.__isset;
+AppendAnswer& AppendAnswer::operator=(AppendAnswer&& other162) noexcept {
+  term = other162.term;
+  success = other162.success;
+  match = other162.match;
+  round = other162.round;
+  recovering = other162.recovering;
+  diskId = std::move(other162.diskId);
+  __isset = other162.__isset;
   return *this;
 }
-void ForwardRequest::printTo(std::ostream& out) const {
+void AppendAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardRequest(";
-  out << "id=" << to_string(id);
-  out << ", " << "command=" << to_string(command);
+  out << "AppendAnswer(";
+  out << "term=" << to_string(term);
+  out << ", " << "success=" << to_string(success);
+  out << ", " << "match=" << to_string(match);
+  out << ", " << "round=" << to_string(round);
+  out << ", " << "recovering=" << to_string(recovering);
+  out << ", " << "diskId=" << to_string(diskId);
   out << ")";
 }
 
 
-ForwardAnswer::~ForwardAnswer() noexcept {
+SnapshotRequest::~SnapshotRequest() noexcept {
 }
 
 
-void ForwardAnswer::__set_id(const int64_t val) {
-  this->id = val;
+void SnapshotRequest::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void ForwardAnswer::__set_notLeader(const bool val) {
-  this->notLeader = val;
+void SnapshotRequest::__set_snapshot(const SnapshotRecord& val) {
+  this->snapshot = val;
 }
 
-void ForwardAnswer::__set_result(const std::string& val) {
-  this->result = val;
+void SnapshotRequest::__set_round(const int64_t val) {
+  this->round = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4814,24 +4978,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->notLeader);
-          this->__isset.notLeader = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->result);
-          this->__isset.result = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4848,21 +5012,21 @@
   return xfer;
 }
 
-uint32_t ForwardAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardAnswer");
+  xfer += oprot->writeStructBegin("SnapshotRequest");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("notLeader", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->notLeader);
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->snapshot.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->result);
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4870,73 +5034,69 @@
   return xfer;
 }
 
-void swap(ForwardAnswer &a, ForwardAnswer &b) {
+void swap(SnapshotRequest &a, SnapshotRequest &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.notLeader, b.notLeader);
-  swap(a.result, b.result);
+  swap(a.term, b.term);
+  swap(a.snapshot, b.snapshot);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
-ForwardAnswer::ForwardAnswer(const ForwardAnswer& other157) {
-  id = other157.id;
-  notLeader = other157.notLeader;
-  result = other157.result;
-  __isset = other157.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other163) {
+  term = other163.term;
+  snapshot = other163.snapshot;
+  round = other163.round;
+  __isset = other163.__isset;
 }
-ForwardAnswer::ForwardAnswer(ForwardAnswer&& other158) noexcept {
-  id = other158.id;
-  notLeader = other158.notLeader;
-  result = std::move(other158.result);
-  __isset = other158.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other164) noexcept {
+  term = other164.term;
+  snapshot = std::move(other164.snapshot);
+  round = other164.round;
+  __isset = other164.__isset;
 }
-ForwardAnswer& ForwardAnswer::operator=(const ForwardAnswer& other159) {
-  id = other159.id;
-  notLeader = other159.notLeader;
-  result = other159.result;
-  __isset = other159.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other165) {
+  term = other165.term;
+  snapshot = other165.snapshot;
+  round = other165.round;
+  __isset = other165.__isset;
   return *this;
 }
-ForwardAnswer& ForwardAnswer::operator=(ForwardAnswer&& other160) noexcept {
-  id = other160.id;
-  notLeader = other160.notLeader;
-  result = std::move(other160.result);
-  __isset = other160.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other166) noexcept {
+  term = other166.term;
+  snapshot = std::move(other166.snapshot);
+  round = other166.round;
+  __isset = other166.__isset;
   return *this;
 }
-void ForwardAnswer::printTo(std::ostream& out) const {
+void SnapshotRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardAnswer(";
-  out << "id=" << to_string(id);
-  out << ", " << "notLeader=" << to_string(notLeader);
-  out << ", " << "result=" << to_string(result);
+  out << "SnapshotRequest(";
+  out << "term=" << to_string(term);
+  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
 
-ServiceSpec::~ServiceSpec() noexcept {
+ForwardRequest::~ForwardRequest() noexcept {
 }
 
 
-void ServiceSpec::__set_name(const std::string& val) {
-  this->name = val;
-}
-
-void ServiceSpec::__set_healthPath(const std::string& val) {
-  this->healthPath = val;
+void ForwardRequest::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void ServiceSpec::__set_maxConnections(const int32_t val) {
-  this->maxConnections = val;
+void ForwardRequest::__set_command(const std::string& val) {
+  this->command = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServiceSpec& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ServiceSpec::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4958,25 +5118,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->healthPath);
-          this->__isset.healthPath = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->maxConnections);
-          this->__isset.maxConnections = true;
+          xfer += iprot->readBinary(this->command);
+          this->__isset.command = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4993,21 +5145,17 @@
   return xfer;
 }
 
-uint32_t ServiceSpec::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ServiceSpec");
-
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->name);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ForwardRequest");
 
-  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->healthPath);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->maxConnections);
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->command);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5015,81 +5163,67 @@
   return xfer;
 }
 
-void swap(ServiceSpec &a, ServiceSpec &b) {
+void swap(ForwardRequest &a, ForwardRequest &b) {
   using ::std::swap;
-  swap(a.name, b.name);
-  swap(a.healthPath, b.healthPath);
-  swap(a.maxConnections, b.maxConnections);
+  swap(a.id, b.id);
+  swap(a.command, b.command);
   swap(a.__isset, b.__isset);
 }
 
-ServiceSpec::ServiceSpec(const ServiceSpec& other161) {
-  name = other161.name;
-  healthPath = other161.healthPath;
-  maxConnections = other161.maxConnections;
-  __isset = other161.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other167) {
+  id = other167.id;
+  command = other167.command;
+  __isset = other167.__isset;
 }
-ServiceSpec::ServiceSpec(ServiceSpec&& other162) noexcept {
-  name = std::move(other162.name);
-  healthPath = std::move(other162.healthPath);
-  maxConnections = other162.maxConnections;
-  __isset = other162.__isset;
+ForwardRequest::ForwardRequest(ForwardRequest&& other168) noexcept {
+  id = other168.id;
+  command = std::move(other168.command);
+  __isset = other168.__isset;
 }
-ServiceSpec& ServiceSpec::operator=(const ServiceSpec& other163) {
-  name = other163.name;
-  healthPath = other163.healthPath;
-  maxConnections = other163.maxConnections;
-  __isset = other163.__isset;
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other169) {
+  id = other169.id;
+  command = other169.command;
+  __isset = other169.__isset;
   return *this;
 }
-ServiceSpec& ServiceSpec::operator=(ServiceSpec&& other164) noexcept {
-  name = std::move(other164.name);
-  healthPath = std::move(other164.healthPath);
-  maxConnections = other164.maxConnections;
-  __isset = other164.__isset;
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other170) noexcept {
+  id = other170.id;
+  command = std::move(other170.command);
+  __isset = other170.__isset;
   return *this;
 }
-void ServiceSpec::printTo(std::ostream& out) const {
+void ForwardRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ServiceSpec(";
-  out << "name=" << to_string(name);
-  out << ", " << "healthPath=" << to_string(healthPath);
-  out << ", " << "maxConnections=" << to_string(maxConnections);
+  out << "ForwardRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "command=" << to_string(command);
   out << ")";
 }
 
 
-Release::~Release() noexcept {
+ForwardAnswer::~ForwardAnswer() noexcept {
 }
 
 
-void Release::__set_header(const ReleaseResource& val) {
-  this->header = val;
+void ForwardAnswer::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void Release::__set_baseNumber(const int64_t val) {
-  this->baseNumber = val;
+void ForwardAnswer::__set_notLeader(const bool val) {
+  this->notLeader = val;
 }
 
-void Release::__set_routes(const std::vector<Route> & val) {
-  this->routes = val;
+void ForwardAnswer::__set_result(const std::string& val) {
+  this->result = val;
 }
-
-void Release::__set_services(const std::vector<ServiceSpec> & val) {
-  this->services = val;
-}
-
-void Release::__set_document(const std::string& val) {
-  this->document = val;
-}
-std::ostream& operator<<(std::ostream& out, const Release& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Release::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5111,65 +5245,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->baseNumber);
-          this->__isset.baseNumber = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->notLeader);
+          this->__isset.notLeader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->routes.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->routes.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
-            {
-              xfer += this->routes[_i169].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.routes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->services.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->services.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
-            {
-              xfer += this->services[_i174].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.services = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->document);
-          this->__isset.document = true;
+          xfer += iprot->readBinary(this->result);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5186,45 +5280,21 @@
   return xfer;
 }
 
-uint32_t Release::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Release");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("baseNumber", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->baseNumber);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ForwardAnswer");
 
-  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter175;
-    for (_iter175 = this->routes.begin(); _iter175 != this->routes.end(); ++_iter175)
-    {
-      xfer += (*_iter175).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSpec> ::const_iterator _iter176;
-    for (_iter176 = this->services.begin(); _iter176 != this->services.end(); ++_iter176)
-    {
-      xfer += (*_iter176).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("notLeader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->notLeader);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->result);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5232,97 +5302,81 @@
   return xfer;
 }
 
-void swap(Release &a, Release &b) {
+void swap(ForwardAnswer &a, ForwardAnswer &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.baseNumber, b.baseNumber);
-  swap(a.routes, b.routes);
-  swap(a.services, b.services);
-  swap(a.document, b.document);
+  swap(a.id, b.id);
+  swap(a.notLeader, b.notLeader);
+  swap(a.result, b.result);
   swap(a.__isset, b.__isset);
 }
 
-Release::Release(const Release& other177) {
-  header = other177.header;
-  baseNumber = other177.baseNumber;
-  routes = other177.routes;
-  services = other177.services;
-  document = other177.document;
-  __isset = other177.__isset;
+ForwardAnswer::ForwardAnswer(const ForwardAnswer& other171) {
+  id = other171.id;
+  notLeader = other171.notLeader;
+  result = other171.result;
+  __isset = other171.__isset;
 }
-Release::Release(Release&& other178) noexcept {
-  header = std::move(other178.header);
-  baseNumber = other178.baseNumber;
-  routes = std::move(other178.routes);
-  services = std::move(other178.services);
-  document = std::move(other178.document);
-  __isset = other178.__isset;
+ForwardAnswer::ForwardAnswer(ForwardAnswer&& other172) noexcept {
+  id = other172.id;
+  notLeader = other172.notLeader;
+  result = std::move(other172.result);
+  __isset = other172.__isset;
 }
-Release& Release::operator=(const Release& other179) {
-  header = other179.header;
-  baseNumber = other179.baseNumber;
-  routes = other179.routes;
-  services = other179.services;
-  document = other179.document;
-  __isset = other179.__isset;
+ForwardAnswer& ForwardAnswer::operator=(const ForwardAnswer& other173) {
+  id = other173.id;
+  notLeader = other173.notLeader;
+  result = other173.result;
+  __isset = other173.__isset;
   return *this;
 }
-Release& Release::operator=(Release&& other180) noexcept {
-  header = std::move(other180.header);
-  baseNumber = other180.baseNumber;
-  routes = std::move(other180.routes);
-  services = std::move(other180.services);
-  document = std::move(other180.document);
-  __isset = other180.__isset;
+ForwardAnswer& ForwardAnswer::operator=(ForwardAnswer&& other174) noexcept {
+  id = other174.id;
+  notLeader = other174.notLeader;
+  result = std::move(other174.result);
+  __isset = other174.__isset;
   return *this;
 }
-void Release::printTo(std::ostream& out) const {
+void ForwardAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Release(";
-  out << "header=" << to_string(header);
-  out << ", " << "baseNumber=" << to_string(baseNumber);
-  out << ", " << "routes=" << to_string(routes);
-  out << ", " << "services=" << to_string(services);
-  out << ", " << "document=" << to_string(document);
+  out << "ForwardAnswer(";
+  out << "id=" << to_string(id);
+  out << ", " << "notLeader=" << to_string(notLeader);
+  out << ", " << "result=" << to_string(result);
   out << ")";
 }
 
 
-MoveEvent::~MoveEvent() noexcept {
+ServiceSpec::~ServiceSpec() noexcept {
 }
 
 
-void MoveEvent::__set_moveId(const std::string& val) {
-  this->moveId = val;
-}
-
-void MoveEvent::__set_step(const int32_t val) {
-  this->step = val;
+void ServiceSpec::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void MoveEvent::__set_kind(const MoveEventKind::type val) {
-  this->kind = val;
+void ServiceSpec::__set_healthPath(const std::string& val) {
+  this->healthPath = val;
 }
 
-void MoveEvent::__set_permille(const int32_t val) {
-  this->permille = val;
+void ServiceSpec::__set_maxConnections(const int32_t val) {
+  this->maxConnections = val;
 }
 
-void MoveEvent::__set_reason(const std::string& val) {
-  this->reason = val;
+void ServiceSpec::__set_coldStartMs(const int32_t val) {
+  this->coldStartMs = val;
 }
 
-void MoveEvent::__set_slotsNeeded(const int32_t val) {
-  this->slotsNeeded = val;
+void ServiceSpec::__set_coldCallsPerSecond(const double val) {
+  this->coldCallsPerSecond = val;
 }
-std::ostream& operator<<(std::ostream& out, const MoveEvent& obj)
+std::ostream& operator<<(std::ostream& out, const ServiceSpec& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MoveEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServiceSpec::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5345,50 +5399,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->moveId);
-          this->__isset.moveId = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->step);
-          this->__isset.step = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->healthPath);
+          this->__isset.healthPath = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast181;
-          xfer += iprot->readI32(ecast181);
-          this->kind = static_cast<MoveEventKind::type>(ecast181);
-          this->__isset.kind = true;
+          xfer += iprot->readI32(this->maxConnections);
+          this->__isset.maxConnections = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->permille);
-          this->__isset.permille = true;
+          xfer += iprot->readI32(this->coldStartMs);
+          this->__isset.coldStartMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->reason);
-          this->__isset.reason = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slotsNeeded);
-          this->__isset.slotsNeeded = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldCallsPerSecond);
+          this->__isset.coldCallsPerSecond = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5405,33 +5449,29 @@
   return xfer;
 }
 
-uint32_t MoveEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServiceSpec::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MoveEvent");
-
-  xfer += oprot->writeFieldBegin("moveId", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->moveId);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ServiceSpec");
 
-  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->healthPath);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->permille);
+  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->maxConnections);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldBegin("coldStartMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->coldStartMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("slotsNeeded", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->slotsNeeded);
+  xfer += oprot->writeFieldBegin("coldCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->coldCallsPerSecond);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5439,107 +5479,97 @@
   return xfer;
 }
 
-void swap(MoveEvent &a, MoveEvent &b) {
+void swap(ServiceSpec &a, ServiceSpec &b) {
   using ::std::swap;
-  swap(a.moveId, b.moveId);
-  swap(a.step, b.step);
-  swap(a.kind, b.kind);
-  swap(a.permille, b.permille);
-  swap(a.reason, b.reason);
-  swap(a.slotsNeeded, b.slotsNeeded);
+  swap(a.name, b.name);
+  swap(a.healthPath, b.healthPath);
+  swap(a.maxConnections, b.maxConnections);
+  swap(a.coldStartMs, b.coldStartMs);
+  swap(a.coldCallsPerSecond, b.coldCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
-MoveEvent::MoveEvent(const MoveEvent& other182) {
-  moveId = other182.moveId;
-  step = other182.step;
-  kind = other182.kind;
-  permille = other182.permille;
-  reason = other182.reason;
-  slotsNeeded = other182.slotsNeeded;
-  __isset = other182.__isset;
-}
-MoveEvent::MoveEvent(MoveEvent&& other183) noexcept {
-  moveId = std::move(other183.moveId);
-  step = other183.step;
-  kind = other183.kind;
-  permille = other183.permille;
-  reason = std::move(other183.reason);
-  slotsNeeded = other183.slotsNeeded;
-  __isset = other183.__isset;
-}
-MoveEvent& MoveEvent::operator=(const MoveEvent& other184) {
-  moveId = other184.moveId;
-  step = other184.step;
-  kind = other184.kind;
-  permille = other184.permille;
-  reason = other184.reason;
-  slotsNeeded = other184.slotsNeeded;
-  __isset = other184.__isset;
-  return *this;
-}
-MoveEvent& MoveEvent::operator=(MoveEvent&& other185) noexcept {
-  moveId = std::move(other185.moveId);
-  step = other185.step;
-  kind = other185.kind;
-  permille = other185.permille;
-  reason = std::move(other185.reason);
-  slotsNeeded = other185.slotsNeeded;
-  __isset = other185.__isset;
+ServiceSpec::ServiceSpec(const ServiceSpec& other175) {
+  name = other175.name;
+  healthPath = other175.healthPath;
+  maxConnections = other175.maxConnections;
+  coldStartMs = other175.coldStartMs;
+  coldCallsPerSecond = other175.coldCallsPerSecond;
+  __isset = other175.__isset;
+}
+ServiceSpec::ServiceSpec(ServiceSpec&& other176) noexcept {
+  name = std::move(other176.name);
+  healthPath = std::move(other176.healthPath);
+  maxConnections = other176.maxConnections;
+  coldStartMs = other176.coldStartMs;
+  coldCallsPerSecond = other176.coldCallsPerSecond;
+  __isset = other176.__isset;
+}
+ServiceSpec& ServiceSpec::operator=(const ServiceSpec& other177) {
+  name = other177.name;
+  healthPath = other177.healthPath;
+  maxConnections = other177.maxConnections;
+  coldStartMs = other177.coldStartMs;
+  coldCallsPerSecond = other177.coldCallsPerSecond;
+  __isset = other177.__isset;
   return *this;
 }
-void MoveEvent::printTo(std::ostream& out) const {
+ServiceSpec& ServiceSpec::operator=(ServiceSpec&& other178) noexcept {
+  name = std::move(other178.name);
+  healthPath = std::move(other178.healthPath);
+  maxConnections = other178.maxConnections;
+  coldStartMs = other178.coldStartMs;
+  coldCallsPerSecond = other178.coldCallsPerSecond;
+  __isset = other178.__isset;
+  return *this;
+}
+void ServiceSpec::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "MoveEvent(";
-  out << "moveId=" << to_string(moveId);
-  out << ", " << "step=" << to_string(step);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "permille=" << to_string(permille);
-  out << ", " << "reason=" << to_string(reason);
-  out << ", " << "slotsNeeded=" << to_string(slotsNeeded);
+  out << "ServiceSpec(";
+  out << "name=" << to_string(name);
+  out << ", " << "healthPath=" << to_string(healthPath);
+  out << ", " << "maxConnections=" << to_string(maxConnections);
+  out << ", " << "coldStartMs=" << to_string(coldStartMs);
+  out << ", " << "coldCallsPerSecond=" << to_string(coldCallsPerSecond);
   out << ")";
 }
 
 
-MoveAsk::~MoveAsk() noexcept {
+Release::~Release() noexcept {
 }
 
 
-void MoveAsk::__set_id(const std::string& val) {
-  this->id = val;
-}
-
-void MoveAsk::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
+void Release::__set_header(const ReleaseResource& val) {
+  this->header = val;
 }
 
-void MoveAsk::__set_toVersion(const std::string& val) {
-  this->toVersion = val;
+void Release::__set_baseNumber(const int64_t val) {
+  this->baseNumber = val;
 }
 
-void MoveAsk::__set_deadlineMs(const int64_t val) {
-  this->deadlineMs = val;
+void Release::__set_routes(const std::vector<Route> & val) {
+  this->routes = val;
 }
 
-void MoveAsk::__set_watchMs(const int64_t val) {
-  this->watchMs = val;
+void Release::__set_services(const std::vector<ServiceSpec> & val) {
+  this->services = val;
 }
 
-void MoveAsk::__set_exposurePermille(const int32_t val) {
-  this->exposurePermille = val;
+void Release::__set_document(const std::string& val) {
+  this->document = val;
 }
 
-void MoveAsk::__set_durationMs(const int64_t val) {
-  this->durationMs = val;
+void Release::__set_accounts(const std::vector<ClientAccount> & val) {
+  this->accounts = val;
 }
-std::ostream& operator<<(std::ostream& out, const MoveAsk& obj)
+std::ostream& operator<<(std::ostream& out, const Release& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MoveAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Release::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5561,57 +5591,85 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseNumber);
+          this->__isset.baseNumber = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->toVersion);
-          this->__isset.toVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->routes.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->routes[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->deadlineMs);
-          this->__isset.deadlineMs = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->services.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
+            {
+              xfer += this->services[_i188].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->watchMs);
-          this->__isset.watchMs = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->exposurePermille);
-          this->__isset.exposurePermille = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->durationMs);
-          this->__isset.durationMs = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->accounts.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
+            {
+              xfer += this->accounts[_i193].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5628,37 +5686,57 @@
   return xfer;
 }
 
-uint32_t MoveAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Release::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MoveAsk");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Release");
 
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->toVersion);
+  xfer += oprot->writeFieldBegin("baseNumber", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseNumber);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("deadlineMs", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->deadlineMs);
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<Route> ::const_iterator _iter194;
+    for (_iter194 = this->routes.begin(); _iter194 != this->routes.end(); ++_iter194)
+    {
+      xfer += (*_iter194).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("watchMs", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->watchMs);
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceSpec> ::const_iterator _iter195;
+    for (_iter195 = this->services.begin(); _iter195 != this->services.end(); ++_iter195)
+    {
+      xfer += (*_iter195).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("exposurePermille", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->exposurePermille);
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->document);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("durationMs", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->durationMs);
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<ClientAccount> ::const_iterator _iter196;
+    for (_iter196 = this->accounts.begin(); _iter196 != this->accounts.end(); ++_iter196)
+    {
+      xfer += (*_iter196).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5666,149 +5744,103 @@
   return xfer;
 }
 
-void swap(MoveAsk &a, MoveAsk &b) {
+void swap(Release &a, Release &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.serviceName, b.serviceName);
-  swap(a.toVersion, b.toVersion);
-  swap(a.deadlineMs, b.deadlineMs);
-  swap(a.watchMs, b.watchMs);
-  swap(a.exposurePermille, b.exposurePermille);
-  swap(a.durationMs, b.durationMs);
+  swap(a.header, b.header);
+  swap(a.baseNumber, b.baseNumber);
+  swap(a.routes, b.routes);
+  swap(a.services, b.services);
+  swap(a.document, b.document);
+  swap(a.accounts, b.accounts);
   swap(a.__isset, b.__isset);
 }
 
-MoveAsk::MoveAsk(const MoveAsk& other186) {
-  id = other186.id;
-  serviceName = other186.serviceName;
-  toVersion = other186.toVersion;
-  deadlineMs = other186.deadlineMs;
-  watchMs = other186.watchMs;
-  exposurePermille = other186.exposurePermille;
-  durationMs = other186.durationMs;
-  __isset = other186.__isset;
-}
-MoveAsk::MoveAsk(MoveAsk&& other187) noexcept {
-  id = std::move(other187.id);
-  serviceName = std::move(other187.serviceName);
-  toVersion = std::move(other187.toVersion);
-  deadlineMs = other187.deadlineMs;
-  watchMs = other187.watchMs;
-  exposurePermille = other187.exposurePermille;
-  durationMs = other187.durationMs;
-  __isset = other187.__isset;
-}
-MoveAsk& MoveAsk::operator=(const MoveAsk& other188) {
-  id = other188.id;
-  serviceName = other188.serviceName;
-  toVersion = other188.toVersion;
-  deadlineMs = other188.deadlineMs;
-  watchMs = other188.watchMs;
-  exposurePermille = other188.exposurePermille;
-  durationMs = other188.durationMs;
-  __isset = other188.__isset;
-  return *this;
-}
-MoveAsk& MoveAsk::operator=(MoveAsk&& other189) noexcept {
-  id = std::move(other189.id);
-  serviceName = std::move(other189.serviceName);
-  toVersion = std::move(other189.toVersion);
-  deadlineMs = other189.deadlineMs;
-  watchMs = other189.watchMs;
-  exposurePermille = other189.exposurePermille;
-  durationMs = other189.durationMs;
-  __isset = other189.__isset;
+Release::Release(const Release& other197) {
+  header = other197.header;
+  baseNumber = other197.baseNumber;
+  routes = other197.routes;
+  services = other197.services;
+  document = other197.document;
+  accounts = other197.accounts;
+  __isset = other197.__isset;
+}
+Release::Release(Release&& other198) noexcept {
+  header = std::move(other198.header);
+  baseNumber = other198.baseNumber;
+  routes = std::move(other198.routes);
+  services = std::move(other198.services);
+  document = std::move(other198.document);
+  accounts = std::move(other198.accounts);
+  __isset = other198.__isset;
+}
+Release& Release::operator=(const Release& other199) {
+  header = other199.header;
+  baseNumber = other199.baseNumber;
+  routes = other199.routes;
+  services = other199.services;
+  document = other199.document;
+  accounts = other199.accounts;
+  __isset = other199.__isset;
   return *this;
 }
-void MoveAsk::printTo(std::ostream& out) const {
+Release& Release::operator=(Release&& other200) noexcept {
+  header = std::move(other200.header);
+  baseNumber = other200.baseNumber;
+  routes = std::move(other200.routes);
+  services = std::move(other200.services);
+  document = std::move(other200.document);
+  accounts = std::move(other200.accounts);
+  __isset = other200.__isset;
+  return *this;
+}
+void Release::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "MoveAsk(";
-  out << "id=" << to_string(id);
-  out << ", " << "serviceName=" << to_string(serviceName);
-  out << ", " << "toVersion=" << to_string(toVersion);
-  out << ", " << "deadlineMs=" << to_string(deadlineMs);
-  out << ", " << "watchMs=" << to_string(watchMs);
-  out << ", " << "exposurePermille=" << to_string(exposurePermille);
-  out << ", " << "durationMs=" << to_string(durationMs);
+  out << "Release(";
+  out << "header=" << to_string(header);
+  out << ", " << "baseNumber=" << to_string(baseNumber);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "accounts=" << to_string(accounts);
   out << ")";
 }
 
 
-Command::~Command() noexcept {
-}
-
-
-void Command::__set_kind(const CommandKind::type val) {
-  this->kind = val;
-}
-
-void Command::__set_requestId(const std::string& val) {
-  this->requestId = val;
-}
-
-void Command::__set_actor(const std::string& val) {
-  this->actor = val;
-}
-
-void Command::__set_team(const std::string& val) {
-  this->team = val;
-}
-
-void Command::__set_timeMs(const int64_t val) {
-  this->timeMs = val;
-}
-
-void Command::__set_baseVersion(const int64_t val) {
-  this->baseVersion = val;
-}
-
-void Command::__set_name(const std::string& val) {
-  this->name = val;
-}
-
-void Command::__set_body(const std::string& val) {
-  this->body = val;
+MoveEvent::~MoveEvent() noexcept {
 }
 
-void Command::__set_parameters(const std::map<std::string, std::string> & val) {
-  this->parameters = val;
-}
 
-void Command::__set_move(const MoveAsk& val) {
-  this->move = val;
-__isset.move = true;
+void MoveEvent::__set_moveId(const std::string& val) {
+  this->moveId = val;
 }
 
-void Command::__set_moveEvent(const MoveEvent& val) {
-  this->moveEvent = val;
-__isset.moveEvent = true;
+void MoveEvent::__set_step(const int32_t val) {
+  this->step = val;
 }
 
-void Command::__set_claimEpoch(const ClaimEpoch& val) {
-  this->claimEpoch = val;
-__isset.claimEpoch = true;
+void MoveEvent::__set_kind(const MoveEventKind::type val) {
+  this->kind = val;
 }
 
-void Command::__set_templateName(const std::string& val) {
-  this->templateName = val;
+void MoveEvent::__set_permille(const int32_t val) {
+  this->permille = val;
 }
 
-void Command::__set_sourceSequence(const int64_t val) {
-  this->sourceSequence = val;
+void MoveEvent::__set_reason(const std::string& val) {
+  this->reason = val;
 }
 
-void Command::__set_release(const Release& val) {
-  this->release = val;
-__isset.release = true;
+void MoveEvent::__set_slotsNeeded(const int32_t val) {
+  this->slotsNeeded = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const MoveEvent& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MoveEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
