@@ -5830,144 +5862,57 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast190;
-          xfer += iprot->readI32(ecast190);
-          this->kind = static_cast<CommandKind::type>(ecast190);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->moveId);
+          this->__isset.moveId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->actor);
-          this->__isset.actor = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast201;
+          xfer += iprot->readI32(ecast201);
+          this->kind = static_cast<MoveEventKind::type>(ecast201);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->team);
-          this->__isset.team = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permille);
+          this->__isset.permille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->timeMs);
-          this->__isset.timeMs = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->baseVersion);
-          this->__isset.baseVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slotsNeeded);
+          this->__isset.slotsNeeded = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->parameters.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _ktype192;
-            ::apache::thrift::protocol::TType _vtype193;
-            xfer += iprot->readMapBegin(_ktype192, _vtype193, _size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
-            {
-              std::string _key196;
-              xfer += iprot->readString(_key196);
-              std::string& _val197 = this->parameters[_key196];
-              xfer += iprot->readString(_val197);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.parameters = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->move.read(iprot);
-          this->__isset.move = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->moveEvent.read(iprot);
-          this->__isset.moveEvent = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claimEpoch.read(iprot);
-          this->__isset.claimEpoch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->templateName);
-          this->__isset.templateName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sourceSequence);
-          this->__isset.sourceSequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->release.read(iprot);
-          this->__isset.release = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -5978,232 +5923,141 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MoveEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->requestId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("actor", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->actor);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->team);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->timeMs);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("MoveEvent");
 
-  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldBegin("moveId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->moveId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 9);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter198;
-    for (_iter198 = this->parameters.begin(); _iter198 != this->parameters.end(); ++_iter198)
-    {
-      xfer += oprot->writeString(_iter198->first);
-      xfer += oprot->writeString(_iter198->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
+  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->permille);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.move) {
-    xfer += oprot->writeFieldBegin("move", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->move.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.moveEvent) {
-    xfer += oprot->writeFieldBegin("moveEvent", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->moveEvent.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.claimEpoch) {
-    xfer += oprot->writeFieldBegin("claimEpoch", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->claimEpoch.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("templateName", ::apache::thrift::protocol::T_STRING, 13);
-  xfer += oprot->writeString(this->templateName);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldBegin("slotsNeeded", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slotsNeeded);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.release) {
-    xfer += oprot->writeFieldBegin("release", ::apache::thrift::protocol::T_STRUCT, 15);
-    xfer += this->release.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(MoveEvent &a, MoveEvent &b) {
   using ::std::swap;
+  swap(a.moveId, b.moveId);
+  swap(a.step, b.step);
   swap(a.kind, b.kind);
-  swap(a.requestId, b.requestId);
-  swap(a.actor, b.actor);
-  swap(a.team, b.team);
-  swap(a.timeMs, b.timeMs);
-  swap(a.baseVersion, b.baseVersion);
-  swap(a.name, b.name);
-  swap(a.body, b.body);
-  swap(a.parameters, b.parameters);
-  swap(a.move, b.move);
-  swap(a.moveEvent, b.moveEvent);
-  swap(a.claimEpoch, b.claimEpoch);
-  swap(a.templateName, b.templateName);
-  swap(a.sourceSequence, b.sourceSequence);
-  swap(a.release, b.release);
+  swap(a.permille, b.permille);
+  swap(a.reason, b.reason);
+  swap(a.slotsNeeded, b.slotsNeeded);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other199) {
-  kind = other199.kind;
-  requestId = other199.requestId;
-  actor = other199.actor;
-  team = other199.team;
-  timeMs = other199.timeMs;
-  baseVersion = other199.baseVersion;
-  name = other199.name;
-  body = other199.body;
-  parameters = other199.parameters;
-  move = other199.move;
-  moveEvent = other199.moveEvent;
-  claimEpoch = other199.claimEpoch;
-  templateName = other199.templateName;
-  sourceSequence = other199.sourceSequence;
-  release = other199.release;
-  __isset = other199.__isset;
-}
-Command::Command(Command&& other200) noexcept {
-  kind = other200.kind;
-  requestId = std::move(other200.requestId);
-  actor = std::move(other200.actor);
-  team = std::move(other200.team);
-  timeMs = other200.timeMs;
-  baseVersion = other200.baseVersion;
-  name = std::move(other200.name);
-  body = std::move(other200.body);
-  parameters = std::move(other200.parameters);
-  move = std::move(other200.move);
-  moveEvent = std::move(other200.moveEvent);
-  claimEpoch = std::move(other200.claimEpoch);
-  templateName = std::move(other200.templateName);
-  sourceSequence = other200.sourceSequence;
-  release = std::move(other200.release);
-  __isset = other200.__isset;
-}
-Command& Command::operator=(const Command& other201) {
-  kind = other201.kind;
-  requestId = other201.requestId;
-  actor = other201.actor;
-  team = other201.team;
-  timeMs = other201.timeMs;
-  baseVersion = other201.baseVersion;
-  name = other201.name;
-  body = other201.body;
-  parameters = other201.parameters;
-  move = other201.move;
-  moveEvent = other201.moveEvent;
-  claimEpoch = other201.claimEpoch;
-  templateName = other201.templateName;
-  sourceSequence = other201.sourceSequence;
-  release = other201.release;
-  __isset = other201.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other202) noexcept {
+MoveEvent::MoveEvent(const MoveEvent& other202) {
+  moveId = other202.moveId;
+  step = other202.step;
   kind = other202.kind;
-  requestId = std::move(other202.requestId);
-  actor = std::move(other202.actor);
-  team = std::move(other202.team);
-  timeMs = other202.timeMs;
-  baseVersion = other202.baseVersion;
-  name = std::move(other202.name);
-  body = std::move(other202.body);
-  parameters = std::move(other202.parameters);
-  move = std::move(other202.move);
-  moveEvent = std::move(other202.moveEvent);
-  claimEpoch = std::move(other202.claimEpoch);
-  templateName = std::move(other202.templateName);
-  sourceSequence = other202.sourceSequence;
-  release = std::move(other202.release);
+  permille = other202.permille;
+  reason = other202.reason;
+  slotsNeeded = other202.slotsNeeded;
   __isset = other202.__isset;
+}
+MoveEvent::MoveEvent(MoveEvent&& other203) noexcept {
+  moveId = std::move(other203.moveId);
+  step = other203.step;
+  kind = other203.kind;
+  permille = other203.permille;
+  reason = std::move(other203.reason);
+  slotsNeeded = other203.slotsNeeded;
+  __isset = other203.__isset;
+}
+MoveEvent& MoveEvent::operator=(const MoveEvent& other204) {
+  moveId = other204.moveId;
+  step = other204.step;
+  kind = other204.kind;
+  permille = other204.permille;
+  reason = other204.reason;
+  slotsNeeded = other204.slotsNeeded;
+  __isset = other204.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+MoveEvent& MoveEvent::operator=(MoveEvent&& other205) noexcept {
+  moveId = std::move(other205.moveId);
+  step = other205.step;
+  kind = other205.kind;
+  permille = other205.permille;
+  reason = std::move(other205.reason);
+  slotsNeeded = other205.slotsNeeded;
+  __isset = other205.__isset;
+  return *this;
+}
+void MoveEvent::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "requestId=" << to_string(requestId);
-  out << ", " << "actor=" << to_string(actor);
-  out << ", " << "team=" << to_string(team);
-  out << ", " << "timeMs=" << to_string(timeMs);
-  out << ", " << "baseVersion=" << to_string(baseVersion);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "parameters=" << to_string(parameters);
-  out << ", " << "move="; (__isset.move ? (out << to_string(move)) : (out << "<null>"));
-  out << ", " << "moveEvent="; (__isset.moveEvent ? (out << to_string(moveEvent)) : (out << "<null>"));
-  out << ", " << "claimEpoch="; (__isset.claimEpoch ? (out << to_string(claimEpoch)) : (out << "<null>"));
-  out << ", " << "templateName=" << to_string(templateName);
-  out << ", " << "sourceSequence=" << to_string(sourceSequence);
-  out << ", " << "release="; (__isset.release ? (out << to_string(release)) : (out << "<null>"));
+  out << "MoveEvent(";
+  out << "moveId=" << to_string(moveId);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "permille=" << to_string(permille);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "slotsNeeded=" << to_string(slotsNeeded);
   out << ")";
 }
 
 
-CommandResult::~CommandResult() noexcept {
+MoveAsk::~MoveAsk() noexcept {
 }
 
 
-void CommandResult::__set_code(const ResultCode::type val) {
-  this->code = val;
+void MoveAsk::__set_id(const std::string& val) {
+  this->id = val;
 }
 
-void CommandResult::__set_version(const int64_t val) {
-  this->version = val;
+void MoveAsk::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void CommandResult::__set_message(const std::string& val) {
-  this->message = val;
+void MoveAsk::__set_toVersion(const std::string& val) {
+  this->toVersion = val;
 }
 
-void CommandResult::__set_remedy(const std::string& val) {
-  this->remedy = val;
+void MoveAsk::__set_deadlineMs(const int64_t val) {
+  this->deadlineMs = val;
 }
-std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
+
+void MoveAsk::__set_watchMs(const int64_t val) {
+  this->watchMs = val;
+}
+
+void MoveAsk::__set_exposurePermille(const int32_t val) {
+  this->exposurePermille = val;
+}
+
+void MoveAsk::__set_durationMs(const int64_t val) {
+  this->durationMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const MoveAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MoveAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6225,41 +6079,63 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast203;
-          xfer += iprot->readI32(ecast203);
-          this->code = static_cast<ResultCode::type>(ecast203);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+          xfer += iprot->readString(this->toVersion);
+          this->__isset.toVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->remedy);
-          this->__isset.remedy = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineMs);
+          this->__isset.deadlineMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->watchMs);
+          this->__isset.watchMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->exposurePermille);
+          this->__isset.exposurePermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMs);
+          this->__isset.durationMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -6270,25 +6146,37 @@
   return xfer;
 }
 
-uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MoveAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CommandResult");
+  xfer += oprot->writeStructBegin("MoveAsk");
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->toVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("remedy", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->remedy);
+  xfer += oprot->writeFieldBegin("deadlineMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->deadlineMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("watchMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->watchMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("exposurePermille", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->exposurePermille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->durationMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6296,111 +6184,149 @@
   return xfer;
 }
 
-void swap(CommandResult &a, CommandResult &b) {
+void swap(MoveAsk &a, MoveAsk &b) {
   using ::std::swap;
-  swap(a.code, b.code);
-  swap(a.version, b.version);
-  swap(a.message, b.message);
-  swap(a.remedy, b.remedy);
+  swap(a.id, b.id);
+  swap(a.serviceName, b.serviceName);
+  swap(a.toVersion, b.toVersion);
+  swap(a.deadlineMs, b.deadlineMs);
+  swap(a.watchMs, b.watchMs);
+  swap(a.exposurePermille, b.exposurePermille);
+  swap(a.durationMs, b.durationMs);
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other204) {
-  code = other204.code;
-  version = other204.version;
-  message = other204.message;
-  remedy = other204.remedy;
-  __isset = other204.__isset;
+MoveAsk::MoveAsk(const MoveAsk& other206) {
+  id = other206.id;
+  serviceName = other206.serviceName;
+  toVersion = other206.toVersion;
+  deadlineMs = other206.deadlineMs;
+  watchMs = other206.watchMs;
+  exposurePermille = other206.exposurePermille;
+  durationMs = other206.durationMs;
+  __isset = other206.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other205) noexcept {
-  code = other205.code;
-  version = other205.version;
-  message = std::move(other205.message);
-  remedy = std::move(other205.remedy);
-  __isset = other205.__isset;
+MoveAsk::MoveAsk(MoveAsk&& other207) noexcept {
+  id = std::move(other207.id);
+  serviceName = std::move(other207.serviceName);
+  toVersion = std::move(other207.toVersion);
+  deadlineMs = other207.deadlineMs;
+  watchMs = other207.watchMs;
+  exposurePermille = other207.exposurePermille;
+  durationMs = other207.durationMs;
+  __isset = other207.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other206) {
-  code = other206.code;
-  version = other206.version;
-  message = other206.message;
-  remedy = other206.remedy;
-  __isset = other206.__isset;
+MoveAsk& MoveAsk::operator=(const MoveAsk& other208) {
+  id = other208.id;
+  serviceName = other208.serviceName;
+  toVersion = other208.toVersion;
+  deadlineMs = other208.deadlineMs;
+  watchMs = other208.watchMs;
+  exposurePermille = other208.exposurePermille;
+  durationMs = other208.durationMs;
+  __isset = other208.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other207) noexcept {
-  code = other207.code;
-  version = other207.version;
-  message = std::move(other207.message);
-  remedy = std::move(other207.remedy);
-  __isset = other207.__isset;
+MoveAsk& MoveAsk::operator=(MoveAsk&& other209) noexcept {
+  id = std::move(other209.id);
+  serviceName = std::move(other209.serviceName);
+  toVersion = std::move(other209.toVersion);
+  deadlineMs = other209.deadlineMs;
+  watchMs = other209.watchMs;
+  exposurePermille = other209.exposurePermille;
+  durationMs = other209.durationMs;
+  __isset = other209.__isset;
   return *this;
 }
-void CommandResult::printTo(std::ostream& out) const {
+void MoveAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CommandResult(";
-  out << "code=" << to_string(code);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "message=" << to_string(message);
-  out << ", " << "remedy=" << to_string(remedy);
+  out << "MoveAsk(";
+  out << "id=" << to_string(id);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "toVersion=" << to_string(toVersion);
+  out << ", " << "deadlineMs=" << to_string(deadlineMs);
+  out << ", " << "watchMs=" << to_string(watchMs);
+  out << ", " << "exposurePermille=" << to_string(exposurePermille);
+  out << ", " << "durationMs=" << to_string(durationMs);
   out << ")";
 }
 
 
-AuditRecord::~AuditRecord() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void AuditRecord::__set_index(const int64_t val) {
-  this->index = val;
+void Command::__set_kind(const CommandKind::type val) {
+  this->kind = val;
 }
 
-void AuditRecord::__set_timeMs(const int64_t val) {
-  this->timeMs = val;
+void Command::__set_requestId(const std::string& val) {
+  this->requestId = val;
 }
 
-void AuditRecord::__set_actor(const std::string& val) {
+void Command::__set_actor(const std::string& val) {
   this->actor = val;
 }
 
-void AuditRecord::__set_team(const std::string& val) {
+void Command::__set_team(const std::string& val) {
   this->team = val;
 }
 
-void AuditRecord::__set_action(const std::string& val) {
-  this->action = val;
+void Command::__set_timeMs(const int64_t val) {
+  this->timeMs = val;
 }
 
-void AuditRecord::__set_subject(const std::string& val) {
-  this->subject = val;
+void Command::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
 }
 
-void AuditRecord::__set_fromVersion(const int64_t val) {
-  this->fromVersion = val;
+void Command::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void AuditRecord::__set_toVersion(const int64_t val) {
-  this->toVersion = val;
+void Command::__set_body(const std::string& val) {
+  this->body = val;
 }
 
-void AuditRecord::__set_code(const ResultCode::type val) {
-  this->code = val;
+void Command::__set_parameters(const std::map<std::string, std::string> & val) {
+  this->parameters = val;
 }
 
-void AuditRecord::__set_message(const std::string& val) {
-  this->message = val;
+void Command::__set_move(const MoveAsk& val) {
+  this->move = val;
+__isset.move = true;
 }
 
-void AuditRecord::__set_requestId(const std::string& val) {
-  this->requestId = val;
+void Command::__set_moveEvent(const MoveEvent& val) {
+  this->moveEvent = val;
+__isset.moveEvent = true;
 }
-std::ostream& operator<<(std::ostream& out, const AuditRecord& obj)
+
+void Command::__set_claimEpoch(const ClaimEpoch& val) {
+  this->claimEpoch = val;
+__isset.claimEpoch = true;
+}
+
+void Command::__set_templateName(const std::string& val) {
+  this->templateName = val;
+}
+
+void Command::__set_sourceSequence(const int64_t val) {
+  this->sourceSequence = val;
+}
+
+void Command::__set_release(const Release& val) {
+  this->release = val;
+__isset.release = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AuditRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6422,17 +6348,19 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast210;
+          xfer += iprot->readI32(ecast210);
+          this->kind = static_cast<CommandKind::type>(ecast210);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->timeMs);
-          this->__isset.timeMs = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6454,59 +6382,104 @@
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->action);
-          this->__isset.action = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeMs);
+          this->__isset.timeMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->subject);
-          this->__isset.subject = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fromVersion);
-          this->__isset.fromVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->toVersion);
-          this->__isset.toVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast208;
-          xfer += iprot->readI32(ecast208);
-          this->code = static_cast<ResultCode::type>(ecast208);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->parameters.clear();
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _ktype212;
+            ::apache::thrift::protocol::TType _vtype213;
+            xfer += iprot->readMapBegin(_ktype212, _vtype213, _size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
+            {
+              std::string _key216;
+              xfer += iprot->readString(_key216);
+              std::string& _val217 = this->parameters[_key216];
+              xfer += iprot->readString(_val217);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.parameters = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->move.read(iprot);
+          this->__isset.move = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->moveEvent.read(iprot);
+          this->__isset.moveEvent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claimEpoch.read(iprot);
+          this->__isset.claimEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+          xfer += iprot->readString(this->templateName);
+          this->__isset.templateName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sourceSequence);
+          this->__isset.sourceSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->release.read(iprot);
+          this->__isset.release = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6523,17 +6496,17 @@
   return xfer;
 }
 
-uint32_t AuditRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AuditRecord");
+  xfer += oprot->writeStructBegin("Command");
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->timeMs);
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->requestId);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("actor", ::apache::thrift::protocol::T_STRING, 3);
@@ -6544,158 +6517,211 @@
   xfer += oprot->writeString(this->team);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("action", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->action);
+  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->timeMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->subject);
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->baseVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fromVersion", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->fromVersion);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->toVersion);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
+  xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 9);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
+    std::map<std::string, std::string> ::const_iterator _iter218;
+    for (_iter218 = this->parameters.begin(); _iter218 != this->parameters.end(); ++_iter218)
+    {
+      xfer += oprot->writeString(_iter218->first);
+      xfer += oprot->writeString(_iter218->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeString(this->message);
+  if (this->__isset.move) {
+    xfer += oprot->writeFieldBegin("move", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->move.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.moveEvent) {
+    xfer += oprot->writeFieldBegin("moveEvent", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->moveEvent.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claimEpoch) {
+    xfer += oprot->writeFieldBegin("claimEpoch", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->claimEpoch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("templateName", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->templateName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 11);
-  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->sourceSequence);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.release) {
+    xfer += oprot->writeFieldBegin("release", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->release.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(AuditRecord &a, AuditRecord &b) {
+void swap(Command &a, Command &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.timeMs, b.timeMs);
+  swap(a.kind, b.kind);
+  swap(a.requestId, b.requestId);
   swap(a.actor, b.actor);
   swap(a.team, b.team);
-  swap(a.action, b.action);
-  swap(a.subject, b.subject);
-  swap(a.fromVersion, b.fromVersion);
-  swap(a.toVersion, b.toVersion);
-  swap(a.code, b.code);
-  swap(a.message, b.message);
-  swap(a.requestId, b.requestId);
+  swap(a.timeMs, b.timeMs);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.name, b.name);
+  swap(a.body, b.body);
+  swap(a.parameters, b.parameters);
+  swap(a.move, b.move);
+  swap(a.moveEvent, b.moveEvent);
+  swap(a.claimEpoch, b.claimEpoch);
+  swap(a.templateName, b.templateName);
+  swap(a.sourceSequence, b.sourceSequence);
+  swap(a.release, b.release);
   swap(a.__isset, b.__isset);
 }
 
-AuditRecord::AuditRecord(const AuditRecord& other209) {
-  index = other209.index;
-  timeMs = other209.timeMs;
-  actor = other209.actor;
-  team = other209.team;
-  action = other209.action;
-  subject = other209.subject;
-  fromVersion = other209.fromVersion;
-  toVersion = other209.toVersion;
-  code = other209.code;
-  message = other209.message;
-  requestId = other209.requestId;
-  __isset = other209.__isset;
+Command::Command(const Command& other219) {
+  kind = other219.kind;
+  requestId = other219.requestId;
+  actor = other219.actor;
+  team = other219.team;
+  timeMs = other219.timeMs;
+  baseVersion = other219.baseVersion;
+  name = other219.name;
+  body = other219.body;
+  parameters = other219.parameters;
+  move = other219.move;
+  moveEvent = other219.moveEvent;
+  claimEpoch = other219.claimEpoch;
+  templateName = other219.templateName;
+  sourceSequence = other219.sourceSequence;
+  release = other219.release;
+  __isset = other219.__isset;
+}
+Command::Command(Command&& other220) noexcept {
+  kind = other220.kind;
+  requestId = std::move(other220.requestId);
+  actor = std::move(other220.actor);
+  team = std::move(other220.team);
+  timeMs = other220.timeMs;
+  baseVersion = other220.baseVersion;
+  name = std::move(other220.name);
+  body = std::move(other220.body);
+  parameters = std::move(other220.parameters);
+  move = std::move(other220.move);
+  moveEvent = std::move(other220.moveEvent);
+  claimEpoch = std::move(other220.claimEpoch);
+  templateName = std::move(other220.templateName);
+  sourceSequence = other220.sourceSequence;
+  release = std::move(other220.release);
+  __isset = other220.__isset;
 }
-AuditRecord::AuditRecord(AuditRecord&& other210) noexcept {
-  index = other210.index;
-  timeMs = other210.timeMs;
-  actor = std::move(other210.actor);
-  team = std::move(other210.team);
-  action = std::move(other210.action);
-  subject = std::move(other210.subject);
-  fromVersion = other210.fromVersion;
-  toVersion = other210.toVersion;
-  code = other210.code;
-  message = std::move(other210.message);
-  requestId = std::move(other210.requestId);
-  __isset = other210.__isset;
-}
-AuditRecord& AuditRecord::operator=(const AuditRecord& other211) {
-  index = other211.index;
-  timeMs = other211.timeMs;
-  actor = other211.actor;
-  team = other211.team;
-  action = other211.action;
-  subject = other211.subject;
-  fromVersion = other211.fromVersion;
-  toVersion = other211.toVersion;
-  code = other211.code;
-  message = other211.message;
-  requestId = other211.requestId;
-  __isset = other211.__isset;
-  return *this;
-}
-AuditRecord& AuditRecord::operator=(AuditRecord&& other212) noexcept {
-  index = other212.index;
-  timeMs = other212.timeMs;
-  actor = std::move(other212.actor);
-  team = std::move(other212.team);
-  action = std::move(other212.action);
-  subject = std::move(other212.subject);
-  fromVersion = other212.fromVersion;
-  toVersion = other212.toVersion;
-  code = other212.code;
-  message = std::move(other212.message);
-  requestId = std::move(other212.requestId);
-  __isset = other212.__isset;
+Command& Command::operator=(const Command& other221) {
+  kind = other221.kind;
+  requestId = other221.requestId;
+  actor = other221.actor;
+  team = other221.team;
+  timeMs = other221.timeMs;
+  baseVersion = other221.baseVersion;
+  name = other221.name;
+  body = other221.body;
+  parameters = other221.parameters;
+  move = other221.move;
+  moveEvent = other221.moveEvent;
+  claimEpoch = other221.claimEpoch;
+  templateName = other221.templateName;
+  sourceSequence = other221.sourceSequence;
+  release = other221.release;
+  __isset = other221.__isset;
   return *this;
 }
-void AuditRecord::printTo(std::ostream& out) const {
+Command& Command::operator=(Command&& other222) noexcept {
+  kind = other222.kind;
+  requestId = std::move(other222.requestId);
+  actor = std::move(other222.actor);
+  team = std::move(other222.team);
+  timeMs = other222.timeMs;
+  baseVersion = other222.baseVersion;
+  name = std::move(other222.name);
+  body = std::move(other222.body);
+  parameters = std::move(other222.parameters);
+  move = std::move(other222.move);
+  moveEvent = std::move(other222.moveEvent);
+  claimEpoch = std::move(other222.claimEpoch);
+  templateName = std::move(other222.templateName);
+  sourceSequence = other222.sourceSequence;
+  release = std::move(other222.release);
+  __isset = other222.__isset;
+  return *this;
+}
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AuditRecord(";
-  out << "index=" << to_string(index);
-  out << ", " << "timeMs=" << to_string(timeMs);
+  out << "Command(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "requestId=" << to_string(requestId);
   out << ", " << "actor=" << to_string(actor);
   out << ", " << "team=" << to_string(team);
-  out << ", " << "action=" << to_string(action);
-  out << ", " << "subject=" << to_string(subject);
-  out << ", " << "fromVersion=" << to_string(fromVersion);
-  out << ", " << "toVersion=" << to_string(toVersion);
-  out << ", " << "code=" << to_string(code);
-  out << ", " << "message=" << to_string(message);
-  out << ", " << "requestId=" << to_string(requestId);
+  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "parameters=" << to_string(parameters);
+  out << ", " << "move="; (__isset.move ? (out << to_string(move)) : (out << "<null>"));
+  out << ", " << "moveEvent="; (__isset.moveEvent ? (out << to_string(moveEvent)) : (out << "<null>"));
+  out << ", " << "claimEpoch="; (__isset.claimEpoch ? (out << to_string(claimEpoch)) : (out << "<null>"));
+  out << ", " << "templateName=" << to_string(templateName);
+  out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << ", " << "release="; (__isset.release ? (out << to_string(release)) : (out << "<null>"));
   out << ")";
 }
 
 
-RememberedResult::~RememberedResult() noexcept {
+CommandResult::~CommandResult() noexcept {
 }
 
 
-void RememberedResult::__set_requestId(const std::string& val) {
-  this->requestId = val;
+void CommandResult::__set_code(const ResultCode::type val) {
+  this->code = val;
 }
 
-void RememberedResult::__set_timeMs(const int64_t val) {
-  this->timeMs = val;
+void CommandResult::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void RememberedResult::__set_result(const CommandResult& val) {
-  this->result = val;
+void CommandResult::__set_message(const std::string& val) {
+  this->message = val;
 }
 
-void RememberedResult::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
+void CommandResult::__set_remedy(const std::string& val) {
+  this->remedy = val;
 }
-std::ostream& operator<<(std::ostream& out, const RememberedResult& obj)
+std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RememberedResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6717,33 +6743,35 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast223;
+          xfer += iprot->readI32(ecast223);
+          this->code = static_cast<ResultCode::type>(ecast223);
+          this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->timeMs);
-          this->__isset.timeMs = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->result.read(iprot);
-          this->__isset.result = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->remedy);
+          this->__isset.remedy = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6760,25 +6788,25 @@
   return xfer;
 }
 
-uint32_t RememberedResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RememberedResult");
+  xfer += oprot->writeStructBegin("CommandResult");
 
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->timeMs);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->result.write(oprot);
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->message);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldBegin("remedy", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->remedy);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6786,83 +6814,111 @@
   return xfer;
 }
 
-void swap(RememberedResult &a, RememberedResult &b) {
+void swap(CommandResult &a, CommandResult &b) {
   using ::std::swap;
-  swap(a.requestId, b.requestId);
-  swap(a.timeMs, b.timeMs);
-  swap(a.result, b.result);
-  swap(a.fingerprint, b.fingerprint);
+  swap(a.code, b.code);
+  swap(a.version, b.version);
+  swap(a.message, b.message);
+  swap(a.remedy, b.remedy);
   swap(a.__isset, b.__isset);
 }
 
-RememberedResult::RememberedResult(const RememberedResult& other213) {
-  requestId = other213.requestId;
-  timeMs = other213.timeMs;
-  result = other213.result;
-  fingerprint = other213.fingerprint;
-  __isset = other213.__isset;
-}
-RememberedResult::RememberedResult(RememberedResult&& other214) noexcept {
-  requestId = std::move(other214.requestId);
-  timeMs = other214.timeMs;
-  result = std::move(other214.result);
-  fingerprint = other214.fingerprint;
-  __isset = other214.__isset;
-}
-RememberedResult& RememberedResult::operator=(const RememberedResult& other215) {
-  requestId = other215.requestId;
-  timeMs = other215.timeMs;
-  result = other215.result;
-  fingerprint = other215.fingerprint;
-  __isset = other215.__isset;
+CommandResult::CommandResult(const CommandResult& other224) {
+  code = other224.code;
+  version = other224.version;
+  message = other224.message;
+  remedy = other224.remedy;
+  __isset = other224.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other225) noexcept {
+  code = other225.code;
+  version = other225.version;
+  message = std::move(other225.message);
+  remedy = std::move(other225.remedy);
+  __isset = other225.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other226) {
+  code = other226.code;
+  version = other226.version;
+  message = other226.message;
+  remedy = other226.remedy;
+  __isset = other226.__isset;
   return *this;
 }
-RememberedResult& RememberedResult::operator=(RememberedResult&& other216) noexcept {
-  requestId = std::move(other216.requestId);
-  timeMs = other216.timeMs;
-  result = std::move(other216.result);
-  fingerprint = other216.fingerprint;
-  __isset = other216.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other227) noexcept {
+  code = other227.code;
+  version = other227.version;
+  message = std::move(other227.message);
+  remedy = std::move(other227.remedy);
+  __isset = other227.__isset;
   return *this;
 }
-void RememberedResult::printTo(std::ostream& out) const {
+void CommandResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RememberedResult(";
-  out << "requestId=" << to_string(requestId);
-  out << ", " << "timeMs=" << to_string(timeMs);
-  out << ", " << "result=" << to_string(result);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << "CommandResult(";
+  out << "code=" << to_string(code);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "remedy=" << to_string(remedy);
   out << ")";
 }
 
 
-TemplateRecord::~TemplateRecord() noexcept {
+AuditRecord::~AuditRecord() noexcept {
 }
 
 
-void TemplateRecord::__set_name(const std::string& val) {
-  this->name = val;
+void AuditRecord::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void TemplateRecord::__set_version(const int64_t val) {
-  this->version = val;
+void AuditRecord::__set_timeMs(const int64_t val) {
+  this->timeMs = val;
 }
 
-void TemplateRecord::__set_body(const std::string& val) {
-  this->body = val;
+void AuditRecord::__set_actor(const std::string& val) {
+  this->actor = val;
 }
 
-void TemplateRecord::__set_sourceSequence(const int64_t val) {
-  this->sourceSequence = val;
+void AuditRecord::__set_team(const std::string& val) {
+  this->team = val;
 }
-std::ostream& operator<<(std::ostream& out, const TemplateRecord& obj)
+
+void AuditRecord::__set_action(const std::string& val) {
+  this->action = val;
+}
+
+void AuditRecord::__set_subject(const std::string& val) {
+  this->subject = val;
+}
+
+void AuditRecord::__set_fromVersion(const int64_t val) {
+  this->fromVersion = val;
+}
+
+void AuditRecord::__set_toVersion(const int64_t val) {
+  this->toVersion = val;
+}
+
+void AuditRecord::__set_code(const ResultCode::type val) {
+  this->code = val;
+}
+
+void AuditRecord::__set_message(const std::string& val) {
+  this->message = val;
+}
+
+void AuditRecord::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
+std::ostream& operator<<(std::ostream& out, const AuditRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TemplateRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AuditRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6884,33 +6940,91 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
+          xfer += iprot->readI64(this->timeMs);
+          this->__isset.timeMs = true;
+        } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+          xfer += iprot->readString(this->actor);
+          this->__isset.actor = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->action);
+          this->__isset.action = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->subject);
+          this->__isset.subject = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sourceSequence);
-          this->__isset.sourceSequence = true;
+          xfer += iprot->readI64(this->fromVersion);
+          this->__isset.fromVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toVersion);
+          this->__isset.toVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast228;
+          xfer += iprot->readI32(ecast228);
+          this->code = static_cast<ResultCode::type>(ecast228);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6927,25 +7041,53 @@
   return xfer;
 }
 
-uint32_t TemplateRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AuditRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TemplateRecord");
+  xfer += oprot->writeStructBegin("AuditRecord");
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->timeMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("actor", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->actor);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("action", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->action);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->subject);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fromVersion", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->fromVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->toVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->requestId);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6953,87 +7095,125 @@
   return xfer;
 }
 
-void swap(TemplateRecord &a, TemplateRecord &b) {
+void swap(AuditRecord &a, AuditRecord &b) {
   using ::std::swap;
-  swap(a.name, b.name);
-  swap(a.version, b.version);
-  swap(a.body, b.body);
-  swap(a.sourceSequence, b.sourceSequence);
+  swap(a.index, b.index);
+  swap(a.timeMs, b.timeMs);
+  swap(a.actor, b.actor);
+  swap(a.team, b.team);
+  swap(a.action, b.action);
+  swap(a.subject, b.subject);
+  swap(a.fromVersion, b.fromVersion);
+  swap(a.toVersion, b.toVersion);
+  swap(a.code, b.code);
+  swap(a.message, b.message);
+  swap(a.requestId, b.requestId);
   swap(a.__isset, b.__isset);
 }
 
-TemplateRecord::TemplateRecord(const TemplateRecord& other217) {
-  name = other217.name;
-  version = other217.version;
-  body = other217.body;
-  sourceSequence = other217.sourceSequence;
-  __isset = other217.__isset;
+AuditRecord::AuditRecord(const AuditRecord& other229) {
+  index = other229.index;
+  timeMs = other229.timeMs;
+  actor = other229.actor;
+  team = other229.team;
+  action = other229.action;
+  subject = other229.subject;
+  fromVersion = other229.fromVersion;
+  toVersion = other229.toVersion;
+  code = other229.code;
+  message = other229.message;
+  requestId = other229.requestId;
+  __isset = other229.__isset;
 }
-TemplateRecord::TemplateRecord(TemplateRecord&& other218) noexcept {
-  name = std::move(other218.name);
-  version = other218.version;
-  body = std::move(other218.body);
-  sourceSequence = other218.sourceSequence;
-  __isset = other218.__isset;
+AuditRecord::AuditRecord(AuditRecord&& other230) noexcept {
+  index = other230.index;
+  timeMs = other230.timeMs;
+  actor = std::move(other230.actor);
+  team = std::move(other230.team);
+  action = std::move(other230.action);
+  subject = std::move(other230.subject);
+  fromVersion = other230.fromVersion;
+  toVersion = other230.toVersion;
+  code = other230.code;
+  message = std::move(other230.message);
+  requestId = std::move(other230.requestId);
+  __isset = other230.__isset;
 }
-TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other219) {
-  name = other219.name;
-  version = other219.version;
-  body = other219.body;
-  sourceSequence = other219.sourceSequence;
-  __isset = other219.__isset;
+AuditRecord& AuditRecord::operator=(const AuditRecord& other231) {
+  index = other231.index;
+  timeMs = other231.timeMs;
+  actor = other231.actor;
+  team = other231.team;
+  action = other231.action;
+  subject = other231.subject;
+  fromVersion = other231.fromVersion;
+  toVersion = other231.toVersion;
+  code = other231.code;
+  message = other231.message;
+  requestId = other231.requestId;
+  __isset = other231.__isset;
   return *this;
 }
-TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other220) noexcept {
-  name = std::move(other220.name);
-  version = other220.version;
-  body = std::move(other220.body);
-  sourceSequence = other220.sourceSequence;
-  __isset = other220.__isset;
+AuditRecord& AuditRecord::operator=(AuditRecord&& other232) noexcept {
+  index = other232.index;
+  timeMs = other232.timeMs;
+  actor = std::move(other232.actor);
+  team = std::move(other232.team);
+  action = std::move(other232.action);
+  subject = std::move(other232.subject);
+  fromVersion = other232.fromVersion;
+  toVersion = other232.toVersion;
+  code = other232.code;
+  message = std::move(other232.message);
+  requestId = std::move(other232.requestId);
+  __isset = other232.__isset;
   return *this;
 }
-void TemplateRecord::printTo(std::ostream& out) const {
+void AuditRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TemplateRecord(";
-  out << "name=" << to_string(name);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << "AuditRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ", " << "actor=" << to_string(actor);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "action=" << to_string(action);
+  out << ", " << "subject=" << to_string(subject);
+  out << ", " << "fromVersion=" << to_string(fromVersion);
+  out << ", " << "toVersion=" << to_string(toVersion);
+  out << ", " << "code=" << to_string(code);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "requestId=" << to_string(requestId);
   out << ")";
 }
 
 
-AccountRecord::~AccountRecord() noexcept {
+RememberedResult::~RememberedResult() noexcept {
 }
 
 
-void AccountRecord::__set_name(const std::string& val) {
-  this->name = val;
-}
-
-void AccountRecord::__set_version(const int64_t val) {
-  this->version = val;
+void RememberedResult::__set_requestId(const std::string& val) {
+  this->requestId = val;
 }
 
-void AccountRecord::__set_templateName(const std::string& val) {
-  this->templateName = val;
+void RememberedResult::__set_timeMs(const int64_t val) {
+  this->timeMs = val;
 }
 
-void AccountRecord::__set_parameters(const std::map<std::string, std::string> & val) {
-  this->parameters = val;
+void RememberedResult::__set_result(const CommandResult& val) {
+  this->result = val;
 }
 
-void AccountRecord::__set_sourceSequence(const int64_t val) {
-  this->sourceSequence = val;
+void RememberedResult::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
 }
-std::ostream& operator<<(std::ostream& out, const AccountRecord& obj)
+std::ostream& operator<<(std::ostream& out, const RememberedResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AccountRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RememberedResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7056,55 +7236,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->timeMs);
+          this->__isset.timeMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->templateName);
-          this->__isset.templateName = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->result.read(iprot);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->parameters.clear();
-            uint32_t _size221;
-            ::apache::thrift::protocol::TType _ktype222;
-            ::apache::thrift::protocol::TType _vtype223;
-            xfer += iprot->readMapBegin(_ktype222, _vtype223, _size221);
-            uint32_t _i225;
-            for (_i225 = 0; _i225 < _size221; ++_i225)
-            {
-              std::string _key226;
-              xfer += iprot->readString(_key226);
-              std::string& _val227 = this->parameters[_key226];
-              xfer += iprot->readString(_val227);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.parameters = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sourceSequence);
-          this->__isset.sourceSequence = true;
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7121,38 +7278,25 @@
   return xfer;
 }
 
-uint32_t AccountRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RememberedResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AccountRecord");
-
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->name);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RememberedResult");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->requestId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("templateName", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->templateName);
+  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->timeMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 4);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter228;
-    for (_iter228 = this->parameters.begin(); _iter228 != this->parameters.end(); ++_iter228)
-    {
-      xfer += oprot->writeString(_iter228->first);
-      xfer += oprot->writeString(_iter228->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7160,145 +7304,254 @@
   return xfer;
 }
 
-void swap(AccountRecord &a, AccountRecord &b) {
+void swap(RememberedResult &a, RememberedResult &b) {
   using ::std::swap;
-  swap(a.name, b.name);
-  swap(a.version, b.version);
-  swap(a.templateName, b.templateName);
-  swap(a.parameters, b.parameters);
-  swap(a.sourceSequence, b.sourceSequence);
-  swap(a.__isset, b.__isset);
+  swap(a.requestId, b.requestId);
+  swap(a.timeMs, b.timeMs);
+  swap(a.result, b.result);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.__isset, b.__isset);
 }
 
-AccountRecord::AccountRecord(const AccountRecord& other229) {
-  name = other229.name;
-  version = other229.version;
-  templateName = other229.templateName;
-  parameters = other229.parameters;
-  sourceSequence = other229.sourceSequence;
-  __isset = other229.__isset;
+RememberedResult::RememberedResult(const RememberedResult& other233) {
+  requestId = other233.requestId;
+  timeMs = other233.timeMs;
+  result = other233.result;
+  fingerprint = other233.fingerprint;
+  __isset = other233.__isset;
 }
-AccountRecord::AccountRecord(AccountRecord&& other230) noexcept {
-  name = std::move(other230.name);
-  version = other230.version;
-  templateName = std::move(other230.templateName);
-  parameters = std::move(other230.parameters);
-  sourceSequence = other230.sourceSequence;
-  __isset = other230.__isset;
+RememberedResult::RememberedResult(RememberedResult&& other234) noexcept {
+  requestId = std::move(other234.requestId);
+  timeMs = other234.timeMs;
+  result = std::move(other234.result);
+  fingerprint = other234.fingerprint;
+  __isset = other234.__isset;
 }
-AccountRecord& AccountRecord::operator=(const AccountRecord& other231) {
-  name = other231.name;
-  version = other231.version;
-  templateName = other231.templateName;
-  parameters = other231.parameters;
-  sourceSequence = other231.sourceSequence;
-  __isset = other231.__isset;
+RememberedResult& RememberedResult::operator=(const RememberedResult& other235) {
+  requestId = other235.requestId;
+  timeMs = other235.timeMs;
+  result = other235.result;
+  fingerprint = other235.fingerprint;
+  __isset = other235.__isset;
   return *this;
 }
-AccountRecord& AccountRecord::operator=(AccountRecord&& other232) noexcept {
-  name = std::move(other232.name);
-  version = other232.version;
-  templateName = std::move(other232.templateName);
-  parameters = std::move(other232.parameters);
-  sourceSequence = other232.sourceSequence;
-  __isset = other232.__isset;
+RememberedResult& RememberedResult::operator=(RememberedResult&& other236) noexcept {
+  requestId = std::move(other236.requestId);
+  timeMs = other236.timeMs;
+  result = std::move(other236.result);
+  fingerprint = other236.fingerprint;
+  __isset = other236.__isset;
   return *this;
 }
-void AccountRecord::printTo(std::ostream& out) const {
+void RememberedResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AccountRecord(";
-  out << "name=" << to_string(name);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "templateName=" << to_string(templateName);
-  out << ", " << "parameters=" << to_string(parameters);
-  out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << "RememberedResult(";
+  out << "requestId=" << to_string(requestId);
+  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ", " << "result=" << to_string(result);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ")";
 }
 
 
-MoveRecord::~MoveRecord() noexcept {
+TemplateRecord::~TemplateRecord() noexcept {
 }
 
 
-void MoveRecord::__set_id(const std::string& val) {
-  this->id = val;
+void TemplateRecord::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void MoveRecord::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
+void TemplateRecord::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void MoveRecord::__set_fromVersion(const std::string& val) {
-  this->fromVersion = val;
+void TemplateRecord::__set_body(const std::string& val) {
+  this->body = val;
 }
 
-void MoveRecord::__set_toVersion(const std::string& val) {
-  this->toVersion = val;
+void TemplateRecord::__set_sourceSequence(const int64_t val) {
+  this->sourceSequence = val;
 }
-
-void MoveRecord::__set_startedMs(const int64_t val) {
-  this->startedMs = val;
+std::ostream& operator<<(std::ostream& out, const TemplateRecord& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void MoveRecord::__set_deadlineMs(const int64_t val) {
-  this->deadlineMs = val;
-}
 
-void MoveRecord::__set_watchMs(const int64_t val) {
-  this->watchMs = val;
-}
+uint32_t TemplateRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void MoveRecord::__set_state(const MoveState::type val) {
-  this->state = val;
-}
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void MoveRecord::__set_step(const int32_t val) {
-  this->step = val;
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sourceSequence);
+          this->__isset.sourceSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void MoveRecord::__set_permille(const int32_t val) {
-  this->permille = val;
+uint32_t TemplateRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TemplateRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void MoveRecord::__set_stepMs(const int64_t val) {
-  this->stepMs = val;
+void swap(TemplateRecord &a, TemplateRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.body, b.body);
+  swap(a.sourceSequence, b.sourceSequence);
+  swap(a.__isset, b.__isset);
 }
 
-void MoveRecord::__set_reachedMs(const int64_t val) {
-  this->reachedMs = val;
+TemplateRecord::TemplateRecord(const TemplateRecord& other237) {
+  name = other237.name;
+  version = other237.version;
+  body = other237.body;
+  sourceSequence = other237.sourceSequence;
+  __isset = other237.__isset;
+}
+TemplateRecord::TemplateRecord(TemplateRecord&& other238) noexcept {
+  name = std::move(other238.name);
+  version = other238.version;
+  body = std::move(other238.body);
+  sourceSequence = other238.sourceSequence;
+  __isset = other238.__isset;
+}
+TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other239) {
+  name = other239.name;
+  version = other239.version;
+  body = other239.body;
+  sourceSequence = other239.sourceSequence;
+  __isset = other239.__isset;
+  return *this;
+}
+TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other240) noexcept {
+  name = std::move(other240.name);
+  version = other240.version;
+  body = std::move(other240.body);
+  sourceSequence = other240.sourceSequence;
+  __isset = other240.__isset;
+  return *this;
+}
+void TemplateRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TemplateRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << ")";
 }
 
-void MoveRecord::__set_reason(const std::string& val) {
-  this->reason = val;
+
+AccountRecord::~AccountRecord() noexcept {
 }
 
-void MoveRecord::__set_late(const bool val) {
-  this->late = val;
+
+void AccountRecord::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void MoveRecord::__set_actor(const std::string& val) {
-  this->actor = val;
+void AccountRecord::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void MoveRecord::__set_endedMs(const int64_t val) {
-  this->endedMs = val;
+void AccountRecord::__set_templateName(const std::string& val) {
+  this->templateName = val;
 }
 
-void MoveRecord::__set_slotsNeeded(const int32_t val) {
-  this->slotsNeeded = val;
+void AccountRecord::__set_parameters(const std::map<std::string, std::string> & val) {
+  this->parameters = val;
 }
 
-void MoveRecord::__set_exposurePermille(const int32_t val) {
-  this->exposurePermille = val;
+void AccountRecord::__set_sourceSequence(const int64_t val) {
+  this->sourceSequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const MoveRecord& obj)
+std::ostream& operator<<(std::ostream& out, const AccountRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MoveRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AccountRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7321,71 +7574,336 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fromVersion);
-          this->__isset.fromVersion = true;
+          xfer += iprot->readString(this->templateName);
+          this->__isset.templateName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->toVersion);
-          this->__isset.toVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->parameters.clear();
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _ktype242;
+            ::apache::thrift::protocol::TType _vtype243;
+            xfer += iprot->readMapBegin(_ktype242, _vtype243, _size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
+            {
+              std::string _key246;
+              xfer += iprot->readString(_key246);
+              std::string& _val247 = this->parameters[_key246];
+              xfer += iprot->readString(_val247);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.parameters = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->startedMs);
-          this->__isset.startedMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->deadlineMs);
-          this->__isset.deadlineMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->watchMs);
-          this->__isset.watchMs = true;
+          xfer += iprot->readI64(this->sourceSequence);
+          this->__isset.sourceSequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast233;
-          xfer += iprot->readI32(ecast233);
-          this->state = static_cast<MoveState::type>(ecast233);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
         break;
-      case 9:
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("templateName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->templateName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
+    std::map<std::string, std::string> ::const_iterator _iter248;
+    for (_iter248 = this->parameters.begin(); _iter248 != this->parameters.end(); ++_iter248)
+    {
+      xfer += oprot->writeString(_iter248->first);
+      xfer += oprot->writeString(_iter248->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sourceSequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sourceSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountRecord &a, AccountRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.templateName, b.templateName);
+  swap(a.parameters, b.parameters);
+  swap(a.sourceSequence, b.sourceSequence);
+  swap(a.__isset, b.__isset);
+}
+
+AccountRecord::AccountRecord(const AccountRecord& other249) {
+  name = other249.name;
+  version = other249.version;
+  templateName = other249.templateName;
+  parameters = other249.parameters;
+  sourceSequence = other249.sourceSequence;
+  __isset = other249.__isset;
+}
+AccountRecord::AccountRecord(AccountRecord&& other250) noexcept {
+  name = std::move(other250.name);
+  version = other250.version;
+  templateName = std::move(other250.templateName);
+  parameters = std::move(other250.parameters);
+  sourceSequence = other250.sourceSequence;
+  __isset = other250.__isset;
+}
+AccountRecord& AccountRecord::operator=(const AccountRecord& other251) {
+  name = other251.name;
+  version = other251.version;
+  templateName = other251.templateName;
+  parameters = other251.parameters;
+  sourceSequence = other251.sourceSequence;
+  __isset = other251.__isset;
+  return *this;
+}
+AccountRecord& AccountRecord::operator=(AccountRecord&& other252) noexcept {
+  name = std::move(other252.name);
+  version = other252.version;
+  templateName = std::move(other252.templateName);
+  parameters = std::move(other252.parameters);
+  sourceSequence = other252.sourceSequence;
+  __isset = other252.__isset;
+  return *this;
+}
+void AccountRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "templateName=" << to_string(templateName);
+  out << ", " << "parameters=" << to_string(parameters);
+  out << ", " << "sourceSequence=" << to_string(sourceSequence);
+  out << ")";
+}
+
+
+MoveRecord::~MoveRecord() noexcept {
+}
+
+
+void MoveRecord::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void MoveRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void MoveRecord::__set_fromVersion(const std::string& val) {
+  this->fromVersion = val;
+}
+
+void MoveRecord::__set_toVersion(const std::string& val) {
+  this->toVersion = val;
+}
+
+void MoveRecord::__set_startedMs(const int64_t val) {
+  this->startedMs = val;
+}
+
+void MoveRecord::__set_deadlineMs(const int64_t val) {
+  this->deadlineMs = val;
+}
+
+void MoveRecord::__set_watchMs(const int64_t val) {
+  this->watchMs = val;
+}
+
+void MoveRecord::__set_state(const MoveState::type val) {
+  this->state = val;
+}
+
+void MoveRecord::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void MoveRecord::__set_permille(const int32_t val) {
+  this->permille = val;
+}
+
+void MoveRecord::__set_stepMs(const int64_t val) {
+  this->stepMs = val;
+}
+
+void MoveRecord::__set_reachedMs(const int64_t val) {
+  this->reachedMs = val;
+}
+
+void MoveRecord::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void MoveRecord::__set_late(const bool val) {
+  this->late = val;
+}
+
+void MoveRecord::__set_actor(const std::string& val) {
+  this->actor = val;
+}
+
+void MoveRecord::__set_endedMs(const int64_t val) {
+  this->endedMs = val;
+}
+
+void MoveRecord::__set_slotsNeeded(const int32_t val) {
+  this->slotsNeeded = val;
+}
+
+void MoveRecord::__set_exposurePermille(const int32_t val) {
+  this->exposurePermille = val;
+}
+std::ostream& operator<<(std::ostream& out, const MoveRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MoveRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fromVersion);
+          this->__isset.fromVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->toVersion);
+          this->__isset.toVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedMs);
+          this->__isset.startedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineMs);
+          this->__isset.deadlineMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->watchMs);
+          this->__isset.watchMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast253;
+          xfer += iprot->readI32(ecast253);
+          this->state = static_cast<MoveState::type>(ecast253);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->step);
           this->__isset.step = true;
@@ -7582,90 +8100,90 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveRecord::MoveRecord(const MoveRecord& other234) {
-  id = other234.id;
-  serviceName = other234.serviceName;
-  fromVersion = other234.fromVersion;
-  toVersion = other234.toVersion;
-  startedMs = other234.startedMs;
-  deadlineMs = other234.deadlineMs;
-  watchMs = other234.watchMs;
-  state = other234.state;
-  step = other234.step;
-  permille = other234.permille;
-  stepMs = other234.stepMs;
-  reachedMs = other234.reachedMs;
-  reason = other234.reason;
-  late = other234.late;
-  actor = other234.actor;
-  endedMs = other234.endedMs;
-  slotsNeeded = other234.slotsNeeded;
-  exposurePermille = other234.exposurePermille;
-  __isset = other234.__isset;
-}
-MoveRecord::MoveRecord(MoveRecord&& other235) noexcept {
-  id = std::move(other235.id);
-  serviceName = std::move(other235.serviceName);
-  fromVersion = std::move(other235.fromVersion);
-  toVersion = std::move(other235.toVersion);
-  startedMs = other235.startedMs;
-  deadlineMs = other235.deadlineMs;
-  watchMs = other235.watchMs;
-  state = other235.state;
-  step = other235.step;
-  permille = other235.permille;
-  stepMs = other235.stepMs;
-  reachedMs = other235.reachedMs;
-  reason = std::move(other235.reason);
-  late = other235.late;
-  actor = std::move(other235.actor);
-  endedMs = other235.endedMs;
-  slotsNeeded = other235.slotsNeeded;
-  exposurePermille = other235.exposurePermille;
-  __isset = other235.__isset;
-}
-MoveRecord& MoveRecord::operator=(const MoveRecord& other236) {
-  id = other236.id;
-  serviceName = other236.serviceName;
-  fromVersion = other236.fromVersion;
-  toVersion = other236.toVersion;
-  startedMs = other236.startedMs;
-  deadlineMs = other236.deadlineMs;
-  watchMs = other236.watchMs;
-  state = other236.state;
-  step = other236.step;
-  permille = other236.permille;
-  stepMs = other236.stepMs;
-  reachedMs = other236.reachedMs;
-  reason = other236.reason;
-  late = other236.late;
-  actor = other236.actor;
-  endedMs = other236.endedMs;
-  slotsNeeded = other236.slotsNeeded;
-  exposurePermille = other236.exposurePermille;
-  __isset = other236.__isset;
+MoveRecord::MoveRecord(const MoveRecord& other254) {
+  id = other254.id;
+  serviceName = other254.serviceName;
+  fromVersion = other254.fromVersion;
+  toVersion = other254.toVersion;
+  startedMs = other254.startedMs;
+  deadlineMs = other254.deadlineMs;
+  watchMs = other254.watchMs;
+  state = other254.state;
+  step = other254.step;
+  permille = other254.permille;
+  stepMs = other254.stepMs;
+  reachedMs = other254.reachedMs;
+  reason = other254.reason;
+  late = other254.late;
+  actor = other254.actor;
+  endedMs = other254.endedMs;
+  slotsNeeded = other254.slotsNeeded;
+  exposurePermille = other254.exposurePermille;
+  __isset = other254.__isset;
+}
+MoveRecord::MoveRecord(MoveRecord&& other255) noexcept {
+  id = std::move(other255.id);
+  serviceName = std::move(other255.serviceName);
+  fromVersion = std::move(other255.fromVersion);
+  toVersion = std::move(other255.toVersion);
+  startedMs = other255.startedMs;
+  deadlineMs = other255.deadlineMs;
+  watchMs = other255.watchMs;
+  state = other255.state;
+  step = other255.step;
+  permille = other255.permille;
+  stepMs = other255.stepMs;
+  reachedMs = other255.reachedMs;
+  reason = std::move(other255.reason);
+  late = other255.late;
+  actor = std::move(other255.actor);
+  endedMs = other255.endedMs;
+  slotsNeeded = other255.slotsNeeded;
+  exposurePermille = other255.exposurePermille;
+  __isset = other255.__isset;
+}
+MoveRecord& MoveRecord::operator=(const MoveRecord& other256) {
+  id = other256.id;
+  serviceName = other256.serviceName;
+  fromVersion = other256.fromVersion;
+  toVersion = other256.toVersion;
+  startedMs = other256.startedMs;
+  deadlineMs = other256.deadlineMs;
+  watchMs = other256.watchMs;
+  state = other256.state;
+  step = other256.step;
+  permille = other256.permille;
+  stepMs = other256.stepMs;
+  reachedMs = other256.reachedMs;
+  reason = other256.reason;
+  late = other256.late;
+  actor = other256.actor;
+  endedMs = other256.endedMs;
+  slotsNeeded = other256.slotsNeeded;
+  exposurePermille = other256.exposurePermille;
+  __isset = other256.__isset;
   return *this;
 }
-MoveRecord& MoveRecord::operator=(MoveRecord&& other237) noexcept {
-  id = std::move(other237.id);
-  serviceName = std::move(other237.serviceName);
-  fromVersion = std::move(other237.fromVersion);
-  toVersion = std::move(other237.toVersion);
-  startedMs = other237.startedMs;
-  deadlineMs = other237.deadlineMs;
-  watchMs = other237.watchMs;
-  state = other237.state;
-  step = other237.step;
-  permille = other237.permille;
-  stepMs = other237.stepMs;
-  reachedMs = other237.reachedMs;
-  reason = std::move(other237.reason);
-  late = other237.late;
-  actor = std::move(other237.actor);
-  endedMs = other237.endedMs;
-  slotsNeeded = other237.slotsNeeded;
-  exposurePermille = other237.exposurePermille;
-  __isset = other237.__isset;
+MoveRecord& MoveRecord::operator=(MoveRecord&& other257) noexcept {
+  id = std::move(other257.id);
+  serviceName = std::move(other257.serviceName);
+  fromVersion = std::move(other257.fromVersion);
+  toVersion = std::move(other257.toVersion);
+  startedMs = other257.startedMs;
+  deadlineMs = other257.deadlineMs;
+  watchMs = other257.watchMs;
+  state = other257.state;
+  step = other257.step;
+  permille = other257.permille;
+  stepMs = other257.stepMs;
+  reachedMs = other257.reachedMs;
+  reason = std::move(other257.reason);
+  late = other257.late;
+  actor = std::move(other257.actor);
+  endedMs = other257.endedMs;
+  slotsNeeded = other257.slotsNeeded;
+  exposurePermille = other257.exposurePermille;
+  __isset = other257.__isset;
   return *this;
 }
 void MoveRecord::printTo(std::ostream& out) const {
@@ -7784,14 +8302,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resources.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->resources.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->resources.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->resources[_i242].read(iprot);
+              xfer += this->resources[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7804,14 +8322,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->tombstones.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->tombstones.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->tombstones[_i247].read(iprot);
+              xfer += this->tombstones[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7824,16 +8342,16 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->templates.clear();
-            uint32_t _size248;
-            ::apache::thrift::protocol::TType _etype251;
-            xfer += iprot->readListBegin(_etype251, _size248);
-            this->templates.resize(_size248);
-            uint32_t _i252;
-            for (_i252 = 0; _i252 < _size248; ++_i252)
-            {
-              xfer += this->templates[_i252].read(iprot);
-            }
-            xfer += iprot->readListEnd();
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->templates.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
+            {
+              xfer += this->templates[_i272].read(iprot);
+            }
+            xfer += iprot->readListEnd();
           }
           this->__isset.templates = true;
         } else {
@@ -7844,14 +8362,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size253;
-            ::apache::thrift::protocol::TType _etype256;
-            xfer += iprot->readListBegin(_etype256, _size253);
-            this->accounts.resize(_size253);
-            uint32_t _i257;
-            for (_i257 = 0; _i257 < _size253; ++_i257)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->accounts.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->accounts[_i257].read(iprot);
+              xfer += this->accounts[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7864,14 +8382,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->moves.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->moves.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->moves[_i262].read(iprot);
+              xfer += this->moves[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7884,14 +8402,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->audit.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->audit.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->audit[_i267].read(iprot);
+              xfer += this->audit[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7904,14 +8422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->remembered.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->remembered.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->remembered.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->remembered[_i272].read(iprot);
+              xfer += this->remembered[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7976,10 +8494,10 @@
   xfer += oprot->writeFieldBegin("resources", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resources.size()));
-    std::vector<Resource> ::const_iterator _iter273;
-    for (_iter273 = this->resources.begin(); _iter273 != this->resources.end(); ++_iter273)
+    std::vector<Resource> ::const_iterator _iter293;
+    for (_iter293 = this->resources.begin(); _iter293 != this->resources.end(); ++_iter293)
     {
-      xfer += (*_iter273).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7988,10 +8506,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<Tombstone> ::const_iterator _iter274;
-    for (_iter274 = this->tombstones.begin(); _iter274 != this->tombstones.end(); ++_iter274)
+    std::vector<Tombstone> ::const_iterator _iter294;
+    for (_iter294 = this->tombstones.begin(); _iter294 != this->tombstones.end(); ++_iter294)
     {
-      xfer += (*_iter274).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8000,10 +8518,10 @@
   xfer += oprot->writeFieldBegin("templates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->templates.size()));
-    std::vector<TemplateRecord> ::const_iterator _iter275;
-    for (_iter275 = this->templates.begin(); _iter275 != this->templates.end(); ++_iter275)
+    std::vector<TemplateRecord> ::const_iterator _iter295;
+    for (_iter295 = this->templates.begin(); _iter295 != this->templates.end(); ++_iter295)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8012,10 +8530,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountRecord> ::const_iterator _iter276;
-    for (_iter276 = this->accounts.begin(); _iter276 != this->accounts.end(); ++_iter276)
+    std::vector<AccountRecord> ::const_iterator _iter296;
+    for (_iter296 = this->accounts.begin(); _iter296 != this->accounts.end(); ++_iter296)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8024,10 +8542,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveRecord> ::const_iterator _iter277;
-    for (_iter277 = this->moves.begin(); _iter277 != this->moves.end(); ++_iter277)
+    std::vector<MoveRecord> ::const_iterator _iter297;
+    for (_iter297 = this->moves.begin(); _iter297 != this->moves.end(); ++_iter297)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8036,10 +8554,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter278;
-    for (_iter278 = this->audit.begin(); _iter278 != this->audit.end(); ++_iter278)
+    std::vector<AuditRecord> ::const_iterator _iter298;
+    for (_iter298 = this->audit.begin(); _iter298 != this->audit.end(); ++_iter298)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8048,10 +8566,10 @@
   xfer += oprot->writeFieldBegin("remembered", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->remembered.size()));
-    std::vector<RememberedResult> ::const_iterator _iter279;
-    for (_iter279 = this->remembered.begin(); _iter279 != this->remembered.end(); ++_iter279)
+    std::vector<RememberedResult> ::const_iterator _iter299;
+    for (_iter299 = this->remembered.begin(); _iter299 != this->remembered.end(); ++_iter299)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8095,66 +8613,66 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineImage::MachineImage(const MachineImage& other280) {
-  version = other280.version;
-  resources = other280.resources;
-  tombstones = other280.tombstones;
-  templates = other280.templates;
-  accounts = other280.accounts;
-  moves = other280.moves;
-  audit = other280.audit;
-  remembered = other280.remembered;
-  tombstoneFloor = other280.tombstoneFloor;
-  auditCount = other280.auditCount;
-  releaseNumber = other280.releaseNumber;
-  releaseDocument = other280.releaseDocument;
-  __isset = other280.__isset;
-}
-MachineImage::MachineImage(MachineImage&& other281) noexcept {
-  version = other281.version;
-  resources = std::move(other281.resources);
-  tombstones = std::move(other281.tombstones);
-  templates = std::move(other281.templates);
-  accounts = std::move(other281.accounts);
-  moves = std::move(other281.moves);
-  audit = std::move(other281.audit);
-  remembered = std::move(other281.remembered);
-  tombstoneFloor = other281.tombstoneFloor;
-  auditCount = other281.auditCount;
-  releaseNumber = other281.releaseNumber;
-  releaseDocument = std::move(other281.releaseDocument);
-  __isset = other281.__isset;
-}
-MachineImage& MachineImage::operator=(const MachineImage& other282) {
-  version = other282.version;
-  resources = other282.resources;
-  tombstones = other282.tombstones;
-  templates = other282.templates;
-  accounts = other282.accounts;
-  moves = other282.moves;
-  audit = other282.audit;
-  remembered = other282.remembered;
-  tombstoneFloor = other282.tombstoneFloor;
-  auditCount = other282.auditCount;
-  releaseNumber = other282.releaseNumber;
-  releaseDocument = other282.releaseDocument;
-  __isset = other282.__isset;
-  return *this;
-}
-MachineImage& MachineImage::operator=(MachineImage&& other283) noexcept {
-  version = other283.version;
-  resources = std::move(other283.resources);
-  tombstones = std::move(other283.tombstones);
-  templates = std::move(other283.templates);
-  accounts = std::move(other283.accounts);
-  moves = std::move(other283.moves);
-  audit = std::move(other283.audit);
-  remembered = std::move(other283.remembered);
-  tombstoneFloor = other283.tombstoneFloor;
-  auditCount = other283.auditCount;
-  releaseNumber = other283.releaseNumber;
-  releaseDocument = std::move(other283.releaseDocument);
-  __isset = other283.__isset;
+MachineImage::MachineImage(const MachineImage& other300) {
+  version = other300.version;
+  resources = other300.resources;
+  tombstones = other300.tombstones;
+  templates = other300.templates;
+  accounts = other300.accounts;
+  moves = other300.moves;
+  audit = other300.audit;
+  remembered = other300.remembered;
+  tombstoneFloor = other300.tombstoneFloor;
+  auditCount = other300.auditCount;
+  releaseNumber = other300.releaseNumber;
+  releaseDocument = other300.releaseDocument;
+  __isset = other300.__isset;
+}
+MachineImage::MachineImage(MachineImage&& other301) noexcept {
+  version = other301.version;
+  resources = std::move(other301.resources);
+  tombstones = std::move(other301.tombstones);
+  templates = std::move(other301.templates);
+  accounts = std::move(other301.accounts);
+  moves = std::move(other301.moves);
+  audit = std::move(other301.audit);
+  remembered = std::move(other301.remembered);
+  tombstoneFloor = other301.tombstoneFloor;
+  auditCount = other301.auditCount;
+  releaseNumber = other301.releaseNumber;
+  releaseDocument = std::move(other301.releaseDocument);
+  __isset = other301.__isset;
+}
+MachineImage& MachineImage::operator=(const MachineImage& other302) {
+  version = other302.version;
+  resources = other302.resources;
+  tombstones = other302.tombstones;
+  templates = other302.templates;
+  accounts = other302.accounts;
+  moves = other302.moves;
+  audit = other302.audit;
+  remembered = other302.remembered;
+  tombstoneFloor = other302.tombstoneFloor;
+  auditCount = other302.auditCount;
+  releaseNumber = other302.releaseNumber;
+  releaseDocument = other302.releaseDocument;
+  __isset = other302.__isset;
+  return *this;
+}
+MachineImage& MachineImage::operator=(MachineImage&& other303) noexcept {
+  version = other303.version;
+  resources = std::move(other303.resources);
+  tombstones = std::move(other303.tombstones);
+  templates = std::move(other303.templates);
+  accounts = std::move(other303.accounts);
+  moves = std::move(other303.moves);
+  audit = std::move(other303.audit);
+  remembered = std::move(other303.remembered);
+  tombstoneFloor = other303.tombstoneFloor;
+  auditCount = other303.auditCount;
+  releaseNumber = other303.releaseNumber;
+  releaseDocument = std::move(other303.releaseDocument);
+  __isset = other303.__isset;
   return *this;
 }
 void MachineImage::printTo(std::ostream& out) const {
@@ -8232,17 +8750,760 @@
   this->noticeSequence = val;
 }
 
-void Presence::__set_leaves(const bool val) {
-  this->leaves = val;
+void Presence::__set_leaves(const bool val) {
+  this->leaves = val;
+}
+std::ostream& operator<<(std::ostream& out, const Presence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Presence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callAddress);
+          this->__isset.callAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast304;
+          xfer += iprot->readI32(ecast304);
+          this->state = static_cast<TargetState::type>(ecast304);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldLeftMs);
+          this->__isset.coldLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetIncarnation);
+          this->__isset.targetIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->noticeSequence);
+          this->__isset.noticeSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaves);
+          this->__isset.leaves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Presence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Presence");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("callAddress", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->callAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->coldLeftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetIncarnation", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->targetIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("noticeSequence", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->noticeSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaves", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->leaves);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Presence &a, Presence &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.node, b.node);
+  swap(a.callAddress, b.callAddress);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.state, b.state);
+  swap(a.slots, b.slots);
+  swap(a.coldLeftMs, b.coldLeftMs);
+  swap(a.targetIncarnation, b.targetIncarnation);
+  swap(a.noticeSequence, b.noticeSequence);
+  swap(a.leaves, b.leaves);
+  swap(a.__isset, b.__isset);
+}
+
+Presence::Presence(const Presence& other305) {
+  target = other305.target;
+  serviceName = other305.serviceName;
+  version = other305.version;
+  dataCentre = other305.dataCentre;
+  node = other305.node;
+  callAddress = other305.callAddress;
+  incarnation = other305.incarnation;
+  sequence = other305.sequence;
+  state = other305.state;
+  slots = other305.slots;
+  coldLeftMs = other305.coldLeftMs;
+  targetIncarnation = other305.targetIncarnation;
+  noticeSequence = other305.noticeSequence;
+  leaves = other305.leaves;
+  __isset = other305.__isset;
+}
+Presence::Presence(Presence&& other306) noexcept {
+  target = std::move(other306.target);
+  serviceName = std::move(other306.serviceName);
+  version = std::move(other306.version);
+  dataCentre = std::move(other306.dataCentre);
+  node = std::move(other306.node);
+  callAddress = std::move(other306.callAddress);
+  incarnation = other306.incarnation;
+  sequence = other306.sequence;
+  state = other306.state;
+  slots = other306.slots;
+  coldLeftMs = other306.coldLeftMs;
+  targetIncarnation = other306.targetIncarnation;
+  noticeSequence = other306.noticeSequence;
+  leaves = other306.leaves;
+  __isset = other306.__isset;
+}
+Presence& Presence::operator=(const Presence& other307) {
+  target = other307.target;
+  serviceName = other307.serviceName;
+  version = other307.version;
+  dataCentre = other307.dataCentre;
+  node = other307.node;
+  callAddress = other307.callAddress;
+  incarnation = other307.incarnation;
+  sequence = other307.sequence;
+  state = other307.state;
+  slots = other307.slots;
+  coldLeftMs = other307.coldLeftMs;
+  targetIncarnation = other307.targetIncarnation;
+  noticeSequence = other307.noticeSequence;
+  leaves = other307.leaves;
+  __isset = other307.__isset;
+  return *this;
+}
+Presence& Presence::operator=(Presence&& other308) noexcept {
+  target = std::move(other308.target);
+  serviceName = std::move(other308.serviceName);
+  version = std::move(other308.version);
+  dataCentre = std::move(other308.dataCentre);
+  node = std::move(other308.node);
+  callAddress = std::move(other308.callAddress);
+  incarnation = other308.incarnation;
+  sequence = other308.sequence;
+  state = other308.state;
+  slots = other308.slots;
+  coldLeftMs = other308.coldLeftMs;
+  targetIncarnation = other308.targetIncarnation;
+  noticeSequence = other308.noticeSequence;
+  leaves = other308.leaves;
+  __isset = other308.__isset;
+  return *this;
+}
+void Presence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Presence(";
+  out << "target=" << to_string(target);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "callAddress=" << to_string(callAddress);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
+  out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
+  out << ", " << "noticeSequence=" << to_string(noticeSequence);
+  out << ", " << "leaves=" << to_string(leaves);
+  out << ")";
+}
+
+
+NodeInfo::~NodeInfo() noexcept {
+}
+
+
+void NodeInfo::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void NodeInfo::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void NodeInfo::__set_meshAddress(const std::string& val) {
+  this->meshAddress = val;
+}
+
+void NodeInfo::__set_callAddress(const std::string& val) {
+  this->callAddress = val;
+}
+
+void NodeInfo::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void NodeInfo::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void NodeInfo::__set_gone(const bool val) {
+  this->gone = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeInfo& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NodeInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->meshAddress);
+          this->__isset.meshAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callAddress);
+          this->__isset.callAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeInfo");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("meshAddress", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->meshAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("callAddress", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->callAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->gone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NodeInfo &a, NodeInfo &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.meshAddress, b.meshAddress);
+  swap(a.callAddress, b.callAddress);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.gone, b.gone);
+  swap(a.__isset, b.__isset);
+}
+
+NodeInfo::NodeInfo(const NodeInfo& other309) {
+  node = other309.node;
+  dataCentre = other309.dataCentre;
+  meshAddress = other309.meshAddress;
+  callAddress = other309.callAddress;
+  incarnation = other309.incarnation;
+  sequence = other309.sequence;
+  gone = other309.gone;
+  __isset = other309.__isset;
+}
+NodeInfo::NodeInfo(NodeInfo&& other310) noexcept {
+  node = std::move(other310.node);
+  dataCentre = std::move(other310.dataCentre);
+  meshAddress = std::move(other310.meshAddress);
+  callAddress = std::move(other310.callAddress);
+  incarnation = other310.incarnation;
+  sequence = other310.sequence;
+  gone = other310.gone;
+  __isset = other310.__isset;
+}
+NodeInfo& NodeInfo::operator=(const NodeInfo& other311) {
+  node = other311.node;
+  dataCentre = other311.dataCentre;
+  meshAddress = other311.meshAddress;
+  callAddress = other311.callAddress;
+  incarnation = other311.incarnation;
+  sequence = other311.sequence;
+  gone = other311.gone;
+  __isset = other311.__isset;
+  return *this;
+}
+NodeInfo& NodeInfo::operator=(NodeInfo&& other312) noexcept {
+  node = std::move(other312.node);
+  dataCentre = std::move(other312.dataCentre);
+  meshAddress = std::move(other312.meshAddress);
+  callAddress = std::move(other312.callAddress);
+  incarnation = other312.incarnation;
+  sequence = other312.sequence;
+  gone = other312.gone;
+  __isset = other312.__isset;
+  return *this;
+}
+void NodeInfo::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NodeInfo(";
+  out << "node=" << to_string(node);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "meshAddress=" << to_string(meshAddress);
+  out << ", " << "callAddress=" << to_string(callAddress);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "gone=" << to_string(gone);
+  out << ")";
+}
+
+
+NodeAck::~NodeAck() noexcept {
+}
+
+
+void NodeAck::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void NodeAck::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void NodeAck::__set_rejection(const std::string& val) {
+  this->rejection = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeAck& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NodeAck::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rejection);
+          this->__isset.rejection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeAck::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeAck");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rejection", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->rejection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NodeAck &a, NodeAck &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.version, b.version);
+  swap(a.rejection, b.rejection);
+  swap(a.__isset, b.__isset);
+}
+
+NodeAck::NodeAck(const NodeAck& other313) {
+  node = other313.node;
+  version = other313.version;
+  rejection = other313.rejection;
+  __isset = other313.__isset;
+}
+NodeAck::NodeAck(NodeAck&& other314) noexcept {
+  node = std::move(other314.node);
+  version = other314.version;
+  rejection = std::move(other314.rejection);
+  __isset = other314.__isset;
+}
+NodeAck& NodeAck::operator=(const NodeAck& other315) {
+  node = other315.node;
+  version = other315.version;
+  rejection = other315.rejection;
+  __isset = other315.__isset;
+  return *this;
+}
+NodeAck& NodeAck::operator=(NodeAck&& other316) noexcept {
+  node = std::move(other316.node);
+  version = other316.version;
+  rejection = std::move(other316.rejection);
+  __isset = other316.__isset;
+  return *this;
+}
+void NodeAck::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NodeAck(";
+  out << "node=" << to_string(node);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "rejection=" << to_string(rejection);
+  out << ")";
+}
+
+
+EvidenceCell::~EvidenceCell() noexcept {
+}
+
+
+void EvidenceCell::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void EvidenceCell::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void EvidenceCell::__set_dimension(const EvidenceDimension::type val) {
+  this->dimension = val;
+}
+
+void EvidenceCell::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void EvidenceCell::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void EvidenceCell::__set_calls(const int64_t val) {
+  this->calls = val;
+}
+
+void EvidenceCell::__set_failures(const int64_t val) {
+  this->failures = val;
+}
+
+void EvidenceCell::__set_latency(const std::map<int16_t, int64_t> & val) {
+  this->latency = val;
 }
-std::ostream& operator<<(std::ostream& out, const Presence& obj)
+std::ostream& operator<<(std::ostream& out, const EvidenceCell& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Presence::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EvidenceCell::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8265,114 +9526,81 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast317;
+          xfer += iprot->readI32(ecast317);
+          this->dimension = static_cast<EvidenceDimension::type>(ecast317);
+          this->__isset.dimension = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataCentre);
-          this->__isset.dataCentre = true;
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->callAddress);
-          this->__isset.callAddress = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->calls);
+          this->__isset.calls = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast284;
-          xfer += iprot->readI32(ecast284);
-          this->state = static_cast<TargetState::type>(ecast284);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slots);
-          this->__isset.slots = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->coldLeftMs);
-          this->__isset.coldLeftMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->targetIncarnation);
-          this->__isset.targetIncarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->noticeSequence);
-          this->__isset.noticeSequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaves);
-          this->__isset.leaves = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->latency.clear();
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _ktype319;
+            ::apache::thrift::protocol::TType _vtype320;
+            xfer += iprot->readMapBegin(_ktype319, _vtype320, _size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
+            {
+              int16_t _key323;
+              xfer += iprot->readI16(_key323);
+              int64_t& _val324 = this->latency[_key323];
+              xfer += iprot->readI64(_val324);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.latency = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8389,65 +9617,241 @@
   return xfer;
 }
 
-uint32_t Presence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EvidenceCell::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Presence");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("EvidenceCell");
 
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("dimension", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->dimension));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->calls);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("callAddress", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->callAddress);
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->failures);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldBegin("latency", ::apache::thrift::protocol::T_MAP, 8);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->latency.size()));
+    std::map<int16_t, int64_t> ::const_iterator _iter325;
+    for (_iter325 = this->latency.begin(); _iter325 != this->latency.end(); ++_iter325)
+    {
+      xfer += oprot->writeI16(_iter325->first);
+      xfer += oprot->writeI64(_iter325->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvidenceCell &a, EvidenceCell &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.dimension, b.dimension);
+  swap(a.value, b.value);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.calls, b.calls);
+  swap(a.failures, b.failures);
+  swap(a.latency, b.latency);
+  swap(a.__isset, b.__isset);
+}
+
+EvidenceCell::EvidenceCell(const EvidenceCell& other326) {
+  serviceName = other326.serviceName;
+  version = other326.version;
+  dimension = other326.dimension;
+  value = other326.value;
+  dataCentre = other326.dataCentre;
+  calls = other326.calls;
+  failures = other326.failures;
+  latency = other326.latency;
+  __isset = other326.__isset;
+}
+EvidenceCell::EvidenceCell(EvidenceCell&& other327) noexcept {
+  serviceName = std::move(other327.serviceName);
+  version = std::move(other327.version);
+  dimension = other327.dimension;
+  value = std::move(other327.value);
+  dataCentre = std::move(other327.dataCentre);
+  calls = other327.calls;
+  failures = other327.failures;
+  latency = std::move(other327.latency);
+  __isset = other327.__isset;
+}
+EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other328) {
+  serviceName = other328.serviceName;
+  version = other328.version;
+  dimension = other328.dimension;
+  value = other328.value;
+  dataCentre = other328.dataCentre;
+  calls = other328.calls;
+  failures = other328.failures;
+  latency = other328.latency;
+  __isset = other328.__isset;
+  return *this;
+}
+EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other329) noexcept {
+  serviceName = std::move(other329.serviceName);
+  version = std::move(other329.version);
+  dimension = other329.dimension;
+  value = std::move(other329.value);
+  dataCentre = std::move(other329.dataCentre);
+  calls = other329.calls;
+  failures = other329.failures;
+  latency = std::move(other329.latency);
+  __isset = other329.__isset;
+  return *this;
+}
+void EvidenceCell::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvidenceCell(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "dimension=" << to_string(dimension);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "latency=" << to_string(latency);
+  out << ")";
+}
+
+
+Alarm::~Alarm() noexcept {
+}
+
+
+void Alarm::__set_moveId(const std::string& val) {
+  this->moveId = val;
+}
+
+void Alarm::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void Alarm::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void Alarm::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const Alarm& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Alarm::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->moveId);
+          this->__isset.moveId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->slots);
-  xfer += oprot->writeFieldEnd();
+uint32_t Alarm::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Alarm");
 
-  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->coldLeftMs);
+  xfer += oprot->writeFieldBegin("moveId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->moveId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("targetIncarnation", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->targetIncarnation);
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("noticeSequence", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->noticeSequence);
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->node);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaves", ::apache::thrift::protocol::T_BOOL, 14);
-  xfer += oprot->writeBool(this->leaves);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8455,155 +9859,83 @@
   return xfer;
 }
 
-void swap(Presence &a, Presence &b) {
+void swap(Alarm &a, Alarm &b) {
   using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.serviceName, b.serviceName);
-  swap(a.version, b.version);
-  swap(a.dataCentre, b.dataCentre);
+  swap(a.moveId, b.moveId);
+  swap(a.step, b.step);
   swap(a.node, b.node);
-  swap(a.callAddress, b.callAddress);
-  swap(a.incarnation, b.incarnation);
-  swap(a.sequence, b.sequence);
-  swap(a.state, b.state);
-  swap(a.slots, b.slots);
-  swap(a.coldLeftMs, b.coldLeftMs);
-  swap(a.targetIncarnation, b.targetIncarnation);
-  swap(a.noticeSequence, b.noticeSequence);
-  swap(a.leaves, b.leaves);
+  swap(a.reason, b.reason);
   swap(a.__isset, b.__isset);
 }
 
-Presence::Presence(const Presence& other285) {
-  target = other285.target;
-  serviceName = other285.serviceName;
-  version = other285.version;
-  dataCentre = other285.dataCentre;
-  node = other285.node;
-  callAddress = other285.callAddress;
-  incarnation = other285.incarnation;
-  sequence = other285.sequence;
-  state = other285.state;
-  slots = other285.slots;
-  coldLeftMs = other285.coldLeftMs;
-  targetIncarnation = other285.targetIncarnation;
-  noticeSequence = other285.noticeSequence;
-  leaves = other285.leaves;
-  __isset = other285.__isset;
-}
-Presence::Presence(Presence&& other286) noexcept {
-  target = std::move(other286.target);
-  serviceName = std::move(other286.serviceName);
-  version = std::move(other286.version);
-  dataCentre = std::move(other286.dataCentre);
-  node = std::move(other286.node);
-  callAddress = std::move(other286.callAddress);
-  incarnation = other286.incarnation;
-  sequence = other286.sequence;
-  state = other286.state;
-  slots = other286.slots;
-  coldLeftMs = other286.coldLeftMs;
-  targetIncarnation = other286.targetIncarnation;
-  noticeSequence = other286.noticeSequence;
-  leaves = other286.leaves;
-  __isset = other286.__isset;
-}
-Presence& Presence::operator=(const Presence& other287) {
-  target = other287.target;
-  serviceName = other287.serviceName;
-  version = other287.version;
-  dataCentre = other287.dataCentre;
-  node = other287.node;
-  callAddress = other287.callAddress;
-  incarnation = other287.incarnation;
-  sequence = other287.sequence;
-  state = other287.state;
-  slots = other287.slots;
-  coldLeftMs = other287.coldLeftMs;
-  targetIncarnation = other287.targetIncarnation;
-  noticeSequence = other287.noticeSequence;
-  leaves = other287.leaves;
-  __isset = other287.__isset;
-  return *this;
-}
-Presence& Presence::operator=(Presence&& other288) noexcept {
-  target = std::move(other288.target);
-  serviceName = std::move(other288.serviceName);
-  version = std::move(other288.version);
-  dataCentre = std::move(other288.dataCentre);
-  node = std::move(other288.node);
-  callAddress = std::move(other288.callAddress);
-  incarnation = other288.incarnation;
-  sequence = other288.sequence;
-  state = other288.state;
-  slots = other288.slots;
-  coldLeftMs = other288.coldLeftMs;
-  targetIncarnation = other288.targetIncarnation;
-  noticeSequence = other288.noticeSequence;
-  leaves = other288.leaves;
-  __isset = other288.__isset;
+Alarm::Alarm(const Alarm& other330) {
+  moveId = other330.moveId;
+  step = other330.step;
+  node = other330.node;
+  reason = other330.reason;
+  __isset = other330.__isset;
+}
+Alarm::Alarm(Alarm&& other331) noexcept {
+  moveId = std::move(other331.moveId);
+  step = other331.step;
+  node = std::move(other331.node);
+  reason = std::move(other331.reason);
+  __isset = other331.__isset;
+}
+Alarm& Alarm::operator=(const Alarm& other332) {
+  moveId = other332.moveId;
+  step = other332.step;
+  node = other332.node;
+  reason = other332.reason;
+  __isset = other332.__isset;
   return *this;
 }
-void Presence::printTo(std::ostream& out) const {
+Alarm& Alarm::operator=(Alarm&& other333) noexcept {
+  moveId = std::move(other333.moveId);
+  step = other333.step;
+  node = std::move(other333.node);
+  reason = std::move(other333.reason);
+  __isset = other333.__isset;
+  return *this;
+}
+void Alarm::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Presence(";
-  out << "target=" << to_string(target);
-  out << ", " << "serviceName=" << to_string(serviceName);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << "Alarm(";
+  out << "moveId=" << to_string(moveId);
+  out << ", " << "step=" << to_string(step);
   out << ", " << "node=" << to_string(node);
-  out << ", " << "callAddress=" << to_string(callAddress);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "slots=" << to_string(slots);
-  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
-  out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
-  out << ", " << "noticeSequence=" << to_string(noticeSequence);
-  out << ", " << "leaves=" << to_string(leaves);
+  out << ", " << "reason=" << to_string(reason);
   out << ")";
 }
 
 
-NodeInfo::~NodeInfo() noexcept {
-}
-
-
-void NodeInfo::__set_node(const std::string& val) {
-  this->node = val;
-}
-
-void NodeInfo::__set_dataCentre(const std::string& val) {
-  this->dataCentre = val;
+TargetCrash::~TargetCrash() noexcept {
 }
 
-void NodeInfo::__set_meshAddress(const std::string& val) {
-  this->meshAddress = val;
-}
 
-void NodeInfo::__set_callAddress(const std::string& val) {
-  this->callAddress = val;
+void TargetCrash::__set_target(const std::string& val) {
+  this->target = val;
 }
 
-void NodeInfo::__set_incarnation(const int64_t val) {
+void TargetCrash::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
 
-void NodeInfo::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void TargetCrash::__set_calls(const std::vector<int64_t> & val) {
+  this->calls = val;
 }
 
-void NodeInfo::__set_gone(const bool val) {
-  this->gone = val;
+void TargetCrash::__set_cleared(const std::vector<int64_t> & val) {
+  this->cleared = val;
 }
-std::ostream& operator<<(std::ostream& out, const NodeInfo& obj)
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t NodeInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8626,37 +9958,13 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataCentre);
-          this->__isset.dataCentre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->meshAddress);
-          this->__isset.meshAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->callAddress);
-          this->__isset.callAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->incarnation);
           this->__isset.incarnation = true;
@@ -8664,18 +9972,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->calls.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
+            {
+              xfer += iprot->readI64(this->calls[_i338]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.calls = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->gone);
-          this->__isset.gone = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cleared.clear();
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->cleared.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
+            {
+              xfer += iprot->readI64(this->cleared[_i343]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cleared = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8692,37 +10024,41 @@
   return xfer;
 }
 
-uint32_t NodeInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("NodeInfo");
-
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->dataCentre);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("meshAddress", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->meshAddress);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TargetCrash");
 
-  xfer += oprot->writeFieldBegin("callAddress", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->callAddress);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
+    std::vector<int64_t> ::const_iterator _iter344;
+    for (_iter344 = this->calls.begin(); _iter344 != this->calls.end(); ++_iter344)
+    {
+      xfer += oprot->writeI64((*_iter344));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->gone);
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
+    std::vector<int64_t> ::const_iterator _iter345;
+    for (_iter345 = this->cleared.begin(); _iter345 != this->cleared.end(); ++_iter345)
+    {
+      xfer += oprot->writeI64((*_iter345));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8730,97 +10066,79 @@
   return xfer;
 }
 
-void swap(NodeInfo &a, NodeInfo &b) {
+void swap(TargetCrash &a, TargetCrash &b) {
   using ::std::swap;
-  swap(a.node, b.node);
-  swap(a.dataCentre, b.dataCentre);
-  swap(a.meshAddress, b.meshAddress);
-  swap(a.callAddress, b.callAddress);
+  swap(a.target, b.target);
   swap(a.incarnation, b.incarnation);
-  swap(a.sequence, b.sequence);
-  swap(a.gone, b.gone);
+  swap(a.calls, b.calls);
+  swap(a.cleared, b.cleared);
   swap(a.__isset, b.__isset);
 }
 
-NodeInfo::NodeInfo(const NodeInfo& other289) {
-  node = other289.node;
-  dataCentre = other289.dataCentre;
-  meshAddress = other289.meshAddress;
-  callAddress = other289.callAddress;
-  incarnation = other289.incarnation;
-  sequence = other289.sequence;
-  gone = other289.gone;
-  __isset = other289.__isset;
-}
-NodeInfo::NodeInfo(NodeInfo&& other290) noexcept {
-  node = std::move(other290.node);
-  dataCentre = std::move(other290.dataCentre);
-  meshAddress = std::move(other290.meshAddress);
-  callAddress = std::move(other290.callAddress);
-  incarnation = other290.incarnation;
-  sequence = other290.sequence;
-  gone = other290.gone;
-  __isset = other290.__isset;
-}
-NodeInfo& NodeInfo::operator=(const NodeInfo& other291) {
-  node = other291.node;
-  dataCentre = other291.dataCentre;
-  meshAddress = other291.meshAddress;
-  callAddress = other291.callAddress;
-  incarnation = other291.incarnation;
-  sequence = other291.sequence;
-  gone = other291.gone;
-  __isset = other291.__isset;
-  return *this;
-}
-NodeInfo& NodeInfo::operator=(NodeInfo&& other292) noexcept {
-  node = std::move(other292.node);
-  dataCentre = std::move(other292.dataCentre);
-  meshAddress = std::move(other292.meshAddress);
-  callAddress = std::move(other292.callAddress);
-  incarnation = other292.incarnation;
-  sequence = other292.sequence;
-  gone = other292.gone;
-  __isset = other292.__isset;
+TargetCrash::TargetCrash(const TargetCrash& other346) {
+  target = other346.target;
+  incarnation = other346.incarnation;
+  calls = other346.calls;
+  cleared = other346.cleared;
+  __isset = other346.__isset;
+}
+TargetCrash::TargetCrash(TargetCrash&& other347) noexcept {
+  target = std::move(other347.target);
+  incarnation = other347.incarnation;
+  calls = std::move(other347.calls);
+  cleared = std::move(other347.cleared);
+  __isset = other347.__isset;
+}
+TargetCrash& TargetCrash::operator=(const TargetCrash& other348) {
+  target = other348.target;
+  incarnation = other348.incarnation;
+  calls = other348.calls;
+  cleared = other348.cleared;
+  __isset = other348.__isset;
   return *this;
 }
-void NodeInfo::printTo(std::ostream& out) const {
+TargetCrash& TargetCrash::operator=(TargetCrash&& other349) noexcept {
+  target = std::move(other349.target);
+  incarnation = other349.incarnation;
+  calls = std::move(other349.calls);
+  cleared = std::move(other349.cleared);
+  __isset = other349.__isset;
+  return *this;
+}
+void TargetCrash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "NodeInfo(";
-  out << "node=" << to_string(node);
-  out << ", " << "dataCentre=" << to_string(dataCentre);
-  out << ", " << "meshAddress=" << to_string(meshAddress);
-  out << ", " << "callAddress=" << to_string(callAddress);
+  out << "TargetCrash(";
+  out << "target=" << to_string(target);
   out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "gone=" << to_string(gone);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "cleared=" << to_string(cleared);
   out << ")";
 }
 
 
-NodeAck::~NodeAck() noexcept {
+AccountUsage::~AccountUsage() noexcept {
 }
 
 
-void NodeAck::__set_node(const std::string& val) {
-  this->node = val;
+void AccountUsage::__set_account(const std::string& val) {
+  this->account = val;
 }
 
-void NodeAck::__set_version(const int64_t val) {
-  this->version = val;
+void AccountUsage::__set_offered(const int64_t val) {
+  this->offered = val;
 }
 
-void NodeAck::__set_rejection(const std::string& val) {
-  this->rejection = val;
+void AccountUsage::__set_admitted(const int64_t val) {
+  this->admitted = val;
 }
-std::ostream& operator<<(std::ostream& out, const NodeAck& obj)
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t NodeAck::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AccountUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8842,25 +10160,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->offered);
+          this->__isset.offered = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->rejection);
-          this->__isset.rejection = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->admitted);
+          this->__isset.admitted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8877,21 +10195,21 @@
   return xfer;
 }
 
-uint32_t NodeAck::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AccountUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("NodeAck");
+  xfer += oprot->writeStructBegin("AccountUsage");
 
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offered);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rejection", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->rejection);
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->admitted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8899,93 +10217,69 @@
   return xfer;
 }
 
-void swap(NodeAck &a, NodeAck &b) {
+void swap(AccountUsage &a, AccountUsage &b) {
   using ::std::swap;
-  swap(a.node, b.node);
-  swap(a.version, b.version);
-  swap(a.rejection, b.rejection);
+  swap(a.account, b.account);
+  swap(a.offered, b.offered);
+  swap(a.admitted, b.admitted);
   swap(a.__isset, b.__isset);
 }
 
-NodeAck::NodeAck(const NodeAck& other293) {
-  node = other293.node;
-  version = other293.version;
-  rejection = other293.rejection;
-  __isset = other293.__isset;
+AccountUsage::AccountUsage(const AccountUsage& other350) {
+  account = other350.account;
+  offered = other350.offered;
+  admitted = other350.admitted;
+  __isset = other350.__isset;
 }
-NodeAck::NodeAck(NodeAck&& other294) noexcept {
-  node = std::move(other294.node);
-  version = other294.version;
-  rejection = std::move(other294.rejection);
-  __isset = other294.__isset;
+AccountUsage::AccountUsage(AccountUsage&& other351) noexcept {
+  account = std::move(other351.account);
+  offered = other351.offered;
+  admitted = other351.admitted;
+  __isset = other351.__isset;
 }
-NodeAck& NodeAck::operator=(const NodeAck& other295) {
-  node = other295.node;
-  version = other295.version;
-  rejection = other295.rejection;
-  __isset = other295.__isset;
+AccountUsage& AccountUsage::operator=(const AccountUsage& other352) {
+  account = other352.account;
+  offered = other352.offered;
+  admitted = other352.admitted;
+  __isset = other352.__isset;
   return *this;
 }
-NodeAck& NodeAck::operator=(NodeAck&& other296) noexcept {
-  node = std::move(other296.node);
-  version = other296.version;
-  rejection = std::move(other296.rejection);
-  __isset = other296.__isset;
+AccountUsage& AccountUsage::operator=(AccountUsage&& other353) noexcept {
+  account = std::move(other353.account);
+  offered = other353.offered;
+  admitted = other353.admitted;
+  __isset = other353.__isset;
   return *this;
 }
-void NodeAck::printTo(std::ostream& out) const {
+void AccountUsage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "NodeAck(";
-  out << "node=" << to_string(node);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "rejection=" << to_string(rejection);
+  out << "AccountUsage(";
+  out << "account=" << to_string(account);
+  out << ", " << "offered=" << to_string(offered);
+  out << ", " << "admitted=" << to_string(admitted);
   out << ")";
 }
 
 
-EvidenceCell::~EvidenceCell() noexcept {
-}
-
-
-void EvidenceCell::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
-}
-
-void EvidenceCell::__set_version(const std::string& val) {
-  this->version = val;
-}
-
-void EvidenceCell::__set_dimension(const EvidenceDimension::type val) {
-  this->dimension = val;
-}
-
-void EvidenceCell::__set_value(const std::string& val) {
-  this->value = val;
-}
-
-void EvidenceCell::__set_dataCentre(const std::string& val) {
-  this->dataCentre = val;
+AccountRatio::~AccountRatio() noexcept {
 }
 
-void EvidenceCell::__set_calls(const int64_t val) {
-  this->calls = val;
-}
 
-void EvidenceCell::__set_failures(const int64_t val) {
-  this->failures = val;
+void AccountRatio::__set_account(const std::string& val) {
+  this->account = val;
 }
 
-void EvidenceCell::__set_latency(const std::map<int16_t, int64_t> & val) {
-  this->latency = val;
+void AccountRatio::__set_permille(const int32_t val) {
+  this->permille = val;
 }
-std::ostream& operator<<(std::ostream& out, const EvidenceCell& obj)
+std::ostream& operator<<(std::ostream& out, const AccountRatio& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EvidenceCell::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AccountRatio::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9008,81 +10302,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast297;
-          xfer += iprot->readI32(ecast297);
-          this->dimension = static_cast<EvidenceDimension::type>(ecast297);
-          this->__isset.dimension = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->value);
-          this->__isset.value = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataCentre);
-          this->__isset.dataCentre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->calls);
-          this->__isset.calls = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->failures);
-          this->__isset.failures = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->latency.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _ktype299;
-            ::apache::thrift::protocol::TType _vtype300;
-            xfer += iprot->readMapBegin(_ktype299, _vtype300, _size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
-            {
-              int16_t _key303;
-              xfer += iprot->readI16(_key303);
-              int64_t& _val304 = this->latency[_key303];
-              xfer += iprot->readI64(_val304);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.latency = true;
+          xfer += iprot->readI32(this->permille);
+          this->__isset.permille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9099,50 +10328,17 @@
   return xfer;
 }
 
-uint32_t EvidenceCell::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AccountRatio::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EvidenceCell");
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->serviceName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dimension", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->dimension));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->value);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->dataCentre);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->calls);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("AccountRatio");
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("latency", ::apache::thrift::protocol::T_MAP, 8);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->latency.size()));
-    std::map<int16_t, int64_t> ::const_iterator _iter305;
-    for (_iter305 = this->latency.begin(); _iter305 != this->latency.end(); ++_iter305)
-    {
-      xfer += oprot->writeI16(_iter305->first);
-      xfer += oprot->writeI64(_iter305->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
+  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->permille);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9150,107 +10346,59 @@
   return xfer;
 }
 
-void swap(EvidenceCell &a, EvidenceCell &b) {
+void swap(AccountRatio &a, AccountRatio &b) {
   using ::std::swap;
-  swap(a.serviceName, b.serviceName);
-  swap(a.version, b.version);
-  swap(a.dimension, b.dimension);
-  swap(a.value, b.value);
-  swap(a.dataCentre, b.dataCentre);
-  swap(a.calls, b.calls);
-  swap(a.failures, b.failures);
-  swap(a.latency, b.latency);
+  swap(a.account, b.account);
+  swap(a.permille, b.permille);
   swap(a.__isset, b.__isset);
 }
 
-EvidenceCell::EvidenceCell(const EvidenceCell& other306) {
-  serviceName = other306.serviceName;
-  version = other306.version;
-  dimension = other306.dimension;
-  value = other306.value;
-  dataCentre = other306.dataCentre;
-  calls = other306.calls;
-  failures = other306.failures;
-  latency = other306.latency;
-  __isset = other306.__isset;
+AccountRatio::AccountRatio(const AccountRatio& other354) {
+  account = other354.account;
+  permille = other354.permille;
+  __isset = other354.__isset;
 }
-EvidenceCell::EvidenceCell(EvidenceCell&& other307) noexcept {
-  serviceName = std::move(other307.serviceName);
-  version = std::move(other307.version);
-  dimension = other307.dimension;
-  value = std::move(other307.value);
-  dataCentre = std::move(other307.dataCentre);
-  calls = other307.calls;
-  failures = other307.failures;
-  latency = std::move(other307.latency);
-  __isset = other307.__isset;
+AccountRatio::AccountRatio(AccountRatio&& other355) noexcept {
+  account = std::move(other355.account);
+  permille = other355.permille;
+  __isset = other355.__isset;
 }
-EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other308) {
-  serviceName = other308.serviceName;
-  version = other308.version;
-  dimension = other308.dimension;
-  value = other308.value;
-  dataCentre = other308.dataCentre;
-  calls = other308.calls;
-  failures = other308.failures;
-  latency = other308.latency;
-  __isset = other308.__isset;
+AccountRatio& AccountRatio::operator=(const AccountRatio& other356) {
+  account = other356.account;
+  permille = other356.permille;
+  __isset = other356.__isset;
   return *this;
 }
-EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other309) noexcept {
-  serviceName = std::move(other309.serviceName);
-  version = std::move(other309.version);
-  dimension = other309.dimension;
-  value = std::move(other309.value);
-  dataCentre = std::move(other309.dataCentre);
-  calls = other309.calls;
-  failures = other309.failures;
-  latency = std::move(other309.latency);
-  __isset = other309.__isset;
+AccountRatio& AccountRatio::operator=(AccountRatio&& other357) noexcept {
+  account = std::move(other357.account);
+  permille = other357.permille;
+  __isset = other357.__isset;
   return *this;
 }
-void EvidenceCell::printTo(std::ostream& out) const {
+void AccountRatio::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EvidenceCell(";
-  out << "serviceName=" << to_string(serviceName);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "dimension=" << to_string(dimension);
-  out << ", " << "value=" << to_string(value);
-  out << ", " << "dataCentre=" << to_string(dataCentre);
-  out << ", " << "calls=" << to_string(calls);
-  out << ", " << "failures=" << to_string(failures);
-  out << ", " << "latency=" << to_string(latency);
+  out << "AccountRatio(";
+  out << "account=" << to_string(account);
+  out << ", " << "permille=" << to_string(permille);
   out << ")";
 }
 
 
-Alarm::~Alarm() noexcept {
-}
-
-
-void Alarm::__set_moveId(const std::string& val) {
-  this->moveId = val;
-}
-
-void Alarm::__set_step(const int32_t val) {
-  this->step = val;
+FreshnessRequest::~FreshnessRequest() noexcept {
 }
 
-void Alarm::__set_node(const std::string& val) {
-  this->node = val;
-}
 
-void Alarm::__set_reason(const std::string& val) {
-  this->reason = val;
+void FreshnessRequest::__set_sentAt(const int64_t val) {
+  this->sentAt = val;
 }
-std::ostream& operator<<(std::ostream& out, const Alarm& obj)
+std::ostream& operator<<(std::ostream& out, const FreshnessRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Alarm::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9272,33 +10420,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->moveId);
-          this->__isset.moveId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->step);
-          this->__isset.step = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->reason);
-          this->__isset.reason = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAt);
+          this->__isset.sentAt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9315,25 +10439,13 @@
   return xfer;
 }
 
-uint32_t Alarm::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FreshnessRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Alarm");
-
-  xfer += oprot->writeFieldBegin("moveId", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->moveId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->step);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("FreshnessRequest");
 
-  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sentAt);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9341,83 +10453,61 @@
   return xfer;
 }
 
-void swap(Alarm &a, Alarm &b) {
+void swap(FreshnessRequest &a, FreshnessRequest &b) {
   using ::std::swap;
-  swap(a.moveId, b.moveId);
-  swap(a.step, b.step);
-  swap(a.node, b.node);
-  swap(a.reason, b.reason);
+  swap(a.sentAt, b.sentAt);
   swap(a.__isset, b.__isset);
 }
 
-Alarm::Alarm(const Alarm& other310) {
-  moveId = other310.moveId;
-  step = other310.step;
-  node = other310.node;
-  reason = other310.reason;
-  __isset = other310.__isset;
+FreshnessRequest::FreshnessRequest(const FreshnessRequest& other358) noexcept {
+  sentAt = other358.sentAt;
+  __isset = other358.__isset;
 }
-Alarm::Alarm(Alarm&& other311) noexcept {
-  moveId = std::move(other311.moveId);
-  step = other311.step;
-  node = std::move(other311.node);
-  reason = std::move(other311.reason);
-  __isset = other311.__isset;
+FreshnessRequest::FreshnessRequest(FreshnessRequest&& other359) noexcept {
+  sentAt = other359.sentAt;
+  __isset = other359.__isset;
 }
-Alarm& Alarm::operator=(const Alarm& other312) {
-  moveId = other312.moveId;
-  step = other312.step;
-  node = other312.node;
-  reason = other312.reason;
-  __isset = other312.__isset;
+FreshnessRequest& FreshnessRequest::operator=(const FreshnessRequest& other360) noexcept {
+  sentAt = other360.sentAt;
+  __isset = other360.__isset;
   return *this;
 }
-Alarm& Alarm::operator=(Alarm&& other313) noexcept {
-  moveId = std::move(other313.moveId);
-  step = other313.step;
-  node = std::move(other313.node);
-  reason = std::move(other313.reason);
-  __isset = other313.__isset;
+FreshnessRequest& FreshnessRequest::operator=(FreshnessRequest&& other361) noexcept {
+  sentAt = other361.sentAt;
+  __isset = other361.__isset;
   return *this;
 }
-void Alarm::printTo(std::ostream& out) const {
+void FreshnessRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Alarm(";
-  out << "moveId=" << to_string(moveId);
-  out << ", " << "step=" << to_string(step);
-  out << ", " << "node=" << to_string(node);
-  out << ", " << "reason=" << to_string(reason);
+  out << "FreshnessRequest(";
+  out << "sentAt=" << to_string(sentAt);
   out << ")";
 }
 
 
-TargetCrash::~TargetCrash() noexcept {
+FreshnessAnswer::~FreshnessAnswer() noexcept {
 }
 
 
-void TargetCrash::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void TargetCrash::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
+void FreshnessAnswer::__set_sentAt(const int64_t val) {
+  this->sentAt = val;
 }
 
-void TargetCrash::__set_calls(const std::vector<int64_t> & val) {
-  this->calls = val;
+void FreshnessAnswer::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
 }
 
-void TargetCrash::__set_cleared(const std::vector<int64_t> & val) {
-  this->cleared = val;
+void FreshnessAnswer::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
+std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9439,57 +10529,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAt);
+          this->__isset.sentAt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->calls.clear();
-            uint32_t _size314;
-            ::apache::thrift::protocol::TType _etype317;
-            xfer += iprot->readListBegin(_etype317, _size314);
-            this->calls.resize(_size314);
-            uint32_t _i318;
-            for (_i318 = 0; _i318 < _size314; ++_i318)
-            {
-              xfer += iprot->readI64(this->calls[_i318]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.calls = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->cleared.clear();
-            uint32_t _size319;
-            ::apache::thrift::protocol::TType _etype322;
-            xfer += iprot->readListBegin(_etype322, _size319);
-            this->cleared.resize(_size319);
-            uint32_t _i323;
-            for (_i323 = 0; _i323 < _size319; ++_i323)
-            {
-              xfer += iprot->readI64(this->cleared[_i323]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.cleared = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9506,41 +10564,21 @@
   return xfer;
 }
 
-uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FreshnessAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TargetCrash");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("FreshnessAnswer");
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sentAt);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
-    std::vector<int64_t> ::const_iterator _iter324;
-    for (_iter324 = this->calls.begin(); _iter324 != this->calls.end(); ++_iter324)
-    {
-      xfer += oprot->writeI64((*_iter324));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
-    std::vector<int64_t> ::const_iterator _iter325;
-    for (_iter325 = this->cleared.begin(); _iter325 != this->cleared.end(); ++_iter325)
-    {
-      xfer += oprot->writeI64((*_iter325));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
