@@ -9548,52 +10586,46 @@
   return xfer;
 }
 
-void swap(TargetCrash &a, TargetCrash &b) {
+void swap(FreshnessAnswer &a, FreshnessAnswer &b) {
   using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.incarnation, b.incarnation);
-  swap(a.calls, b.calls);
-  swap(a.cleared, b.cleared);
+  swap(a.sentAt, b.sentAt);
+  swap(a.ageMs, b.ageMs);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-TargetCrash::TargetCrash(const TargetCrash& other326) {
-  target = other326.target;
-  incarnation = other326.incarnation;
-  calls = other326.calls;
-  cleared = other326.cleared;
-  __isset = other326.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other362) noexcept {
+  sentAt = other362.sentAt;
+  ageMs = other362.ageMs;
+  version = other362.version;
+  __isset = other362.__isset;
 }
-TargetCrash::TargetCrash(TargetCrash&& other327) noexcept {
-  target = std::move(other327.target);
-  incarnation = other327.incarnation;
-  calls = std::move(other327.calls);
-  cleared = std::move(other327.cleared);
-  __isset = other327.__isset;
+FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other363) noexcept {
+  sentAt = other363.sentAt;
+  ageMs = other363.ageMs;
+  version = other363.version;
+  __isset = other363.__isset;
 }
-TargetCrash& TargetCrash::operator=(const TargetCrash& other328) {
-  target = other328.target;
-  incarnation = other328.incarnation;
-  calls = other328.calls;
-  cleared = other328.cleared;
-  __isset = other328.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other364) noexcept {
+  sentAt = other364.sentAt;
+  ageMs = other364.ageMs;
+  version = other364.version;
+  __isset = other364.__isset;
   return *this;
 }
-TargetCrash& TargetCrash::operator=(TargetCrash&& other329) noexcept {
-  target = std::move(other329.target);
-  incarnation = other329.incarnation;
-  calls = std::move(other329.calls);
-  cleared = std::move(other329.cleared);
-  __isset = other329.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other365) noexcept {
+  sentAt = other365.sentAt;
+  ageMs = other365.ageMs;
+  version = other365.version;
+  __isset = other365.__isset;
   return *this;
 }
-void TargetCrash::printTo(std::ostream& out) const {
+void FreshnessAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TargetCrash(";
-  out << "target=" << to_string(target);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "calls=" << to_string(calls);
-  out << ", " << "cleared=" << to_string(cleared);
+  out << "FreshnessAnswer(";
+  out << "sentAt=" << to_string(sentAt);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
@@ -9724,34 +10756,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Beacon::Beacon(const Beacon& other330) noexcept {
-  term = other330.term;
-  sequence = other330.sequence;
-  version = other330.version;
-  claimsThroughMs = other330.claimsThroughMs;
-  __isset = other330.__isset;
-}
-Beacon::Beacon(Beacon&& other331) noexcept {
-  term = other331.term;
-  sequence = other331.sequence;
-  version = other331.version;
-  claimsThroughMs = other331.claimsThroughMs;
-  __isset = other331.__isset;
-}
-Beacon& Beacon::operator=(const Beacon& other332) noexcept {
-  term = other332.term;
-  sequence = other332.sequence;
-  version = other332.version;
-  claimsThroughMs = other332.claimsThroughMs;
-  __isset = other332.__isset;
+Beacon::Beacon(const Beacon& other366) noexcept {
+  term = other366.term;
+  sequence = other366.sequence;
+  version = other366.version;
+  claimsThroughMs = other366.claimsThroughMs;
+  __isset = other366.__isset;
+}
+Beacon::Beacon(Beacon&& other367) noexcept {
+  term = other367.term;
+  sequence = other367.sequence;
+  version = other367.version;
+  claimsThroughMs = other367.claimsThroughMs;
+  __isset = other367.__isset;
+}
+Beacon& Beacon::operator=(const Beacon& other368) noexcept {
+  term = other368.term;
+  sequence = other368.sequence;
+  version = other368.version;
+  claimsThroughMs = other368.claimsThroughMs;
+  __isset = other368.__isset;
   return *this;
 }
-Beacon& Beacon::operator=(Beacon&& other333) noexcept {
-  term = other333.term;
-  sequence = other333.sequence;
-  version = other333.version;
-  claimsThroughMs = other333.claimsThroughMs;
-  __isset = other333.__isset;
+Beacon& Beacon::operator=(Beacon&& other369) noexcept {
+  term = other369.term;
+  sequence = other369.sequence;
+  version = other369.version;
+  claimsThroughMs = other369.claimsThroughMs;
+  __isset = other369.__isset;
   return *this;
 }
 void Beacon::printTo(std::ostream& out) const {
@@ -9874,30 +10906,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Subscribe::Subscribe(const Subscribe& other334) {
-  node = other334.node;
-  base = other334.base;
-  hash = other334.hash;
-  __isset = other334.__isset;
+Subscribe::Subscribe(const Subscribe& other370) {
+  node = other370.node;
+  base = other370.base;
+  hash = other370.hash;
+  __isset = other370.__isset;
 }
-Subscribe::Subscribe(Subscribe&& other335) noexcept {
-  node = std::move(other335.node);
-  base = other335.base;
-  hash = other335.hash;
-  __isset = other335.__isset;
+Subscribe::Subscribe(Subscribe&& other371) noexcept {
+  node = std::move(other371.node);
+  base = other371.base;
+  hash = other371.hash;
+  __isset = other371.__isset;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other336) {
-  node = other336.node;
-  base = other336.base;
-  hash = other336.hash;
-  __isset = other336.__isset;
+Subscribe& Subscribe::operator=(const Subscribe& other372) {
+  node = other372.node;
+  base = other372.base;
+  hash = other372.hash;
+  __isset = other372.__isset;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other337) noexcept {
-  node = std::move(other337.node);
-  base = other337.base;
-  hash = other337.hash;
-  __isset = other337.__isset;
+Subscribe& Subscribe::operator=(Subscribe&& other373) noexcept {
+  node = std::move(other373.node);
+  base = other373.base;
+  hash = other373.hash;
+  __isset = other373.__isset;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -10005,14 +11037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->directory.clear();
-            uint32_t _size338;
-            ::apache::thrift::protocol::TType _etype341;
-            xfer += iprot->readListBegin(_etype341, _size338);
-            this->directory.resize(_size338);
-            uint32_t _i342;
-            for (_i342 = 0; _i342 < _size338; ++_i342)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->directory.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += this->directory[_i342].read(iprot);
+              xfer += this->directory[_i378].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10033,14 +11065,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size343;
-            ::apache::thrift::protocol::TType _etype346;
-            xfer += iprot->readListBegin(_etype346, _size343);
-            this->controlHosts.resize(_size343);
-            uint32_t _i347;
-            for (_i347 = 0; _i347 < _size343; ++_i347)
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->controlHosts.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
             {
-              xfer += iprot->readString(this->controlHosts[_i347]);
+              xfer += iprot->readString(this->controlHosts[_i383]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10085,10 +11117,10 @@
   xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->directory.size()));
-    std::vector<NodeInfo> ::const_iterator _iter348;
-    for (_iter348 = this->directory.begin(); _iter348 != this->directory.end(); ++_iter348)
+    std::vector<NodeInfo> ::const_iterator _iter384;
+    for (_iter384 = this->directory.begin(); _iter384 != this->directory.end(); ++_iter384)
     {
-      xfer += (*_iter348).write(oprot);
+      xfer += (*_iter384).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10101,10 +11133,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter349;
-    for (_iter349 = this->controlHosts.begin(); _iter349 != this->controlHosts.end(); ++_iter349)
+    std::vector<std::string> ::const_iterator _iter385;
+    for (_iter385 = this->controlHosts.begin(); _iter385 != this->controlHosts.end(); ++_iter385)
     {
-      xfer += oprot->writeString((*_iter349));
+      xfer += oprot->writeString((*_iter385));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10127,46 +11159,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other350) {
-  admitted = other350.admitted;
-  retryAfterMs = other350.retryAfterMs;
-  version = other350.version;
-  floor = other350.floor;
-  directory = other350.directory;
-  fresh = other350.fresh;
-  controlHosts = other350.controlHosts;
-  __isset = other350.__isset;
-}
-SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other351) noexcept {
-  admitted = other351.admitted;
-  retryAfterMs = other351.retryAfterMs;
-  version = other351.version;
-  floor = other351.floor;
-  directory = std::move(other351.directory);
-  fresh = other351.fresh;
-  controlHosts = std::move(other351.controlHosts);
-  __isset = other351.__isset;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other352) {
-  admitted = other352.admitted;
-  retryAfterMs = other352.retryAfterMs;
-  version = other352.version;
-  floor = other352.floor;
-  directory = other352.directory;
-  fresh = other352.fresh;
-  controlHosts = other352.controlHosts;
-  __isset = other352.__isset;
+SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other386) {
+  admitted = other386.admitted;
+  retryAfterMs = other386.retryAfterMs;
+  version = other386.version;
+  floor = other386.floor;
+  directory = other386.directory;
+  fresh = other386.fresh;
+  controlHosts = other386.controlHosts;
+  __isset = other386.__isset;
+}
+SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other387) noexcept {
+  admitted = other387.admitted;
+  retryAfterMs = other387.retryAfterMs;
+  version = other387.version;
+  floor = other387.floor;
+  directory = std::move(other387.directory);
+  fresh = other387.fresh;
+  controlHosts = std::move(other387.controlHosts);
+  __isset = other387.__isset;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other388) {
+  admitted = other388.admitted;
+  retryAfterMs = other388.retryAfterMs;
+  version = other388.version;
+  floor = other388.floor;
+  directory = other388.directory;
+  fresh = other388.fresh;
+  controlHosts = other388.controlHosts;
+  __isset = other388.__isset;
   return *this;
 }
-SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other353) noexcept {
-  admitted = other353.admitted;
-  retryAfterMs = other353.retryAfterMs;
-  version = other353.version;
-  floor = other353.floor;
-  directory = std::move(other353.directory);
-  fresh = other353.fresh;
-  controlHosts = std::move(other353.controlHosts);
-  __isset = other353.__isset;
+SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other389) noexcept {
+  admitted = other389.admitted;
+  retryAfterMs = other389.retryAfterMs;
+  version = other389.version;
+  floor = other389.floor;
+  directory = std::move(other389.directory);
+  fresh = other389.fresh;
+  controlHosts = std::move(other389.controlHosts);
+  __isset = other389.__isset;
   return *this;
 }
 void SubscribeAnswer::printTo(std::ostream& out) const {
@@ -10210,6 +11242,10 @@
 void Report::__set_crashes(const std::vector<TargetCrash> & val) {
   this->crashes = val;
 }
+
+void Report::__set_usage(const std::vector<AccountUsage> & val) {
+  this->usage = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -10242,14 +11278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->nodes.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size390;
+            ::apache::thrift::protocol::TType _etype393;
+            xfer += iprot->readListBegin(_etype393, _size390);
+            this->nodes.resize(_size390);
+            uint32_t _i394;
+            for (_i394 = 0; _i394 < _size390; ++_i394)
             {
-              xfer += this->nodes[_i358].read(iprot);
+              xfer += this->nodes[_i394].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10262,14 +11298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size359;
-            ::apache::thrift::protocol::TType _etype362;
-            xfer += iprot->readListBegin(_etype362, _size359);
-            this->targets.resize(_size359);
-            uint32_t _i363;
-            for (_i363 = 0; _i363 < _size359; ++_i363)
+            uint32_t _size395;
+            ::apache::thrift::protocol::TType _etype398;
+            xfer += iprot->readListBegin(_etype398, _size395);
+            this->targets.resize(_size395);
+            uint32_t _i399;
+            for (_i399 = 0; _i399 < _size395; ++_i399)
             {
-              xfer += this->targets[_i363].read(iprot);
+              xfer += this->targets[_i399].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10282,14 +11318,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size364;
-            ::apache::thrift::protocol::TType _etype367;
-            xfer += iprot->readListBegin(_etype367, _size364);
-            this->evidence.resize(_size364);
-            uint32_t _i368;
-            for (_i368 = 0; _i368 < _size364; ++_i368)
+            uint32_t _size400;
+            ::apache::thrift::protocol::TType _etype403;
+            xfer += iprot->readListBegin(_etype403, _size400);
+            this->evidence.resize(_size400);
+            uint32_t _i404;
+            for (_i404 = 0; _i404 < _size400; ++_i404)
             {
-              xfer += this->evidence[_i368].read(iprot);
+              xfer += this->evidence[_i404].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10302,14 +11338,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->alarms.clear();
-            uint32_t _size369;
-            ::apache::thrift::protocol::TType _etype372;
-            xfer += iprot->readListBegin(_etype372, _size369);
-            this->alarms.resize(_size369);
-            uint32_t _i373;
-            for (_i373 = 0; _i373 < _size369; ++_i373)
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->alarms.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += this->alarms[_i373].read(iprot);
+              xfer += this->alarms[_i409].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10322,14 +11358,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->acks.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->acks.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->acks[_i378].read(iprot);
+              xfer += this->acks[_i414].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10342,14 +11378,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->crashes.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->crashes.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += this->crashes[_i383].read(iprot);
+              xfer += this->crashes[_i419].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10358,6 +11394,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage.clear();
+            uint32_t _size420;
+            ::apache::thrift::protocol::TType _etype423;
+            xfer += iprot->readListBegin(_etype423, _size420);
+            this->usage.resize(_size420);
+            uint32_t _i424;
+            for (_i424 = 0; _i424 < _size420; ++_i424)
+            {
+              xfer += this->usage[_i424].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10378,10 +11434,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter384;
-    for (_iter384 = this->nodes.begin(); _iter384 != this->nodes.end(); ++_iter384)
+    std::vector<NodeInfo> ::const_iterator _iter425;
+    for (_iter425 = this->nodes.begin(); _iter425 != this->nodes.end(); ++_iter425)
     {
-      xfer += (*_iter384).write(oprot);
+      xfer += (*_iter425).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10390,10 +11446,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter385;
-    for (_iter385 = this->targets.begin(); _iter385 != this->targets.end(); ++_iter385)
+    std::vector<Presence> ::const_iterator _iter426;
+    for (_iter426 = this->targets.begin(); _iter426 != this->targets.end(); ++_iter426)
     {
-      xfer += (*_iter385).write(oprot);
+      xfer += (*_iter426).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10402,10 +11458,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<EvidenceCell> ::const_iterator _iter386;
-    for (_iter386 = this->evidence.begin(); _iter386 != this->evidence.end(); ++_iter386)
+    std::vector<EvidenceCell> ::const_iterator _iter427;
+    for (_iter427 = this->evidence.begin(); _iter427 != this->evidence.end(); ++_iter427)
     {
-      xfer += (*_iter386).write(oprot);
+      xfer += (*_iter427).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10414,10 +11470,10 @@
   xfer += oprot->writeFieldBegin("alarms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->alarms.size()));
-    std::vector<Alarm> ::const_iterator _iter387;
-    for (_iter387 = this->alarms.begin(); _iter387 != this->alarms.end(); ++_iter387)
+    std::vector<Alarm> ::const_iterator _iter428;
+    for (_iter428 = this->alarms.begin(); _iter428 != this->alarms.end(); ++_iter428)
     {
-      xfer += (*_iter387).write(oprot);
+      xfer += (*_iter428).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10426,10 +11482,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<NodeAck> ::const_iterator _iter388;
-    for (_iter388 = this->acks.begin(); _iter388 != this->acks.end(); ++_iter388)
+    std::vector<NodeAck> ::const_iterator _iter429;
+    for (_iter429 = this->acks.begin(); _iter429 != this->acks.end(); ++_iter429)
     {
-      xfer += (*_iter388).write(oprot);
+      xfer += (*_iter429).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10438,10 +11494,22 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter389;
-    for (_iter389 = this->crashes.begin(); _iter389 != this->crashes.end(); ++_iter389)
+    std::vector<TargetCrash> ::const_iterator _iter430;
+    for (_iter430 = this->crashes.begin(); _iter430 != this->crashes.end(); ++_iter430)
+    {
+      xfer += (*_iter430).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
+    std::vector<AccountUsage> ::const_iterator _iter431;
+    for (_iter431 = this->usage.begin(); _iter431 != this->usage.end(); ++_iter431)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter431).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10460,45 +11528,50 @@
   swap(a.alarms, b.alarms);
   swap(a.acks, b.acks);
   swap(a.crashes, b.crashes);
+  swap(a.usage, b.usage);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other390) {
-  nodes = other390.nodes;
-  targets = other390.targets;
-  evidence = other390.evidence;
-  alarms = other390.alarms;
-  acks = other390.acks;
-  crashes = other390.crashes;
-  __isset = other390.__isset;
-}
-Report::Report(Report&& other391) noexcept {
-  nodes = std::move(other391.nodes);
-  targets = std::move(other391.targets);
-  evidence = std::move(other391.evidence);
-  alarms = std::move(other391.alarms);
-  acks = std::move(other391.acks);
-  crashes = std::move(other391.crashes);
-  __isset = other391.__isset;
-}
-Report& Report::operator=(const Report& other392) {
-  nodes = other392.nodes;
-  targets = other392.targets;
-  evidence = other392.evidence;
-  alarms = other392.alarms;
-  acks = other392.acks;
-  crashes = other392.crashes;
-  __isset = other392.__isset;
-  return *this;
-}
-Report& Report::operator=(Report&& other393) noexcept {
-  nodes = std::move(other393.nodes);
-  targets = std::move(other393.targets);
-  evidence = std::move(other393.evidence);
-  alarms = std::move(other393.alarms);
-  acks = std::move(other393.acks);
-  crashes = std::move(other393.crashes);
-  __isset = other393.__isset;
+Report::Report(const Report& other432) {
+  nodes = other432.nodes;
+  targets = other432.targets;
+  evidence = other432.evidence;
+  alarms = other432.alarms;
+  acks = other432.acks;
+  crashes = other432.crashes;
+  usage = other432.usage;
+  __isset = other432.__isset;
+}
+Report::Report(Report&& other433) noexcept {
+  nodes = std::move(other433.nodes);
+  targets = std::move(other433.targets);
+  evidence = std::move(other433.evidence);
+  alarms = std::move(other433.alarms);
+  acks = std::move(other433.acks);
+  crashes = std::move(other433.crashes);
+  usage = std::move(other433.usage);
+  __isset = other433.__isset;
+}
+Report& Report::operator=(const Report& other434) {
+  nodes = other434.nodes;
+  targets = other434.targets;
+  evidence = other434.evidence;
+  alarms = other434.alarms;
+  acks = other434.acks;
+  crashes = other434.crashes;
+  usage = other434.usage;
+  __isset = other434.__isset;
+  return *this;
+}
+Report& Report::operator=(Report&& other435) noexcept {
+  nodes = std::move(other435.nodes);
+  targets = std::move(other435.targets);
+  evidence = std::move(other435.evidence);
+  alarms = std::move(other435.alarms);
+  acks = std::move(other435.acks);
+  crashes = std::move(other435.crashes);
+  usage = std::move(other435.usage);
+  __isset = other435.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -10510,6 +11583,7 @@
   out << ", " << "alarms=" << to_string(alarms);
   out << ", " << "acks=" << to_string(acks);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "usage=" << to_string(usage);
   out << ")";
 }
 
@@ -10530,6 +11604,10 @@
 void MemberReport::__set_members(const std::vector<std::string> & val) {
   this->members = val;
 }
+
+void MemberReport::__set_accountRatios(const std::vector<AccountRatio> & val) {
+  this->accountRatios = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj)
 {
   obj.printTo(out);
@@ -10578,14 +11656,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size394;
-            ::apache::thrift::protocol::TType _etype397;
-            xfer += iprot->readListBegin(_etype397, _size394);
-            this->members.resize(_size394);
-            uint32_t _i398;
-            for (_i398 = 0; _i398 < _size394; ++_i398)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->members.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += iprot->readString(this->members[_i398]);
+              xfer += iprot->readString(this->members[_i440]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10594,6 +11672,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accountRatios.clear();
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->accountRatios.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
+            {
+              xfer += this->accountRatios[_i445].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accountRatios = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10623,10 +11721,22 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter399;
-    for (_iter399 = this->members.begin(); _iter399 != this->members.end(); ++_iter399)
+    std::vector<std::string> ::const_iterator _iter446;
+    for (_iter446 = this->members.begin(); _iter446 != this->members.end(); ++_iter446)
+    {
+      xfer += oprot->writeString((*_iter446));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
+    std::vector<AccountRatio> ::const_iterator _iter447;
+    for (_iter447 = this->accountRatios.begin(); _iter447 != this->accountRatios.end(); ++_iter447)
     {
-      xfer += oprot->writeString((*_iter399));
+      xfer += (*_iter447).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10642,33 +11752,38 @@
   swap(a.report, b.report);
   swap(a.beacon, b.beacon);
   swap(a.members, b.members);
+  swap(a.accountRatios, b.accountRatios);
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other400) {
-  report = other400.report;
-  beacon = other400.beacon;
-  members = other400.members;
-  __isset = other400.__isset;
-}
-MemberReport::MemberReport(MemberReport&& other401) noexcept {
-  report = std::move(other401.report);
-  beacon = std::move(other401.beacon);
-  members = std::move(other401.members);
-  __isset = other401.__isset;
-}
-MemberReport& MemberReport::operator=(const MemberReport& other402) {
-  report = other402.report;
-  beacon = other402.beacon;
-  members = other402.members;
-  __isset = other402.__isset;
+MemberReport::MemberReport(const MemberReport& other448) {
+  report = other448.report;
+  beacon = other448.beacon;
+  members = other448.members;
+  accountRatios = other448.accountRatios;
+  __isset = other448.__isset;
+}
+MemberReport::MemberReport(MemberReport&& other449) noexcept {
+  report = std::move(other449.report);
+  beacon = std::move(other449.beacon);
+  members = std::move(other449.members);
+  accountRatios = std::move(other449.accountRatios);
+  __isset = other449.__isset;
+}
+MemberReport& MemberReport::operator=(const MemberReport& other450) {
+  report = other450.report;
+  beacon = other450.beacon;
+  members = other450.members;
+  accountRatios = other450.accountRatios;
+  __isset = other450.__isset;
   return *this;
 }
-MemberReport& MemberReport::operator=(MemberReport&& other403) noexcept {
-  report = std::move(other403.report);
-  beacon = std::move(other403.beacon);
-  members = std::move(other403.members);
-  __isset = other403.__isset;
+MemberReport& MemberReport::operator=(MemberReport&& other451) noexcept {
+  report = std::move(other451.report);
+  beacon = std::move(other451.beacon);
+  members = std::move(other451.members);
+  accountRatios = std::move(other451.accountRatios);
+  __isset = other451.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -10677,6 +11792,7 @@
   out << "report=" << to_string(report);
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
   out << ", " << "members=" << to_string(members);
+  out << ", " << "accountRatios=" << to_string(accountRatios);
   out << ")";
 }
 
@@ -10705,6 +11821,10 @@
 void Spread::__set_crashes(const std::vector<TargetCrash> & val) {
   this->crashes = val;
 }
+
+void Spread::__set_accountRatios(const std::vector<AccountRatio> & val) {
+  this->accountRatios = val;
+}
 std::ostream& operator<<(std::ostream& out, const Spread& obj)
 {
   obj.printTo(out);
@@ -10737,14 +11857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->nodes.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size452;
+            ::apache::thrift::protocol::TType _etype455;
+            xfer += iprot->readListBegin(_etype455, _size452);
+            this->nodes.resize(_size452);
+            uint32_t _i456;
+            for (_i456 = 0; _i456 < _size452; ++_i456)
             {
-              xfer += this->nodes[_i408].read(iprot);
+              xfer += this->nodes[_i456].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10757,14 +11877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->targets.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->targets.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += this->targets[_i413].read(iprot);
+              xfer += this->targets[_i461].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10785,14 +11905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->controlHosts.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size462;
+            ::apache::thrift::protocol::TType _etype465;
+            xfer += iprot->readListBegin(_etype465, _size462);
+            this->controlHosts.resize(_size462);
+            uint32_t _i466;
+            for (_i466 = 0; _i466 < _size462; ++_i466)
             {
-              xfer += iprot->readString(this->controlHosts[_i418]);
+              xfer += iprot->readString(this->controlHosts[_i466]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10805,14 +11925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->crashes.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->crashes.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
             {
-              xfer += this->crashes[_i423].read(iprot);
+              xfer += this->crashes[_i471].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10821,6 +11941,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accountRatios.clear();
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->accountRatios.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
+            {
+              xfer += this->accountRatios[_i476].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accountRatios = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10841,10 +11981,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter424;
-    for (_iter424 = this->nodes.begin(); _iter424 != this->nodes.end(); ++_iter424)
+    std::vector<NodeInfo> ::const_iterator _iter477;
+    for (_iter477 = this->nodes.begin(); _iter477 != this->nodes.end(); ++_iter477)
     {
-      xfer += (*_iter424).write(oprot);
+      xfer += (*_iter477).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10853,10 +11993,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter425;
-    for (_iter425 = this->targets.begin(); _iter425 != this->targets.end(); ++_iter425)
+    std::vector<Presence> ::const_iterator _iter478;
+    for (_iter478 = this->targets.begin(); _iter478 != this->targets.end(); ++_iter478)
     {
-      xfer += (*_iter425).write(oprot);
+      xfer += (*_iter478).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10870,10 +12010,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter426;
-    for (_iter426 = this->controlHosts.begin(); _iter426 != this->controlHosts.end(); ++_iter426)
+    std::vector<std::string> ::const_iterator _iter479;
+    for (_iter479 = this->controlHosts.begin(); _iter479 != this->controlHosts.end(); ++_iter479)
     {
-      xfer += oprot->writeString((*_iter426));
+      xfer += oprot->writeString((*_iter479));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10882,10 +12022,22 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter427;
-    for (_iter427 = this->crashes.begin(); _iter427 != this->crashes.end(); ++_iter427)
+    std::vector<TargetCrash> ::const_iterator _iter480;
+    for (_iter480 = this->crashes.begin(); _iter480 != this->crashes.end(); ++_iter480)
     {
-      xfer += (*_iter427).write(oprot);
+      xfer += (*_iter480).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
+    std::vector<AccountRatio> ::const_iterator _iter481;
+    for (_iter481 = this->accountRatios.begin(); _iter481 != this->accountRatios.end(); ++_iter481)
+    {
+      xfer += (*_iter481).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10903,41 +12055,46 @@
   swap(a.beacon, b.beacon);
   swap(a.controlHosts, b.controlHosts);
   swap(a.crashes, b.crashes);
+  swap(a.accountRatios, b.accountRatios);
   swap(a.__isset, b.__isset);
 }
 
-Spread::Spread(const Spread& other428) {
-  nodes = other428.nodes;
-  targets = other428.targets;
-  beacon = other428.beacon;
-  controlHosts = other428.controlHosts;
-  crashes = other428.crashes;
-  __isset = other428.__isset;
-}
-Spread::Spread(Spread&& other429) noexcept {
-  nodes = std::move(other429.nodes);
-  targets = std::move(other429.targets);
-  beacon = std::move(other429.beacon);
-  controlHosts = std::move(other429.controlHosts);
-  crashes = std::move(other429.crashes);
-  __isset = other429.__isset;
-}
-Spread& Spread::operator=(const Spread& other430) {
-  nodes = other430.nodes;
-  targets = other430.targets;
-  beacon = other430.beacon;
-  controlHosts = other430.controlHosts;
-  crashes = other430.crashes;
-  __isset = other430.__isset;
-  return *this;
-}
-Spread& Spread::operator=(Spread&& other431) noexcept {
-  nodes = std::move(other431.nodes);
-  targets = std::move(other431.targets);
-  beacon = std::move(other431.beacon);
-  controlHosts = std::move(other431.controlHosts);
-  crashes = std::move(other431.crashes);
-  __isset = other431.__isset;
+Spread::Spread(const Spread& other482) {
+  nodes = other482.nodes;
+  targets = other482.targets;
+  beacon = other482.beacon;
+  controlHosts = other482.controlHosts;
+  crashes = other482.crashes;
+  accountRatios = other482.accountRatios;
+  __isset = other482.__isset;
+}
+Spread::Spread(Spread&& other483) noexcept {
+  nodes = std::move(other483.nodes);
+  targets = std::move(other483.targets);
+  beacon = std::move(other483.beacon);
+  controlHosts = std::move(other483.controlHosts);
+  crashes = std::move(other483.crashes);
+  accountRatios = std::move(other483.accountRatios);
+  __isset = other483.__isset;
+}
+Spread& Spread::operator=(const Spread& other484) {
+  nodes = other484.nodes;
+  targets = other484.targets;
+  beacon = other484.beacon;
+  controlHosts = other484.controlHosts;
+  crashes = other484.crashes;
+  accountRatios = other484.accountRatios;
+  __isset = other484.__isset;
+  return *this;
+}
+Spread& Spread::operator=(Spread&& other485) noexcept {
+  nodes = std::move(other485.nodes);
+  targets = std::move(other485.targets);
+  beacon = std::move(other485.beacon);
+  controlHosts = std::move(other485.controlHosts);
+  crashes = std::move(other485.crashes);
+  accountRatios = std::move(other485.accountRatios);
+  __isset = other485.__isset;
   return *this;
 }
 void Spread::printTo(std::ostream& out) const {
@@ -10948,6 +12105,7 @@
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
   out << ", " << "controlHosts=" << to_string(controlHosts);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "accountRatios=" << to_string(accountRatios);
   out << ")";
 }
 
@@ -11015,14 +12173,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->buckets.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->buckets.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += iprot->readI64(this->buckets[_i436]);
+              xfer += iprot->readI64(this->buckets[_i490]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11059,10 +12217,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter437;
-    for (_iter437 = this->buckets.begin(); _iter437 != this->buckets.end(); ++_iter437)
+    std::vector<int64_t> ::const_iterator _iter491;
+    for (_iter491 = this->buckets.begin(); _iter491 != this->buckets.end(); ++_iter491)
     {
-      xfer += oprot->writeI64((*_iter437));
+      xfer += oprot->writeI64((*_iter491));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11081,30 +12239,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other438) {
-  version = other438.version;
-  hash = other438.hash;
-  buckets = other438.buckets;
-  __isset = other438.__isset;
+Digest::Digest(const Digest& other492) {
+  version = other492.version;
+  hash = other492.hash;
+  buckets = other492.buckets;
+  __isset = other492.__isset;
 }
-Digest::Digest(Digest&& other439) noexcept {
-  version = other439.version;
-  hash = other439.hash;
-  buckets = std::move(other439.buckets);
-  __isset = other439.__isset;
+Digest::Digest(Digest&& other493) noexcept {
+  version = other493.version;
+  hash = other493.hash;
+  buckets = std::move(other493.buckets);
+  __isset = other493.__isset;
 }
-Digest& Digest::operator=(const Digest& other440) {
-  version = other440.version;
-  hash = other440.hash;
-  buckets = other440.buckets;
-  __isset = other440.__isset;
+Digest& Digest::operator=(const Digest& other494) {
+  version = other494.version;
+  hash = other494.hash;
+  buckets = other494.buckets;
+  __isset = other494.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other441) noexcept {
-  version = other441.version;
-  hash = other441.hash;
-  buckets = std::move(other441.buckets);
-  __isset = other441.__isset;
+Digest& Digest::operator=(Digest&& other495) noexcept {
+  version = other495.version;
+  hash = other495.hash;
+  buckets = std::move(other495.buckets);
+  __isset = other495.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -11185,14 +12343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size442;
-            ::apache::thrift::protocol::TType _etype445;
-            xfer += iprot->readListBegin(_etype445, _size442);
-            this->targets.resize(_size442);
-            uint32_t _i446;
-            for (_i446 = 0; _i446 < _size442; ++_i446)
+            uint32_t _size496;
+            ::apache::thrift::protocol::TType _etype499;
+            xfer += iprot->readListBegin(_etype499, _size496);
+            this->targets.resize(_size496);
+            uint32_t _i500;
+            for (_i500 = 0; _i500 < _size496; ++_i500)
             {
-              xfer += this->targets[_i446].read(iprot);
+              xfer += this->targets[_i500].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11205,14 +12363,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->nodes.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size501;
+            ::apache::thrift::protocol::TType _etype504;
+            xfer += iprot->readListBegin(_etype504, _size501);
+            this->nodes.resize(_size501);
+            uint32_t _i505;
+            for (_i505 = 0; _i505 < _size501; ++_i505)
             {
-              xfer += this->nodes[_i451].read(iprot);
+              xfer += this->nodes[_i505].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11250,10 +12408,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter452;
-    for (_iter452 = this->targets.begin(); _iter452 != this->targets.end(); ++_iter452)
+    std::vector<Presence> ::const_iterator _iter506;
+    for (_iter506 = this->targets.begin(); _iter506 != this->targets.end(); ++_iter506)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter506).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11262,10 +12420,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter453;
-    for (_iter453 = this->nodes.begin(); _iter453 != this->nodes.end(); ++_iter453)
+    std::vector<NodeInfo> ::const_iterator _iter507;
+    for (_iter507 = this->nodes.begin(); _iter507 != this->nodes.end(); ++_iter507)
     {
-      xfer += (*_iter453).write(oprot);
+      xfer += (*_iter507).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11285,34 +12443,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DigestAnswer::DigestAnswer(const DigestAnswer& other454) {
-  version = other454.version;
-  delta = other454.delta;
-  targets = other454.targets;
-  nodes = other454.nodes;
-  __isset = other454.__isset;
-}
-DigestAnswer::DigestAnswer(DigestAnswer&& other455) noexcept {
-  version = other455.version;
-  delta = std::move(other455.delta);
-  targets = std::move(other455.targets);
-  nodes = std::move(other455.nodes);
-  __isset = other455.__isset;
-}
-DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other456) {
-  version = other456.version;
-  delta = other456.delta;
-  targets = other456.targets;
-  nodes = other456.nodes;
-  __isset = other456.__isset;
+DigestAnswer::DigestAnswer(const DigestAnswer& other508) {
+  version = other508.version;
+  delta = other508.delta;
+  targets = other508.targets;
+  nodes = other508.nodes;
+  __isset = other508.__isset;
+}
+DigestAnswer::DigestAnswer(DigestAnswer&& other509) noexcept {
+  version = other509.version;
+  delta = std::move(other509.delta);
+  targets = std::move(other509.targets);
+  nodes = std::move(other509.nodes);
+  __isset = other509.__isset;
+}
+DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other510) {
+  version = other510.version;
+  delta = other510.delta;
+  targets = other510.targets;
+  nodes = other510.nodes;
+  __isset = other510.__isset;
   return *this;
 }
-DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other457) noexcept {
-  version = other457.version;
-  delta = std::move(other457.delta);
-  targets = std::move(other457.targets);
-  nodes = std::move(other457.nodes);
-  __isset = other457.__isset;
+DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other511) noexcept {
+  version = other511.version;
+  delta = std::move(other511.delta);
+  targets = std::move(other511.targets);
+  nodes = std::move(other511.nodes);
+  __isset = other511.__isset;
   return *this;
 }
 void DigestAnswer::printTo(std::ostream& out) const {
@@ -11418,26 +12576,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other458) {
-  name = other458.name;
-  value = other458.value;
-  __isset = other458.__isset;
+Header::Header(const Header& other512) {
+  name = other512.name;
+  value = other512.value;
+  __isset = other512.__isset;
 }
-Header::Header(Header&& other459) noexcept {
-  name = std::move(other459.name);
-  value = std::move(other459.value);
-  __isset = other459.__isset;
+Header::Header(Header&& other513) noexcept {
+  name = std::move(other513.name);
+  value = std::move(other513.value);
+  __isset = other513.__isset;
 }
-Header& Header::operator=(const Header& other460) {
-  name = other460.name;
-  value = other460.value;
-  __isset = other460.__isset;
+Header& Header::operator=(const Header& other514) {
+  name = other514.name;
+  value = other514.value;
+  __isset = other514.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other461) noexcept {
-  name = std::move(other461.name);
-  value = std::move(other461.value);
-  __isset = other461.__isset;
+Header& Header::operator=(Header&& other515) noexcept {
+  name = std::move(other515.name);
+  value = std::move(other515.value);
+  __isset = other515.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -11533,6 +12691,10 @@
   this->maxCallsPerSecond = val;
 __isset.maxCallsPerSecond = true;
 }
+
+void CallRequest::__set_clientAccount(const std::string& val) {
+  this->clientAccount = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -11589,14 +12751,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size462;
-            ::apache::thrift::protocol::TType _etype465;
-            xfer += iprot->readListBegin(_etype465, _size462);
-            this->headers.resize(_size462);
-            uint32_t _i466;
-            for (_i466 = 0; _i466 < _size462; ++_i466)
+            uint32_t _size516;
+            ::apache::thrift::protocol::TType _etype519;
+            xfer += iprot->readListBegin(_etype519, _size516);
+            this->headers.resize(_size516);
+            uint32_t _i520;
+            for (_i520 = 0; _i520 < _size516; ++_i520)
             {
-              xfer += this->headers[_i466].read(iprot);
+              xfer += this->headers[_i520].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11733,6 +12895,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->clientAccount);
+          this->__isset.clientAccount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11765,10 +12935,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter467;
-    for (_iter467 = this->headers.begin(); _iter467 != this->headers.end(); ++_iter467)
+    std::vector<Header> ::const_iterator _iter521;
+    for (_iter521 = this->headers.begin(); _iter521 != this->headers.end(); ++_iter521)
     {
-      xfer += (*_iter467).write(oprot);
+      xfer += (*_iter521).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11839,6 +13009,10 @@
     xfer += oprot->writeDouble(this->maxCallsPerSecond);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("clientAccount", ::apache::thrift::protocol::T_STRING, 21);
+  xfer += oprot->writeString(this->clientAccount);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11866,101 +13040,106 @@
   swap(a.laterBytes, b.laterBytes);
   swap(a.mostWaitMs, b.mostWaitMs);
   swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
+  swap(a.clientAccount, b.clientAccount);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other468) {
-  id = other468.id;
-  method = other468.method;
-  path = other468.path;
-  headers = other468.headers;
-  body = other468.body;
-  budgetMs = other468.budgetMs;
-  serviceName = other468.serviceName;
-  target = other468.target;
-  account = other468.account;
-  priority = other468.priority;
-  incarnation = other468.incarnation;
-  requestId = other468.requestId;
-  callerService = other468.callerService;
-  objectiveMs = other468.objectiveMs;
-  mayWait = other468.mayWait;
-  nested = other468.nested;
-  usualMs = other468.usualMs;
-  laterBytes = other468.laterBytes;
-  mostWaitMs = other468.mostWaitMs;
-  maxCallsPerSecond = other468.maxCallsPerSecond;
-  __isset = other468.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other469) noexcept {
-  id = other469.id;
-  method = std::move(other469.method);
-  path = std::move(other469.path);
-  headers = std::move(other469.headers);
-  body = std::move(other469.body);
-  budgetMs = other469.budgetMs;
-  serviceName = std::move(other469.serviceName);
-  target = std::move(other469.target);
-  account = std::move(other469.account);
-  priority = other469.priority;
-  incarnation = other469.incarnation;
-  requestId = std::move(other469.requestId);
-  callerService = std::move(other469.callerService);
-  objectiveMs = other469.objectiveMs;
-  mayWait = other469.mayWait;
-  nested = other469.nested;
-  usualMs = other469.usualMs;
-  laterBytes = other469.laterBytes;
-  mostWaitMs = other469.mostWaitMs;
-  maxCallsPerSecond = other469.maxCallsPerSecond;
-  __isset = other469.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other470) {
-  id = other470.id;
-  method = other470.method;
-  path = other470.path;
-  headers = other470.headers;
-  body = other470.body;
-  budgetMs = other470.budgetMs;
-  serviceName = other470.serviceName;
-  target = other470.target;
-  account = other470.account;
-  priority = other470.priority;
-  incarnation = other470.incarnation;
-  requestId = other470.requestId;
-  callerService = other470.callerService;
-  objectiveMs = other470.objectiveMs;
-  mayWait = other470.mayWait;
-  nested = other470.nested;
-  usualMs = other470.usualMs;
-  laterBytes = other470.laterBytes;
-  mostWaitMs = other470.mostWaitMs;
-  maxCallsPerSecond = other470.maxCallsPerSecond;
-  __isset = other470.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other471) noexcept {
-  id = other471.id;
-  method = std::move(other471.method);
-  path = std::move(other471.path);
-  headers = std::move(other471.headers);
-  body = std::move(other471.body);
-  budgetMs = other471.budgetMs;
-  serviceName = std::move(other471.serviceName);
-  target = std::move(other471.target);
-  account = std::move(other471.account);
-  priority = other471.priority;
-  incarnation = other471.incarnation;
-  requestId = std::move(other471.requestId);
-  callerService = std::move(other471.callerService);
-  objectiveMs = other471.objectiveMs;
-  mayWait = other471.mayWait;
-  nested = other471.nested;
-  usualMs = other471.usualMs;
-  laterBytes = other471.laterBytes;
-  mostWaitMs = other471.mostWaitMs;
-  maxCallsPerSecond = other471.maxCallsPerSecond;
-  __isset = other471.__isset;
+CallRequest::CallRequest(const CallRequest& other522) {
+  id = other522.id;
+  method = other522.method;
+  path = other522.path;
+  headers = other522.headers;
+  body = other522.body;
+  budgetMs = other522.budgetMs;
+  serviceName = other522.serviceName;
+  target = other522.target;
+  account = other522.account;
+  priority = other522.priority;
+  incarnation = other522.incarnation;
+  requestId = other522.requestId;
+  callerService = other522.callerService;
+  objectiveMs = other522.objectiveMs;
+  mayWait = other522.mayWait;
+  nested = other522.nested;
+  usualMs = other522.usualMs;
+  laterBytes = other522.laterBytes;
+  mostWaitMs = other522.mostWaitMs;
+  maxCallsPerSecond = other522.maxCallsPerSecond;
+  clientAccount = other522.clientAccount;
+  __isset = other522.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other523) noexcept {
+  id = other523.id;
+  method = std::move(other523.method);
+  path = std::move(other523.path);
+  headers = std::move(other523.headers);
+  body = std::move(other523.body);
+  budgetMs = other523.budgetMs;
+  serviceName = std::move(other523.serviceName);
+  target = std::move(other523.target);
+  account = std::move(other523.account);
+  priority = other523.priority;
+  incarnation = other523.incarnation;
+  requestId = std::move(other523.requestId);
+  callerService = std::move(other523.callerService);
+  objectiveMs = other523.objectiveMs;
+  mayWait = other523.mayWait;
+  nested = other523.nested;
+  usualMs = other523.usualMs;
+  laterBytes = other523.laterBytes;
+  mostWaitMs = other523.mostWaitMs;
+  maxCallsPerSecond = other523.maxCallsPerSecond;
+  clientAccount = std::move(other523.clientAccount);
+  __isset = other523.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other524) {
+  id = other524.id;
+  method = other524.method;
+  path = other524.path;
+  headers = other524.headers;
+  body = other524.body;
+  budgetMs = other524.budgetMs;
+  serviceName = other524.serviceName;
+  target = other524.target;
+  account = other524.account;
+  priority = other524.priority;
+  incarnation = other524.incarnation;
+  requestId = other524.requestId;
+  callerService = other524.callerService;
+  objectiveMs = other524.objectiveMs;
+  mayWait = other524.mayWait;
+  nested = other524.nested;
+  usualMs = other524.usualMs;
+  laterBytes = other524.laterBytes;
+  mostWaitMs = other524.mostWaitMs;
+  maxCallsPerSecond = other524.maxCallsPerSecond;
+  clientAccount = other524.clientAccount;
+  __isset = other524.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other525) noexcept {
+  id = other525.id;
+  method = std::move(other525.method);
+  path = std::move(other525.path);
+  headers = std::move(other525.headers);
+  body = std::move(other525.body);
+  budgetMs = other525.budgetMs;
+  serviceName = std::move(other525.serviceName);
+  target = std::move(other525.target);
+  account = std::move(other525.account);
+  priority = other525.priority;
+  incarnation = other525.incarnation;
+  requestId = std::move(other525.requestId);
+  callerService = std::move(other525.callerService);
+  objectiveMs = other525.objectiveMs;
+  mayWait = other525.mayWait;
+  nested = other525.nested;
+  usualMs = other525.usualMs;
+  laterBytes = other525.laterBytes;
+  mostWaitMs = other525.mostWaitMs;
+  maxCallsPerSecond = other525.maxCallsPerSecond;
+  clientAccount = std::move(other525.clientAccount);
+  __isset = other525.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -11986,6 +13165,7 @@
   out << ", " << "laterBytes=" << to_string(laterBytes);
   out << ", " << "mostWaitMs=" << to_string(mostWaitMs);
   out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
+  out << ", " << "clientAccount=" << to_string(clientAccount);
   out << ")";
 }
 
@@ -12104,9 +13284,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast472;
-          xfer += iprot->readI32(ecast472);
-          this->outcome = static_cast<Outcome::type>(ecast472);
+          int32_t ecast526;
+          xfer += iprot->readI32(ecast526);
+          this->outcome = static_cast<Outcome::type>(ecast526);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12124,14 +13304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size473;
-            ::apache::thrift::protocol::TType _etype476;
-            xfer += iprot->readListBegin(_etype476, _size473);
-            this->headers.resize(_size473);
-            uint32_t _i477;
-            for (_i477 = 0; _i477 < _size473; ++_i477)
+            uint32_t _size527;
+            ::apache::thrift::protocol::TType _etype530;
+            xfer += iprot->readListBegin(_etype530, _size527);
+            this->headers.resize(_size527);
+            uint32_t _i531;
+            for (_i531 = 0; _i531 < _size527; ++_i531)
             {
-              xfer += this->headers[_i477].read(iprot);
+              xfer += this->headers[_i531].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12284,10 +13464,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter478;
-    for (_iter478 = this->headers.begin(); _iter478 != this->headers.end(); ++_iter478)
+    std::vector<Header> ::const_iterator _iter532;
+    for (_iter532 = this->headers.begin(); _iter532 != this->headers.end(); ++_iter532)
     {
-      xfer += (*_iter478).write(oprot);
+      xfer += (*_iter532).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12378,90 +13558,90 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other479) {
-  id = other479.id;
-  outcome = other479.outcome;
-  status = other479.status;
-  headers = other479.headers;
-  body = other479.body;
-  inFlight = other479.inFlight;
-  queued = other479.queued;
-  reason = other479.reason;
-  retryAfterMs = other479.retryAfterMs;
-  fault = other479.fault;
-  refused = other479.refused;
-  cold = other479.cold;
-  arrived = other479.arrived;
-  timedOut = other479.timedOut;
-  runMicros = other479.runMicros;
-  typicalMicros = other479.typicalMicros;
-  maxCallsPerSecond = other479.maxCallsPerSecond;
-  leaving = other479.leaving;
-  __isset = other479.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other480) noexcept {
-  id = other480.id;
-  outcome = other480.outcome;
-  status = other480.status;
-  headers = std::move(other480.headers);
-  body = std::move(other480.body);
-  inFlight = other480.inFlight;
-  queued = other480.queued;
-  reason = std::move(other480.reason);
-  retryAfterMs = other480.retryAfterMs;
-  fault = other480.fault;
-  refused = other480.refused;
-  cold = other480.cold;
-  arrived = other480.arrived;
-  timedOut = other480.timedOut;
-  runMicros = other480.runMicros;
-  typicalMicros = other480.typicalMicros;
-  maxCallsPerSecond = other480.maxCallsPerSecond;
-  leaving = other480.leaving;
-  __isset = other480.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other481) {
-  id = other481.id;
-  outcome = other481.outcome;
-  status = other481.status;
-  headers = other481.headers;
-  body = other481.body;
-  inFlight = other481.inFlight;
-  queued = other481.queued;
-  reason = other481.reason;
-  retryAfterMs = other481.retryAfterMs;
-  fault = other481.fault;
-  refused = other481.refused;
-  cold = other481.cold;
-  arrived = other481.arrived;
-  timedOut = other481.timedOut;
-  runMicros = other481.runMicros;
-  typicalMicros = other481.typicalMicros;
-  maxCallsPerSecond = other481.maxCallsPerSecond;
-  leaving = other481.leaving;
-  __isset = other481.__isset;
-  return *this;
-}
-CallAnswer& CallAnswer::operator=(CallAnswer&& other482) noexcept {
-  id = other482.id;
-  outcome = other482.outcome;
-  status = other482.status;
-  headers = std::move(other482.headers);
-  body = std::move(other482.body);
-  inFlight = other482.inFlight;
-  queued = other482.queued;
-  reason = std::move(other482.reason);
-  retryAfterMs = other482.retryAfterMs;
-  fault = other482.fault;
-  refused = other482.refused;
-  cold = other482.cold;
-  arrived = other482.arrived;
-  timedOut = other482.timedOut;
-  runMicros = other482.runMicros;
-  typicalMicros = other482.typicalMicros;
-  maxCallsPerSecond = other482.maxCallsPerSecond;
-  leaving = other482.leaving;
-  __isset = other482.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other533) {
+  id = other533.id;
+  outcome = other533.outcome;
+  status = other533.status;
+  headers = other533.headers;
+  body = other533.body;
+  inFlight = other533.inFlight;
+  queued = other533.queued;
+  reason = other533.reason;
+  retryAfterMs = other533.retryAfterMs;
+  fault = other533.fault;
+  refused = other533.refused;
+  cold = other533.cold;
+  arrived = other533.arrived;
+  timedOut = other533.timedOut;
+  runMicros = other533.runMicros;
+  typicalMicros = other533.typicalMicros;
+  maxCallsPerSecond = other533.maxCallsPerSecond;
+  leaving = other533.leaving;
+  __isset = other533.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other534) noexcept {
+  id = other534.id;
+  outcome = other534.outcome;
+  status = other534.status;
+  headers = std::move(other534.headers);
+  body = std::move(other534.body);
+  inFlight = other534.inFlight;
+  queued = other534.queued;
+  reason = std::move(other534.reason);
+  retryAfterMs = other534.retryAfterMs;
+  fault = other534.fault;
+  refused = other534.refused;
+  cold = other534.cold;
+  arrived = other534.arrived;
+  timedOut = other534.timedOut;
+  runMicros = other534.runMicros;
+  typicalMicros = other534.typicalMicros;
+  maxCallsPerSecond = other534.maxCallsPerSecond;
+  leaving = other534.leaving;
+  __isset = other534.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other535) {
+  id = other535.id;
+  outcome = other535.outcome;
+  status = other535.status;
+  headers = other535.headers;
+  body = other535.body;
+  inFlight = other535.inFlight;
+  queued = other535.queued;
+  reason = other535.reason;
+  retryAfterMs = other535.retryAfterMs;
+  fault = other535.fault;
+  refused = other535.refused;
+  cold = other535.cold;
+  arrived = other535.arrived;
+  timedOut = other535.timedOut;
+  runMicros = other535.runMicros;
+  typicalMicros = other535.typicalMicros;
+  maxCallsPerSecond = other535.maxCallsPerSecond;
+  leaving = other535.leaving;
+  __isset = other535.__isset;
+  return *this;
+}
+CallAnswer& CallAnswer::operator=(CallAnswer&& other536) noexcept {
+  id = other536.id;
+  outcome = other536.outcome;
+  status = other536.status;
+  headers = std::move(other536.headers);
+  body = std::move(other536.body);
+  inFlight = other536.inFlight;
+  queued = other536.queued;
+  reason = std::move(other536.reason);
+  retryAfterMs = other536.retryAfterMs;
+  fault = other536.fault;
+  refused = other536.refused;
+  cold = other536.cold;
+  arrived = other536.arrived;
+  timedOut = other536.timedOut;
+  runMicros = other536.runMicros;
+  typicalMicros = other536.typicalMicros;
+  maxCallsPerSecond = other536.maxCallsPerSecond;
+  leaving = other536.leaving;
+  __isset = other536.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -12564,22 +13744,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other483) noexcept {
-  id = other483.id;
-  __isset = other483.__isset;
+CallCancel::CallCancel(const CallCancel& other537) noexcept {
+  id = other537.id;
+  __isset = other537.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other484) noexcept {
-  id = other484.id;
-  __isset = other484.__isset;
+CallCancel::CallCancel(CallCancel&& other538) noexcept {
+  id = other538.id;
+  __isset = other538.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other485) noexcept {
-  id = other485.id;
-  __isset = other485.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other539) noexcept {
+  id = other539.id;
+  __isset = other539.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other486) noexcept {
-  id = other486.id;
-  __isset = other486.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other540) noexcept {
+  id = other540.id;
+  __isset = other540.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -12665,22 +13845,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallGrant::CallGrant(const CallGrant& other487) noexcept {
-  id = other487.id;
-  __isset = other487.__isset;
+CallGrant::CallGrant(const CallGrant& other541) noexcept {
+  id = other541.id;
+  __isset = other541.__isset;
 }
-CallGrant::CallGrant(CallGrant&& other488) noexcept {
-  id = other488.id;
-  __isset = other488.__isset;
+CallGrant::CallGrant(CallGrant&& other542) noexcept {
+  id = other542.id;
+  __isset = other542.__isset;
 }
-CallGrant& CallGrant::operator=(const CallGrant& other489) noexcept {
-  id = other489.id;
-  __isset = other489.__isset;
+CallGrant& CallGrant::operator=(const CallGrant& other543) noexcept {
+  id = other543.id;
+  __isset = other543.__isset;
   return *this;
 }
-CallGrant& CallGrant::operator=(CallGrant&& other490) noexcept {
-  id = other490.id;
-  __isset = other490.__isset;
+CallGrant& CallGrant::operator=(CallGrant&& other544) noexcept {
+  id = other544.id;
+  __isset = other544.__isset;
   return *this;
 }
 void CallGrant::printTo(std::ostream& out) const {
@@ -12783,26 +13963,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBody::CallBody(const CallBody& other491) {
-  id = other491.id;
-  part = other491.part;
-  __isset = other491.__isset;
+CallBody::CallBody(const CallBody& other545) {
+  id = other545.id;
+  part = other545.part;
+  __isset = other545.__isset;
 }
-CallBody::CallBody(CallBody&& other492) noexcept {
-  id = other492.id;
-  part = std::move(other492.part);
-  __isset = other492.__isset;
+CallBody::CallBody(CallBody&& other546) noexcept {
+  id = other546.id;
+  part = std::move(other546.part);
+  __isset = other546.__isset;
 }
-CallBody& CallBody::operator=(const CallBody& other493) {
-  id = other493.id;
-  part = other493.part;
-  __isset = other493.__isset;
+CallBody& CallBody::operator=(const CallBody& other547) {
+  id = other547.id;
+  part = other547.part;
+  __isset = other547.__isset;
   return *this;
 }
-CallBody& CallBody::operator=(CallBody&& other494) noexcept {
-  id = other494.id;
-  part = std::move(other494.part);
-  __isset = other494.__isset;
+CallBody& CallBody::operator=(CallBody&& other548) noexcept {
+  id = other548.id;
+  part = std::move(other548.part);
+  __isset = other548.__isset;
   return *this;
 }
 void CallBody::printTo(std::ostream& out) const {
@@ -12884,9 +14064,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast495;
-          xfer += iprot->readI32(ecast495);
-          this->step = static_cast<ClaimStep::type>(ecast495);
+          int32_t ecast549;
+          xfer += iprot->readI32(ecast549);
+          this->step = static_cast<ClaimStep::type>(ecast549);
           this->__isset.step = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12995,46 +14175,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other496) {
-  id = other496.id;
-  step = other496.step;
-  key = other496.key;
-  fingerprint = other496.fingerprint;
-  owner = other496.owner;
-  epoch = other496.epoch;
-  answer = other496.answer;
-  __isset = other496.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other497) noexcept {
-  id = other497.id;
-  step = other497.step;
-  key = std::move(other497.key);
-  fingerprint = other497.fingerprint;
-  owner = std::move(other497.owner);
-  epoch = other497.epoch;
-  answer = std::move(other497.answer);
-  __isset = other497.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other498) {
-  id = other498.id;
-  step = other498.step;
-  key = other498.key;
-  fingerprint = other498.fingerprint;
-  owner = other498.owner;
-  epoch = other498.epoch;
-  answer = other498.answer;
-  __isset = other498.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other499) noexcept {
-  id = other499.id;
-  step = other499.step;
-  key = std::move(other499.key);
-  fingerprint = other499.fingerprint;
-  owner = std::move(other499.owner);
-  epoch = other499.epoch;
-  answer = std::move(other499.answer);
-  __isset = other499.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other550) {
+  id = other550.id;
+  step = other550.step;
+  key = other550.key;
+  fingerprint = other550.fingerprint;
+  owner = other550.owner;
+  epoch = other550.epoch;
+  answer = other550.answer;
+  __isset = other550.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other551) noexcept {
+  id = other551.id;
+  step = other551.step;
+  key = std::move(other551.key);
+  fingerprint = other551.fingerprint;
+  owner = std::move(other551.owner);
+  epoch = other551.epoch;
+  answer = std::move(other551.answer);
+  __isset = other551.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other552) {
+  id = other552.id;
+  step = other552.step;
+  key = other552.key;
+  fingerprint = other552.fingerprint;
+  owner = other552.owner;
+  epoch = other552.epoch;
+  answer = other552.answer;
+  __isset = other552.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other553) noexcept {
+  id = other553.id;
+  step = other553.step;
+  key = std::move(other553.key);
+  fingerprint = other553.fingerprint;
+  owner = std::move(other553.owner);
+  epoch = other553.epoch;
+  answer = std::move(other553.answer);
+  __isset = other553.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -13105,9 +14285,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast500;
-          xfer += iprot->readI32(ecast500);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast500);
+          int32_t ecast554;
+          xfer += iprot->readI32(ecast554);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast554);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13164,30 +14344,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other501) {
-  id = other501.id;
-  verdict = other501.verdict;
-  answer = other501.answer;
-  __isset = other501.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other555) {
+  id = other555.id;
+  verdict = other555.verdict;
+  answer = other555.answer;
+  __isset = other555.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other502) noexcept {
-  id = other502.id;
-  verdict = other502.verdict;
-  answer = std::move(other502.answer);
-  __isset = other502.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other556) noexcept {
+  id = other556.id;
+  verdict = other556.verdict;
+  answer = std::move(other556.answer);
+  __isset = other556.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other503) {
-  id = other503.id;
-  verdict = other503.verdict;
-  answer = other503.answer;
-  __isset = other503.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other557) {
+  id = other557.id;
+  verdict = other557.verdict;
+  answer = other557.answer;
+  __isset = other557.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other504) noexcept {
-  id = other504.id;
-  verdict = other504.verdict;
-  answer = std::move(other504.answer);
-  __isset = other504.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other558) noexcept {
+  id = other558.id;
+  verdict = other558.verdict;
+  answer = std::move(other558.answer);
+  __isset = other558.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -40,6 +40,8 @@
     SPREAD = 24,
     DIGEST = 25,
     DIGEST_ANSWER = 26,
+    FRESHNESS_REQUEST = 27,
+    FRESHNESS_ANSWER = 28,
     CALL_REQUEST = 40,
     CALL_ANSWER = 41,
     CALL_CANCEL = 42,
@@ -86,7 +88,9 @@
     CLAIM_EPOCH = 9,
     DENIED = 10,
     SOURCE_UPDATE = 11,
-    SUBMIT_RELEASE = 12
+    SUBMIT_RELEASE = 12,
+    START_EVACUATION = 13,
+    FINISH_EVACUATION = 14
   };
 };
 
@@ -240,6 +244,10 @@
 
 class ServiceResource;
 
+class ClientAccount;
+
+class Evacuation;
+
 class ReleaseResource;
 
 class ClaimHolder;
@@ -314,6 +322,14 @@
 
 class TargetCrash;
 
+class AccountUsage;
+
+class AccountRatio;
+
+class FreshnessRequest;
+
+class FreshnessAnswer;
+
 class Beacon;
 
 class Subscribe;
@@ -510,7 +526,7 @@
 std::ostream& operator<<(std::ostream& out, const SplitPart& obj);
 
 typedef struct _Route__isset {
-  _Route__isset() : host(false), path(false), methods(false), serviceName(false), timeoutMs(false), idempotent(false), name(false), objectiveMs(false), priority(false), maxAttempts(false), split(false), largeBody(false) {}
+  _Route__isset() : host(false), path(false), methods(false), serviceName(false), timeoutMs(false), idempotent(false), name(false), objectiveMs(false), priority(false), maxAttempts(false), split(false), largeBody(false), withoutAccount(false) {}
   bool host :1;
   bool path :1;
   bool methods :1;
@@ -523,6 +539,7 @@
   bool maxAttempts :1;
   bool split :1;
   bool largeBody :1;
+  bool withoutAccount :1;
 } _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
@@ -542,7 +559,8 @@
           objectiveMs(0),
           priority(0),
           maxAttempts(0),
-          largeBody(0) {
+          largeBody(0),
+          withoutAccount(0) {
   }
 
   virtual ~Route() noexcept;
@@ -558,6 +576,7 @@
   int32_t maxAttempts;
   std::vector<SplitPart>  split;
   bool largeBody;
+  bool withoutAccount;
 
   _Route__isset __isset;
 
@@ -585,6 +604,8 @@
 
   void __set_largeBody(const bool val);
 
+  void __set_withoutAccount(const bool val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(host == rhs.host))
@@ -611,6 +632,8 @@
       return false;
     if (!(largeBody == rhs.largeBody))
       return false;
+    if (!(withoutAccount == rhs.withoutAccount))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -709,7 +732,7 @@
 std::ostream& operator<<(std::ostream& out, const AccountResource& obj);
 
 typedef struct _ServiceResource__isset {
-  _ServiceResource__isset() : name(false), stable(false), candidate(false), permille(false), moveId(false), step(false), grantMs(false), healthPath(false), maxConnections(false), excluded(false) {}
+  _ServiceResource__isset() : name(false), stable(false), candidate(false), permille(false), moveId(false), step(false), grantMs(false), healthPath(false), maxConnections(false), excluded(false), coldStartMs(false), coldCallsPerSecond(false) {}
   bool name :1;
   bool stable :1;
   bool candidate :1;
@@ -720,6 +743,8 @@
   bool healthPath :1;
   bool maxConnections :1;
   bool excluded :1;
+  bool coldStartMs :1;
+  bool coldCallsPerSecond :1;
 } _ServiceResource__isset;
 
 class ServiceResource : public virtual ::apache::thrift::TBase {
@@ -739,7 +764,9 @@
                     grantMs(0),
                     healthPath(),
                     maxConnections(0),
-                    excluded() {
+                    excluded(),
+                    coldStartMs(0),
+                    coldCallsPerSecond(0) {
   }
 
   virtual ~ServiceResource() noexcept;
@@ -753,6 +780,8 @@
   std::string healthPath;
   int32_t maxConnections;
   std::string excluded;
+  int32_t coldStartMs;
+  double coldCallsPerSecond;
 
   _ServiceResource__isset __isset;
 
@@ -776,6 +805,10 @@
 
   void __set_excluded(const std::string& val);
 
+  void __set_coldStartMs(const int32_t val);
+
+  void __set_coldCallsPerSecond(const double val);
+
   bool operator == (const ServiceResource & rhs) const
   {
     if (!(name == rhs.name))
@@ -798,6 +831,10 @@
       return false;
     if (!(excluded == rhs.excluded))
       return false;
+    if (!(coldStartMs == rhs.coldStartMs))
+      return false;
+    if (!(coldCallsPerSecond == rhs.coldCallsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const ServiceResource &rhs) const {
@@ -816,6 +853,123 @@
 
 std::ostream& operator<<(std::ostream& out, const ServiceResource& obj);
 
+typedef struct _ClientAccount__isset {
+  _ClientAccount__isset() : name(false), keyDigests(false), priority(false), ratePerSecond(false), burst(false) {}
+  bool name :1;
+  bool keyDigests :1;
+  bool priority :1;
+  bool ratePerSecond :1;
+  bool burst :1;
+} _ClientAccount__isset;
+
+class ClientAccount : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClientAccount(const ClientAccount&);
+  ClientAccount(ClientAccount&&) noexcept;
+  ClientAccount& operator=(const ClientAccount&);
+  ClientAccount& operator=(ClientAccount&&) noexcept;
+  ClientAccount() noexcept
+                : name(),
+                  priority(0),
+                  ratePerSecond(0),
+                  burst(0) {
+  }
+
+  virtual ~ClientAccount() noexcept;
+  std::string name;
+  std::vector<std::string>  keyDigests;
+  int32_t priority;
+  double ratePerSecond;
+  double burst;
+
+  _ClientAccount__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_keyDigests(const std::vector<std::string> & val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_ratePerSecond(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const ClientAccount & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(keyDigests == rhs.keyDigests))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(ratePerSecond == rhs.ratePerSecond))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const ClientAccount &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClientAccount & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClientAccount &a, ClientAccount &b);
+
+std::ostream& operator<<(std::ostream& out, const ClientAccount& obj);
+
+typedef struct _Evacuation__isset {
+  _Evacuation__isset() : dataCentre(false) {}
+  bool dataCentre :1;
+} _Evacuation__isset;
+
+class Evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  Evacuation(const Evacuation&);
+  Evacuation(Evacuation&&) noexcept;
+  Evacuation& operator=(const Evacuation&);
+  Evacuation& operator=(Evacuation&&) noexcept;
+  Evacuation() noexcept
+             : dataCentre() {
+  }
+
+  virtual ~Evacuation() noexcept;
+  std::string dataCentre;
+
+  _Evacuation__isset __isset;
+
+  void __set_dataCentre(const std::string& val);
+
+  bool operator == (const Evacuation & rhs) const
+  {
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    return true;
+  }
+  bool operator != (const Evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Evacuation &a, Evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj);
+
 typedef struct _ReleaseResource__isset {
   _ReleaseResource__isset() : number(false), headerBytes(false), bodyBytes(false), headerTimeoutMs(false), idleTimeoutMs(false) {}
   bool number :1;
@@ -1051,7 +1205,7 @@
 std::ostream& operator<<(std::ostream& out, const ClaimRing& obj);
 
 typedef struct _Resource__isset {
-  _Resource__isset() : key(false), version(false), serviceResource(false), accountResource(false), claimRing(false), route(false), releaseResource(false) {}
+  _Resource__isset() : key(false), version(false), serviceResource(false), accountResource(false), claimRing(false), route(false), releaseResource(false), clientAccount(false), evacuation(false) {}
   bool key :1;
   bool version :1;
   bool serviceResource :1;
@@ -1059,6 +1213,8 @@
   bool claimRing :1;
   bool route :1;
   bool releaseResource :1;
+  bool clientAccount :1;
+  bool evacuation :1;
 } _Resource__isset;
 
 class Resource : public virtual ::apache::thrift::TBase {
@@ -1081,6 +1237,8 @@
   ClaimRing claimRing;
   Route route;
   ReleaseResource releaseResource;
+  ClientAccount clientAccount;
+  Evacuation evacuation;
 
   _Resource__isset __isset;
 
@@ -1098,6 +1256,10 @@
 
   void __set_releaseResource(const ReleaseResource& val);
 
+  void __set_clientAccount(const ClientAccount& val);
+
+  void __set_evacuation(const Evacuation& val);
+
   bool operator == (const Resource & rhs) const
   {
     if (!(key == rhs.key))
@@ -1124,6 +1286,14 @@
       return false;
     else if (__isset.releaseResource && !(releaseResource == rhs.releaseResource))
       return false;
+    if (__isset.clientAccount != rhs.__isset.clientAccount)
+      return false;
+    else if (__isset.clientAccount && !(clientAccount == rhs.clientAccount))
+      return false;
+    if (__isset.evacuation != rhs.__isset.evacuation)
+      return false;
+    else if (__isset.evacuation && !(evacuation == rhs.evacuation))
+      return false;
     return true;
   }
   bool operator != (const Resource &rhs) const {
@@ -2015,10 +2185,12 @@
 std::ostream& operator<<(std::ostream& out, const ForwardAnswer& obj);
 
 typedef struct _ServiceSpec__isset {
-  _ServiceSpec__isset() : name(false), healthPath(false), maxConnections(false) {}
+  _ServiceSpec__isset() : name(false), healthPath(false), maxConnections(false), coldStartMs(false), coldCallsPerSecond(false) {}
   bool name :1;
   bool healthPath :1;
   bool maxConnections :1;
+  bool coldStartMs :1;
+  bool coldCallsPerSecond :1;
 } _ServiceSpec__isset;
 
 class ServiceSpec : public virtual ::apache::thrift::TBase {
@@ -2031,13 +2203,17 @@
   ServiceSpec() noexcept
               : name(),
                 healthPath(),
-                maxConnections(0) {
+                maxConnections(0),
+                coldStartMs(0),
+                coldCallsPerSecond(0) {
   }
 
   virtual ~ServiceSpec() noexcept;
   std::string name;
   std::string healthPath;
   int32_t maxConnections;
+  int32_t coldStartMs;
+  double coldCallsPerSecond;
 
   _ServiceSpec__isset __isset;
 
@@ -2047,6 +2223,10 @@
 
   void __set_maxConnections(const int32_t val);
 
+  void __set_coldStartMs(const int32_t val);
+
+  void __set_coldCallsPerSecond(const double val);
+
   bool operator == (const ServiceSpec & rhs) const
   {
     if (!(name == rhs.name))
@@ -2055,6 +2235,10 @@
       return false;
     if (!(maxConnections == rhs.maxConnections))
       return false;
+    if (!(coldStartMs == rhs.coldStartMs))
+      return false;
+    if (!(coldCallsPerSecond == rhs.coldCallsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const ServiceSpec &rhs) const {
@@ -2074,12 +2258,13 @@
 std::ostream& operator<<(std::ostream& out, const ServiceSpec& obj);
 
 typedef struct _Release__isset {
-  _Release__isset() : header(false), baseNumber(false), routes(false), services(false), document(false) {}
+  _Release__isset() : header(false), baseNumber(false), routes(false), services(false), document(false), accounts(false) {}
   bool header :1;
   bool baseNumber :1;
   bool routes :1;
   bool services :1;
   bool document :1;
+  bool accounts :1;
 } _Release__isset;
 
 class Release : public virtual ::apache::thrift::TBase {
@@ -2100,6 +2285,7 @@
   std::vector<Route>  routes;
   std::vector<ServiceSpec>  services;
   std::string document;
+  std::vector<ClientAccount>  accounts;
 
   _Release__isset __isset;
 
@@ -2113,6 +2299,8 @@
 
   void __set_document(const std::string& val);
 
+  void __set_accounts(const std::vector<ClientAccount> & val);
+
   bool operator == (const Release & rhs) const
   {
     if (!(header == rhs.header))
@@ -2125,6 +2313,8 @@
       return false;
     if (!(document == rhs.document))
       return false;
+    if (!(accounts == rhs.accounts))
+      return false;
     return true;
   }
   bool operator != (const Release &rhs) const {
@@ -3652,6 +3842,221 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetCrash& obj);
 
+typedef struct _AccountUsage__isset {
+  _AccountUsage__isset() : account(false), offered(false), admitted(false) {}
+  bool account :1;
+  bool offered :1;
+  bool admitted :1;
+} _AccountUsage__isset;
+
+class AccountUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountUsage(const AccountUsage&);
+  AccountUsage(AccountUsage&&) noexcept;
+  AccountUsage& operator=(const AccountUsage&);
+  AccountUsage& operator=(AccountUsage&&) noexcept;
+  AccountUsage() noexcept
+               : account(),
+                 offered(0),
+                 admitted(0) {
+  }
+
+  virtual ~AccountUsage() noexcept;
+  std::string account;
+  int64_t offered;
+  int64_t admitted;
+
+  _AccountUsage__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_offered(const int64_t val);
+
+  void __set_admitted(const int64_t val);
+
+  bool operator == (const AccountUsage & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(offered == rhs.offered))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountUsage &a, AccountUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj);
+
+typedef struct _AccountRatio__isset {
+  _AccountRatio__isset() : account(false), permille(false) {}
+  bool account :1;
+  bool permille :1;
+} _AccountRatio__isset;
+
+class AccountRatio : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountRatio(const AccountRatio&);
+  AccountRatio(AccountRatio&&) noexcept;
+  AccountRatio& operator=(const AccountRatio&);
+  AccountRatio& operator=(AccountRatio&&) noexcept;
+  AccountRatio() noexcept
+               : account(),
+                 permille(0) {
+  }
+
+  virtual ~AccountRatio() noexcept;
+  std::string account;
+  int32_t permille;
+
+  _AccountRatio__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_permille(const int32_t val);
+
+  bool operator == (const AccountRatio & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(permille == rhs.permille))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountRatio &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountRatio & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountRatio &a, AccountRatio &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountRatio& obj);
+
+typedef struct _FreshnessRequest__isset {
+  _FreshnessRequest__isset() : sentAt(false) {}
+  bool sentAt :1;
+} _FreshnessRequest__isset;
+
+class FreshnessRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessRequest(const FreshnessRequest&) noexcept;
+  FreshnessRequest(FreshnessRequest&&) noexcept;
+  FreshnessRequest& operator=(const FreshnessRequest&) noexcept;
+  FreshnessRequest& operator=(FreshnessRequest&&) noexcept;
+  FreshnessRequest() noexcept
+                   : sentAt(0) {
+  }
+
+  virtual ~FreshnessRequest() noexcept;
+  int64_t sentAt;
+
+  _FreshnessRequest__isset __isset;
+
+  void __set_sentAt(const int64_t val);
+
+  bool operator == (const FreshnessRequest & rhs) const
+  {
+    if (!(sentAt == rhs.sentAt))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessRequest &a, FreshnessRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessRequest& obj);
+
+typedef struct _FreshnessAnswer__isset {
+  _FreshnessAnswer__isset() : sentAt(false), ageMs(false), version(false) {}
+  bool sentAt :1;
+  bool ageMs :1;
+  bool version :1;
+} _FreshnessAnswer__isset;
+
+class FreshnessAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessAnswer(const FreshnessAnswer&) noexcept;
+  FreshnessAnswer(FreshnessAnswer&&) noexcept;
+  FreshnessAnswer& operator=(const FreshnessAnswer&) noexcept;
+  FreshnessAnswer& operator=(FreshnessAnswer&&) noexcept;
+  FreshnessAnswer() noexcept
+                  : sentAt(0),
+                    ageMs(0),
+                    version(0) {
+  }
+
+  virtual ~FreshnessAnswer() noexcept;
+  int64_t sentAt;
+  int64_t ageMs;
+  int64_t version;
+
+  _FreshnessAnswer__isset __isset;
+
+  void __set_sentAt(const int64_t val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const FreshnessAnswer & rhs) const
+  {
+    if (!(sentAt == rhs.sentAt))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessAnswer &a, FreshnessAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
+
 typedef struct _Beacon__isset {
   _Beacon__isset() : term(false), sequence(false), version(false), claimsThroughMs(false) {}
   bool term :1;
@@ -3862,13 +4267,14 @@
 std::ostream& operator<<(std::ostream& out, const SubscribeAnswer& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : nodes(false), targets(false), evidence(false), alarms(false), acks(false), crashes(false) {}
+  _Report__isset() : nodes(false), targets(false), evidence(false), alarms(false), acks(false), crashes(false), usage(false) {}
   bool nodes :1;
   bool targets :1;
   bool evidence :1;
   bool alarms :1;
   bool acks :1;
   bool crashes :1;
+  bool usage :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -3888,6 +4294,7 @@
   std::vector<Alarm>  alarms;
   std::vector<NodeAck>  acks;
   std::vector<TargetCrash>  crashes;
+  std::vector<AccountUsage>  usage;
 
   _Report__isset __isset;
 
@@ -3903,6 +4310,8 @@
 
   void __set_crashes(const std::vector<TargetCrash> & val);
 
+  void __set_usage(const std::vector<AccountUsage> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -3917,6 +4326,8 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (!(usage == rhs.usage))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -3936,10 +4347,11 @@
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
 typedef struct _MemberReport__isset {
-  _MemberReport__isset() : report(false), beacon(false), members(false) {}
+  _MemberReport__isset() : report(false), beacon(false), members(false), accountRatios(false) {}
   bool report :1;
   bool beacon :1;
   bool members :1;
+  bool accountRatios :1;
 } _MemberReport__isset;
 
 class MemberReport : public virtual ::apache::thrift::TBase {
@@ -3956,6 +4368,7 @@
   Report report;
   Beacon beacon;
   std::vector<std::string>  members;
+  std::vector<AccountRatio>  accountRatios;
 
   _MemberReport__isset __isset;
 
@@ -3965,6 +4378,8 @@
 
   void __set_members(const std::vector<std::string> & val);
 
+  void __set_accountRatios(const std::vector<AccountRatio> & val);
+
   bool operator == (const MemberReport & rhs) const
   {
     if (!(report == rhs.report))
@@ -3975,6 +4390,8 @@
       return false;
     if (!(members == rhs.members))
       return false;
+    if (!(accountRatios == rhs.accountRatios))
+      return false;
     return true;
   }
   bool operator != (const MemberReport &rhs) const {
@@ -3994,12 +4411,13 @@
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj);
 
 typedef struct _Spread__isset {
-  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false), crashes(false) {}
+  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false), crashes(false), accountRatios(false) {}
   bool nodes :1;
   bool targets :1;
   bool beacon :1;
   bool controlHosts :1;
   bool crashes :1;
+  bool accountRatios :1;
 } _Spread__isset;
 
 class Spread : public virtual ::apache::thrift::TBase {
@@ -4018,6 +4436,7 @@
   Beacon beacon;
   std::vector<std::string>  controlHosts;
   std::vector<TargetCrash>  crashes;
+  std::vector<AccountRatio>  accountRatios;
 
   _Spread__isset __isset;
 
@@ -4031,6 +4450,8 @@
 
   void __set_crashes(const std::vector<TargetCrash> & val);
 
+  void __set_accountRatios(const std::vector<AccountRatio> & val);
+
   bool operator == (const Spread & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -4045,6 +4466,8 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (!(accountRatios == rhs.accountRatios))
+      return false;
     return true;
   }
   bool operator != (const Spread &rhs) const {
@@ -4239,7 +4662,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false), maxCallsPerSecond(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false), maxCallsPerSecond(false), clientAccount(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4260,6 +4683,7 @@
   bool laterBytes :1;
   bool mostWaitMs :1;
   bool maxCallsPerSecond :1;
+  bool clientAccount :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4288,7 +4712,8 @@
                 usualMs(0),
                 laterBytes(0),
                 mostWaitMs(0),
-                maxCallsPerSecond(0) {
+                maxCallsPerSecond(0),
+                clientAccount() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4312,6 +4737,7 @@
   int64_t laterBytes;
   int32_t mostWaitMs;
   double maxCallsPerSecond;
+  std::string clientAccount;
 
   _CallRequest__isset __isset;
 
@@ -4355,6 +4781,8 @@
 
   void __set_maxCallsPerSecond(const double val);
 
+  void __set_clientAccount(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4399,6 +4827,8 @@
       return false;
     else if (__isset.maxCallsPerSecond && !(maxCallsPerSecond == rhs.maxCallsPerSecond))
       return false;
+    if (!(clientAccount == rhs.clientAccount))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
