Replace links that have fallen silent

Callers saw every change and read answered 503, for good, once the open connections between control hosts passed no byte any more while new ones worked; calls over a silent link between nodes failed as long as it stayed open. Links relied on TCP, which keeps such a connection up. The dialing side now pings, and closes a link whose pings stay unanswered for 2 s (control hosts) or 3 s (parents of nodes, nodes with unanswered requests).

--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -84,7 +84,7 @@
         startSourcePolling();
         m_diskWriter.start();
         m_decisionThread.start();
-        m_network.start();
+        m_network.start(*m_timers);
         m_apiThread.start();
         base::logInfo("control.started",
             { { "id", m_settings.id }, { "mesh", m_settings.meshAddress.text() },
@@ -102,9 +102,9 @@
         m_tickTimer.reset();
         m_metricsTimer.reset();
         m_sourceTimer.reset();
-        m_timers.reset();
         m_apiThread.stop();
         m_network.stop();
+        m_timers.reset();
         m_diskWriter.stop();
         m_decisionThread.stop();
         base::logInfo("control.stopped", { { "id", m_settings.id } });
--- a/src/control/MemberNetwork.cpp
+++ b/src/control/MemberNetwork.cpp
@@ -14,6 +14,10 @@
     constexpr size_t OUTBOX_CAPACITY = 16384;
     constexpr char CONTROL_ROLE[] = "control";
     constexpr char NODE_ROLE[] = "node";
+    // A silent link to another control host is closed after at most 2 s, which is below the shortest contact window (3
+    // s) within which a deployment expects the group to work again.
+    constexpr auto PING_PERIOD = base::Millis(500);
+    constexpr int MAX_UNANSWERED_PINGS = 3;
 
 }
 
@@ -55,8 +59,9 @@
 
 MemberNetwork::~MemberNetwork() { stop(); }
 
-void MemberNetwork::start()
+void MemberNetwork::start(base::TimerService& timers)
 {
+    m_pingTimer = timers.subscribe(m_thread.context(), PING_PERIOD, [this] { pingMembers(); });
     m_thread.start();
     m_started = true;
 }
@@ -67,6 +72,7 @@
     if (std::exchange(m_started, false)) {
         std::promise<void> closed;
         boost::asio::post(m_thread.context(), [this, &closed] {
+            m_pingTimer.reset();
             m_server->close();
             for (auto& [id, dialer] : m_memberDialers)
                 dialer->stop();
@@ -77,6 +83,27 @@
     m_thread.stop();
 }
 
+// Frames travel only on links that the sending host dialed, so nothing but the answers to pings shows whether the other
+// host receives them.
+void MemberNetwork::pingMembers()
+{
+    for (auto& [id, dialer] : m_memberDialers) {
+        auto link = dialer->link();
+        if (!link) {
+            m_silence.erase(id);
+            continue;
+        }
+        auto& detector = m_silence.try_emplace(id, MAX_UNANSWERED_PINGS).first->second;
+        if (!detector.onPeriodEnded()) {
+            link->send(links::FrameKind::PING, {});
+            continue;
+        }
+        base::logWarn("member.silent", { { "member", id } });
+        m_silence.erase(id);
+        link->close("the control host has answered no ping");
+    }
+}
+
 bool MemberNetwork::send(OutgoingFrame frame) { return m_outbox.tryPut(std::move(frame)); }
 
 void MemberNetwork::transmit(OutgoingFrame frame)
@@ -122,6 +149,10 @@
 void MemberNetwork::linkFrameReceived(
     const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
 {
+    if (kind == links::FrameKind::PING)
+        return void(link->send(links::FrameKind::PONG, {}));
+    if (kind == links::FrameKind::PONG)
+        return onPong(link);
     bool isNode = link->peerRole() == NODE_ROLE;
     auto event = isNode ? NetworkEvent::Kind::NodeFrame : NetworkEvent::Kind::MemberFrame;
     // Replies to a node use its latest link only, so frames from an older link are ignored.
@@ -132,6 +163,14 @@
         link->close("the event queue of this control host is full");
 }
 
+void MemberNetwork::onPong(const std::shared_ptr<links::Link>& link)
+{
+    for (auto& [id, detector] : m_silence) {
+        if (m_memberDialers.at(id)->link() == link)
+            detector.onReceived();
+    }
+}
+
 void MemberNetwork::linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason)
 {
     base::logInfo("link.closed", { { "peer", link->peerId() }, { "reason", reason } });
--- a/src/control/MemberNetwork.h
+++ b/src/control/MemberNetwork.h
@@ -4,9 +4,11 @@
 
 #include "pomelowind/base/EventLoopThread.h"
 #include "pomelowind/base/Mailbox.h"
+#include "pomelowind/base/TimerService.h"
 #include "pomelowind/control/ControlSettings.h"
 #include "pomelowind/links/LinkDialer.h"
 #include "pomelowind/links/LinkServer.h"
+#include "pomelowind/links/SilenceDetector.h"
 
 #include <functional>
 #include <map>
@@ -43,7 +45,8 @@
     // full.
     MemberNetwork(const ControlSettings& settings, EventSink eventSink);
     ~MemberNetwork() override;
-    void start();
+    // Starts the network thread. Precondition: `timers` outlives the time until stop().
+    void start(base::TimerService& timers);
     // Stops accepting, closes all links and ends the network thread.
     void stop();
     // Queues a frame; returns false when the bounded queue is full. Frames to an unconnected peer are dropped.
@@ -59,6 +62,8 @@
 
 private:
     void transmit(OutgoingFrame frame);
+    void pingMembers();
+    void onPong(const std::shared_ptr<links::Link>& link);
     void dialMember(const std::string& id, const base::Address& address);
 
     const ControlSettings& m_settings;
@@ -70,6 +75,9 @@
     std::unique_ptr<links::LinkServer> m_server;
     std::map<std::string, std::shared_ptr<links::LinkDialer>> m_memberDialers;
     std::map<std::string, std::shared_ptr<links::Link>> m_nodeLinks;
+    // Of the ready links that this host dialed, by the id of the control host.
+    std::map<std::string, links::SilenceDetector> m_silence;
+    std::unique_ptr<base::TimerSubscription> m_pingTimer;
     bool m_started { false }; // used by start() and stop() only
 };
 
--- a/src/node/DistributionNetwork.cpp
+++ b/src/node/DistributionNetwork.cpp
@@ -15,6 +15,10 @@
     constexpr char DIGEST_ROLE[] = "digest";
     constexpr auto DIGEST_TIMEOUT = base::Millis(2000);
     constexpr size_t MAX_DIGEST_EXCHANGES = 4;
+    // Beacons show that the parent can be heard; only answered pings show that it hears this node. A silent link is
+    // closed after at most 3 s, the shortest contact window.
+    constexpr auto PARENT_PING_PERIOD = base::Millis(1000);
+    constexpr int MAX_UNANSWERED_PINGS = 2;
 
 }
 
@@ -27,6 +31,7 @@
     , m_publishView(std::move(publishView))
     , m_publishTargets(std::move(publishTargets))
     , m_server(std::make_unique<links::LinkServer>(io, settings.meshAddress, m_identity, *this, m_traffic))
+    , m_parentSilence(MAX_UNANSWERED_PINGS)
 {
 }
 
@@ -75,8 +80,24 @@
     dialer->start();
 }
 
+void DistributionNetwork::pingParent(base::Instant now)
+{
+    if (!m_parentDialer || now < m_parentPingDue)
+        return;
+    m_parentPingDue = now + PARENT_PING_PERIOD;
+    auto link = m_parentDialer->link();
+    if (!link)
+        return m_parentSilence.onReceived();
+    if (!m_parentSilence.onPeriodEnded())
+        return void(link->send(FrameKind::PING, {}));
+    base::logWarn("parent.silent", { { "parent", m_parentId } });
+    m_parentSilence.onReceived();
+    link->close("the parent has answered no ping");
+}
+
 void DistributionNetwork::tick(base::Instant now)
 {
+    pingParent(now);
     for (auto it = m_digestExchanges.begin(); it != m_digestExchanges.end();) {
         if (now < it->deadline && it->dialer->consecutiveFailures() == 0) {
             ++it;
@@ -100,8 +121,10 @@
 
 void DistributionNetwork::linkReady(const std::shared_ptr<links::Link>& link)
 {
-    if (isParent(link))
+    if (isParent(link)) {
+        m_parentSilence.onReceived();
         return m_core->parentReady(m_parentId, m_clock.now());
+    }
     for (auto& it : m_digestExchanges) {
         if (it.dialer->link() == link) {
             link->send(FrameKind::DIGEST, it.payload);
@@ -120,6 +143,10 @@
 void DistributionNetwork::linkFrameReceived(
     const std::shared_ptr<links::Link>& link, links::Kind kind, std::string_view payload)
 {
+    if (kind == FrameKind::PING)
+        return void(link->send(FrameKind::PONG, {}));
+    if (kind == FrameKind::PONG)
+        return isParent(link) ? m_parentSilence.onReceived() : void();
     auto now = m_clock.now();
     if (isParent(link))
         return m_core->parentFrame(kind, payload, now);
--- a/src/node/DistributionNetwork.h
+++ b/src/node/DistributionNetwork.h
@@ -5,6 +5,7 @@
 #include "DistributionCore.h"
 #include "pomelowind/links/LinkDialer.h"
 #include "pomelowind/links/LinkServer.h"
+#include "pomelowind/links/SilenceDetector.h"
 
 #include <functional>
 #include <map>
@@ -25,7 +26,7 @@
         PublishView publishView, PublishTargets publishTargets);
     // Sets the receiver of events. Precondition: called once, before any event.
     void attach(DistributionCore& core) { m_core = &core; }
-    // Ends digest exchanges that have timed out and reports a parent that cannot be connected.
+    // Ends digest exchanges that have timed out, pings the parent, and reports one that cannot be connected.
     void tick(base::Instant now);
     void close();
     const links::TrafficCounters& traffic() const { return m_traffic; }
@@ -50,6 +51,7 @@
         base::Instant deadline;
     };
 
+    void pingParent(base::Instant now);
     bool isParent(const std::shared_ptr<links::Link>& link) const;
     void finishDigest(const std::shared_ptr<links::Link>& link);
 
@@ -64,6 +66,8 @@
     std::unique_ptr<links::LinkServer> m_server;
     std::shared_ptr<links::LinkDialer> m_parentDialer;
     std::string m_parentId;
+    links::SilenceDetector m_parentSilence;
+    base::Instant m_parentPingDue;
     std::map<std::string, std::shared_ptr<links::Link>> m_children;
     std::vector<DigestExchange> m_digestExchanges;
 };
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -19,6 +19,9 @@
     // A pinged peer that sends nothing for this long is considered unreachable: a few times the longest round trip plus
     // a retransmission.
     constexpr auto PEER_SILENCE_TIMEOUT = base::Millis(500);
+    // A link on which this many pings in a row were not answered is closed and dialed anew. That is 3 s, the shortest
+    // contact window: a node that is frozen for less keeps the calls that it runs.
+    constexpr int MAX_UNANSWERED_PINGS = 15;
     // Larger bodies are sent only after the gate has granted a queue slot. That costs one more round trip, but a
     // refusal then costs no more than a short message.
     constexpr size_t MAX_INLINE_BODY_BYTES = 16 * 1024;
@@ -212,6 +215,10 @@
         return;
     if (!peer.unanswered && peer.pingSentAt == base::Instant())
         return;
+    if (++peer.unansweredPings > MAX_UNANSWERED_PINGS) {
+        base::logWarn("calls.link_silent", { { "peer", link->peerId() } });
+        return link->close("the node has answered no ping");
+    }
     peer.pingSentAt = now;
     link->send(FrameKind::PING, {});
 }
@@ -298,6 +305,7 @@
         it.bodyQueue.clear();
         it.lastReceivedAt = m_clock.now();
         it.pingSentAt = base::Instant();
+        it.unansweredPings = 0;
         for (const auto& item : queued) {
             auto pending = m_pending.find(item.id);
             if (pending == m_pending.end())
@@ -314,6 +322,7 @@
     if (auto* from = findPeer(link)) {
         from->lastReceivedAt = m_clock.now();
         from->pingSentAt = base::Instant();
+        from->unansweredPings = 0;
     }
     switch (kind) {
     case FrameKind::PING:
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -92,6 +92,7 @@
         std::deque<int64_t> bodyQueue; // calls whose body is being sent, in round-robin order
         size_t unanswered { 0 }; // requests that were sent and have not ended
         base::Instant lastReceivedAt; // when the last frame was received
+        int unansweredPings { 0 }; // since the last frame was received
         base::Instant pingSentAt; // when the last ping was sent; unset when a frame has been received since
     };
     struct Pending {
--- a/standins/FaultProxy.cpp
+++ b/standins/FaultProxy.cpp
@@ -23,15 +23,22 @@
         return { boost::asio::ip::make_address(address.ip), address.port };
     }
 
+    // The directions of one connection whose bytes are discarded.
+    struct Silence {
+        bool forward { false };
+        bool backward { false };
+    };
+
     // Forwards the bytes of one direction of one connection and applies the link's current fault. Closes both sockets
     // on the first error.
     class ByteForwarder : public std::enable_shared_from_this<ByteForwarder> {
     public:
-        ByteForwarder(
-            std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, const ProxyFault& fault, bool forward)
+        ByteForwarder(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, const ProxyFault& fault,
+            std::shared_ptr<const Silence> silence, bool forward)
             : m_from(std::move(from))
             , m_to(std::move(to))
             , m_fault(fault)
+            , m_silence(std::move(silence))
             , m_forward(forward)
             , m_timer(m_from->get_executor())
         {
@@ -61,6 +68,8 @@
 
         void write()
         {
+            if (m_forward ? m_silence->forward : m_silence->backward)
+                return read();
             boost::asio::async_write(*m_to, boost::asio::buffer(m_buffer.data(), m_size),
                 [self = shared_from_this()](error_code ec, size_t) {
                     if (ec)
@@ -79,6 +88,7 @@
         std::shared_ptr<tcp::socket> m_from;
         std::shared_ptr<tcp::socket> m_to;
         const ProxyFault& m_fault;
+        std::shared_ptr<const Silence> m_silence;
         bool m_forward;
         boost::asio::steady_timer m_timer;
         std::array<char, 32768> m_buffer {};
@@ -101,6 +111,12 @@
     void setFault(const ProxyFault& fault)
     {
         m_fault = fault;
+        for (const auto& weak : m_silences) {
+            if (auto silence = weak.lock()) {
+                silence->forward = silence->forward || fault.silenceForward;
+                silence->backward = silence->backward || fault.silenceBackward;
+            }
+        }
         if (!fault.cut)
             return;
         for (const auto& weak : m_sockets) {
@@ -127,16 +143,19 @@
     {
         auto server = std::make_shared<tcp::socket>(m_io);
         std::erase_if(m_sockets, [](const auto& it) { return it.expired(); });
+        std::erase_if(m_silences, [](const auto& it) { return it.expired(); });
+        auto silence = std::make_shared<Silence>();
+        m_silences.push_back(silence);
         m_sockets.push_back(client);
         m_sockets.push_back(server);
-        server->async_connect(endpointOf(m_settings.forward), [this, client, server](error_code ec) {
+        server->async_connect(endpointOf(m_settings.forward), [this, client, server, silence](error_code ec) {
             error_code ignored;
             if (ec)
                 return void(client->close(ignored));
             client->set_option(tcp::no_delay(true), ignored);
             server->set_option(tcp::no_delay(true), ignored);
-            std::make_shared<ByteForwarder>(client, server, m_fault, true)->read();
-            std::make_shared<ByteForwarder>(server, client, m_fault, false)->read();
+            std::make_shared<ByteForwarder>(client, server, m_fault, silence, true)->read();
+            std::make_shared<ByteForwarder>(server, client, m_fault, silence, false)->read();
         });
     }
 
@@ -145,6 +164,7 @@
     tcp::acceptor m_acceptor;
     ProxyFault m_fault;
     std::vector<std::weak_ptr<tcp::socket>> m_sockets;
+    std::vector<std::weak_ptr<Silence>> m_silences; // of the open connections
 };
 
 FaultProxy::FaultProxy(boost::asio::io_context& io, const std::vector<ProxyLink>& links)
--- a/standins/FaultProxy.h
+++ b/standins/FaultProxy.h
@@ -1,5 +1,6 @@
-// TCP proxy that injects faults: closes connections and refuses new ones, stalls one or both directions, or adds
-// latency. Tests, benchmarks and the fault campaign place it on the links between processes.
+// TCP proxy that injects faults: closes connections and refuses new ones, stalls one or both directions, discards what
+// open connections carry, or adds latency. Tests, benchmarks and the fault campaign place it on the links between
+// processes.
 #pragma once
 
 #include "pomelowind/base/Settings.h"
@@ -26,6 +27,9 @@
     bool holdForward { false }; // stall bytes sent by the side that opened the connection
     bool holdBackward { false }; // stall bytes sent to the side that opened the connection
     base::Millis delay { 0 }; // added to each chunk, in both directions
+    // Discard from now on all bytes of the connections that are open when the fault is set, also after it has ended.
+    bool silenceForward { false };
+    bool silenceBackward { false };
     bool operator==(const ProxyFault&) const = default;
 };
 
