--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -7,7 +7,7 @@
   VOTE_REQUEST = 10, VOTE_ANSWER = 11, APPEND_REQUEST = 12, APPEND_ANSWER = 13,
   SNAPSHOT_REQUEST = 14, FORWARD_REQUEST = 16, FORWARD_ANSWER = 17, MEMBER_REPORT = 18,
   SUBSCRIBE = 20, SUBSCRIBE_ANSWER = 21, DELTA = 22, REPORT = 23, SPREAD = 24,
-  DIGEST = 25, DIGEST_ANSWER = 26, FRESHNESS_REQUEST = 27, FRESHNESS_ANSWER = 28,
+  DIGEST = 25, DIGEST_ANSWER = 26, FRESHNESS_REQUEST = 27, FRESHNESS_ANSWER = 28, USAGE = 29,
   CALL_REQUEST = 40, CALL_ANSWER = 41, CALL_CANCEL = 42,
   CLAIM_REQUEST = 43, CLAIM_ANSWER = 44, PING = 45, PONG = 46, CALL_GRANT = 47, CALL_BODY = 48
 }
@@ -150,7 +150,9 @@
 }
 struct NodeInfo {
   1: string node, 2: string dataCentre, 3: string meshAddress, 4: string callAddress, 5: i64 incarnation,
-  6: i64 sequence, 7: bool gone
+  6: i64 sequence, 7: bool gone,
+  // Set with `gone` when the node itself has announced its stop, so that it runs no more calls.
+  8: bool stopped
 }
 struct NodeAck { 1: string node, 2: i64 version, 3: string rejection }
 enum EvidenceDimension { ROUTE = 0, ACCOUNT = 1, TARGET = 2 }
@@ -163,10 +165,15 @@
 // them that have ended with a response since.
 struct TargetCrash { 1: string target, 2: i64 incarnation, 3: list<i64> calls, 4: list<i64> cleared }
 
-// Calls of one client account at a node since its last report: offered by callers, and admitted.
-struct AccountUsage { 1: string account, 2: i64 offered, 3: i64 admitted }
-// Part of the offered calls of a client account that nodes may admit.
-struct AccountRatio { 1: string account, 2: i32 permille }
+// Calls of client accounts since the last report, as parallel lists, which keep a report of a few calls at some 20
+// bytes. `accounts` are callers::quotaId() of the names. `refused` of the offered calls have not run: refused for the
+// limit, or later for another reason; unset: none. The calls were offered within `spans`
+// tenths of a second; unset: 2.
+struct AccountUsage {
+  1: list<i64> accounts, 2: list<i32> offered, 3: optional list<i32> refused, 4: optional list<i32> spans
+}
+// Part of the offered calls of a client account that nodes may admit. 1000: all, but the account is near its limit.
+struct AccountRatio { 1: i64 account, 2: i32 permille }
 
 // ---- distribution ----
 // Proof that a configuration is the newest. `sentAt` is the sender's monotonic time in milliseconds, returned unchanged.
@@ -181,14 +188,15 @@
 }
 struct Report {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: list<EvidenceCell> evidence, 4: list<Alarm> alarms,
-  5: list<NodeAck> acks, 6: list<TargetCrash> crashes, 7: list<AccountUsage> usage
+  5: list<NodeAck> acks, 6: list<TargetCrash> crashes, 7: optional AccountUsage usage
 }
+// `accountRatios`: the whole list of the leader; accounts that are not in it have no ratio. Unset: unchanged.
 struct MemberReport {
-  1: Report report, 2: optional Beacon beacon, 3: list<string> members, 4: list<AccountRatio> accountRatios
+  1: Report report, 2: optional Beacon beacon, 3: list<string> members, 4: optional list<AccountRatio> accountRatios
 }
 struct Spread {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts,
-  5: list<TargetCrash> crashes, 6: list<AccountRatio> accountRatios
+  5: list<TargetCrash> crashes, 6: optional list<AccountRatio> accountRatios
 }
 struct Digest { 1: i64 version, 2: i64 hash, 3: list<i64> buckets }
 struct DigestAnswer { 1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes }
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -33,6 +33,7 @@
   FrameKind::DIGEST_ANSWER,
   FrameKind::FRESHNESS_REQUEST,
   FrameKind::FRESHNESS_ANSWER,
+  FrameKind::USAGE,
   FrameKind::CALL_REQUEST,
   FrameKind::CALL_ANSWER,
   FrameKind::CALL_CANCEL,
@@ -63,6 +64,7 @@
   "DIGEST_ANSWER",
   "FRESHNESS_REQUEST",
   "FRESHNESS_ANSWER",
+  "USAGE",
   "CALL_REQUEST",
   "CALL_ANSWER",
   "CALL_CANCEL",
@@ -73,7 +75,7 @@
   "CALL_GRANT",
   "CALL_BODY"
 };
-const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(28, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _FrameKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(29, _kFrameKindValues, _kFrameKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const FrameKind::type& val) {
   std::map<int, const char*>::const_iterator it = _FrameKind_VALUES_TO_NAMES.find(val);
@@ -9114,6 +9116,10 @@
 void NodeInfo::__set_gone(const bool val) {
   this->gone = val;
 }
+
+void NodeInfo::__set_stopped(const bool val) {
+  this->stopped = val;
+}
 std::ostream& operator<<(std::ostream& out, const NodeInfo& obj)
 {
   obj.printTo(out);
@@ -9198,6 +9204,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9243,6 +9257,10 @@
   xfer += oprot->writeBool(this->gone);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9257,6 +9275,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
   swap(a.gone, b.gone);
+  swap(a.stopped, b.stopped);
   swap(a.__isset, b.__isset);
 }
 
@@ -9268,6 +9287,7 @@
   incarnation = other309.incarnation;
   sequence = other309.sequence;
   gone = other309.gone;
+  stopped = other309.stopped;
   __isset = other309.__isset;
 }
 NodeInfo::NodeInfo(NodeInfo&& other310) noexcept {
@@ -9278,6 +9298,7 @@
   incarnation = other310.incarnation;
   sequence = other310.sequence;
   gone = other310.gone;
+  stopped = other310.stopped;
   __isset = other310.__isset;
 }
 NodeInfo& NodeInfo::operator=(const NodeInfo& other311) {
@@ -9288,6 +9309,7 @@
   incarnation = other311.incarnation;
   sequence = other311.sequence;
   gone = other311.gone;
+  stopped = other311.stopped;
   __isset = other311.__isset;
   return *this;
 }
@@ -9299,6 +9321,7 @@
   incarnation = other312.incarnation;
   sequence = other312.sequence;
   gone = other312.gone;
+  stopped = other312.stopped;
   __isset = other312.__isset;
   return *this;
 }
@@ -9312,6 +9335,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "gone=" << to_string(gone);
+  out << ", " << "stopped=" << to_string(stopped);
   out << ")";
 }
 
@@ -10120,16 +10144,22 @@
 }
 
 
-void AccountUsage::__set_account(const std::string& val) {
-  this->account = val;
+void AccountUsage::__set_accounts(const std::vector<int64_t> & val) {
+  this->accounts = val;
 }
 
-void AccountUsage::__set_offered(const int64_t val) {
+void AccountUsage::__set_offered(const std::vector<int32_t> & val) {
   this->offered = val;
 }
 
-void AccountUsage::__set_admitted(const int64_t val) {
-  this->admitted = val;
+void AccountUsage::__set_refused(const std::vector<int32_t> & val) {
+  this->refused = val;
+__isset.refused = true;
+}
+
+void AccountUsage::__set_spans(const std::vector<int32_t> & val) {
+  this->spans = val;
+__isset.spans = true;
 }
 std::ostream& operator<<(std::ostream& out, const AccountUsage& obj)
 {
@@ -10160,25 +10190,81 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->accounts.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
+            {
+              xfer += iprot->readI64(this->accounts[_i354]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offered);
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->offered.clear();
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->offered.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
+            {
+              xfer += iprot->readI32(this->offered[_i359]);
+            }
+            xfer += iprot->readListEnd();
+          }
           this->__isset.offered = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->admitted);
-          this->__isset.admitted = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->refused.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
+            {
+              xfer += iprot->readI32(this->refused[_i364]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->spans.clear();
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->spans.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
+            {
+              xfer += iprot->readI32(this->spans[_i369]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.spans = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10200,18 +10286,56 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("AccountUsage");
 
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->account);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->offered);
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<int64_t> ::const_iterator _iter370;
+    for (_iter370 = this->accounts.begin(); _iter370 != this->accounts.end(); ++_iter370)
+    {
+      xfer += oprot->writeI64((*_iter370));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->admitted);
+  xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->offered.size()));
+    std::vector<int32_t> ::const_iterator _iter371;
+    for (_iter371 = this->offered.begin(); _iter371 != this->offered.end(); ++_iter371)
+    {
+      xfer += oprot->writeI32((*_iter371));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused.size()));
+      std::vector<int32_t> ::const_iterator _iter372;
+      for (_iter372 = this->refused.begin(); _iter372 != this->refused.end(); ++_iter372)
+      {
+        xfer += oprot->writeI32((*_iter372));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.spans) {
+    xfer += oprot->writeFieldBegin("spans", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->spans.size()));
+      std::vector<int32_t> ::const_iterator _iter373;
+      for (_iter373 = this->spans.begin(); _iter373 != this->spans.end(); ++_iter373)
+      {
+        xfer += oprot->writeI32((*_iter373));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10219,44 +10343,50 @@
 
 void swap(AccountUsage &a, AccountUsage &b) {
   using ::std::swap;
-  swap(a.account, b.account);
+  swap(a.accounts, b.accounts);
   swap(a.offered, b.offered);
-  swap(a.admitted, b.admitted);
+  swap(a.refused, b.refused);
+  swap(a.spans, b.spans);
   swap(a.__isset, b.__isset);
 }
 
-AccountUsage::AccountUsage(const AccountUsage& other350) {
-  account = other350.account;
-  offered = other350.offered;
-  admitted = other350.admitted;
-  __isset = other350.__isset;
+AccountUsage::AccountUsage(const AccountUsage& other374) {
+  accounts = other374.accounts;
+  offered = other374.offered;
+  refused = other374.refused;
+  spans = other374.spans;
+  __isset = other374.__isset;
 }
-AccountUsage::AccountUsage(AccountUsage&& other351) noexcept {
-  account = std::move(other351.account);
-  offered = other351.offered;
-  admitted = other351.admitted;
-  __isset = other351.__isset;
+AccountUsage::AccountUsage(AccountUsage&& other375) noexcept {
+  accounts = std::move(other375.accounts);
+  offered = std::move(other375.offered);
+  refused = std::move(other375.refused);
+  spans = std::move(other375.spans);
+  __isset = other375.__isset;
 }
-AccountUsage& AccountUsage::operator=(const AccountUsage& other352) {
-  account = other352.account;
-  offered = other352.offered;
-  admitted = other352.admitted;
-  __isset = other352.__isset;
+AccountUsage& AccountUsage::operator=(const AccountUsage& other376) {
+  accounts = other376.accounts;
+  offered = other376.offered;
+  refused = other376.refused;
+  spans = other376.spans;
+  __isset = other376.__isset;
   return *this;
 }
-AccountUsage& AccountUsage::operator=(AccountUsage&& other353) noexcept {
-  account = std::move(other353.account);
-  offered = other353.offered;
-  admitted = other353.admitted;
-  __isset = other353.__isset;
+AccountUsage& AccountUsage::operator=(AccountUsage&& other377) noexcept {
+  accounts = std::move(other377.accounts);
+  offered = std::move(other377.offered);
+  refused = std::move(other377.refused);
+  spans = std::move(other377.spans);
+  __isset = other377.__isset;
   return *this;
 }
 void AccountUsage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AccountUsage(";
-  out << "account=" << to_string(account);
+  out << "accounts=" << to_string(accounts);
   out << ", " << "offered=" << to_string(offered);
-  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << ", " << "spans="; (__isset.spans ? (out << to_string(spans)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10265,7 +10395,7 @@
 }
 
 
-void AccountRatio::__set_account(const std::string& val) {
+void AccountRatio::__set_account(const int64_t val) {
   this->account = val;
 }
 
@@ -10301,8 +10431,8 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
           this->__isset.account = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10333,8 +10463,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("AccountRatio");
 
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->account);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 2);
@@ -10353,26 +10483,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountRatio::AccountRatio(const AccountRatio& other354) {
-  account = other354.account;
-  permille = other354.permille;
-  __isset = other354.__isset;
+AccountRatio::AccountRatio(const AccountRatio& other378) noexcept {
+  account = other378.account;
+  permille = other378.permille;
+  __isset = other378.__isset;
 }
-AccountRatio::AccountRatio(AccountRatio&& other355) noexcept {
-  account = std::move(other355.account);
-  permille = other355.permille;
-  __isset = other355.__isset;
+AccountRatio::AccountRatio(AccountRatio&& other379) noexcept {
+  account = other379.account;
+  permille = other379.permille;
+  __isset = other379.__isset;
 }
-AccountRatio& AccountRatio::operator=(const AccountRatio& other356) {
-  account = other356.account;
-  permille = other356.permille;
-  __isset = other356.__isset;
+AccountRatio& AccountRatio::operator=(const AccountRatio& other380) noexcept {
+  account = other380.account;
+  permille = other380.permille;
+  __isset = other380.__isset;
   return *this;
 }
-AccountRatio& AccountRatio::operator=(AccountRatio&& other357) noexcept {
-  account = std::move(other357.account);
-  permille = other357.permille;
-  __isset = other357.__isset;
+AccountRatio& AccountRatio::operator=(AccountRatio&& other381) noexcept {
+  account = other381.account;
+  permille = other381.permille;
+  __isset = other381.__isset;
   return *this;
 }
 void AccountRatio::printTo(std::ostream& out) const {
@@ -10459,22 +10589,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessRequest::FreshnessRequest(const FreshnessRequest& other358) noexcept {
-  sentAt = other358.sentAt;
-  __isset = other358.__isset;
+FreshnessRequest::FreshnessRequest(const FreshnessRequest& other382) noexcept {
+  sentAt = other382.sentAt;
+  __isset = other382.__isset;
 }
-FreshnessRequest::FreshnessRequest(FreshnessRequest&& other359) noexcept {
-  sentAt = other359.sentAt;
-  __isset = other359.__isset;
+FreshnessRequest::FreshnessRequest(FreshnessRequest&& other383) noexcept {
+  sentAt = other383.sentAt;
+  __isset = other383.__isset;
 }
-FreshnessRequest& FreshnessRequest::operator=(const FreshnessRequest& other360) noexcept {
-  sentAt = other360.sentAt;
-  __isset = other360.__isset;
+FreshnessRequest& FreshnessRequest::operator=(const FreshnessRequest& other384) noexcept {
+  sentAt = other384.sentAt;
+  __isset = other384.__isset;
   return *this;
 }
-FreshnessRequest& FreshnessRequest::operator=(FreshnessRequest&& other361) noexcept {
-  sentAt = other361.sentAt;
-  __isset = other361.__isset;
+FreshnessRequest& FreshnessRequest::operator=(FreshnessRequest&& other385) noexcept {
+  sentAt = other385.sentAt;
+  __isset = other385.__isset;
   return *this;
 }
 void FreshnessRequest::printTo(std::ostream& out) const {
@@ -10594,30 +10724,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other362) noexcept {
-  sentAt = other362.sentAt;
-  ageMs = other362.ageMs;
-  version = other362.version;
-  __isset = other362.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other386) noexcept {
+  sentAt = other386.sentAt;
+  ageMs = other386.ageMs;
+  version = other386.version;
+  __isset = other386.__isset;
 }
-FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other363) noexcept {
-  sentAt = other363.sentAt;
-  ageMs = other363.ageMs;
-  version = other363.version;
-  __isset = other363.__isset;
+FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other387) noexcept {
+  sentAt = other387.sentAt;
+  ageMs = other387.ageMs;
+  version = other387.version;
+  __isset = other387.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other364) noexcept {
-  sentAt = other364.sentAt;
-  ageMs = other364.ageMs;
-  version = other364.version;
-  __isset = other364.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other388) noexcept {
+  sentAt = other388.sentAt;
+  ageMs = other388.ageMs;
+  version = other388.version;
+  __isset = other388.__isset;
   return *this;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other365) noexcept {
-  sentAt = other365.sentAt;
-  ageMs = other365.ageMs;
-  version = other365.version;
-  __isset = other365.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other389) noexcept {
+  sentAt = other389.sentAt;
+  ageMs = other389.ageMs;
+  version = other389.version;
+  __isset = other389.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -10756,34 +10886,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Beacon::Beacon(const Beacon& other366) noexcept {
-  term = other366.term;
-  sequence = other366.sequence;
-  version = other366.version;
-  claimsThroughMs = other366.claimsThroughMs;
-  __isset = other366.__isset;
+Beacon::Beacon(const Beacon& other390) noexcept {
+  term = other390.term;
+  sequence = other390.sequence;
+  version = other390.version;
+  claimsThroughMs = other390.claimsThroughMs;
+  __isset = other390.__isset;
 }
-Beacon::Beacon(Beacon&& other367) noexcept {
-  term = other367.term;
-  sequence = other367.sequence;
-  version = other367.version;
-  claimsThroughMs = other367.claimsThroughMs;
-  __isset = other367.__isset;
+Beacon::Beacon(Beacon&& other391) noexcept {
+  term = other391.term;
+  sequence = other391.sequence;
+  version = other391.version;
+  claimsThroughMs = other391.claimsThroughMs;
+  __isset = other391.__isset;
 }
-Beacon& Beacon::operator=(const Beacon& other368) noexcept {
-  term = other368.term;
-  sequence = other368.sequence;
-  version = other368.version;
-  claimsThroughMs = other368.claimsThroughMs;
-  __isset = other368.__isset;
+Beacon& Beacon::operator=(const Beacon& other392) noexcept {
+  term = other392.term;
+  sequence = other392.sequence;
+  version = other392.version;
+  claimsThroughMs = other392.claimsThroughMs;
+  __isset = other392.__isset;
   return *this;
 }
-Beacon& Beacon::operator=(Beacon&& other369) noexcept {
-  term = other369.term;
-  sequence = other369.sequence;
-  version = other369.version;
-  claimsThroughMs = other369.claimsThroughMs;
-  __isset = other369.__isset;
+Beacon& Beacon::operator=(Beacon&& other393) noexcept {
+  term = other393.term;
+  sequence = other393.sequence;
+  version = other393.version;
+  claimsThroughMs = other393.claimsThroughMs;
+  __isset = other393.__isset;
   return *this;
 }
 void Beacon::printTo(std::ostream& out) const {
@@ -10906,30 +11036,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Subscribe::Subscribe(const Subscribe& other370) {
-  node = other370.node;
-  base = other370.base;
-  hash = other370.hash;
-  __isset = other370.__isset;
+Subscribe::Subscribe(const Subscribe& other394) {
+  node = other394.node;
+  base = other394.base;
+  hash = other394.hash;
+  __isset = other394.__isset;
 }
-Subscribe::Subscribe(Subscribe&& other371) noexcept {
-  node = std::move(other371.node);
-  base = other371.base;
-  hash = other371.hash;
-  __isset = other371.__isset;
+Subscribe::Subscribe(Subscribe&& other395) noexcept {
+  node = std::move(other395.node);
+  base = other395.base;
+  hash = other395.hash;
+  __isset = other395.__isset;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other372) {
-  node = other372.node;
-  base = other372.base;
-  hash = other372.hash;
-  __isset = other372.__isset;
+Subscribe& Subscribe::operator=(const Subscribe& other396) {
+  node = other396.node;
+  base = other396.base;
+  hash = other396.hash;
+  __isset = other396.__isset;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other373) noexcept {
-  node = std::move(other373.node);
-  base = other373.base;
-  hash = other373.hash;
-  __isset = other373.__isset;
+Subscribe& Subscribe::operator=(Subscribe&& other397) noexcept {
+  node = std::move(other397.node);
+  base = other397.base;
+  hash = other397.hash;
+  __isset = other397.__isset;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -11037,14 +11167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->directory.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->directory.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readListBegin(_etype401, _size398);
+            this->directory.resize(_size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              xfer += this->directory[_i378].read(iprot);
+              xfer += this->directory[_i402].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11065,14 +11195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->controlHosts.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->controlHosts.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
             {
-              xfer += iprot->readString(this->controlHosts[_i383]);
+              xfer += iprot->readString(this->controlHosts[_i407]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11117,10 +11247,10 @@
   xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->directory.size()));
-    std::vector<NodeInfo> ::const_iterator _iter384;
-    for (_iter384 = this->directory.begin(); _iter384 != this->directory.end(); ++_iter384)
+    std::vector<NodeInfo> ::const_iterator _iter408;
+    for (_iter408 = this->directory.begin(); _iter408 != this->directory.end(); ++_iter408)
     {
-      xfer += (*_iter384).write(oprot);
+      xfer += (*_iter408).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11133,10 +11263,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter385;
-    for (_iter385 = this->controlHosts.begin(); _iter385 != this->controlHosts.end(); ++_iter385)
+    std::vector<std::string> ::const_iterator _iter409;
+    for (_iter409 = this->controlHosts.begin(); _iter409 != this->controlHosts.end(); ++_iter409)
     {
-      xfer += oprot->writeString((*_iter385));
+      xfer += oprot->writeString((*_iter409));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11159,46 +11289,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other386) {
-  admitted = other386.admitted;
-  retryAfterMs = other386.retryAfterMs;
-  version = other386.version;
-  floor = other386.floor;
-  directory = other386.directory;
-  fresh = other386.fresh;
-  controlHosts = other386.controlHosts;
-  __isset = other386.__isset;
-}
-SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other387) noexcept {
-  admitted = other387.admitted;
-  retryAfterMs = other387.retryAfterMs;
-  version = other387.version;
-  floor = other387.floor;
-  directory = std::move(other387.directory);
-  fresh = other387.fresh;
-  controlHosts = std::move(other387.controlHosts);
-  __isset = other387.__isset;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other388) {
-  admitted = other388.admitted;
-  retryAfterMs = other388.retryAfterMs;
-  version = other388.version;
-  floor = other388.floor;
-  directory = other388.directory;
-  fresh = other388.fresh;
-  controlHosts = other388.controlHosts;
-  __isset = other388.__isset;
-  return *this;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other389) noexcept {
-  admitted = other389.admitted;
-  retryAfterMs = other389.retryAfterMs;
-  version = other389.version;
-  floor = other389.floor;
-  directory = std::move(other389.directory);
-  fresh = other389.fresh;
-  controlHosts = std::move(other389.controlHosts);
-  __isset = other389.__isset;
+SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other410) {
+  admitted = other410.admitted;
+  retryAfterMs = other410.retryAfterMs;
+  version = other410.version;
+  floor = other410.floor;
+  directory = other410.directory;
+  fresh = other410.fresh;
+  controlHosts = other410.controlHosts;
+  __isset = other410.__isset;
+}
+SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other411) noexcept {
+  admitted = other411.admitted;
+  retryAfterMs = other411.retryAfterMs;
+  version = other411.version;
+  floor = other411.floor;
+  directory = std::move(other411.directory);
+  fresh = other411.fresh;
+  controlHosts = std::move(other411.controlHosts);
+  __isset = other411.__isset;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other412) {
+  admitted = other412.admitted;
+  retryAfterMs = other412.retryAfterMs;
+  version = other412.version;
+  floor = other412.floor;
+  directory = other412.directory;
+  fresh = other412.fresh;
+  controlHosts = other412.controlHosts;
+  __isset = other412.__isset;
+  return *this;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other413) noexcept {
+  admitted = other413.admitted;
+  retryAfterMs = other413.retryAfterMs;
+  version = other413.version;
+  floor = other413.floor;
+  directory = std::move(other413.directory);
+  fresh = other413.fresh;
+  controlHosts = std::move(other413.controlHosts);
+  __isset = other413.__isset;
   return *this;
 }
 void SubscribeAnswer::printTo(std::ostream& out) const {
@@ -11243,8 +11373,9 @@
   this->crashes = val;
 }
 
-void Report::__set_usage(const std::vector<AccountUsage> & val) {
+void Report::__set_usage(const AccountUsage& val) {
   this->usage = val;
+__isset.usage = true;
 }
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
@@ -11278,14 +11409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size390;
-            ::apache::thrift::protocol::TType _etype393;
-            xfer += iprot->readListBegin(_etype393, _size390);
-            this->nodes.resize(_size390);
-            uint32_t _i394;
-            for (_i394 = 0; _i394 < _size390; ++_i394)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->nodes.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->nodes[_i394].read(iprot);
+              xfer += this->nodes[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11298,14 +11429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size395;
-            ::apache::thrift::protocol::TType _etype398;
-            xfer += iprot->readListBegin(_etype398, _size395);
-            this->targets.resize(_size395);
-            uint32_t _i399;
-            for (_i399 = 0; _i399 < _size395; ++_i399)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->targets.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += this->targets[_i399].read(iprot);
+              xfer += this->targets[_i423].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11318,14 +11449,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size400;
-            ::apache::thrift::protocol::TType _etype403;
-            xfer += iprot->readListBegin(_etype403, _size400);
-            this->evidence.resize(_size400);
-            uint32_t _i404;
-            for (_i404 = 0; _i404 < _size400; ++_i404)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->evidence.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += this->evidence[_i404].read(iprot);
+              xfer += this->evidence[_i428].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11338,14 +11469,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->alarms.clear();
-            uint32_t _size405;
-            ::apache::thrift::protocol::TType _etype408;
-            xfer += iprot->readListBegin(_etype408, _size405);
-            this->alarms.resize(_size405);
-            uint32_t _i409;
-            for (_i409 = 0; _i409 < _size405; ++_i409)
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->alarms.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
             {
-              xfer += this->alarms[_i409].read(iprot);
+              xfer += this->alarms[_i433].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11358,14 +11489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size410;
-            ::apache::thrift::protocol::TType _etype413;
-            xfer += iprot->readListBegin(_etype413, _size410);
-            this->acks.resize(_size410);
-            uint32_t _i414;
-            for (_i414 = 0; _i414 < _size410; ++_i414)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->acks.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->acks[_i414].read(iprot);
+              xfer += this->acks[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11378,14 +11509,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size415;
-            ::apache::thrift::protocol::TType _etype418;
-            xfer += iprot->readListBegin(_etype418, _size415);
-            this->crashes.resize(_size415);
-            uint32_t _i419;
-            for (_i419 = 0; _i419 < _size415; ++_i419)
+            uint32_t _size439;
+            ::apache::thrift::protocol::TType _etype442;
+            xfer += iprot->readListBegin(_etype442, _size439);
+            this->crashes.resize(_size439);
+            uint32_t _i443;
+            for (_i443 = 0; _i443 < _size439; ++_i443)
             {
-              xfer += this->crashes[_i419].read(iprot);
+              xfer += this->crashes[_i443].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11395,20 +11526,8 @@
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->usage.clear();
-            uint32_t _size420;
-            ::apache::thrift::protocol::TType _etype423;
-            xfer += iprot->readListBegin(_etype423, _size420);
-            this->usage.resize(_size420);
-            uint32_t _i424;
-            for (_i424 = 0; _i424 < _size420; ++_i424)
-            {
-              xfer += this->usage[_i424].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->usage.read(iprot);
           this->__isset.usage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11434,10 +11553,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter425;
-    for (_iter425 = this->nodes.begin(); _iter425 != this->nodes.end(); ++_iter425)
+    std::vector<NodeInfo> ::const_iterator _iter444;
+    for (_iter444 = this->nodes.begin(); _iter444 != this->nodes.end(); ++_iter444)
     {
-      xfer += (*_iter425).write(oprot);
+      xfer += (*_iter444).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11446,10 +11565,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter426;
-    for (_iter426 = this->targets.begin(); _iter426 != this->targets.end(); ++_iter426)
+    std::vector<Presence> ::const_iterator _iter445;
+    for (_iter445 = this->targets.begin(); _iter445 != this->targets.end(); ++_iter445)
     {
-      xfer += (*_iter426).write(oprot);
+      xfer += (*_iter445).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11458,10 +11577,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<EvidenceCell> ::const_iterator _iter427;
-    for (_iter427 = this->evidence.begin(); _iter427 != this->evidence.end(); ++_iter427)
+    std::vector<EvidenceCell> ::const_iterator _iter446;
+    for (_iter446 = this->evidence.begin(); _iter446 != this->evidence.end(); ++_iter446)
     {
-      xfer += (*_iter427).write(oprot);
+      xfer += (*_iter446).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11470,10 +11589,10 @@
   xfer += oprot->writeFieldBegin("alarms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->alarms.size()));
-    std::vector<Alarm> ::const_iterator _iter428;
-    for (_iter428 = this->alarms.begin(); _iter428 != this->alarms.end(); ++_iter428)
+    std::vector<Alarm> ::const_iterator _iter447;
+    for (_iter447 = this->alarms.begin(); _iter447 != this->alarms.end(); ++_iter447)
     {
-      xfer += (*_iter428).write(oprot);
+      xfer += (*_iter447).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11482,10 +11601,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<NodeAck> ::const_iterator _iter429;
-    for (_iter429 = this->acks.begin(); _iter429 != this->acks.end(); ++_iter429)
+    std::vector<NodeAck> ::const_iterator _iter448;
+    for (_iter448 = this->acks.begin(); _iter448 != this->acks.end(); ++_iter448)
     {
-      xfer += (*_iter429).write(oprot);
+      xfer += (*_iter448).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11494,27 +11613,20 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter430;
-    for (_iter430 = this->crashes.begin(); _iter430 != this->crashes.end(); ++_iter430)
+    std::vector<TargetCrash> ::const_iterator _iter449;
+    for (_iter449 = this->crashes.begin(); _iter449 != this->crashes.end(); ++_iter449)
     {
-      xfer += (*_iter430).write(oprot);
+      xfer += (*_iter449).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-    std::vector<AccountUsage> ::const_iterator _iter431;
-    for (_iter431 = this->usage.begin(); _iter431 != this->usage.end(); ++_iter431)
-    {
-      xfer += (*_iter431).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.usage) {
+    xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->usage.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11532,46 +11644,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other432) {
-  nodes = other432.nodes;
-  targets = other432.targets;
-  evidence = other432.evidence;
-  alarms = other432.alarms;
-  acks = other432.acks;
-  crashes = other432.crashes;
-  usage = other432.usage;
-  __isset = other432.__isset;
-}
-Report::Report(Report&& other433) noexcept {
-  nodes = std::move(other433.nodes);
-  targets = std::move(other433.targets);
-  evidence = std::move(other433.evidence);
-  alarms = std::move(other433.alarms);
-  acks = std::move(other433.acks);
-  crashes = std::move(other433.crashes);
-  usage = std::move(other433.usage);
-  __isset = other433.__isset;
-}
-Report& Report::operator=(const Report& other434) {
-  nodes = other434.nodes;
-  targets = other434.targets;
-  evidence = other434.evidence;
-  alarms = other434.alarms;
-  acks = other434.acks;
-  crashes = other434.crashes;
-  usage = other434.usage;
-  __isset = other434.__isset;
-  return *this;
-}
-Report& Report::operator=(Report&& other435) noexcept {
-  nodes = std::move(other435.nodes);
-  targets = std::move(other435.targets);
-  evidence = std::move(other435.evidence);
-  alarms = std::move(other435.alarms);
-  acks = std::move(other435.acks);
-  crashes = std::move(other435.crashes);
-  usage = std::move(other435.usage);
-  __isset = other435.__isset;
+Report::Report(const Report& other450) {
+  nodes = other450.nodes;
+  targets = other450.targets;
+  evidence = other450.evidence;
+  alarms = other450.alarms;
+  acks = other450.acks;
+  crashes = other450.crashes;
+  usage = other450.usage;
+  __isset = other450.__isset;
+}
+Report::Report(Report&& other451) noexcept {
+  nodes = std::move(other451.nodes);
+  targets = std::move(other451.targets);
+  evidence = std::move(other451.evidence);
+  alarms = std::move(other451.alarms);
+  acks = std::move(other451.acks);
+  crashes = std::move(other451.crashes);
+  usage = std::move(other451.usage);
+  __isset = other451.__isset;
+}
+Report& Report::operator=(const Report& other452) {
+  nodes = other452.nodes;
+  targets = other452.targets;
+  evidence = other452.evidence;
+  alarms = other452.alarms;
+  acks = other452.acks;
+  crashes = other452.crashes;
+  usage = other452.usage;
+  __isset = other452.__isset;
+  return *this;
+}
+Report& Report::operator=(Report&& other453) noexcept {
+  nodes = std::move(other453.nodes);
+  targets = std::move(other453.targets);
+  evidence = std::move(other453.evidence);
+  alarms = std::move(other453.alarms);
+  acks = std::move(other453.acks);
+  crashes = std::move(other453.crashes);
+  usage = std::move(other453.usage);
+  __isset = other453.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -11583,7 +11695,7 @@
   out << ", " << "alarms=" << to_string(alarms);
   out << ", " << "acks=" << to_string(acks);
   out << ", " << "crashes=" << to_string(crashes);
-  out << ", " << "usage=" << to_string(usage);
+  out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11607,6 +11719,7 @@
 
 void MemberReport::__set_accountRatios(const std::vector<AccountRatio> & val) {
   this->accountRatios = val;
+__isset.accountRatios = true;
 }
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj)
 {
@@ -11656,14 +11769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size436;
-            ::apache::thrift::protocol::TType _etype439;
-            xfer += iprot->readListBegin(_etype439, _size436);
-            this->members.resize(_size436);
-            uint32_t _i440;
-            for (_i440 = 0; _i440 < _size436; ++_i440)
+            uint32_t _size454;
+            ::apache::thrift::protocol::TType _etype457;
+            xfer += iprot->readListBegin(_etype457, _size454);
+            this->members.resize(_size454);
+            uint32_t _i458;
+            for (_i458 = 0; _i458 < _size454; ++_i458)
             {
-              xfer += iprot->readString(this->members[_i440]);
+              xfer += iprot->readString(this->members[_i458]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11676,14 +11789,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accountRatios.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->accountRatios.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size459;
+            ::apache::thrift::protocol::TType _etype462;
+            xfer += iprot->readListBegin(_etype462, _size459);
+            this->accountRatios.resize(_size459);
+            uint32_t _i463;
+            for (_i463 = 0; _i463 < _size459; ++_i463)
             {
-              xfer += this->accountRatios[_i445].read(iprot);
+              xfer += this->accountRatios[_i463].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11721,27 +11834,28 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter446;
-    for (_iter446 = this->members.begin(); _iter446 != this->members.end(); ++_iter446)
+    std::vector<std::string> ::const_iterator _iter464;
+    for (_iter464 = this->members.begin(); _iter464 != this->members.end(); ++_iter464)
     {
-      xfer += oprot->writeString((*_iter446));
+      xfer += oprot->writeString((*_iter464));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
-    std::vector<AccountRatio> ::const_iterator _iter447;
-    for (_iter447 = this->accountRatios.begin(); _iter447 != this->accountRatios.end(); ++_iter447)
+  if (this->__isset.accountRatios) {
+    xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 4);
     {
-      xfer += (*_iter447).write(oprot);
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
+      std::vector<AccountRatio> ::const_iterator _iter465;
+      for (_iter465 = this->accountRatios.begin(); _iter465 != this->accountRatios.end(); ++_iter465)
+      {
+        xfer += (*_iter465).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11756,34 +11870,34 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other448) {
-  report = other448.report;
-  beacon = other448.beacon;
-  members = other448.members;
-  accountRatios = other448.accountRatios;
-  __isset = other448.__isset;
-}
-MemberReport::MemberReport(MemberReport&& other449) noexcept {
-  report = std::move(other449.report);
-  beacon = std::move(other449.beacon);
-  members = std::move(other449.members);
-  accountRatios = std::move(other449.accountRatios);
-  __isset = other449.__isset;
-}
-MemberReport& MemberReport::operator=(const MemberReport& other450) {
-  report = other450.report;
-  beacon = other450.beacon;
-  members = other450.members;
-  accountRatios = other450.accountRatios;
-  __isset = other450.__isset;
+MemberReport::MemberReport(const MemberReport& other466) {
+  report = other466.report;
+  beacon = other466.beacon;
+  members = other466.members;
+  accountRatios = other466.accountRatios;
+  __isset = other466.__isset;
+}
+MemberReport::MemberReport(MemberReport&& other467) noexcept {
+  report = std::move(other467.report);
+  beacon = std::move(other467.beacon);
+  members = std::move(other467.members);
+  accountRatios = std::move(other467.accountRatios);
+  __isset = other467.__isset;
+}
+MemberReport& MemberReport::operator=(const MemberReport& other468) {
+  report = other468.report;
+  beacon = other468.beacon;
+  members = other468.members;
+  accountRatios = other468.accountRatios;
+  __isset = other468.__isset;
   return *this;
 }
-MemberReport& MemberReport::operator=(MemberReport&& other451) noexcept {
-  report = std::move(other451.report);
-  beacon = std::move(other451.beacon);
-  members = std::move(other451.members);
-  accountRatios = std::move(other451.accountRatios);
-  __isset = other451.__isset;
+MemberReport& MemberReport::operator=(MemberReport&& other469) noexcept {
+  report = std::move(other469.report);
+  beacon = std::move(other469.beacon);
+  members = std::move(other469.members);
+  accountRatios = std::move(other469.accountRatios);
+  __isset = other469.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -11792,7 +11906,7 @@
   out << "report=" << to_string(report);
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
   out << ", " << "members=" << to_string(members);
-  out << ", " << "accountRatios=" << to_string(accountRatios);
+  out << ", " << "accountRatios="; (__isset.accountRatios ? (out << to_string(accountRatios)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11824,6 +11938,7 @@
 
 void Spread::__set_accountRatios(const std::vector<AccountRatio> & val) {
   this->accountRatios = val;
+__isset.accountRatios = true;
 }
 std::ostream& operator<<(std::ostream& out, const Spread& obj)
 {
@@ -11857,14 +11972,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size452;
-            ::apache::thrift::protocol::TType _etype455;
-            xfer += iprot->readListBegin(_etype455, _size452);
-            this->nodes.resize(_size452);
-            uint32_t _i456;
-            for (_i456 = 0; _i456 < _size452; ++_i456)
+            uint32_t _size470;
+            ::apache::thrift::protocol::TType _etype473;
+            xfer += iprot->readListBegin(_etype473, _size470);
+            this->nodes.resize(_size470);
+            uint32_t _i474;
+            for (_i474 = 0; _i474 < _size470; ++_i474)
             {
-              xfer += this->nodes[_i456].read(iprot);
+              xfer += this->nodes[_i474].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11877,14 +11992,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size457;
-            ::apache::thrift::protocol::TType _etype460;
-            xfer += iprot->readListBegin(_etype460, _size457);
-            this->targets.resize(_size457);
-            uint32_t _i461;
-            for (_i461 = 0; _i461 < _size457; ++_i461)
+            uint32_t _size475;
+            ::apache::thrift::protocol::TType _etype478;
+            xfer += iprot->readListBegin(_etype478, _size475);
+            this->targets.resize(_size475);
+            uint32_t _i479;
+            for (_i479 = 0; _i479 < _size475; ++_i479)
             {
-              xfer += this->targets[_i461].read(iprot);
+              xfer += this->targets[_i479].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11905,14 +12020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size462;
-            ::apache::thrift::protocol::TType _etype465;
-            xfer += iprot->readListBegin(_etype465, _size462);
-            this->controlHosts.resize(_size462);
-            uint32_t _i466;
-            for (_i466 = 0; _i466 < _size462; ++_i466)
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->controlHosts.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
             {
-              xfer += iprot->readString(this->controlHosts[_i466]);
+              xfer += iprot->readString(this->controlHosts[_i484]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11925,14 +12040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size467;
-            ::apache::thrift::protocol::TType _etype470;
-            xfer += iprot->readListBegin(_etype470, _size467);
-            this->crashes.resize(_size467);
-            uint32_t _i471;
-            for (_i471 = 0; _i471 < _size467; ++_i471)
+            uint32_t _size485;
+            ::apache::thrift::protocol::TType _etype488;
+            xfer += iprot->readListBegin(_etype488, _size485);
+            this->crashes.resize(_size485);
+            uint32_t _i489;
+            for (_i489 = 0; _i489 < _size485; ++_i489)
             {
-              xfer += this->crashes[_i471].read(iprot);
+              xfer += this->crashes[_i489].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11945,14 +12060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accountRatios.clear();
-            uint32_t _size472;
-            ::apache::thrift::protocol::TType _etype475;
-            xfer += iprot->readListBegin(_etype475, _size472);
-            this->accountRatios.resize(_size472);
-            uint32_t _i476;
-            for (_i476 = 0; _i476 < _size472; ++_i476)
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->accountRatios.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
             {
-              xfer += this->accountRatios[_i476].read(iprot);
+              xfer += this->accountRatios[_i494].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11981,10 +12096,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter477;
-    for (_iter477 = this->nodes.begin(); _iter477 != this->nodes.end(); ++_iter477)
+    std::vector<NodeInfo> ::const_iterator _iter495;
+    for (_iter495 = this->nodes.begin(); _iter495 != this->nodes.end(); ++_iter495)
     {
-      xfer += (*_iter477).write(oprot);
+      xfer += (*_iter495).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11993,10 +12108,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter478;
-    for (_iter478 = this->targets.begin(); _iter478 != this->targets.end(); ++_iter478)
+    std::vector<Presence> ::const_iterator _iter496;
+    for (_iter496 = this->targets.begin(); _iter496 != this->targets.end(); ++_iter496)
     {
-      xfer += (*_iter478).write(oprot);
+      xfer += (*_iter496).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12010,10 +12125,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter479;
-    for (_iter479 = this->controlHosts.begin(); _iter479 != this->controlHosts.end(); ++_iter479)
+    std::vector<std::string> ::const_iterator _iter497;
+    for (_iter497 = this->controlHosts.begin(); _iter497 != this->controlHosts.end(); ++_iter497)
     {
-      xfer += oprot->writeString((*_iter479));
+      xfer += oprot->writeString((*_iter497));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12022,27 +12137,28 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter480;
-    for (_iter480 = this->crashes.begin(); _iter480 != this->crashes.end(); ++_iter480)
+    std::vector<TargetCrash> ::const_iterator _iter498;
+    for (_iter498 = this->crashes.begin(); _iter498 != this->crashes.end(); ++_iter498)
     {
-      xfer += (*_iter480).write(oprot);
+      xfer += (*_iter498).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
-    std::vector<AccountRatio> ::const_iterator _iter481;
-    for (_iter481 = this->accountRatios.begin(); _iter481 != this->accountRatios.end(); ++_iter481)
+  if (this->__isset.accountRatios) {
+    xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 6);
     {
-      xfer += (*_iter481).write(oprot);
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
+      std::vector<AccountRatio> ::const_iterator _iter499;
+      for (_iter499 = this->accountRatios.begin(); _iter499 != this->accountRatios.end(); ++_iter499)
+      {
+        xfer += (*_iter499).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12059,42 +12175,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Spread::Spread(const Spread& other482) {
-  nodes = other482.nodes;
-  targets = other482.targets;
-  beacon = other482.beacon;
-  controlHosts = other482.controlHosts;
-  crashes = other482.crashes;
-  accountRatios = other482.accountRatios;
-  __isset = other482.__isset;
-}
-Spread::Spread(Spread&& other483) noexcept {
-  nodes = std::move(other483.nodes);
-  targets = std::move(other483.targets);
-  beacon = std::move(other483.beacon);
-  controlHosts = std::move(other483.controlHosts);
-  crashes = std::move(other483.crashes);
-  accountRatios = std::move(other483.accountRatios);
-  __isset = other483.__isset;
-}
-Spread& Spread::operator=(const Spread& other484) {
-  nodes = other484.nodes;
-  targets = other484.targets;
-  beacon = other484.beacon;
-  controlHosts = other484.controlHosts;
-  crashes = other484.crashes;
-  accountRatios = other484.accountRatios;
-  __isset = other484.__isset;
-  return *this;
-}
-Spread& Spread::operator=(Spread&& other485) noexcept {
-  nodes = std::move(other485.nodes);
-  targets = std::move(other485.targets);
-  beacon = std::move(other485.beacon);
-  controlHosts = std::move(other485.controlHosts);
-  crashes = std::move(other485.crashes);
-  accountRatios = std::move(other485.accountRatios);
-  __isset = other485.__isset;
+Spread::Spread(const Spread& other500) {
+  nodes = other500.nodes;
+  targets = other500.targets;
+  beacon = other500.beacon;
+  controlHosts = other500.controlHosts;
+  crashes = other500.crashes;
+  accountRatios = other500.accountRatios;
+  __isset = other500.__isset;
+}
+Spread::Spread(Spread&& other501) noexcept {
+  nodes = std::move(other501.nodes);
+  targets = std::move(other501.targets);
+  beacon = std::move(other501.beacon);
+  controlHosts = std::move(other501.controlHosts);
+  crashes = std::move(other501.crashes);
+  accountRatios = std::move(other501.accountRatios);
+  __isset = other501.__isset;
+}
+Spread& Spread::operator=(const Spread& other502) {
+  nodes = other502.nodes;
+  targets = other502.targets;
+  beacon = other502.beacon;
+  controlHosts = other502.controlHosts;
+  crashes = other502.crashes;
+  accountRatios = other502.accountRatios;
+  __isset = other502.__isset;
+  return *this;
+}
+Spread& Spread::operator=(Spread&& other503) noexcept {
+  nodes = std::move(other503.nodes);
+  targets = std::move(other503.targets);
+  beacon = std::move(other503.beacon);
+  controlHosts = std::move(other503.controlHosts);
+  crashes = std::move(other503.crashes);
+  accountRatios = std::move(other503.accountRatios);
+  __isset = other503.__isset;
   return *this;
 }
 void Spread::printTo(std::ostream& out) const {
@@ -12105,7 +12221,7 @@
   out << ", " << "beacon="; (__isset.beacon ? (out << to_string(beacon)) : (out << "<null>"));
   out << ", " << "controlHosts=" << to_string(controlHosts);
   out << ", " << "crashes=" << to_string(crashes);
-  out << ", " << "accountRatios=" << to_string(accountRatios);
+  out << ", " << "accountRatios="; (__isset.accountRatios ? (out << to_string(accountRatios)) : (out << "<null>"));
   out << ")";
 }
 
@@ -12173,14 +12289,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size486;
-            ::apache::thrift::protocol::TType _etype489;
-            xfer += iprot->readListBegin(_etype489, _size486);
-            this->buckets.resize(_size486);
-            uint32_t _i490;
-            for (_i490 = 0; _i490 < _size486; ++_i490)
+            uint32_t _size504;
+            ::apache::thrift::protocol::TType _etype507;
+            xfer += iprot->readListBegin(_etype507, _size504);
+            this->buckets.resize(_size504);
+            uint32_t _i508;
+            for (_i508 = 0; _i508 < _size504; ++_i508)
             {
-              xfer += iprot->readI64(this->buckets[_i490]);
+              xfer += iprot->readI64(this->buckets[_i508]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12217,10 +12333,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter491;
-    for (_iter491 = this->buckets.begin(); _iter491 != this->buckets.end(); ++_iter491)
+    std::vector<int64_t> ::const_iterator _iter509;
+    for (_iter509 = this->buckets.begin(); _iter509 != this->buckets.end(); ++_iter509)
     {
-      xfer += oprot->writeI64((*_iter491));
+      xfer += oprot->writeI64((*_iter509));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12239,30 +12355,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other492) {
-  version = other492.version;
-  hash = other492.hash;
-  buckets = other492.buckets;
-  __isset = other492.__isset;
+Digest::Digest(const Digest& other510) {
+  version = other510.version;
+  hash = other510.hash;
+  buckets = other510.buckets;
+  __isset = other510.__isset;
 }
-Digest::Digest(Digest&& other493) noexcept {
-  version = other493.version;
-  hash = other493.hash;
-  buckets = std::move(other493.buckets);
-  __isset = other493.__isset;
+Digest::Digest(Digest&& other511) noexcept {
+  version = other511.version;
+  hash = other511.hash;
+  buckets = std::move(other511.buckets);
+  __isset = other511.__isset;
 }
-Digest& Digest::operator=(const Digest& other494) {
-  version = other494.version;
-  hash = other494.hash;
-  buckets = other494.buckets;
-  __isset = other494.__isset;
+Digest& Digest::operator=(const Digest& other512) {
+  version = other512.version;
+  hash = other512.hash;
+  buckets = other512.buckets;
+  __isset = other512.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other495) noexcept {
-  version = other495.version;
-  hash = other495.hash;
-  buckets = std::move(other495.buckets);
-  __isset = other495.__isset;
+Digest& Digest::operator=(Digest&& other513) noexcept {
+  version = other513.version;
+  hash = other513.hash;
+  buckets = std::move(other513.buckets);
+  __isset = other513.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -12343,14 +12459,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size496;
-            ::apache::thrift::protocol::TType _etype499;
-            xfer += iprot->readListBegin(_etype499, _size496);
-            this->targets.resize(_size496);
-            uint32_t _i500;
-            for (_i500 = 0; _i500 < _size496; ++_i500)
+            uint32_t _size514;
+            ::apache::thrift::protocol::TType _etype517;
+            xfer += iprot->readListBegin(_etype517, _size514);
+            this->targets.resize(_size514);
+            uint32_t _i518;
+            for (_i518 = 0; _i518 < _size514; ++_i518)
             {
-              xfer += this->targets[_i500].read(iprot);
+              xfer += this->targets[_i518].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12363,14 +12479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size501;
-            ::apache::thrift::protocol::TType _etype504;
-            xfer += iprot->readListBegin(_etype504, _size501);
-            this->nodes.resize(_size501);
-            uint32_t _i505;
-            for (_i505 = 0; _i505 < _size501; ++_i505)
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->nodes.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
             {
-              xfer += this->nodes[_i505].read(iprot);
+              xfer += this->nodes[_i523].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12408,10 +12524,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter506;
-    for (_iter506 = this->targets.begin(); _iter506 != this->targets.end(); ++_iter506)
+    std::vector<Presence> ::const_iterator _iter524;
+    for (_iter524 = this->targets.begin(); _iter524 != this->targets.end(); ++_iter524)
     {
-      xfer += (*_iter506).write(oprot);
+      xfer += (*_iter524).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12420,10 +12536,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter507;
-    for (_iter507 = this->nodes.begin(); _iter507 != this->nodes.end(); ++_iter507)
+    std::vector<NodeInfo> ::const_iterator _iter525;
+    for (_iter525 = this->nodes.begin(); _iter525 != this->nodes.end(); ++_iter525)
     {
-      xfer += (*_iter507).write(oprot);
+      xfer += (*_iter525).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12443,34 +12559,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DigestAnswer::DigestAnswer(const DigestAnswer& other508) {
-  version = other508.version;
-  delta = other508.delta;
-  targets = other508.targets;
-  nodes = other508.nodes;
-  __isset = other508.__isset;
+DigestAnswer::DigestAnswer(const DigestAnswer& other526) {
+  version = other526.version;
+  delta = other526.delta;
+  targets = other526.targets;
+  nodes = other526.nodes;
+  __isset = other526.__isset;
 }
-DigestAnswer::DigestAnswer(DigestAnswer&& other509) noexcept {
-  version = other509.version;
-  delta = std::move(other509.delta);
-  targets = std::move(other509.targets);
-  nodes = std::move(other509.nodes);
-  __isset = other509.__isset;
+DigestAnswer::DigestAnswer(DigestAnswer&& other527) noexcept {
+  version = other527.version;
+  delta = std::move(other527.delta);
+  targets = std::move(other527.targets);
+  nodes = std::move(other527.nodes);
+  __isset = other527.__isset;
 }
-DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other510) {
-  version = other510.version;
-  delta = other510.delta;
-  targets = other510.targets;
-  nodes = other510.nodes;
-  __isset = other510.__isset;
+DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other528) {
+  version = other528.version;
+  delta = other528.delta;
+  targets = other528.targets;
+  nodes = other528.nodes;
+  __isset = other528.__isset;
   return *this;
 }
-DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other511) noexcept {
-  version = other511.version;
-  delta = std::move(other511.delta);
-  targets = std::move(other511.targets);
-  nodes = std::move(other511.nodes);
-  __isset = other511.__isset;
+DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other529) noexcept {
+  version = other529.version;
+  delta = std::move(other529.delta);
+  targets = std::move(other529.targets);
+  nodes = std::move(other529.nodes);
+  __isset = other529.__isset;
   return *this;
 }
 void DigestAnswer::printTo(std::ostream& out) const {
@@ -12576,26 +12692,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other512) {
-  name = other512.name;
-  value = other512.value;
-  __isset = other512.__isset;
+Header::Header(const Header& other530) {
+  name = other530.name;
+  value = other530.value;
+  __isset = other530.__isset;
 }
-Header::Header(Header&& other513) noexcept {
-  name = std::move(other513.name);
-  value = std::move(other513.value);
-  __isset = other513.__isset;
+Header::Header(Header&& other531) noexcept {
+  name = std::move(other531.name);
+  value = std::move(other531.value);
+  __isset = other531.__isset;
 }
-Header& Header::operator=(const Header& other514) {
-  name = other514.name;
-  value = other514.value;
-  __isset = other514.__isset;
+Header& Header::operator=(const Header& other532) {
+  name = other532.name;
+  value = other532.value;
+  __isset = other532.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other515) noexcept {
-  name = std::move(other515.name);
-  value = std::move(other515.value);
-  __isset = other515.__isset;
+Header& Header::operator=(Header&& other533) noexcept {
+  name = std::move(other533.name);
+  value = std::move(other533.value);
+  __isset = other533.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -12751,14 +12867,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size516;
-            ::apache::thrift::protocol::TType _etype519;
-            xfer += iprot->readListBegin(_etype519, _size516);
-            this->headers.resize(_size516);
-            uint32_t _i520;
-            for (_i520 = 0; _i520 < _size516; ++_i520)
+            uint32_t _size534;
+            ::apache::thrift::protocol::TType _etype537;
+            xfer += iprot->readListBegin(_etype537, _size534);
+            this->headers.resize(_size534);
+            uint32_t _i538;
+            for (_i538 = 0; _i538 < _size534; ++_i538)
             {
-              xfer += this->headers[_i520].read(iprot);
+              xfer += this->headers[_i538].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12935,10 +13051,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter521;
-    for (_iter521 = this->headers.begin(); _iter521 != this->headers.end(); ++_iter521)
+    std::vector<Header> ::const_iterator _iter539;
+    for (_iter539 = this->headers.begin(); _iter539 != this->headers.end(); ++_iter539)
     {
-      xfer += (*_iter521).write(oprot);
+      xfer += (*_iter539).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13044,102 +13160,102 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other522) {
-  id = other522.id;
-  method = other522.method;
-  path = other522.path;
-  headers = other522.headers;
-  body = other522.body;
-  budgetMs = other522.budgetMs;
-  serviceName = other522.serviceName;
-  target = other522.target;
-  account = other522.account;
-  priority = other522.priority;
-  incarnation = other522.incarnation;
-  requestId = other522.requestId;
-  callerService = other522.callerService;
-  objectiveMs = other522.objectiveMs;
-  mayWait = other522.mayWait;
-  nested = other522.nested;
-  usualMs = other522.usualMs;
-  laterBytes = other522.laterBytes;
-  mostWaitMs = other522.mostWaitMs;
-  maxCallsPerSecond = other522.maxCallsPerSecond;
-  clientAccount = other522.clientAccount;
-  __isset = other522.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other523) noexcept {
-  id = other523.id;
-  method = std::move(other523.method);
-  path = std::move(other523.path);
-  headers = std::move(other523.headers);
-  body = std::move(other523.body);
-  budgetMs = other523.budgetMs;
-  serviceName = std::move(other523.serviceName);
-  target = std::move(other523.target);
-  account = std::move(other523.account);
-  priority = other523.priority;
-  incarnation = other523.incarnation;
-  requestId = std::move(other523.requestId);
-  callerService = std::move(other523.callerService);
-  objectiveMs = other523.objectiveMs;
-  mayWait = other523.mayWait;
-  nested = other523.nested;
-  usualMs = other523.usualMs;
-  laterBytes = other523.laterBytes;
-  mostWaitMs = other523.mostWaitMs;
-  maxCallsPerSecond = other523.maxCallsPerSecond;
-  clientAccount = std::move(other523.clientAccount);
-  __isset = other523.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other524) {
-  id = other524.id;
-  method = other524.method;
-  path = other524.path;
-  headers = other524.headers;
-  body = other524.body;
-  budgetMs = other524.budgetMs;
-  serviceName = other524.serviceName;
-  target = other524.target;
-  account = other524.account;
-  priority = other524.priority;
-  incarnation = other524.incarnation;
-  requestId = other524.requestId;
-  callerService = other524.callerService;
-  objectiveMs = other524.objectiveMs;
-  mayWait = other524.mayWait;
-  nested = other524.nested;
-  usualMs = other524.usualMs;
-  laterBytes = other524.laterBytes;
-  mostWaitMs = other524.mostWaitMs;
-  maxCallsPerSecond = other524.maxCallsPerSecond;
-  clientAccount = other524.clientAccount;
-  __isset = other524.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other525) noexcept {
-  id = other525.id;
-  method = std::move(other525.method);
-  path = std::move(other525.path);
-  headers = std::move(other525.headers);
-  body = std::move(other525.body);
-  budgetMs = other525.budgetMs;
-  serviceName = std::move(other525.serviceName);
-  target = std::move(other525.target);
-  account = std::move(other525.account);
-  priority = other525.priority;
-  incarnation = other525.incarnation;
-  requestId = std::move(other525.requestId);
-  callerService = std::move(other525.callerService);
-  objectiveMs = other525.objectiveMs;
-  mayWait = other525.mayWait;
-  nested = other525.nested;
-  usualMs = other525.usualMs;
-  laterBytes = other525.laterBytes;
-  mostWaitMs = other525.mostWaitMs;
-  maxCallsPerSecond = other525.maxCallsPerSecond;
-  clientAccount = std::move(other525.clientAccount);
-  __isset = other525.__isset;
+CallRequest::CallRequest(const CallRequest& other540) {
+  id = other540.id;
+  method = other540.method;
+  path = other540.path;
+  headers = other540.headers;
+  body = other540.body;
+  budgetMs = other540.budgetMs;
+  serviceName = other540.serviceName;
+  target = other540.target;
+  account = other540.account;
+  priority = other540.priority;
+  incarnation = other540.incarnation;
+  requestId = other540.requestId;
+  callerService = other540.callerService;
+  objectiveMs = other540.objectiveMs;
+  mayWait = other540.mayWait;
+  nested = other540.nested;
+  usualMs = other540.usualMs;
+  laterBytes = other540.laterBytes;
+  mostWaitMs = other540.mostWaitMs;
+  maxCallsPerSecond = other540.maxCallsPerSecond;
+  clientAccount = other540.clientAccount;
+  __isset = other540.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other541) noexcept {
+  id = other541.id;
+  method = std::move(other541.method);
+  path = std::move(other541.path);
+  headers = std::move(other541.headers);
+  body = std::move(other541.body);
+  budgetMs = other541.budgetMs;
+  serviceName = std::move(other541.serviceName);
+  target = std::move(other541.target);
+  account = std::move(other541.account);
+  priority = other541.priority;
+  incarnation = other541.incarnation;
+  requestId = std::move(other541.requestId);
+  callerService = std::move(other541.callerService);
+  objectiveMs = other541.objectiveMs;
+  mayWait = other541.mayWait;
+  nested = other541.nested;
+  usualMs = other541.usualMs;
+  laterBytes = other541.laterBytes;
+  mostWaitMs = other541.mostWaitMs;
+  maxCallsPerSecond = other541.maxCallsPerSecond;
+  clientAccount = std::move(other541.clientAccount);
+  __isset = other541.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other542) {
+  id = other542.id;
+  method = other542.method;
+  path = other542.path;
+  headers = other542.headers;
+  body = other542.body;
+  budgetMs = other542.budgetMs;
+  serviceName = other542.serviceName;
+  target = other542.target;
+  account = other542.account;
+  priority = other542.priority;
+  incarnation = other542.incarnation;
+  requestId = other542.requestId;
+  callerService = other542.callerService;
+  objectiveMs = other542.objectiveMs;
+  mayWait = other542.mayWait;
+  nested = other542.nested;
+  usualMs = other542.usualMs;
+  laterBytes = other542.laterBytes;
+  mostWaitMs = other542.mostWaitMs;
+  maxCallsPerSecond = other542.maxCallsPerSecond;
+  clientAccount = other542.clientAccount;
+  __isset = other542.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other543) noexcept {
+  id = other543.id;
+  method = std::move(other543.method);
+  path = std::move(other543.path);
+  headers = std::move(other543.headers);
+  body = std::move(other543.body);
+  budgetMs = other543.budgetMs;
+  serviceName = std::move(other543.serviceName);
+  target = std::move(other543.target);
+  account = std::move(other543.account);
+  priority = other543.priority;
+  incarnation = other543.incarnation;
+  requestId = std::move(other543.requestId);
+  callerService = std::move(other543.callerService);
+  objectiveMs = other543.objectiveMs;
+  mayWait = other543.mayWait;
+  nested = other543.nested;
+  usualMs = other543.usualMs;
+  laterBytes = other543.laterBytes;
+  mostWaitMs = other543.mostWaitMs;
+  maxCallsPerSecond = other543.maxCallsPerSecond;
+  clientAccount = std::move(other543.clientAccount);
+  __isset = other543.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -13284,9 +13400,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast526;
-          xfer += iprot->readI32(ecast526);
-          this->outcome = static_cast<Outcome::type>(ecast526);
+          int32_t ecast544;
+          xfer += iprot->readI32(ecast544);
+          this->outcome = static_cast<Outcome::type>(ecast544);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13304,14 +13420,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size527;
-            ::apache::thrift::protocol::TType _etype530;
-            xfer += iprot->readListBegin(_etype530, _size527);
-            this->headers.resize(_size527);
-            uint32_t _i531;
-            for (_i531 = 0; _i531 < _size527; ++_i531)
+            uint32_t _size545;
+            ::apache::thrift::protocol::TType _etype548;
+            xfer += iprot->readListBegin(_etype548, _size545);
+            this->headers.resize(_size545);
+            uint32_t _i549;
+            for (_i549 = 0; _i549 < _size545; ++_i549)
             {
-              xfer += this->headers[_i531].read(iprot);
+              xfer += this->headers[_i549].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13464,10 +13580,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter532;
-    for (_iter532 = this->headers.begin(); _iter532 != this->headers.end(); ++_iter532)
+    std::vector<Header> ::const_iterator _iter550;
+    for (_iter550 = this->headers.begin(); _iter550 != this->headers.end(); ++_iter550)
     {
-      xfer += (*_iter532).write(oprot);
+      xfer += (*_iter550).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13558,90 +13674,90 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other533) {
-  id = other533.id;
-  outcome = other533.outcome;
-  status = other533.status;
-  headers = other533.headers;
-  body = other533.body;
-  inFlight = other533.inFlight;
-  queued = other533.queued;
-  reason = other533.reason;
-  retryAfterMs = other533.retryAfterMs;
-  fault = other533.fault;
-  refused = other533.refused;
-  cold = other533.cold;
-  arrived = other533.arrived;
-  timedOut = other533.timedOut;
-  runMicros = other533.runMicros;
-  typicalMicros = other533.typicalMicros;
-  maxCallsPerSecond = other533.maxCallsPerSecond;
-  leaving = other533.leaving;
-  __isset = other533.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other551) {
+  id = other551.id;
+  outcome = other551.outcome;
+  status = other551.status;
+  headers = other551.headers;
+  body = other551.body;
+  inFlight = other551.inFlight;
+  queued = other551.queued;
+  reason = other551.reason;
+  retryAfterMs = other551.retryAfterMs;
+  fault = other551.fault;
+  refused = other551.refused;
+  cold = other551.cold;
+  arrived = other551.arrived;
+  timedOut = other551.timedOut;
+  runMicros = other551.runMicros;
+  typicalMicros = other551.typicalMicros;
+  maxCallsPerSecond = other551.maxCallsPerSecond;
+  leaving = other551.leaving;
+  __isset = other551.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other552) noexcept {
+  id = other552.id;
+  outcome = other552.outcome;
+  status = other552.status;
+  headers = std::move(other552.headers);
+  body = std::move(other552.body);
+  inFlight = other552.inFlight;
+  queued = other552.queued;
+  reason = std::move(other552.reason);
+  retryAfterMs = other552.retryAfterMs;
+  fault = other552.fault;
+  refused = other552.refused;
+  cold = other552.cold;
+  arrived = other552.arrived;
+  timedOut = other552.timedOut;
+  runMicros = other552.runMicros;
+  typicalMicros = other552.typicalMicros;
+  maxCallsPerSecond = other552.maxCallsPerSecond;
+  leaving = other552.leaving;
+  __isset = other552.__isset;
 }
-CallAnswer::CallAnswer(CallAnswer&& other534) noexcept {
-  id = other534.id;
-  outcome = other534.outcome;
-  status = other534.status;
-  headers = std::move(other534.headers);
-  body = std::move(other534.body);
-  inFlight = other534.inFlight;
-  queued = other534.queued;
-  reason = std::move(other534.reason);
-  retryAfterMs = other534.retryAfterMs;
-  fault = other534.fault;
-  refused = other534.refused;
-  cold = other534.cold;
-  arrived = other534.arrived;
-  timedOut = other534.timedOut;
-  runMicros = other534.runMicros;
-  typicalMicros = other534.typicalMicros;
-  maxCallsPerSecond = other534.maxCallsPerSecond;
-  leaving = other534.leaving;
-  __isset = other534.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other535) {
-  id = other535.id;
-  outcome = other535.outcome;
-  status = other535.status;
-  headers = other535.headers;
-  body = other535.body;
-  inFlight = other535.inFlight;
-  queued = other535.queued;
-  reason = other535.reason;
-  retryAfterMs = other535.retryAfterMs;
-  fault = other535.fault;
-  refused = other535.refused;
-  cold = other535.cold;
-  arrived = other535.arrived;
-  timedOut = other535.timedOut;
-  runMicros = other535.runMicros;
-  typicalMicros = other535.typicalMicros;
-  maxCallsPerSecond = other535.maxCallsPerSecond;
-  leaving = other535.leaving;
-  __isset = other535.__isset;
-  return *this;
-}
-CallAnswer& CallAnswer::operator=(CallAnswer&& other536) noexcept {
-  id = other536.id;
-  outcome = other536.outcome;
-  status = other536.status;
-  headers = std::move(other536.headers);
-  body = std::move(other536.body);
-  inFlight = other536.inFlight;
-  queued = other536.queued;
-  reason = std::move(other536.reason);
-  retryAfterMs = other536.retryAfterMs;
-  fault = other536.fault;
-  refused = other536.refused;
-  cold = other536.cold;
-  arrived = other536.arrived;
-  timedOut = other536.timedOut;
-  runMicros = other536.runMicros;
-  typicalMicros = other536.typicalMicros;
-  maxCallsPerSecond = other536.maxCallsPerSecond;
-  leaving = other536.leaving;
-  __isset = other536.__isset;
+CallAnswer& CallAnswer::operator=(const CallAnswer& other553) {
+  id = other553.id;
+  outcome = other553.outcome;
+  status = other553.status;
+  headers = other553.headers;
+  body = other553.body;
+  inFlight = other553.inFlight;
+  queued = other553.queued;
+  reason = other553.reason;
+  retryAfterMs = other553.retryAfterMs;
+  fault = other553.fault;
+  refused = other553.refused;
+  cold = other553.cold;
+  arrived = other553.arrived;
+  timedOut = other553.timedOut;
+  runMicros = other553.runMicros;
+  typicalMicros = other553.typicalMicros;
+  maxCallsPerSecond = other553.maxCallsPerSecond;
+  leaving = other553.leaving;
+  __isset = other553.__isset;
+  return *this;
+}
+CallAnswer& CallAnswer::operator=(CallAnswer&& other554) noexcept {
+  id = other554.id;
+  outcome = other554.outcome;
+  status = other554.status;
+  headers = std::move(other554.headers);
+  body = std::move(other554.body);
+  inFlight = other554.inFlight;
+  queued = other554.queued;
+  reason = std::move(other554.reason);
+  retryAfterMs = other554.retryAfterMs;
+  fault = other554.fault;
+  refused = other554.refused;
+  cold = other554.cold;
+  arrived = other554.arrived;
+  timedOut = other554.timedOut;
+  runMicros = other554.runMicros;
+  typicalMicros = other554.typicalMicros;
+  maxCallsPerSecond = other554.maxCallsPerSecond;
+  leaving = other554.leaving;
+  __isset = other554.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -13744,22 +13860,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other537) noexcept {
-  id = other537.id;
-  __isset = other537.__isset;
+CallCancel::CallCancel(const CallCancel& other555) noexcept {
+  id = other555.id;
+  __isset = other555.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other538) noexcept {
-  id = other538.id;
-  __isset = other538.__isset;
+CallCancel::CallCancel(CallCancel&& other556) noexcept {
+  id = other556.id;
+  __isset = other556.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other539) noexcept {
-  id = other539.id;
-  __isset = other539.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other557) noexcept {
+  id = other557.id;
+  __isset = other557.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other540) noexcept {
-  id = other540.id;
-  __isset = other540.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other558) noexcept {
+  id = other558.id;
+  __isset = other558.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -13845,22 +13961,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallGrant::CallGrant(const CallGrant& other541) noexcept {
-  id = other541.id;
-  __isset = other541.__isset;
+CallGrant::CallGrant(const CallGrant& other559) noexcept {
+  id = other559.id;
+  __isset = other559.__isset;
 }
-CallGrant::CallGrant(CallGrant&& other542) noexcept {
-  id = other542.id;
-  __isset = other542.__isset;
+CallGrant::CallGrant(CallGrant&& other560) noexcept {
+  id = other560.id;
+  __isset = other560.__isset;
 }
-CallGrant& CallGrant::operator=(const CallGrant& other543) noexcept {
-  id = other543.id;
-  __isset = other543.__isset;
+CallGrant& CallGrant::operator=(const CallGrant& other561) noexcept {
+  id = other561.id;
+  __isset = other561.__isset;
   return *this;
 }
-CallGrant& CallGrant::operator=(CallGrant&& other544) noexcept {
-  id = other544.id;
-  __isset = other544.__isset;
+CallGrant& CallGrant::operator=(CallGrant&& other562) noexcept {
+  id = other562.id;
+  __isset = other562.__isset;
   return *this;
 }
 void CallGrant::printTo(std::ostream& out) const {
@@ -13963,26 +14079,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBody::CallBody(const CallBody& other545) {
-  id = other545.id;
-  part = other545.part;
-  __isset = other545.__isset;
+CallBody::CallBody(const CallBody& other563) {
+  id = other563.id;
+  part = other563.part;
+  __isset = other563.__isset;
 }
-CallBody::CallBody(CallBody&& other546) noexcept {
-  id = other546.id;
-  part = std::move(other546.part);
-  __isset = other546.__isset;
+CallBody::CallBody(CallBody&& other564) noexcept {
+  id = other564.id;
+  part = std::move(other564.part);
+  __isset = other564.__isset;
 }
-CallBody& CallBody::operator=(const CallBody& other547) {
-  id = other547.id;
-  part = other547.part;
-  __isset = other547.__isset;
+CallBody& CallBody::operator=(const CallBody& other565) {
+  id = other565.id;
+  part = other565.part;
+  __isset = other565.__isset;
   return *this;
 }
-CallBody& CallBody::operator=(CallBody&& other548) noexcept {
-  id = other548.id;
-  part = std::move(other548.part);
-  __isset = other548.__isset;
+CallBody& CallBody::operator=(CallBody&& other566) noexcept {
+  id = other566.id;
+  part = std::move(other566.part);
+  __isset = other566.__isset;
   return *this;
 }
 void CallBody::printTo(std::ostream& out) const {
@@ -14064,9 +14180,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast549;
-          xfer += iprot->readI32(ecast549);
-          this->step = static_cast<ClaimStep::type>(ecast549);
+          int32_t ecast567;
+          xfer += iprot->readI32(ecast567);
+          this->step = static_cast<ClaimStep::type>(ecast567);
           this->__isset.step = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14175,46 +14291,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other550) {
-  id = other550.id;
-  step = other550.step;
-  key = other550.key;
-  fingerprint = other550.fingerprint;
-  owner = other550.owner;
-  epoch = other550.epoch;
-  answer = other550.answer;
-  __isset = other550.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other551) noexcept {
-  id = other551.id;
-  step = other551.step;
-  key = std::move(other551.key);
-  fingerprint = other551.fingerprint;
-  owner = std::move(other551.owner);
-  epoch = other551.epoch;
-  answer = std::move(other551.answer);
-  __isset = other551.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other552) {
-  id = other552.id;
-  step = other552.step;
-  key = other552.key;
-  fingerprint = other552.fingerprint;
-  owner = other552.owner;
-  epoch = other552.epoch;
-  answer = other552.answer;
-  __isset = other552.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other553) noexcept {
-  id = other553.id;
-  step = other553.step;
-  key = std::move(other553.key);
-  fingerprint = other553.fingerprint;
-  owner = std::move(other553.owner);
-  epoch = other553.epoch;
-  answer = std::move(other553.answer);
-  __isset = other553.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other568) {
+  id = other568.id;
+  step = other568.step;
+  key = other568.key;
+  fingerprint = other568.fingerprint;
+  owner = other568.owner;
+  epoch = other568.epoch;
+  answer = other568.answer;
+  __isset = other568.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other569) noexcept {
+  id = other569.id;
+  step = other569.step;
+  key = std::move(other569.key);
+  fingerprint = other569.fingerprint;
+  owner = std::move(other569.owner);
+  epoch = other569.epoch;
+  answer = std::move(other569.answer);
+  __isset = other569.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other570) {
+  id = other570.id;
+  step = other570.step;
+  key = other570.key;
+  fingerprint = other570.fingerprint;
+  owner = other570.owner;
+  epoch = other570.epoch;
+  answer = other570.answer;
+  __isset = other570.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other571) noexcept {
+  id = other571.id;
+  step = other571.step;
+  key = std::move(other571.key);
+  fingerprint = other571.fingerprint;
+  owner = std::move(other571.owner);
+  epoch = other571.epoch;
+  answer = std::move(other571.answer);
+  __isset = other571.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -14285,9 +14401,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast554;
-          xfer += iprot->readI32(ecast554);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast554);
+          int32_t ecast572;
+          xfer += iprot->readI32(ecast572);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast572);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14344,30 +14460,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other555) {
-  id = other555.id;
-  verdict = other555.verdict;
-  answer = other555.answer;
-  __isset = other555.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other573) {
+  id = other573.id;
+  verdict = other573.verdict;
+  answer = other573.answer;
+  __isset = other573.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other556) noexcept {
-  id = other556.id;
-  verdict = other556.verdict;
-  answer = std::move(other556.answer);
-  __isset = other556.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other574) noexcept {
+  id = other574.id;
+  verdict = other574.verdict;
+  answer = std::move(other574.answer);
+  __isset = other574.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other557) {
-  id = other557.id;
-  verdict = other557.verdict;
-  answer = other557.answer;
-  __isset = other557.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other575) {
+  id = other575.id;
+  verdict = other575.verdict;
+  answer = other575.answer;
+  __isset = other575.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other558) noexcept {
-  id = other558.id;
-  verdict = other558.verdict;
-  answer = std::move(other558.answer);
-  __isset = other558.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other576) noexcept {
+  id = other576.id;
+  verdict = other576.verdict;
+  answer = std::move(other576.answer);
+  __isset = other576.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -42,6 +42,7 @@
     DIGEST_ANSWER = 26,
     FRESHNESS_REQUEST = 27,
     FRESHNESS_ANSWER = 28,
+    USAGE = 29,
     CALL_REQUEST = 40,
     CALL_ANSWER = 41,
     CALL_CANCEL = 42,
@@ -3470,7 +3471,7 @@
 std::ostream& operator<<(std::ostream& out, const Presence& obj);
 
 typedef struct _NodeInfo__isset {
-  _NodeInfo__isset() : node(false), dataCentre(false), meshAddress(false), callAddress(false), incarnation(false), sequence(false), gone(false) {}
+  _NodeInfo__isset() : node(false), dataCentre(false), meshAddress(false), callAddress(false), incarnation(false), sequence(false), gone(false), stopped(false) {}
   bool node :1;
   bool dataCentre :1;
   bool meshAddress :1;
@@ -3478,6 +3479,7 @@
   bool incarnation :1;
   bool sequence :1;
   bool gone :1;
+  bool stopped :1;
 } _NodeInfo__isset;
 
 class NodeInfo : public virtual ::apache::thrift::TBase {
@@ -3494,7 +3496,8 @@
              callAddress(),
              incarnation(0),
              sequence(0),
-             gone(0) {
+             gone(0),
+             stopped(0) {
   }
 
   virtual ~NodeInfo() noexcept;
@@ -3505,6 +3508,7 @@
   int64_t incarnation;
   int64_t sequence;
   bool gone;
+  bool stopped;
 
   _NodeInfo__isset __isset;
 
@@ -3522,6 +3526,8 @@
 
   void __set_gone(const bool val);
 
+  void __set_stopped(const bool val);
+
   bool operator == (const NodeInfo & rhs) const
   {
     if (!(node == rhs.node))
@@ -3538,6 +3544,8 @@
       return false;
     if (!(gone == rhs.gone))
       return false;
+    if (!(stopped == rhs.stopped))
+      return false;
     return true;
   }
   bool operator != (const NodeInfo &rhs) const {
@@ -3843,10 +3851,11 @@
 std::ostream& operator<<(std::ostream& out, const TargetCrash& obj);
 
 typedef struct _AccountUsage__isset {
-  _AccountUsage__isset() : account(false), offered(false), admitted(false) {}
-  bool account :1;
+  _AccountUsage__isset() : accounts(false), offered(false), refused(false), spans(false) {}
+  bool accounts :1;
   bool offered :1;
-  bool admitted :1;
+  bool refused :1;
+  bool spans :1;
 } _AccountUsage__isset;
 
 class AccountUsage : public virtual ::apache::thrift::TBase {
@@ -3856,32 +3865,38 @@
   AccountUsage(AccountUsage&&) noexcept;
   AccountUsage& operator=(const AccountUsage&);
   AccountUsage& operator=(AccountUsage&&) noexcept;
-  AccountUsage() noexcept
-               : account(),
-                 offered(0),
-                 admitted(0) {
+  AccountUsage() noexcept {
   }
 
   virtual ~AccountUsage() noexcept;
-  std::string account;
-  int64_t offered;
-  int64_t admitted;
+  std::vector<int64_t>  accounts;
+  std::vector<int32_t>  offered;
+  std::vector<int32_t>  refused;
+  std::vector<int32_t>  spans;
 
   _AccountUsage__isset __isset;
 
-  void __set_account(const std::string& val);
+  void __set_accounts(const std::vector<int64_t> & val);
 
-  void __set_offered(const int64_t val);
+  void __set_offered(const std::vector<int32_t> & val);
 
-  void __set_admitted(const int64_t val);
+  void __set_refused(const std::vector<int32_t> & val);
+
+  void __set_spans(const std::vector<int32_t> & val);
 
   bool operator == (const AccountUsage & rhs) const
   {
-    if (!(account == rhs.account))
+    if (!(accounts == rhs.accounts))
       return false;
     if (!(offered == rhs.offered))
       return false;
-    if (!(admitted == rhs.admitted))
+    if (__isset.refused != rhs.__isset.refused)
+      return false;
+    else if (__isset.refused && !(refused == rhs.refused))
+      return false;
+    if (__isset.spans != rhs.__isset.spans)
+      return false;
+    else if (__isset.spans && !(spans == rhs.spans))
       return false;
     return true;
   }
@@ -3910,22 +3925,22 @@
 class AccountRatio : public virtual ::apache::thrift::TBase {
  public:
 
-  AccountRatio(const AccountRatio&);
+  AccountRatio(const AccountRatio&) noexcept;
   AccountRatio(AccountRatio&&) noexcept;
-  AccountRatio& operator=(const AccountRatio&);
+  AccountRatio& operator=(const AccountRatio&) noexcept;
   AccountRatio& operator=(AccountRatio&&) noexcept;
   AccountRatio() noexcept
-               : account(),
+               : account(0),
                  permille(0) {
   }
 
   virtual ~AccountRatio() noexcept;
-  std::string account;
+  int64_t account;
   int32_t permille;
 
   _AccountRatio__isset __isset;
 
-  void __set_account(const std::string& val);
+  void __set_account(const int64_t val);
 
   void __set_permille(const int32_t val);
 
@@ -4294,7 +4309,7 @@
   std::vector<Alarm>  alarms;
   std::vector<NodeAck>  acks;
   std::vector<TargetCrash>  crashes;
-  std::vector<AccountUsage>  usage;
+  AccountUsage usage;
 
   _Report__isset __isset;
 
@@ -4310,7 +4325,7 @@
 
   void __set_crashes(const std::vector<TargetCrash> & val);
 
-  void __set_usage(const std::vector<AccountUsage> & val);
+  void __set_usage(const AccountUsage& val);
 
   bool operator == (const Report & rhs) const
   {
@@ -4326,7 +4341,9 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
-    if (!(usage == rhs.usage))
+    if (__isset.usage != rhs.__isset.usage)
+      return false;
+    else if (__isset.usage && !(usage == rhs.usage))
       return false;
     return true;
   }
@@ -4390,7 +4407,9 @@
       return false;
     if (!(members == rhs.members))
       return false;
-    if (!(accountRatios == rhs.accountRatios))
+    if (__isset.accountRatios != rhs.__isset.accountRatios)
+      return false;
+    else if (__isset.accountRatios && !(accountRatios == rhs.accountRatios))
       return false;
     return true;
   }
@@ -4466,7 +4485,9 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
-    if (!(accountRatios == rhs.accountRatios))
+    if (__isset.accountRatios != rhs.__isset.accountRatios)
+      return false;
+    else if (__isset.accountRatios && !(accountRatios == rhs.accountRatios))
       return false;
     return true;
   }
