--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -2,7 +2,7 @@
 // sending, retries where they are safe, and the response with the outcome. It also serves calls that other nodes send
 // to targets of this host.
 //
-// Flow: handle -> admit -> (startClaim) -> dispatch -> onAnswer -> finish
+// Flow: handle -> admit (identify, checkBounds, limit) -> (startClaim) -> dispatch -> onAnswer -> finish
 #pragma once
 
 #include "ClaimCoordinator.h"
@@ -95,7 +95,11 @@
         std::unique_ptr<moves::EvidenceAggregator> aggregator;
     };
 
+    // The stages before placement. They return false when they have ended the call.
     bool admit(const CallPtr& call);
+    bool identify(const CallPtr& call);
+    bool checkBounds(const CallPtr& call);
+    bool limit(const CallPtr& call);
     std::optional<base::Instant> objectiveOf(const CallPtr& call);
     void setRetryAdvice(const CallPtr& call, wire::CallAnswer& answer);
     bool rejectCall(const CallPtr& call, int status, const std::string& error, const std::string& message,
