--- a/benchmarks/QuotaModel.cpp
+++ b/benchmarks/QuotaModel.cpp
@@ -81,8 +81,7 @@
         {
             for (const auto& it : accounts) {
                 for (int node = 0; node < nodes; ++node)
-                    m_buckets.emplace_back(
-                        it.limit.ratePerSecond * part, std::max(1.0, it.limit.burst * part), now);
+                    m_buckets.emplace_back(it.limit.ratePerSecond * part, std::max(1.0, it.limit.burst * part), now);
             }
         }
         bool admit(int node, int account, Instant now) override
@@ -159,7 +158,7 @@
             lead(ms, now);
         }
 
-        double bytes() const override { if (m_ms==WARM_UP_MS && getenv("DBG")) fprintf(stderr,"up %f down %f listed %zu entries %f msgs %f\n",m_up/m_run.nodes/8,(m_bytes-m_up)/m_run.nodes/8,m_controller.ratios().size(), m_ent/m_run.nodes/8, m_msgs/m_run.nodes/8); return m_bytes; }
+        double bytes() const override { return m_bytes; }
 
     private:
         struct Node {
@@ -217,8 +216,7 @@
             }
             if (m_run.event == QuotaEvent::Restart && ms == EVENT_MS) {
                 for (size_t i = 0; i < m_nodes.size(); i += 2) {
-                    m_nodes[i].quota
-                        = std::make_unique<callers::AccountQuota>(m_bounds, "10.0.0." + std::to_string(i));
+                    m_nodes[i].quota = std::make_unique<callers::AccountQuota>(m_bounds, "10.0.0." + std::to_string(i));
                     m_nodes[i].heardAt = Instant();
                     m_nodes[i].startsAt = ms + 1000;
                 }
@@ -280,7 +278,6 @@
                 if (usage.empty() || ms < it.startsAt || !reachesLeader(it, ms))
                     continue;
                 m_bytes += static_cast<double>(base::encode(callers::packUsage(usage)).size()) + FRAME_BYTES;
-                m_up += static_cast<double>(base::encode(callers::packUsage(usage)).size()) + FRAME_BYTES; m_ent+=usage.size(); ++m_msgs;
                 m_usage.push_back({ now + LINK_DELAY, it.host, std::move(usage) });
             }
             if (ms % 50)
@@ -324,7 +321,7 @@
         bool m_isDue { false };
         int m_ms { 0 };
         int m_limitChangedAt { -1 };
-        double m_bytes { 0 }; double m_up{0}, m_ent{0}, m_msgs{0};
+        double m_bytes { 0 };
     };
 
     class Model {
@@ -350,8 +347,7 @@
                 m_accounts[static_cast<size_t>(m_hot)].limit.ratePerSecond
                     = m_accounts[static_cast<size_t>(m_hot)].limit.burst = run.hotLimit;
             for (auto& it : m_accounts)
-                it.perfect
-                    = std::make_unique<TokenBucket>(it.limit.ratePerSecond, it.limit.burst, m_start);
+                it.perfect = std::make_unique<TokenBucket>(it.limit.ratePerSecond, it.limit.burst, m_start);
             m_oldLimit = m_accounts[static_cast<size_t>(m_hot)].limit;
             makeScheme();
         }
@@ -473,8 +469,8 @@
                     // A lowered limit binds one window after all nodes are in contact and have applied it.
                     bool isOld = i == m_hot && times[first] * 1000 < HEAL_MS + CONFIG_APPLY_MS;
                     const auto& limit = isOld ? m_oldLimit : account.limit;
-                    double part = static_cast<double>(last - first + 1)
-                        / bounds.maxCalls(limit.ratePerSecond, limit.burst);
+                    double part
+                        = static_cast<double>(last - first + 1) / bounds.maxCalls(limit.ratePerSecond, limit.burst);
                     if (part > m_result.mostOfBound) {
                         m_result.mostOfBound = part;
                         m_result.worstAccount = "limit " + std::to_string(static_cast<int>(limit.ratePerSecond))
--- a/benchmarks/QuotaModel.h
+++ b/benchmarks/QuotaModel.h
@@ -29,9 +29,9 @@
 // What happens besides one account at 7.5 times its usual rate.
 enum class QuotaEvent { None, MovingCallers, Bursts, NearLimit, LeaderKilled, Partition, Restart, LoweredLimit };
 
-constexpr QuotaEvent QUOTA_EVENTS[] = { QuotaEvent::None, QuotaEvent::MovingCallers, QuotaEvent::Bursts,
-    QuotaEvent::NearLimit, QuotaEvent::LeaderKilled, QuotaEvent::Partition, QuotaEvent::Restart,
-    QuotaEvent::LoweredLimit };
+constexpr QuotaEvent QUOTA_EVENTS[]
+    = { QuotaEvent::None, QuotaEvent::MovingCallers, QuotaEvent::Bursts, QuotaEvent::NearLimit,
+          QuotaEvent::LeaderKilled, QuotaEvent::Partition, QuotaEvent::Restart, QuotaEvent::LoweredLimit };
 const char* quotaEventName(QuotaEvent event);
 
 struct QuotaRun {
--- a/include/pomelowind/callers/AccountQuota.h
+++ b/include/pomelowind/callers/AccountQuota.h
@@ -5,6 +5,7 @@
 
 #include "pomelowind/base/TokenBucket.h"
 #include "pomelowind/base/Wire.h"
+#include "pomelowind/callers/QuotaBounds.h"
 #include "pomelowind/callers/UsageBatch.h"
 
 #include <array>
@@ -15,18 +16,6 @@
 
 namespace pomelowind::callers {
 
-// Bound on the calls of one account: in each `window`, (rate x window + burst) x (1 + overshoot) + slack.
-struct QuotaBounds {
-    base::Millis window { 5000 };
-    double overshoot { 0.1 };
-    double slack { 20 };
-
-    // Returns the bound for an account with this limit.
-    double maxCalls(double ratePerSecond, double burst) const;
-    // Returns the part of the bound beyond what a perfect counter would admit.
-    double tolerance(double ratePerSecond, double burst) const;
-};
-
 // Number of an account in reports: 34 bits of the hash of its name, which take 5 bytes. Two of 10,000 accounts have the
 // same one with a probability of 0.3%; they then share the stricter of their limits.
 int64_t quotaId(const std::string& account);
--- a/include/pomelowind/control/ControlSettings.h
+++ b/include/pomelowind/control/ControlSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pomelowind/base/Settings.h"
+#include "pomelowind/callers/QuotaBounds.h"
 #include "pomelowind/operators/Roles.h"
 
 #include <optional>
@@ -42,6 +43,7 @@
     base::Millis sourcePeriod { 1000 }; // between two polls of the source
     std::string protocol { "product" }; // the operators' API that is served: product or platform
     double exposureShare { 0.1 }; // maximum share of a service's calls for an unproven version; platform API only
+    callers::QuotaBounds quota; // bound on the calls of each client account over all nodes
     operators::Roles roles;
 };
 
--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -8,6 +8,7 @@
 #include "pomelowind/nodes/Directory.h"
 
 #include <memory>
+#include <vector>
 
 namespace pomelowind::node {
 
@@ -20,6 +21,9 @@
     std::shared_ptr<const nodes::CrashList> crashes;
     int64_t claimsThroughMs { 0 }; // wall time until which the leader has promised not to start another claim epoch
     base::Instant beaconAt; // when the last heartbeat of the leader (beacon) was received
+    // Accounts near or beyond their limit; null: none.
+    std::shared_ptr<const std::vector<wire::AccountRatio>> accountRatios;
+    size_t nodes { 1 }; // that share the limits of client accounts; set only when there are any
     // False until a restarted node knows that its version is not older than the one it ran before the restart.
     bool serving { false };
 };
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pomelowind/base/Settings.h"
+#include "pomelowind/callers/QuotaBounds.h"
 
 #include <optional>
 #include <set>
@@ -70,6 +71,7 @@
     // Burst of retries that all nodes together may make to one service; each node's bucket holds its part of it. 0:
     // retryBurst applies to each node.
     double retrySlack { 0 };
+    callers::QuotaBounds quota; // bound on the calls of each client account over all nodes
     bool limitsEnabled { true }; // false only in benchmarks that measure the effect of the limits
 };
 
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -72,6 +72,8 @@
     // Returns the crashes of the last hour.
     CrashList crashes() const;
     size_t targetCount() const { return m_targets.size(); }
+    // Returns the number of nodes that are not gone.
+    size_t liveNodeCount() const;
 
     // Returns a hash for each bucket of entries, for the anti-entropy comparison of two directories.
     Buckets digest() const;
--- a/src/callers/AccountQuota.cpp
+++ b/src/callers/AccountQuota.cpp
@@ -26,7 +26,7 @@
     // they have become more. Larger ones may wait, since a burst of their calls is noticed at the node.
     constexpr double PROMPT_RATE = 120;
     constexpr double DELAY_MS_PER_RATE = 5;
-    constexpr auto MIN_REPORT_DELAY = Millis(150);
+    constexpr auto MIN_REPORT_DELAY = Millis(100);
     constexpr auto MAX_REPORT_DELAY = Millis(2000);
     constexpr auto MIN_RETRY = Millis(250);
 
@@ -38,16 +38,6 @@
 
 }
 
-double QuotaBounds::maxCalls(double ratePerSecond, double burst) const
-{
-    return ratePerSecond * seconds(window) + burst + tolerance(ratePerSecond, burst);
-}
-
-double QuotaBounds::tolerance(double ratePerSecond, double burst) const
-{
-    return (ratePerSecond * seconds(window) + burst) * overshoot + slack;
-}
-
 int64_t quotaId(const std::string& account) { return static_cast<int64_t>(base::hash64(account) & QUOTA_ID_MASK); }
 
 const char* quotaRefusalName(QuotaRefusal refusal)
@@ -76,10 +66,7 @@
     m_nodes = std::max<size_t>(1, nodes);
 }
 
-bool AccountQuota::hasContact(Instant now) const
-{
-    return m_heardAt != Instant() && now - m_heardAt < CONTACT_TIMEOUT;
-}
+bool AccountQuota::hasContact(Instant now) const { return m_heardAt != Instant() && now - m_heardAt < CONTACT_TIMEOUT; }
 
 void AccountQuota::replaceRatios(const std::vector<wire::AccountRatio>& ratios)
 {
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -119,6 +119,7 @@
     , m_replica(replicaOptions(settings, seed), durable, now)
     , m_publisher({}, now)
     , m_epochPlanner(settings.claimLead)
+    , m_quota(settings.quota)
 {
     if (const auto& snapshot = m_replica.snapshot())
         restoreSnapshot(*snapshot);
@@ -490,7 +491,7 @@
         handleForwardAnswer(base::decode<wire::ForwardAnswer>(payload));
         break;
     case FrameKind::MEMBER_REPORT:
-        handleMemberReport(base::decode<wire::MemberReport>(payload));
+        handleMemberReport(member, base::decode<wire::MemberReport>(payload));
         break;
     default:
         throw base::UserError(
@@ -565,22 +566,35 @@
             { { "voters", next->voters.size() }, { "learners", next->learners.size() }, { "term", m_replica.term() } });
 }
 
-void ControlCore::handleMemberReport(const wire::MemberReport& report)
+void ControlCore::handleMemberReport(const std::string& member, const wire::MemberReport& report)
 {
     for (const auto& it : report.members) {
         if (m_settings.usesDiscovery && it != m_settings.id && m_lastContact.emplace(it, base::Instant()).second)
             m_outputs.connectMember(it);
     }
     mergeReport(report.report, false);
-    if (!report.__isset.beacon)
+    if (report.report.__isset.usage && m_leadsQuota)
+        m_quota.addUsage(callers::unpackUsage(report.report.usage), m_now);
+    if (!report.__isset.beacon) {
+        // Ratios that come late from an earlier leader are ignored; each beacon carries all of them.
+        if (report.__isset.accountRatios && member == m_replica.leader()) {
+            m_accountRatios = report.accountRatios;
+            wire::Spread out;
+            out.__set_accountRatios(m_accountRatios);
+            broadcastToNodes(out);
+        }
         return;
+    }
     bool newer = report.beacon.term > m_lastBeacon.term
         || (report.beacon.term == m_lastBeacon.term && report.beacon.sequence > m_lastBeacon.sequence);
     if (!newer)
         return;
     m_lastBeacon = report.beacon;
+    m_accountRatios = report.accountRatios;
     wire::Spread out;
     out.__set_beacon(report.beacon);
+    if (!m_accountRatios.empty())
+        out.__set_accountRatios(m_accountRatios);
     broadcastToNodes(out);
 }
 
@@ -610,6 +624,9 @@
     case FrameKind::REPORT:
         mergeReport(base::decode<wire::Report>(payload), true);
         break;
+    case FrameKind::USAGE:
+        m_usage.add(callers::unpackUsage(base::decode<wire::AccountUsage>(payload)));
+        break;
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from a node", "run the same release on all hosts");
@@ -640,6 +657,8 @@
     presence.nodes = m_directory.liveNodes();
     presence.targets = m_directory.allTargets();
     presence.crashes = m_directory.crashes();
+    if (!m_accountRatios.empty())
+        presence.__set_accountRatios(m_accountRatios);
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
     wire::Report report;
     report.nodes.push_back(request.node);
@@ -709,6 +728,7 @@
         m_moveDriver.closeEvidenceBatches({ m_machine, m_directory, m_acks, now, wallMs });
     }
     bool leadsWithLease = !isDiskBehind() && m_replica.hasCommittedInTerm() && m_replica.hasLease(now);
+    tickQuota(leadsWithLease);
     if (leadsWithLease && now >= m_beaconDue) {
         m_beaconDue = now + BEACON_PERIOD;
         sendBeacon();
@@ -742,9 +762,14 @@
     m_lastBeacon = beacon;
     wire::MemberReport report;
     report.__set_beacon(beacon);
-    broadcastToMembers(report);
     wire::Spread out;
     out.__set_beacon(beacon);
+    m_accountRatios = m_quota.ratios();
+    if (!m_accountRatios.empty()) {
+        report.__set_accountRatios(m_accountRatios);
+        out.__set_accountRatios(m_accountRatios);
+    }
+    broadcastToMembers(report);
     broadcastToNodes(out);
 }
 
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -9,6 +9,7 @@
 #include "ClaimEpochPlanner.h"
 #include "ControlOutputs.h"
 #include "MoveDriver.h"
+#include "QuotaController.h"
 #include "pomelowind/config/ConfigMachine.h"
 #include "pomelowind/control/ControlSettings.h"
 #include "pomelowind/nodes/AckTable.h"
@@ -66,6 +67,7 @@
     const nodes::Directory& directory() const { return m_directory; }
     const nodes::AckTable& acks() const { return m_acks; }
     const MoveDriver& moveDriver() const { return m_moveDriver; }
+    const QuotaController& quota() const { return m_quota; }
     const nodes::ConfigPublisher& publisher() const { return m_publisher; }
     base::Instant now() const { return m_now; }
     int64_t wallMs() const { return m_wallMs; }
@@ -98,12 +100,17 @@
 
     void handleForwardRequest(const std::string& member, const wire::ForwardRequest& request);
     void handleForwardAnswer(const wire::ForwardAnswer& answer);
-    void handleMemberReport(const wire::MemberReport& report);
+    void handleMemberReport(const std::string& member, const wire::MemberReport& report);
     void handleSubscribe(const std::string& node, const wire::Subscribe& request);
     void mergeReport(const wire::Report& report, bool fromNode);
     void broadcastToNodes(const wire::Spread& spread);
     void broadcastToMembers(const wire::MemberReport& report);
 
+    void tickQuota(bool leadsWithLease);
+    void learnLimits();
+    void countNodes();
+    void sendUsage();
+    void publishRatios();
     void sendBeacon();
     void proposeClaimEpoch();
     void proposeMoveEvents();
@@ -124,6 +131,13 @@
     nodes::AckTable m_acks;
     MoveDriver m_moveDriver;
     ClaimEpochPlanner m_epochPlanner;
+    QuotaController m_quota;
+    callers::UsageBatch m_usage; // of the nodes that report to this host
+    std::vector<wire::AccountRatio> m_accountRatios; // as the leader has published them
+    int64_t m_limitsVersion { -1 }; // of the configuration whose limits m_quota has
+    bool m_leadsQuota { false };
+    bool m_ratiosChanged { false };
+    base::Instant m_quotaDue, m_nodeCountDue, m_usageDue, m_ratiosDue;
 
     std::map<std::string, base::Instant> m_lastContact; // last contact of each known control host
     base::Instant m_announceDue;
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -50,6 +50,7 @@
     if (out.protocol != "product" && out.protocol != "platform")
         reader.recordProblem("protocol", "is neither product nor platform", "use one of the two");
     out.exposureShare = reader.real("exposure_share", out.exposureShare, 0.001, 1);
+    out.quota = callers::readQuotaBounds(reader);
     // The platform authenticates its operators itself; the product's own API authenticates and authorizes them by role.
     if (out.protocol == "product")
         out.roles = operators::Roles::fromSettings(reader);
--- a/src/control/QuotaController.cpp
+++ b/src/control/QuotaController.cpp
@@ -33,6 +33,8 @@
     // An account is listed, and reported at once by nodes, while it uses more than this part of its rate.
     constexpr double LISTED_USE_RATIO = 0.8;
     constexpr auto LISTED_HOLD = Millis(2000);
+    // Ratios above it come from the randomness of few calls, and cost more messages than the calls they refuse.
+    constexpr double NEGLIGIBLE_RATIO = 0.95;
     // Changes below these wait for the next beacon.
     constexpr double MIN_RELATIVE_CHANGE = 0.1;
     constexpr int32_t MIN_PERMILLE_CHANGE = 15;
@@ -121,8 +123,7 @@
             account.levelAt = now;
             account.bin = binOf(now);
             // The previous leader may have granted the burst shortly before this one has started.
-            account.level
-                = std::min(limit.burst, limit.rate * std::max(0.0, seconds(now - m_startedAt)));
+            account.level = std::min(limit.burst, limit.rate * std::max(0.0, seconds(now - m_startedAt)));
         }
         advance(account, limit, now);
         account.lastUsage = now;
@@ -139,7 +140,7 @@
 }
 
 // Sums the bins from `firstBack` to `lastBack` before the latest one.
-double QuotaController::sum(const Account& account, float Bin::* field, int64_t firstBack, int64_t lastBack) const
+double QuotaController::sum(const Account& account, float Bin::*field, int64_t firstBack, int64_t lastBack) const
 {
     double out = 0;
     for (int64_t back = firstBack; back <= lastBack; ++back)
@@ -150,8 +151,7 @@
 double QuotaController::rateOver(const Account& account, int64_t bins, Instant now) const
 {
     double width = static_cast<double>(m_binMillis) / 1000;
-    double inCurrent
-        = static_cast<double>(base::toMillis(now.time_since_epoch()) - account.bin * m_binMillis) / 1000;
+    double inCurrent = static_cast<double>(base::toMillis(now.time_since_epoch()) - account.bin * m_binMillis) / 1000;
     return sum(account, &Bin::offered, 0, bins) / (static_cast<double>(bins) * width + inCurrent);
 }
 
@@ -193,7 +193,7 @@
     double known = sum(account, &Bin::admitted, 0, static_cast<int64_t>(std::lround(heard / width)) - 1);
     double left = PEAK_BOUND_RATIO * m_bounds.maxCalls(limit.rate, limit.burst) - known - unheard;
     ratio = std::min(ratio, left / (peak * FEEDBACK_SECONDS));
-    return std::clamp(ratio, 0.0, 1.0);
+    return ratio > NEGLIGIBLE_RATIO ? 1 : std::max(0.0, ratio);
 }
 
 bool QuotaController::update(Instant now)
@@ -221,13 +221,12 @@
         bool wasListed = std::exchange(account.isListed, now < account.listedUntil);
         auto permille = static_cast<int32_t>(std::floor(account.ratio * FULL_PERMILLE));
         int32_t change = std::abs(permille - account.permille);
-        bool changesEnough = change >= MIN_PERMILLE_CHANGE
-            && change >= MIN_RELATIVE_CHANGE * std::min(permille, account.permille);
-        bool entersOrLeaves = change && (permille == FULL_PERMILLE || account.permille == FULL_PERMILLE);
-        if (changesEnough || entersOrLeaves || wasListed != account.isListed) {
-            hasChanged = true;
+        bool changesEnough
+            = change >= MIN_PERMILLE_CHANGE && change >= MIN_RELATIVE_CHANGE * std::min(permille, account.permille);
+        bool reachesEnd = change && (permille == FULL_PERMILLE || permille == 0);
+        if (changesEnough || reachesEnd || wasListed != account.isListed)
             account.permille = permille;
-        }
+        hasChanged = hasChanged || changesEnough;
         account.bins[static_cast<size_t>(account.bin) % BINS].ratio
             = static_cast<float>(account.permille) / FULL_PERMILLE;
         if (account.isListed) {
--- a/src/control/QuotaController.h
+++ b/src/control/QuotaController.h
@@ -66,7 +66,7 @@
 
     int64_t binOf(base::Instant now) const { return base::toMillis(now.time_since_epoch()) / m_binMillis; }
     void advance(Account& account, const Limit& limit, base::Instant now) const;
-    double sum(const Account& account, float Bin::* field, int64_t firstBack, int64_t lastBack) const;
+    double sum(const Account& account, float Bin::*field, int64_t firstBack, int64_t lastBack) const;
     double rateOver(const Account& account, int64_t bins, base::Instant now) const;
     double certainRate(const Account& account, int64_t bins, base::Instant now) const;
     double peakRate(const Account& account) const;
--- a/src/node/CallAdmission.cpp
+++ b/src/node/CallAdmission.cpp
@@ -66,7 +66,7 @@
     return call->arrivedAt + Millis(route.objectiveMs) - elapsed;
 }
 
-bool CallPath::admit(const CallPtr& call) { return identify(call) && checkBounds(call) && limit(call); }
+bool CallPath::admit(const CallPtr& call) { return identify(call) && limitOverNodes(call) && checkBounds(call) && limit(call); }
 
 // Finds the route, the client account and the service of a call.
 bool CallPath::identify(const CallPtr& call)
--- a/src/node/CallAnswer.cpp
+++ b/src/node/CallAnswer.cpp
@@ -125,6 +125,7 @@
         answer.outcome = Outcome::UNKNOWN;
         answer.status = 0;
     }
+    creditBack(call, answer);
     if (call->claim) {
         if (answer.outcome == Outcome::NOT_RUN)
             m_claimCoordinator.release(*call->claim);
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -31,6 +31,7 @@
     , m_peers(io, settings, clock, *this)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_claimCoordinator(settings, m_peers, clock)
+    , m_quota(settings.quota, settings.id)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
     , m_crashSuspects(settings.id)
     , m_random(seed + 1)
@@ -54,6 +55,7 @@
     m_view = std::move(view);
     applyServerLimits();
     updateCrashes();
+    updateQuota();
     m_balancer.retain(*m_view->targets);
     m_notices.retain(*m_view->targets, m_clock.now());
     for (auto& [service, budget] : m_retryBudgets)
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -9,6 +9,7 @@
 #include "LocalTargets.h"
 #include "PeerCalls.h"
 #include "pomelowind/callers/AccountLimiter.h"
+#include "pomelowind/callers/AccountQuota.h"
 #include "pomelowind/callers/ElapsedTimeEstimator.h"
 #include "pomelowind/callers/EvidenceRecorder.h"
 #include "pomelowind/callers/RetryAdvice.h"
@@ -35,6 +36,8 @@
     uint64_t unknown { 0 }; // answered with an unknown outcome
     uint64_t retries { 0 }; // attempts after the first
     uint64_t limited { 0 }; // refused because of the client account's rate limit
+    uint64_t overQuota { 0 }; // refused because of the client account's limit over all nodes
+    uint64_t overEqualPart { 0 }; // of these, without contact to the leader
     uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
@@ -59,6 +62,8 @@
     // Passes the evidence of the last period on to the parent and stops using candidate versions that this node alone
     // has proved bad. To be called every 250 ms.
     void reportEvidence();
+    // Passes the calls of client accounts on to the parent. To be called every AccountQuota::REPORT_PERIOD.
+    void reportUsage();
     // Begins a graceful shutdown that ends after NodeSettings::stopTimeout at the latest: calls that may run longer are
     // refused from now on. `done` is called when no call is left.
     void drain(std::function<void()> done);
@@ -98,6 +103,7 @@
     // The stages before placement. They return false when they have ended the call.
     bool admit(const CallPtr& call);
     bool identify(const CallPtr& call);
+    bool limitOverNodes(const CallPtr& call);
     bool checkBounds(const CallPtr& call);
     bool limit(const CallPtr& call);
     std::optional<base::Instant> objectiveOf(const CallPtr& call);
@@ -121,6 +127,8 @@
     void recordNotice(const wire::Presence& target, const wire::CallAnswer& answer);
     bool mayRetry(const CallPtr& call, const wire::CallAnswer& answer);
     void finish(const CallPtr& call, wire::CallAnswer answer);
+    void creditBack(const CallPtr& call, const wire::CallAnswer& answer);
+    void updateQuota();
     void reply(const CallPtr& call, const wire::CallAnswer& answer);
     void onCancelled(const CallPtr& call);
     void evaluateMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report);
@@ -140,6 +148,7 @@
     LocalTargets m_localTargets;
     ClaimCoordinator m_claimCoordinator;
     callers::AccountLimiter m_accountLimiter;
+    callers::AccountQuota m_quota;
     callers::VersionSplitter m_versionSplitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
--- a/src/node/CallState.h
+++ b/src/node/CallState.h
@@ -31,6 +31,8 @@
     MeshViewPtr view;
     const wire::Route* route { nullptr };
     const wire::AccountResource* account { nullptr };
+    const wire::ClientAccount* clientAccount { nullptr }; // whose key the call carries; null: none
+    bool isCounted { false }; // towards the limit of its client account
     const wire::ServiceResource* service { nullptr };
     base::Instant deadline;
     std::optional<base::Instant> objective; // time by which the latency objective asks for the answer
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -25,6 +25,7 @@
     constexpr auto PARENT_CHOICE_PERIOD = Millis(1000);
     constexpr auto HEARTBEAT_PERIOD = Millis(2000);
     constexpr auto EVIDENCE_PERIOD = Millis(250);
+    constexpr auto USAGE_PERIOD = Millis(100);
     constexpr auto DIGEST_PERIOD = Millis(5000);
     constexpr auto FIRST_DIGEST_DELAY = Millis(300);
     // Three beacons. Together with the time to change the parent it stays below the time limit for a version to be in
@@ -101,7 +102,7 @@
     out.callAddress = m_settings.callAdvertised.text();
     out.incarnation = m_incarnation;
     out.sequence = m_sequence;
-    out.gone = isGone;
+    out.gone = out.stopped = isGone;
     return out;
 }
 
@@ -255,6 +256,8 @@
     m_state = result.state;
     m_activeConfig = std::make_shared<const config::ConfigState>(m_state->subsetForServices(m_settings.services));
     m_routes = std::make_shared<const RouteTable>(m_activeConfig);
+    m_hasAccounts = false;
+    m_state->forEach([this](const wire::Resource& it) { m_hasAccounts = m_hasAccounts || it.__isset.clientAccount; });
     m_rejection.clear();
     m_publisher.publish(m_state);
     base::logDebug("config.applied", { { "version", m_state->version() } });
@@ -351,17 +354,54 @@
     mergeCrashes(spread.crashes, now, false);
     if (m_admitted)
         learnDirectory(now);
-    if (spread.__isset.beacon)
+    // A beacon comes with all ratios. Between beacons, they come when they have changed.
+    bool hasNewBeacon = spread.__isset.beacon && isNewer(spread.beacon);
+    if (hasNewBeacon || (!spread.__isset.beacon && spread.__isset.accountRatios)) {
+        setAccountRatios(spread.accountRatios);
+        if (!hasNewBeacon) {
+            wire::Spread out;
+            out.__set_accountRatios(spread.accountRatios);
+            broadcastToChildren(out, {});
+        }
+    }
+    if (hasNewBeacon)
         handleBeacon(spread.beacon, now);
     publish();
 }
 
-void DistributionCore::handleBeacon(const wire::Beacon& beacon, Instant now)
+bool DistributionCore::isNewer(const wire::Beacon& beacon) const
 {
-    bool newer = beacon.term > m_lastBeacon.term
+    return beacon.term > m_lastBeacon.term
         || (beacon.term == m_lastBeacon.term && beacon.sequence > m_lastBeacon.sequence);
-    if (!newer)
+}
+
+void DistributionCore::setAccountRatios(std::vector<wire::AccountRatio> ratios)
+{
+    bool hadNone = !m_accountRatios;
+    if (ratios.empty() && hadNone)
         return;
+    m_accountRatios
+        = ratios.empty() ? nullptr : std::make_shared<const std::vector<wire::AccountRatio>>(std::move(ratios));
+    m_viewDirty = true;
+}
+
+// Sends the usage of client accounts to the parent. What cannot be sent is dropped: by the time there is a parent, it
+// would be counted as calls of that moment.
+void DistributionCore::flushUsage(Instant now)
+{
+    if (m_usage.empty())
+        return;
+    if (!m_admitted)
+        return m_usage.clear();
+    if (now < m_usageDue)
+        return;
+    m_usageDue = now + USAGE_PERIOD;
+    m_outputs.sendParent(FrameKind::USAGE, base::encode(callers::packUsage(m_usage.take())));
+}
+
+// Precondition: the beacon is newer than the last one.
+void DistributionCore::handleBeacon(const wire::Beacon& beacon, Instant now)
+{
     m_lastBeacon = beacon;
     m_beaconAt = now;
     m_viewDirty = true;
@@ -372,6 +412,8 @@
     updateServing(now);
     wire::Spread out;
     out.__set_beacon(beacon);
+    if (m_accountRatios)
+        out.__set_accountRatios(*m_accountRatios);
     broadcastToChildren(out, {});
     bool behind = beacon.version > m_state->version();
     if (!behind)
@@ -393,6 +435,8 @@
         return handleChildSubscribe(child, base::decode<wire::Subscribe>(payload), now);
     case FrameKind::REPORT:
         return handleReport(base::decode<wire::Report>(payload), now);
+    case FrameKind::USAGE:
+        return m_usage.add(callers::unpackUsage(base::decode<wire::AccountUsage>(payload)));
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from a child node", "run the same release on all hosts");
@@ -419,8 +463,11 @@
     fullState.nodes = m_directory.liveNodes();
     fullState.targets = m_directory.allTargets();
     fullState.crashes = m_directory.crashes();
-    if (beaconIsFresh(now))
+    if (beaconIsFresh(now)) {
         fullState.__set_beacon(m_lastBeacon);
+        if (m_accountRatios)
+            fullState.__set_accountRatios(*m_accountRatios);
+    }
     m_outputs.sendChild(child, FrameKind::SPREAD, base::encode(fullState));
     mergePresence({ request.node }, {}, now, true);
     publishToChildren();
@@ -444,6 +491,10 @@
 
 void DistributionCore::addReport(const wire::Report& report, Instant now)
 {
+    if (report.__isset.usage) {
+        m_usage.add(callers::unpackUsage(report.usage));
+        flushUsage(now);
+    }
     mergeCrashes(report.crashes, now, true);
     m_pendingReport.alarms.insert(m_pendingReport.alarms.end(), report.alarms.begin(), report.alarms.end());
     m_pendingReport.evidence.insert(m_pendingReport.evidence.end(), report.evidence.begin(), report.evidence.end());
@@ -827,6 +878,7 @@
     if (now >= m_digestDue)
         startDigestExchange(now);
     updateServing(now);
+    flushUsage(now);
     bool urgent = !m_pendingReport.nodes.empty() || !m_pendingReport.targets.empty() || !m_pendingReport.acks.empty()
         || !m_pendingReport.alarms.empty() || !m_pendingReport.crashes.empty();
     bool evidenceDue = now >= m_evidenceDue && !m_pendingReport.evidence.empty();
@@ -848,6 +900,9 @@
     view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
     view->beaconAt = m_beaconAt;
+    view->accountRatios = m_accountRatios;
+    if (m_hasAccounts)
+        view->nodes = std::max<size_t>(1, m_directory.liveNodeCount());
     view->serving = m_serving;
     m_outputs.publish(std::move(view));
 }
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -6,6 +6,7 @@
 // the children -> acknowledge to the parent.
 #pragma once
 
+#include "pomelowind/callers/UsageBatch.h"
 #include "pomelowind/links/Link.h"
 #include "pomelowind/node/MeshView.h"
 #include "pomelowind/node/NodeSettings.h"
@@ -66,7 +67,7 @@
     // Replaces the learned control hosts (mesh addresses) that may be the parent, besides the configured ones. No
     // effect unless NodeSettings::usesDiscovery is set.
     void learnControlHosts(const std::vector<std::string>& hosts);
-    // Adds evidence, alarms and crashes that this node's calls have found to the next report.
+    // Adds usage of client accounts, evidence, alarms and crashes that this node's calls have found to the next report.
     void addReport(const wire::Report& report, base::Instant now);
     // Begins the stop of the node: announces its targets as draining, so that other nodes send them no new calls.
     void startDraining(base::Instant now);
@@ -108,6 +109,9 @@
     void applyDelta(const wire::Delta& delta, base::Instant now);
     void handleSpread(const wire::Spread& spread, base::Instant now);
     void handleBeacon(const wire::Beacon& beacon, base::Instant now);
+    bool isNewer(const wire::Beacon& beacon) const;
+    void setAccountRatios(std::vector<wire::AccountRatio> ratios);
+    void flushUsage(base::Instant now);
     void handleChildSubscribe(const std::string& child, const wire::Subscribe& request, base::Instant now);
     void handleReport(const wire::Report& report, base::Instant now);
     void broadcastToChildren(const wire::Spread& spread, const std::string& except);
@@ -164,6 +168,10 @@
     base::Instant m_behindSince; // since when m_state is older than the leader's version; unset when it is not
     std::shared_ptr<const nodes::CrashList> m_crashes; // as the calls event loop knows them
     wire::Report m_pendingReport; // next report to the parent
+    callers::UsageBatch m_usage; // of this node and its subtree, for the parent
+    base::Instant m_usageDue;
+    std::shared_ptr<const std::vector<wire::AccountRatio>> m_accountRatios; // null: none
+    bool m_hasAccounts { false }; // the configuration has client accounts
     bool m_viewDirty { true }; // a new snapshot has to be published
 
     bool m_serving { false };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -184,6 +184,8 @@
             m_distributionLoop, DISTRIBUTION_TICK, "distribution.network", [this] { m_network.tick(m_clock.now()); });
         subscribe(m_distributionLoop, DISTRIBUTION_TICK, "distribution.core", [this] { m_core->tick(m_clock.now()); });
         subscribe(m_callsLoop, CALLS_TICK, "calls.sweep", [this] { m_callPath->sweep(); });
+        subscribe(
+            m_callsLoop, callers::AccountQuota::REPORT_PERIOD, "calls.usage", [this] { m_callPath->reportUsage(); });
         subscribe(m_callsLoop, EVIDENCE_PERIOD, "calls.evidence", [this] { m_callPath->reportEvidence(); });
         m_subscriptions.push_back(m_timers->subscribe(m_distributionLoop.context(), METRICS_PERIOD, [this] {
             m_version->set(static_cast<double>(m_core->state().version()));
@@ -197,6 +199,8 @@
             m_unknown->set(static_cast<double>(counts.unknown));
             m_retries->set(static_cast<double>(counts.retries));
             m_limited->set(static_cast<double>(counts.limited));
+            m_overQuota->set(static_cast<double>(counts.overQuota));
+            m_overEqualPart->set(static_cast<double>(counts.overEqualPart));
             m_blocked->set(static_cast<double>(counts.blocked));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
@@ -214,6 +218,9 @@
         m_unknown = m_metrics->gauge("calls_unknown", "Calls of which it is unknown whether they ran");
         m_retries = m_metrics->gauge("call_retries", "Attempts after the first");
         m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
+        m_overQuota = m_metrics->gauge("calls_over_quota", "Calls over a client account's limit over all nodes");
+        m_overEqualPart = m_metrics->gauge(
+            "calls_over_equal_part", "Calls over this node's part of a limit, without contact to the leader");
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
@@ -240,7 +247,7 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
-    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
+    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked, m_overQuota, m_overEqualPart;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -96,6 +96,7 @@
     out.claimMemoryBytes = reader.integer("claim_memory_bytes", out.claimMemoryBytes, MIB / 16, 1024 * MIB);
     out.retryShare = reader.real("retry_share", out.retryShare, 0, 1);
     out.firstAttemptPercent = reader.integer("first_attempt_percent", out.firstAttemptPercent, 1, 100);
+    out.quota = callers::readQuotaBounds(reader);
     out.limitsEnabled = reader.flag("limits_enabled", true);
     if (out.meshKey.size() < MIN_MESH_KEY_BYTES)
         reader.recordProblem(
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -155,6 +155,14 @@
     return out;
 }
 
+size_t Directory::liveNodeCount() const
+{
+    size_t out = 0;
+    for (const auto& [name, record] : m_nodes)
+        out += record.entry.gone ? 0 : 1;
+    return out;
+}
+
 std::vector<wire::NodeInfo> Directory::liveNodes(const std::string& dataCentre) const
 {
     auto out = liveNodes();
