Client accounts with keys: decoding, distribution and the check of calls

A configuration could not say who may call. The platform's configuration may now list client accounts with keys; nodes get the digests of the keys as resources client/NAME, and refuse calls without a known key with 401 unless the route needs none, the call's parent runs at a target of the host (served), or the parent may run without the node's knowledge (503). The key and a forged account name are taken out of the request; the target gets the account's name.

The account's priority comes before that of the route at gates, where accounts take turns, and the expected wait of a call counts the queued calls that run before it in the order of turns. A syntax error in a JSON document no longer repeats the document's text, which may contain keys.

Tested: KeysFindTheirAccounts, AccountsAreDecodedOrRejected, CallsNeedAKeyOfAnAccount and the existing tests of gates, releases and deltas.

--- a/include/pomelowind/base/Hash.h
+++ b/include/pomelowind/base/Hash.h
@@ -1,5 +1,5 @@
 // Hashes, random bytes and identifiers. xxHash is used for placement and change detection; SHA-256 and HMAC from
-// OpenSSL are used for API tokens and for the authentication of links.
+// OpenSSL are used for API tokens, for the keys of client accounts and for the authentication of links.
 #pragma once
 
 #include <cstdint>
@@ -15,6 +15,8 @@
 uint64_t rendezvousScore(std::string_view key, std::string_view candidate);
 // Returns the SHA-256 of `data` as lower-case hexadecimal digits. Thread safety: pure.
 std::string sha256Hex(std::string_view data);
+// Returns the SHA-256 of `data` as 32 raw bytes. Thread safety: any thread.
+std::string sha256(std::string_view data);
 // Returns the HMAC-SHA256 of `data` under `key` as raw bytes. Thread safety: pure.
 std::string hmacSha256(std::string_view key, std::string_view data);
 // Returns whether `a` and `b` are equal, in a time that does not depend on their contents, only on their lengths.
--- a/include/pomelowind/config/ConfigState.h
+++ b/include/pomelowind/config/ConfigState.h
@@ -16,6 +16,8 @@
 // Keys of resources, for example "service/finder-app".
 std::string serviceKey(const std::string& name);
 std::string accountKey(const std::string& name);
+// Returns the key of a release's client account, for example "client/shop".
+std::string clientKey(const std::string& name);
 inline constexpr char CLAIM_RING_KEY[] = "claims";
 
 // Why a delta was refused.
@@ -51,6 +53,8 @@
     size_t size() const { return m_resources.size(); }
     // Return the resource with that key or name, or null.
     const wire::Resource* find(const std::string& key) const;
+    // Returns the resource with that key, which outlives the state while it is held, or null.
+    std::shared_ptr<const wire::Resource> findShared(const std::string& key) const;
     const wire::ServiceResource* service(const std::string& name) const;
     const wire::ClaimRing* claimRing() const;
     // Returns the number and the caller limits of the release in force, or null when all configuration comes from
@@ -59,6 +63,8 @@
     std::vector<const wire::Route*> routes() const;
     std::vector<const wire::ServiceResource*> services() const;
     std::vector<const wire::AccountResource*> accounts() const;
+    // Returns the resources of the client accounts of the release, which outlive the state while they are held.
+    std::vector<std::shared_ptr<const wire::Resource>> clientAccounts() const;
     // Returns the version at which `key` was last changed or removed. Returns 0 when it never existed or its tombstone
     // has been discarded.
     int64_t versionOf(const std::string& key) const;
--- a/include/pomelowind/config/Release.h
+++ b/include/pomelowind/config/Release.h
@@ -25,8 +25,8 @@
 // the first problem. Thread safety: pure.
 void validateRelease(const wire::Release& release);
 
-// Returns the resources of the release that differ from `state`, and the keys of the services and routes that it no
-// longer contains. A service that stays keeps its running version and its move.
+// Returns the resources of the release that differ from `state`, and the keys of the services, routes and client
+// accounts that it no longer contains. A service that stays keeps its running version and its move.
 // Precondition: the release passed validateRelease. Thread safety: pure.
 ReleaseChange computeReleaseChange(const wire::Release& release, const ConfigState& state);
 
--- a/include/pomelowind/node/CallProtocol.h
+++ b/include/pomelowind/node/CallProtocol.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pomelowind::node {
 
@@ -35,6 +36,11 @@
     virtual ~CallProtocol() = default;
     // Returns the call parameters of a caller's request.
     virtual CallParameters parseCallParameters(const http::HttpRequest& request) const = 0;
+    // Returns the key of a client account that a caller's request carries, or an empty view. The view refers to the
+    // request.
+    virtual std::string_view parseKey(const http::HttpRequest& request) const = 0;
+    // Removes the key, and what only this system may tell a target about the client account, from a caller's headers.
+    virtual void removeAccountHeaders(http::HttpHeaders& headers) const = 0;
     // Returns the headers that are forwarded to the target with the call.
     virtual std::vector<wire::Header> forwardedHeaders(
         const http::HttpRequest& request, int64_t retriesLeft, int64_t depth) const = 0;
@@ -60,6 +66,13 @@
 // Creates the protocol with the product's own headers; see docs/operate/api.md.
 std::unique_ptr<CallProtocol> makeProductCallProtocol();
 
+// Status of a call without a known key of a client account.
+inline constexpr int STATUS_UNAUTHORIZED = 401;
+
+// Returns the key in an Authorization header with this scheme, ignoring the scheme's case, or an empty view when the
+// header has another form. Thread safety: pure.
+std::string_view keyOfScheme(std::string_view authorization, std::string_view scheme);
+
 // Returns the JSON body of an error that this node reports.
 std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy);
 
--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pomelowind/base/Time.h"
+#include "pomelowind/callers/AccountKeys.h"
 #include "pomelowind/config/ConfigState.h"
 #include "pomelowind/node/RouteTable.h"
 #include "pomelowind/nodes/Directory.h"
@@ -15,6 +16,8 @@
 struct MeshView {
     std::shared_ptr<const config::ConfigState> config { std::make_shared<const config::ConfigState>() };
     std::shared_ptr<const RouteTable> routes;
+    // Client accounts by key; null: none.
+    std::shared_ptr<const callers::AccountKeys> accountKeys;
     std::shared_ptr<const nodes::TargetList> targets;
     // Crashes of targets; null: none.
     std::shared_ptr<const nodes::CrashList> crashes;
--- a/include/pomelowind/node/RouteTable.h
+++ b/include/pomelowind/node/RouteTable.h
@@ -2,6 +2,7 @@
 // used when a call is admitted.
 #pragma once
 
+#include "pomelowind/base/Time.h"
 #include "pomelowind/config/ConfigState.h"
 
 #include <map>
@@ -30,6 +31,8 @@
     // Returns the route for a request; its `route` is null when there is none. `host` may include a port.
     RouteMatch find(std::string_view host, std::string_view path, std::string_view method) const;
     size_t size() const { return m_size; }
+    // Returns the longest timeout of a route.
+    base::Millis longestTimeout() const { return m_longestTimeout; }
 
 private:
     struct Entry {
@@ -40,6 +43,7 @@
     std::shared_ptr<const config::ConfigState> m_config;
     std::map<std::string, std::vector<Entry>, std::less<>> m_byHost; // longest path first
     size_t m_size { 0 };
+    base::Millis m_longestTimeout { 0 };
 };
 
 } // namespace pomelowind::node
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -25,8 +25,11 @@
 // A call that asks for a slot.
 struct GateCall {
     uint64_t id { 0 };
-    std::string account; // accounts take turns within a rank
-    int priority { 5 }; // 0 to 9; 0 is shed first
+    // Client account, or the kind if there is none. Accounts take turns within a rank.
+    std::string account;
+    // 0 to MAX_CALL_PRIORITY; 0 is shed first. Where the configuration has client accounts, that of the account comes
+    // before that of the route; see CallPriority.h.
+    int priority { 5 };
     base::Instant deadline;
     // End of the latency objective; empty: any time before the deadline is equally good.
     std::optional<base::Instant> objective;
@@ -124,7 +127,10 @@
     bool canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const;
     bool canMeetDeadline(const GateCall& call, double waitMs, base::Instant now) const;
     int rank(const GateCall& call, base::Instant now) const;
-    double expectedWaitMs(int rank, base::Instant now) const;
+    double expectedWaitMs(const GateCall& call, int rank, base::Instant now) const;
+    size_t callsAhead(const GateCall& call, int rank, base::Instant now) const;
+    uint64_t lastServed(const std::string& account) const;
+    void recordTurn(const std::string& account);
     OfferedLoad loadOfLowerRanks(int rank) const;
     void recordLoad(int rank, double serviceMs, base::Instant now);
     bool canServeFromQueue(const GateCall& call, base::Instant now) const;
--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -56,6 +56,14 @@
     return hex({ reinterpret_cast<const char*>(digest.data()), digest.size() });
 }
 
+std::string sha256(std::string_view data)
+{
+    std::string out(SHA256_DIGEST_LENGTH, '\0');
+    SHA256(
+        reinterpret_cast<const unsigned char*>(data.data()), data.size(), reinterpret_cast<unsigned char*>(out.data()));
+    return out;
+}
+
 std::string hmacSha256(std::string_view key, std::string_view data)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> mac {};
--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -53,8 +53,11 @@
     checkSize(text);
     try {
         return json::parse(text);
-    } catch (const json::exception& e) {
-        throwInvalid(e.what());
+    } catch (const json::parse_error& e) {
+        // The library's message repeats the text before the error, which may contain secrets.
+        throwInvalid("syntax error at byte " + std::to_string(e.byte));
+    } catch (const json::exception&) {
+        throwInvalid("a number is out of range");
     }
 }
 
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -27,7 +27,7 @@
     {
         return !it.key.empty()
             && (it.__isset.serviceResource || it.__isset.accountResource || it.__isset.claimRing || it.__isset.route
-                || it.__isset.releaseResource);
+                || it.__isset.releaseResource || it.__isset.clientAccount);
     }
 
 }
@@ -36,6 +36,8 @@
 
 std::string accountKey(const std::string& name) { return "account/" + name; }
 
+std::string clientKey(const std::string& name) { return "client/" + name; }
+
 const char* refusalName(ApplyRefusal refusal)
 {
     switch (refusal) {
@@ -61,6 +63,12 @@
     return it == m_resources.end() ? nullptr : it->second.get();
 }
 
+std::shared_ptr<const wire::Resource> ConfigState::findShared(const std::string& key) const
+{
+    auto it = m_resources.find(key);
+    return it == m_resources.end() ? nullptr : it->second;
+}
+
 const wire::ServiceResource* ConfigState::service(const std::string& name) const
 {
     const auto* resource = find(serviceKey(name));
@@ -109,6 +117,16 @@
     return out;
 }
 
+std::vector<std::shared_ptr<const wire::Resource>> ConfigState::clientAccounts() const
+{
+    std::vector<std::shared_ptr<const wire::Resource>> out;
+    for (const auto& [key, resource] : m_resources) {
+        if (resource->__isset.clientAccount)
+            out.push_back(resource);
+    }
+    return out;
+}
+
 int64_t ConfigState::versionOf(const std::string& key) const
 {
     if (const auto* resource = find(key))
@@ -191,19 +209,25 @@
 {
     if (services.empty())
         return *this;
+    // Shares the resources that stay as they are, and corrects the hash for the others: hashing 100,000 client accounts
+    // for each version would take a node with a tenth of a core seconds.
     ConfigState out;
     out.m_version = m_version;
+    out.m_hash = m_hash;
     for (const auto& [key, resource] : m_resources) {
-        if (resource->__isset.serviceResource && !services.count(resource->serviceResource.name))
+        bool isDropped = resource->__isset.serviceResource && !services.count(resource->serviceResource.name);
+        if (!isDropped && !resource->__isset.accountResource) {
+            out.m_resources.emplace_hint(out.m_resources.end(), key, resource);
             continue;
-        wire::Resource kept = *resource;
-        if (kept.__isset.accountResource) {
-            std::erase_if(
-                kept.accountResource.routes, [&](const wire::Route& it) { return !services.count(it.serviceName); });
-            if (kept.accountResource.routes.empty())
-                continue;
         }
-        out.set(std::move(kept));
+        out.m_hash ^= hashOf(*resource);
+        if (isDropped)
+            continue;
+        wire::Resource kept = *resource;
+        std::erase_if(
+            kept.accountResource.routes, [&](const wire::Route& it) { return !services.count(it.serviceName); });
+        if (!kept.accountResource.routes.empty())
+            out.set(std::move(kept));
     }
     return out;
 }
--- a/src/config/Release.cpp
+++ b/src/config/Release.cpp
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -66,6 +67,47 @@
             throwInvalid("the weights of route '" + route.name + "' add up to 0", "give at least one weight above 0");
     }
 
+    // Names reach targets in a header field.
+    bool isHeaderValue(const std::string& text)
+    {
+        bool isPrintable
+            = std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+        return isPrintable && text.front() != ' ' && text.back() != ' ';
+    }
+
+    // No message contains a key or its digest.
+    void checkClientAccounts(const std::vector<wire::ClientAccount>& accounts)
+    {
+        const auto emptyKey = base::sha256({});
+        Names names;
+        std::unordered_map<std::string_view, std::string_view> ownerOfDigest;
+        for (const auto& it : accounts) {
+            auto subject = "client account '" + it.name + "'";
+            if (it.name.empty())
+                throwInvalid("a client account has no name", "name each client account");
+            if (!isHeaderValue(it.name))
+                throwInvalid(subject + " has a name that does not fit into a header field",
+                    "use no control characters, and no spaces at the ends");
+            if (!names.insert(it.name).second)
+                throwInvalid(subject + " is given twice", "give each client account a name of its own");
+            if (!(it.ratePerSecond >= 0) || !std::isfinite(it.ratePerSecond))
+                throwInvalid(subject + " has a rate that is negative or not a number", "give a rate of 0 or more");
+            if (!(it.burst >= 0) || !std::isfinite(it.burst))
+                throwInvalid(subject + " has a burst that is negative or not a number", "give a burst of 0 or more");
+            for (const auto& digest : it.keyDigests) {
+                if (digest.size() != emptyKey.size())
+                    throwInvalid(
+                        subject + " has a key that is not given by its digest", "give the SHA-256 of each key");
+                if (digest == emptyKey)
+                    throwInvalid(subject + " has an empty key", "remove the key or replace it");
+                auto [owner, isNew] = ownerOfDigest.emplace(digest, it.name);
+                if (!isNew && owner->second != it.name)
+                    throwInvalid(subject + " has a key of client account '" + std::string(owner->second) + "'",
+                        "give each key to one client account");
+            }
+        }
+    }
+
     wire::ServiceResource mergedService(const wire::ServiceSpec& spec, const ConfigState& state)
     {
         wire::ServiceResource out;
@@ -120,6 +162,7 @@
         checkBody(route);
         checkDestination(route, serviceNames);
     }
+    checkClientAccounts(release.accounts);
 }
 
 ReleaseChange computeReleaseChange(const wire::Release& release, const ConfigState& state)
@@ -141,8 +184,14 @@
             out.set, key, it, state, &wire::Resource::route, [&](wire::Resource& changed) { changed.__set_route(it); });
         keptKeys.insert(std::move(key));
     }
+    for (const auto& it : release.accounts) {
+        auto key = clientKey(it.name);
+        addIfChanged(out.set, key, it, state, &wire::Resource::clientAccount,
+            [&](wire::Resource& changed) { changed.__set_clientAccount(it); });
+        keptKeys.insert(std::move(key));
+    }
     state.forEach([&](const wire::Resource& it) {
-        bool belongsToRelease = it.__isset.route || it.__isset.serviceResource;
+        bool belongsToRelease = it.__isset.route || it.__isset.serviceResource || it.__isset.clientAccount;
         if (belongsToRelease && !keptKeys.count(it.key))
             out.removed.push_back(it.key);
     });
--- a/src/node/CallAdmission.cpp
+++ b/src/node/CallAdmission.cpp
@@ -1,5 +1,7 @@
 #include "CallHeaders.h"
 #include "CallState.h"
+#include "pomelowind/callers/KeyCheck.h"
+#include "pomelowind/targets/CallPriority.h"
 
 #include <algorithm>
 
@@ -79,6 +81,8 @@
     if (!match.route)
         return rejectCall(
             call, 404, "not_found", "no route for this host and path", "check the Host header and the path");
+    if (!checkKey(call, *match.route))
+        return false;
     if (!match.methodAllowed)
         return rejectCall(
             call, 405, "invalid_input", "the route does not take " + call->request.method, "use a method of the route");
@@ -90,6 +94,45 @@
     return true;
 }
 
+// Finds the client account of a call by its key, where the configuration has client accounts, and takes the key out of
+// the request.
+bool CallPath::checkKey(const CallPtr& call, const wire::Route& route)
+{
+    const auto& keys = m_view->accountKeys;
+    if (!keys || keys->empty())
+        return true;
+    const auto& running = m_localTargets.runningCalls();
+    const auto& parentId = call->parameters.parentId;
+    auto key = m_protocol.parseKey(call->request);
+    call->clientAccount = key.empty() ? nullptr : keys->find(key);
+    callers::KeyEvidence evidence;
+    evidence.needsKey = !route.withoutAccount;
+    evidence.hasKey = !key.empty();
+    evidence.isKnown = call->clientAccount;
+    evidence.namesParent = !parentId.empty();
+    evidence.parentRuns = running.objectiveOf(parentId).has_value();
+    // A target may run calls that it got from an earlier process of this node.
+    evidence.parentMayRun = running.mayStillRun(parentId, call->arrivedAt)
+        || call->arrivedAt < m_startedAt + m_view->routes->longestTimeout();
+    m_protocol.removeAccountHeaders(call->request.headers);
+    if (call->clientAccount)
+        call->accountPriority = call->clientAccount->priority;
+    else if (auto priority = running.priorityOf(parentId))
+        call->accountPriority = targets::accountPriorityOf(*priority);
+    switch (callers::checkKey(evidence)) {
+    case callers::KeyVerdict::Admitted:
+        return true;
+    case callers::KeyVerdict::ParentUnknown:
+        return rejectCall(call, STATUS_UNAVAILABLE, "unavailable",
+            "this node does not know whether the call that made this one runs", "try again later");
+    case callers::KeyVerdict::Unauthorized:
+        break;
+    }
+    ++m_counts.unauthorized;
+    return rejectCall(call, STATUS_UNAUTHORIZED, "unauthorized", "the request carries no known key of a client account",
+        "send a key that the configuration gives to a client account");
+}
+
 // Derives the call's retries, deadline and objective, and refuses a call that must not or cannot run.
 bool CallPath::checkBounds(const CallPtr& call)
 {
--- a/src/node/CallHeaders.h
+++ b/src/node/CallHeaders.h
@@ -25,6 +25,11 @@
 inline constexpr char MAX_RATE_HEADER[] = "X-Pomelowind-Max-Rate";
 // "1" when the target will stop soon. In a target's response.
 inline constexpr char LEAVING_HEADER[] = "X-Pomelowind-Leaving";
+// Carries a key of a client account in callers' requests, in the scheme BEARER_SCHEME.
+inline constexpr char AUTHORIZATION_HEADER[] = "Authorization";
+inline constexpr char BEARER_SCHEME[] = "Bearer";
+// Name of the client account whose key the call carries. Sent to targets.
+inline constexpr char ACCOUNT_HEADER[] = "X-Pomelowind-Account";
 inline constexpr char KEY_HEADER[] = "Idempotency-Key";
 inline constexpr char NOT_RUN[] = "not-run";
 
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -35,6 +35,7 @@
     uint64_t unknown { 0 }; // answered with an unknown outcome
     uint64_t retries { 0 }; // attempts after the first
     uint64_t limited { 0 }; // refused because of the client account's rate limit
+    uint64_t unauthorized { 0 }; // refused because the call carries no known key of a client account
     uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
@@ -98,6 +99,7 @@
     // The stages before placement. They return false when they have ended the call.
     bool admit(const CallPtr& call);
     bool identify(const CallPtr& call);
+    bool checkKey(const CallPtr& call, const wire::Route& route);
     bool checkBounds(const CallPtr& call);
     bool limit(const CallPtr& call);
     std::optional<base::Instant> objectiveOf(const CallPtr& call);
@@ -114,6 +116,7 @@
     void updateCrashes();
     std::set<std::string> unreachableTargets() const;
     std::optional<targets::Placement> chooseTarget(const CallPtr& call);
+    int gatePriority(const CallPtr& call) const;
     void send(const CallPtr& call, const targets::Placement& placement);
     void onAnswer(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void recordOutcome(
--- a/src/node/CallPlacement.cpp
+++ b/src/node/CallPlacement.cpp
@@ -1,4 +1,5 @@
 #include "CallState.h"
+#include "pomelowind/targets/CallPriority.h"
 
 #include <algorithm>
 
@@ -96,6 +97,16 @@
     send(call, *placement);
 }
 
+// Returns the priority of a call at the gate of its target. Where the configuration has client accounts, that of the
+// account comes before that of the route. A call without an account ranks by the priority of its route alone.
+int CallPath::gatePriority(const CallPtr& call) const
+{
+    int route = call->account ? call->account->priority : call->route->priority;
+    if (!call->view->accountKeys || call->view->accountKeys->empty())
+        return route;
+    return targets::combinePriorities(call->accountPriority.value_or(route), route);
+}
+
 void CallPath::send(const CallPtr& call, const targets::Placement& placement)
 {
     const auto& target = placement.target;
@@ -112,7 +123,9 @@
     request.serviceName = call->service->name;
     request.target = target.target;
     request.account = call->account ? call->account->name : call->route->name;
-    request.priority = call->account ? call->account->priority : call->route->priority;
+    request.priority = gatePriority(call);
+    if (call->clientAccount)
+        request.clientAccount = call->clientAccount->name;
     request.requestId = call->parameters.requestId;
     request.callerService = m_settings.localService;
     request.incarnation = target.incarnation;
--- a/src/node/CallState.h
+++ b/src/node/CallState.h
@@ -32,6 +32,9 @@
     const wire::Route* route { nullptr };
     const wire::AccountResource* account { nullptr };
     const wire::ServiceResource* service { nullptr };
+    // Client account whose key the call carries; null: none, as for nested calls. Valid as long as `view`.
+    const wire::ClientAccount* clientAccount { nullptr };
+    std::optional<int> accountPriority; // of the client account, or of the parent call's
     base::Instant deadline;
     std::optional<base::Instant> objective; // time by which the latency objective asks for the answer
     int64_t retriesLeft { 0 };
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -252,6 +252,7 @@
         return;
     }
     // The new state is built beside the current one and replaces it by one pointer assignment when it is complete.
+    m_accountKeys = callers::AccountKeys::update(m_accountKeys, delta, *m_state, *result.state);
     m_state = result.state;
     m_activeConfig = std::make_shared<const config::ConfigState>(m_state->subsetForServices(m_settings.services));
     m_routes = std::make_shared<const RouteTable>(m_activeConfig);
@@ -844,6 +845,7 @@
     auto view = std::make_shared<MeshView>();
     view->config = m_activeConfig;
     view->routes = m_routes;
+    view->accountKeys = m_accountKeys;
     view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets());
     view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -137,6 +137,7 @@
     // The part of m_state that calls use: the services in the settings and what they refer to.
     std::shared_ptr<const config::ConfigState> m_activeConfig;
     std::shared_ptr<const RouteTable> m_routes;
+    std::shared_ptr<const callers::AccountKeys> m_accountKeys; // replaced only when client accounts change
     std::string m_rejection;
     std::map<std::string, LocalTarget> m_localTargets;
     // A started node does not know what targets of its host have said before. Until a parent or peer has told it,
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -109,8 +109,8 @@
     call.deadline = now + base::Millis(request.budgetMs);
     call.request = std::move(request);
     call.done = std::move(done);
-    targets::GateCall gateCall { id, call.request.account, call.request.priority, call.deadline, {},
-        call.request.account };
+    const auto& turn = call.request.clientAccount.empty() ? call.request.account : call.request.clientAccount;
+    targets::GateCall gateCall { id, turn, call.request.priority, call.deadline, {}, call.request.account };
     gateCall.typicalServiceTime = base::Millis(call.request.usualMs);
     gateCall.nested = call.request.nested;
     gateCall.mayQueue = call.request.mayWait;
@@ -251,7 +251,7 @@
         return;
     auto& call = it->second;
     call.running = true;
-    m_runningCalls.begin(call.request.requestId, call.objective);
+    m_runningCalls.begin(call.request.requestId, call.objective, call.request.priority);
     call.started = m_clock.now();
     auto left = std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(call.deadline - call.started));
     auto request = m_protocol.makeTargetRequest(call.request, left);
@@ -331,6 +331,8 @@
     Call call = std::move(it->second);
     m_calls.erase(it);
     m_runningCalls.end(call.request.requestId);
+    if (result.end == http::ExchangeEnd::Cancelled)
+        m_runningCalls.abandon(call.request.requestId, call.deadline);
     auto answer = m_protocol.parseTargetResponse(call.request, std::move(result));
     answer.runMicros = std::chrono::duration_cast<base::Micros>(m_clock.now() - call.started).count();
     addLoadReport(call, answer);
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -197,6 +197,7 @@
             m_unknown->set(static_cast<double>(counts.unknown));
             m_retries->set(static_cast<double>(counts.retries));
             m_limited->set(static_cast<double>(counts.limited));
+            m_unauthorized->set(static_cast<double>(counts.unauthorized));
             m_blocked->set(static_cast<double>(counts.blocked));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
@@ -214,6 +215,8 @@
         m_unknown = m_metrics->gauge("calls_unknown", "Calls of which it is unknown whether they ran");
         m_retries = m_metrics->gauge("call_retries", "Attempts after the first");
         m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
+        m_unauthorized = m_metrics->gauge(
+            "calls_unauthorized", "Calls refused because they carry no known key of a client account");
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
@@ -240,7 +243,7 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
-    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
+    std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked, m_unauthorized;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -44,6 +44,18 @@
             return out;
         }
 
+        std::string_view parseKey(const http::HttpRequest& request) const override
+        {
+            return keyOfScheme(http::findHeader(request.headers, AUTHORIZATION_HEADER), BEARER_SCHEME);
+        }
+
+        void removeAccountHeaders(http::HttpHeaders& headers) const override
+        {
+            std::erase_if(headers, [](const http::HttpHeader& it) {
+                return http::equalNames(it.name, AUTHORIZATION_HEADER) || http::equalNames(it.name, ACCOUNT_HEADER);
+            });
+        }
+
         std::vector<wire::Header> forwardedHeaders(
             const http::HttpRequest& request, int64_t retriesLeft, int64_t depth) const override
         {
@@ -61,6 +73,8 @@
             for (const auto& it : request.headers)
                 out.headers.push_back({ it.name, it.value });
             out.headers.push_back({ DEADLINE_HEADER, std::to_string(left.count()) });
+            if (!request.clientAccount.empty())
+                out.headers.push_back({ ACCOUNT_HEADER, request.clientAccount });
             return out;
         }
 
@@ -123,6 +137,8 @@
                     = notRun ? "send it again" : "send it again if it is idempotent or carries an Idempotency-Key";
                 response.body = errorBody(notRun ? "unavailable" : "timeout", answer.reason, remedy);
             }
+            if (answer.outcome == Outcome::NOT_RUN && response.status == STATUS_UNAUTHORIZED)
+                response.headers.push_back({ "WWW-Authenticate", BEARER_SCHEME });
             if (answer.outcome == Outcome::NOT_RUN
                 && (response.status == STATUS_UNAVAILABLE || response.status == STATUS_TOO_MANY_REQUESTS))
                 response.headers.push_back({ "Retry-After", retryAfterSeconds(answer.retryAfterMs) });
@@ -138,6 +154,16 @@
 
 }
 
+std::string_view keyOfScheme(std::string_view authorization, std::string_view scheme)
+{
+    auto space = authorization.find(' ');
+    if (space == std::string_view::npos || !http::equalNames(authorization.substr(0, space), scheme))
+        return {};
+    auto key = authorization.substr(space);
+    key.remove_prefix(std::min(key.find_first_not_of(" \t"), key.size()));
+    return key.substr(0, key.find_last_not_of(" \t") + 1);
+}
+
 std::string errorBody(const std::string& error, const std::string& message, const std::string& remedy)
 {
     return base::jsonText({ { "error", error }, { "message", message }, { "remedy", remedy } });
--- a/src/node/RouteTable.cpp
+++ b/src/node/RouteTable.cpp
@@ -42,6 +42,8 @@
         ++m_size;
     }
     for (auto& [host, entries] : m_byHost) {
+        for (const auto& it : entries)
+            m_longestTimeout = std::max(m_longestTimeout, base::Millis(it.route->timeoutMs));
         std::stable_sort(entries.begin(), entries.end(),
             [](const Entry& a, const Entry& b) { return a.route->path.size() > b.route->path.size(); });
     }
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -1,5 +1,7 @@
 #include "pomelowind/targets/Gate.h"
 
+#include "pomelowind/targets/CallPriority.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,10 +15,9 @@
     // Maximum number of accounts in m_lastServed, and of kinds of calls with an average of their own.
     constexpr size_t MAX_TRACKED_KEYS = 1024;
     constexpr base::Millis MIN_RETRY_AFTER(100);
-    constexpr int MAX_PRIORITY = 9;
     constexpr int RANKS_PER_PRIORITY = 2; // nested calls, and others
     // Added to the rank of calls that can no longer meet their objective, so that they run behind all that can.
-    constexpr int LATE_RANK_OFFSET = 100;
+    constexpr int LATE_RANK_OFFSET = 1000;
     // Approximate ratio of the median service time to the mean, which a few very long calls raise. A call with less
     // time left than the median is more likely to be late than in time.
     constexpr double MEDIAN_TO_MEAN_RATIO = 0.8;
@@ -47,7 +48,8 @@
     // Calls with a higher urgency run first as long as they can meet their objective, and are shed last.
     int urgency(const GateCall& call) { return RANKS_PER_PRIORITY * call.priority + (call.nested ? 1 : 0); }
 
-    constexpr int MAX_URGENCY = RANKS_PER_PRIORITY * MAX_PRIORITY + 1;
+    constexpr int MAX_URGENCY = RANKS_PER_PRIORITY * MAX_CALL_PRIORITY + 1;
+    static_assert(MAX_URGENCY < LATE_RANK_OFFSET, "late calls run behind all others");
 
     double toMs(base::Instant::duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
@@ -133,13 +135,51 @@
     return std::max(0.0, n - bucket.availableTokens(now)) * MS_PER_SECOND / m_maxRate;
 }
 
+// Returns how many queued calls run before `call`: all of lower ranks, and of its own rank those whose accounts have
+// their turn earlier. Without the turns, a call would be refused for the queue of an account that asks for more.
+size_t Gate::callsAhead(const GateCall& call, int rank, base::Instant now) const
+{
+    size_t out = 0;
+    std::map<std::string_view, size_t> sameRank; // queued calls by account
+    for (const auto& it : m_queue) {
+        int other = this->rank(it, now);
+        out += other < rank ? 1 : 0;
+        if (other == rank)
+            ++sameRank[it.account];
+    }
+    auto own = sameRank.find(call.account);
+    size_t turns = own == sameRank.end() ? 0 : own->second;
+    auto served = lastServed(call.account);
+    for (const auto& [account, queued] : sameRank) {
+        if (account == call.account)
+            out += queued;
+        else
+            out += std::min(queued, lastServed(std::string(account)) <= served ? turns + 1 : turns);
+    }
+    return out;
+}
+
+uint64_t Gate::lastServed(const std::string& account) const
+{
+    auto it = m_lastServed.find(account);
+    return it == m_lastServed.end() ? 0 : it->second;
+}
+
+void Gate::recordTurn(const std::string& account)
+{
+    m_lastServed[account] = ++m_serveCount;
+    if (m_lastServed.size() <= MAX_TRACKED_KEYS)
+        return;
+    auto oldest = std::min_element(
+        m_lastServed.begin(), m_lastServed.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    m_lastServed.erase(oldest);
+}
+
 // Returns the expected wait, given that the queued calls ahead are served by the slots, and by the calls per second,
 // that calls of lower ranks leave free.
-double Gate::expectedWaitMs(int rank, base::Instant now) const
+double Gate::expectedWaitMs(const GateCall& call, int rank, base::Instant now) const
 {
-    auto ahead = std::count_if(
-        m_queue.begin(), m_queue.end(), [&](const GateCall& it) { return this->rank(it, now) <= rank; });
-    auto position = static_cast<double>(ahead + 1);
+    auto position = static_cast<double>(callsAhead(call, rank, now) + 1);
     double maxShare = rank < LATE_RANK_OFFSET ? MAX_SHARE_OF_LOWER_RANKS : MAX_SHARE_OF_LOWER_RANKS_FOR_LATE;
     auto lower = loadOfLowerRanks(rank);
     double slots = std::max(1, m_options.slots);
@@ -157,10 +197,10 @@
 bool Gate::canServeFromQueue(const GateCall& call, base::Instant now) const
 {
     int callRank = rank(call, now);
-    if (expectedWaitMs(callRank, now) > static_cast<double>(call.maxQueueWait.count()))
+    if (expectedWaitMs(call, callRank, now) > static_cast<double>(call.maxQueueWait.count()))
         return false;
     if (callRank < LATE_RANK_OFFSET) {
-        double waitMs = expectedWaitMs(callRank, now);
+        double waitMs = expectedWaitMs(call, callRank, now);
         if (call.nested)
             return canMeetDeadline(call, waitMs, now);
         if (canMeetObjective(call, waitMs, now) && canMeetDeadline(call, waitMs, now))
@@ -169,7 +209,7 @@
             return false;
         callRank += LATE_RANK_OFFSET;
     }
-    double waitMs = expectedWaitMs(callRank, now);
+    double waitMs = expectedWaitMs(call, callRank, now);
     return waitMs <= MAX_LATE_WAIT_TO_TIME_LEFT_RATIO * toMs(call.deadline - now) && canMeetDeadline(call, waitMs, now);
 }
 
@@ -190,6 +230,7 @@
         return GateVerdict::Overloaded;
     recordLoad(callRank, serviceMs(call.kind), now);
     if (runs) {
+        recordTurn(call.account);
         startCall(now);
         return GateVerdict::Run;
     }
@@ -249,8 +290,7 @@
             continue;
         int callRank = rank(*it, now);
         bool isLater = best != m_queue.end()
-            && (callRank > bestRank
-                || (callRank == bestRank && m_lastServed[it->account] >= m_lastServed[best->account]));
+            && (callRank > bestRank || (callRank == bestRank && lastServed(it->account) >= lastServed(best->account)));
         if (isLater)
             continue;
         best = it;
@@ -267,9 +307,7 @@
         auto it = nextToRun(now);
         if (it == m_queue.end())
             break;
-        if (m_lastServed.size() > MAX_TRACKED_KEYS)
-            m_lastServed.clear();
-        m_lastServed[it->account] = ++m_serveCount;
+        recordTurn(it->account);
         step.run.push_back(it->id);
         cancel(it->id);
         startCall(now);
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -196,6 +196,12 @@
     publish();
 }
 
+void CallPathFixture::setAccounts(std::vector<wire::ClientAccount> accounts)
+{
+    m_options.accounts = std::move(accounts);
+    publish();
+}
+
 size_t CallPathFixture::pollOne()
 {
     m_io.restart();
@@ -239,10 +245,19 @@
     resource.__set_serviceResource(service);
     config::ConfigState empty;
     auto view = std::make_shared<node::MeshView>();
-    view->config = std::make_shared<config::ConfigState>(
-        empty.withChange({ resource, routeResource("once", "/once/", false, m_options.maxAttempts),
-                             routeResource("again", "/again/", true, m_options.maxAttempts) },
-            {}));
+    auto open = routeResource("open", "/open/", true, m_options.maxAttempts);
+    open.route.withoutAccount = true;
+    std::vector<wire::Resource> resources { resource, open,
+        routeResource("once", "/once/", false, m_options.maxAttempts),
+        routeResource("again", "/again/", true, m_options.maxAttempts) };
+    for (const auto& it : m_options.accounts) {
+        wire::Resource account;
+        account.key = config::clientKey(it.name);
+        account.__set_clientAccount(it);
+        resources.push_back(account);
+    }
+    view->config = std::make_shared<config::ConfigState>(empty.withChange(std::move(resources), {}));
+    view->accountKeys = callers::AccountKeys::build(*view->config);
     view->routes = std::make_shared<node::RouteTable>(view->config);
     view->serving = true;
     view->crashes = std::make_shared<const nodes::CrashList>(m_directory.crashes());
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -44,8 +44,8 @@
 
 using RawConnectionPtr = std::shared_ptr<RawConnection>;
 
-// Runs the nodes "node-0", "node-1", ... with the routes "once" (not idempotent, large bodies) and "again" (idempotent)
-// to service "s".
+// Runs the nodes "node-0", "node-1", ... with the routes "once" (not idempotent, large bodies), "again" (idempotent)
+// and "open" (idempotent, without a key) to service "s".
 class CallPathFixture {
 public:
     struct Options {
@@ -59,6 +59,7 @@
         int maxAttempts { 2 }; // of both routes
         base::Millis stopTimeout { 60000 }; // see NodeSettings
         std::vector<std::string> services; // of the callers of each node; "s" where missing
+        std::vector<wire::ClientAccount> accounts; // of the configuration
     };
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
@@ -72,6 +73,8 @@
     void crashTarget(int i);
     // Starts the next incarnation of the target of node `i`, which announces itself.
     void startTarget(int i);
+    // Replaces the client accounts of the configuration.
+    void setAccounts(std::vector<wire::ClientAccount> accounts);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
