--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -38,6 +38,7 @@
     uint64_t limited { 0 }; // refused because of the client account's rate limit
     uint64_t overQuota { 0 }; // refused because of the client account's limit over all nodes
     uint64_t overEqualPart { 0 }; // of these, without contact to the leader
+    uint64_t unauthorized { 0 }; // refused because the call carries no known key of a client account
     uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
@@ -104,6 +105,7 @@
     bool admit(const CallPtr& call);
     bool identify(const CallPtr& call);
     bool limitOverNodes(const CallPtr& call);
+    bool checkKey(const CallPtr& call, const wire::Route& route);
     bool checkBounds(const CallPtr& call);
     bool limit(const CallPtr& call);
     std::optional<base::Instant> objectiveOf(const CallPtr& call);
@@ -120,6 +122,7 @@
     void updateCrashes();
     std::set<std::string> unreachableTargets() const;
     std::optional<targets::Placement> chooseTarget(const CallPtr& call);
+    int gatePriority(const CallPtr& call) const;
     void send(const CallPtr& call, const targets::Placement& placement);
     void onAnswer(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void recordOutcome(
--- a/src/node/CallQuota.cpp
+++ b/src/node/CallQuota.cpp
@@ -32,11 +32,12 @@
     m_reportSink(std::move(report));
 }
 
-// Refuses a call beyond the limit of its client account. Nested calls are part of one that has been counted.
+// Refuses a call beyond the limit of its client account. Nested calls are part of one that has been counted: they carry
+// no key, or their parent runs here.
 bool CallPath::limitOverNodes(const CallPtr& call)
 {
     const auto* account = call->clientAccount;
-    bool isNested = call->parameters.depth > 0 || m_localTargets.runningCalls().objectiveOf(call->parameters.parentId);
+    bool isNested = m_localTargets.runningCalls().objectiveOf(call->parameters.parentId).has_value();
     if (!account || account->ratePerSecond <= 0 || isNested || !m_settings.limitsEnabled)
         return true;
     auto decision = m_quota.admit(*account, m_clock.now());
--- a/src/node/CallState.h
+++ b/src/node/CallState.h
@@ -31,9 +31,11 @@
     MeshViewPtr view;
     const wire::Route* route { nullptr };
     const wire::AccountResource* account { nullptr };
-    const wire::ClientAccount* clientAccount { nullptr }; // whose key the call carries; null: none
-    bool isCounted { false }; // towards the limit of its client account
     const wire::ServiceResource* service { nullptr };
+    // Client account whose key the call carries; null: none, as for nested calls. Valid as long as `view`.
+    const wire::ClientAccount* clientAccount { nullptr };
+    bool isCounted { false }; // towards the limit of its client account
+    std::optional<int> accountPriority; // of the client account, or of the parent call's
     base::Instant deadline;
     std::optional<base::Instant> objective; // time by which the latency objective asks for the answer
     int64_t retriesLeft { 0 };
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -253,11 +253,10 @@
         return;
     }
     // The new state is built beside the current one and replaces it by one pointer assignment when it is complete.
+    m_accountKeys = callers::AccountKeys::update(m_accountKeys, delta, *m_state, *result.state);
     m_state = result.state;
     m_activeConfig = std::make_shared<const config::ConfigState>(m_state->subsetForServices(m_settings.services));
     m_routes = std::make_shared<const RouteTable>(m_activeConfig);
-    m_hasAccounts = false;
-    m_state->forEach([this](const wire::Resource& it) { m_hasAccounts = m_hasAccounts || it.__isset.clientAccount; });
     m_rejection.clear();
     m_publisher.publish(m_state);
     base::logDebug("config.applied", { { "version", m_state->version() } });
@@ -896,12 +895,13 @@
     auto view = std::make_shared<MeshView>();
     view->config = m_activeConfig;
     view->routes = m_routes;
+    view->accountKeys = m_accountKeys;
     view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets());
     view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
     view->beaconAt = m_beaconAt;
     view->accountRatios = m_accountRatios;
-    if (m_hasAccounts)
+    if (m_accountKeys && !m_accountKeys->empty())
         view->nodes = std::max<size_t>(1, m_directory.liveNodeCount());
     view->serving = m_serving;
     m_outputs.publish(std::move(view));
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -141,6 +141,7 @@
     // The part of m_state that calls use: the services in the settings and what they refer to.
     std::shared_ptr<const config::ConfigState> m_activeConfig;
     std::shared_ptr<const RouteTable> m_routes;
+    std::shared_ptr<const callers::AccountKeys> m_accountKeys; // replaced only when client accounts change
     std::string m_rejection;
     std::map<std::string, LocalTarget> m_localTargets;
     // A started node does not know what targets of its host have said before. Until a parent or peer has told it,
@@ -171,7 +172,6 @@
     callers::UsageBatch m_usage; // of this node and its subtree, for the parent
     base::Instant m_usageDue;
     std::shared_ptr<const std::vector<wire::AccountRatio>> m_accountRatios; // null: none
-    bool m_hasAccounts { false }; // the configuration has client accounts
     bool m_viewDirty { true }; // a new snapshot has to be published
 
     bool m_serving { false };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -201,6 +201,7 @@
             m_limited->set(static_cast<double>(counts.limited));
             m_overQuota->set(static_cast<double>(counts.overQuota));
             m_overEqualPart->set(static_cast<double>(counts.overEqualPart));
+            m_unauthorized->set(static_cast<double>(counts.unauthorized));
             m_blocked->set(static_cast<double>(counts.blocked));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
@@ -221,6 +222,8 @@
         m_overQuota = m_metrics->gauge("calls_over_quota", "Calls over a client account's limit over all nodes");
         m_overEqualPart = m_metrics->gauge(
             "calls_over_equal_part", "Calls over this node's part of a limit, without contact to the leader");
+        m_unauthorized = m_metrics->gauge(
+            "calls_unauthorized", "Calls refused because they carry no known key of a client account");
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
@@ -248,6 +251,7 @@
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked, m_overQuota, m_overEqualPart;
+    std::shared_ptr<host::Gauge> m_unauthorized;
     std::atomic<bool> m_stopped { false };
 };
 
