--- a/src/callers/AccountQuota.cpp
+++ b/src/callers/AccountQuota.cpp
@@ -22,10 +22,11 @@
     constexpr double EQUAL_PART_RATIO = 0.9;
     // Longer than any bucket of the platform's limits takes to fill, and than the window.
     constexpr auto IDLE_RETENTION = Millis(60000);
-    // Accounts of up to PROMPT_RATE are reported soon: each node sees few of their calls, and nothing tells it that
-    // they have become more. Larger ones may wait, since a burst of their calls is noticed at the node.
-    constexpr double PROMPT_RATE = 120;
-    constexpr double DELAY_MS_PER_RATE = 5;
+    // Accounts whose limit is up to PROMPT_RATE for each node are reported soon: each node sees few of their calls, and
+    // nothing tells it that they have become more. Larger ones may wait, since a burst of their calls is noticed at the
+    // node.
+    constexpr double PROMPT_RATE = 1.5;
+    constexpr double DELAY_MS_PER_RATE = 400;
     constexpr auto MIN_REPORT_DELAY = Millis(100);
     constexpr auto MAX_REPORT_DELAY = Millis(2000);
     constexpr auto MIN_RETRY = Millis(250);
@@ -221,7 +222,7 @@
 {
     if (account.isListed || account.hasBurst)
         return Millis(0);
-    double extra = std::max(0.0, account.rate - PROMPT_RATE) * DELAY_MS_PER_RATE;
+    double extra = std::max(0.0, account.rate / static_cast<double>(m_nodes) - PROMPT_RATE) * DELAY_MS_PER_RATE;
     return std::min(MIN_REPORT_DELAY + Millis(std::lround(std::min(extra, 1e6))), MAX_REPORT_DELAY);
 }
 
--- a/src/control/QuotaController.cpp
+++ b/src/control/QuotaController.cpp
@@ -27,12 +27,12 @@
     constexpr double PEAK_BOUND_RATIO = 0.85;
     constexpr int64_t SPAN_UNIT_MS = 100; // of AccountUse::span
     constexpr int64_t SHORT_BINS = 3; // for a fast reaction
-    constexpr double CERTAIN_DEVIATIONS = 1.5; // standard deviations by which the calls in them may be too many
+    constexpr double CERTAIN_DEVIATIONS = 1.2; // standard deviations by which the calls in them may be too many
     constexpr int64_t LONG_BINS = 12; // keeps the ratio through the pauses of callers that send in bursts
     constexpr int64_t PEAK_BINS = 4;
     // An account is listed, and reported at once by nodes, while it uses more than this part of its rate.
     constexpr double LISTED_USE_RATIO = 0.8;
-    constexpr auto LISTED_HOLD = Millis(2000);
+    constexpr auto LISTED_HOLD = Millis(1000);
     // Ratios above it come from the randomness of few calls, and cost more messages than the calls they refuse.
     constexpr double NEGLIGIBLE_RATIO = 0.95;
     // Changes below these wait for the next beacon.
