--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "pomelowind/base/Time.h"
+#include "pomelowind/callers/AccountKeys.h"
 #include "pomelowind/config/ConfigState.h"
 #include "pomelowind/node/RouteTable.h"
 #include "pomelowind/nodes/Directory.h"
 
 #include <memory>
+#include <vector>
 
 namespace pomelowind::node {
 
@@ -15,11 +17,16 @@
 struct MeshView {
     std::shared_ptr<const config::ConfigState> config { std::make_shared<const config::ConfigState>() };
     std::shared_ptr<const RouteTable> routes;
+    // Client accounts by key; null: none.
+    std::shared_ptr<const callers::AccountKeys> accountKeys;
     std::shared_ptr<const nodes::TargetList> targets;
     // Crashes of targets; null: none.
     std::shared_ptr<const nodes::CrashList> crashes;
     int64_t claimsThroughMs { 0 }; // wall time until which the leader has promised not to start another claim epoch
     base::Instant beaconAt; // when the last heartbeat of the leader (beacon) was received
+    // Accounts near or beyond their limit; null: none.
+    std::shared_ptr<const std::vector<wire::AccountRatio>> accountRatios;
+    size_t nodes { 1 }; // that share the limits of client accounts; set only when there are any
     // False until a restarted node knows that its version is not older than the one it ran before the restart.
     bool serving { false };
 };
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -2,13 +2,14 @@
 // sending, retries where they are safe, and the response with the outcome. It also serves calls that other nodes send
 // to targets of this host.
 //
-// Flow: handle -> admit -> (startClaim) -> dispatch -> onAnswer -> finish
+// Flow: handle -> admit (identify, checkBounds, limit) -> (startClaim) -> dispatch -> onAnswer -> finish
 #pragma once
 
 #include "ClaimCoordinator.h"
 #include "LocalTargets.h"
 #include "PeerCalls.h"
 #include "pomelowind/callers/AccountLimiter.h"
+#include "pomelowind/callers/AccountQuota.h"
 #include "pomelowind/callers/ElapsedTimeEstimator.h"
 #include "pomelowind/callers/EvidenceRecorder.h"
 #include "pomelowind/callers/RetryAdvice.h"
@@ -35,6 +36,9 @@
     uint64_t unknown { 0 }; // answered with an unknown outcome
     uint64_t retries { 0 }; // attempts after the first
     uint64_t limited { 0 }; // refused because of the client account's rate limit
+    uint64_t overQuota { 0 }; // refused because of the client account's limit over all nodes
+    uint64_t overEqualPart { 0 }; // of these, without contact to the leader
+    uint64_t unauthorized { 0 }; // refused because the call carries no known key of a client account
     uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
@@ -59,6 +63,8 @@
     // Passes the evidence of the last period on to the parent and stops using candidate versions that this node alone
     // has proved bad. To be called every 250 ms.
     void reportEvidence();
+    // Passes the calls of client accounts on to the parent. To be called every AccountQuota::REPORT_PERIOD.
+    void reportUsage();
     // Begins a graceful shutdown that ends after NodeSettings::stopTimeout at the latest: calls that may run longer are
     // refused from now on. `done` is called when no call is left.
     void drain(std::function<void()> done);
@@ -95,7 +101,13 @@
         std::unique_ptr<moves::EvidenceAggregator> aggregator;
     };
 
+    // The stages before placement. They return false when they have ended the call.
     bool admit(const CallPtr& call);
+    bool identify(const CallPtr& call);
+    bool limitOverNodes(const CallPtr& call);
+    bool checkKey(const CallPtr& call, const wire::Route& route);
+    bool checkBounds(const CallPtr& call);
+    bool limit(const CallPtr& call);
     std::optional<base::Instant> objectiveOf(const CallPtr& call);
     void setRetryAdvice(const CallPtr& call, wire::CallAnswer& answer);
     bool rejectCall(const CallPtr& call, int status, const std::string& error, const std::string& message,
@@ -110,6 +122,7 @@
     void updateCrashes();
     std::set<std::string> unreachableTargets() const;
     std::optional<targets::Placement> chooseTarget(const CallPtr& call);
+    int gatePriority(const CallPtr& call) const;
     void send(const CallPtr& call, const targets::Placement& placement);
     void onAnswer(const CallPtr& call, const wire::Presence& target, base::Instant sentAt, wire::CallAnswer answer);
     void recordOutcome(
@@ -117,6 +130,8 @@
     void recordNotice(const wire::Presence& target, const wire::CallAnswer& answer);
     bool mayRetry(const CallPtr& call, const wire::CallAnswer& answer);
     void finish(const CallPtr& call, wire::CallAnswer answer);
+    void creditBack(const CallPtr& call, const wire::CallAnswer& answer);
+    void updateQuota();
     void reply(const CallPtr& call, const wire::CallAnswer& answer);
     void onCancelled(const CallPtr& call);
     void evaluateMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report);
@@ -136,6 +151,7 @@
     LocalTargets m_localTargets;
     ClaimCoordinator m_claimCoordinator;
     callers::AccountLimiter m_accountLimiter;
+    callers::AccountQuota m_quota;
     callers::VersionSplitter m_versionSplitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
