Evacuate data centres on an operator's order

Missing: an operator could not keep calls away from the targets of a data centre.

START_EVACUATION and FINISH_EVACUATION put the resource evacuation/DATA_CENTRE into the configuration. Nodes choose no target there, in no fallback either, and the gates there refuse queued and new calls as not run. Gates are closed until a started node serves, and a control host that may lack changes says so to the nodes that it admits. Orders that were delayed between hosts are not applied.

--- a/include/pomelowind/base/Settings.h
+++ b/include/pomelowind/base/Settings.h
@@ -47,6 +47,8 @@
     // [minimum, maximum], is recorded as a problem.
     std::string text(const std::string& key, const std::string& fallback);
     std::vector<std::string> optionalTexts(const std::string& key, std::vector<std::string> fallback);
+    // The same, for a list of texts or a mapping, of which the keys are returned.
+    std::vector<std::string> optionalNames(const std::string& key);
     int64_t integer(const std::string& key, int64_t fallback, int64_t minimum, int64_t maximum);
     double real(const std::string& key, double fallback, double minimum, double maximum);
     Millis millis(const std::string& key, Millis fallback, Millis minimum, Millis maximum);
--- a/include/pomelowind/config/ConfigMachine.h
+++ b/include/pomelowind/config/ConfigMachine.h
@@ -68,6 +68,7 @@
     wire::CommandResult applyClaimEpoch(const wire::Command& command);
     wire::CommandResult sourceUpdate(const wire::Command& command);
     wire::CommandResult submitRelease(const wire::Command& command);
+    wire::CommandResult setEvacuation(const wire::Command& command);
 
     int64_t sourceSequenceOf(const wire::Command& command) const;
     wire::CommandResult accepted() const;
@@ -101,6 +102,12 @@
 // same request id. Thread safety: pure.
 uint64_t commandFingerprint(const wire::Command& command);
 
+// Returns whether `text` may name a resource: 1 to 128 letters, digits, '-', '_' or '.'. Thread safety: pure.
+bool isValidName(const std::string& text);
+
+// Returns whether the command starts or finishes the evacuation of a data centre.
+bool isEvacuationOrder(const wire::Command& command);
+
 // Returns the name of a command kind in the audit trail, for example "template.submit".
 const char* commandKindName(wire::CommandKind::type kind);
 // Returns the name of a result code in answers to operators, for example "invalid_input".
--- a/include/pomelowind/config/ConfigState.h
+++ b/include/pomelowind/config/ConfigState.h
@@ -16,6 +16,7 @@
 // Keys of resources, for example "service/finder-app".
 std::string serviceKey(const std::string& name);
 std::string accountKey(const std::string& name);
+std::string evacuationKey(const std::string& dataCentre);
 inline constexpr char CLAIM_RING_KEY[] = "claims";
 
 // Why a delta was refused.
@@ -59,6 +60,8 @@
     std::vector<const wire::Route*> routes() const;
     std::vector<const wire::ServiceResource*> services() const;
     std::vector<const wire::AccountResource*> accounts() const;
+    // Returns the data centres whose evacuation is in force.
+    std::set<std::string> evacuatedDataCentres() const;
     // Returns the version at which `key` was last changed or removed. Returns 0 when it never existed or its tombstone
     // has been discarded.
     int64_t versionOf(const std::string& key) const;
@@ -69,7 +72,7 @@
     // Returns the state after `delta`, or the reason for refusing it. Never throws, and leaves this state unchanged.
     ApplyResult apply(const wire::Delta& delta) const;
     // Returns the part of the state that a node needs which calls only `services`: without other services and without
-    // the account routes to them. Returns the full state when `services` is empty.
+    // the account routes to them, with all removals. Returns the full state when `services` is empty.
     ConfigState subsetForServices(const std::set<std::string>& services) const;
 
     // Return the next version, with one resource set or removed. Used by ConfigMachine.
--- a/include/pomelowind/control/ControlSettings.h
+++ b/include/pomelowind/control/ControlSettings.h
@@ -41,6 +41,8 @@
     std::optional<base::Address> sourceAddress; // HTTP source that is polled for templates and accounts
     base::Millis sourcePeriod { 1000 }; // between two polls of the source
     std::string protocol { "product" }; // the operators' API that is served: product or platform
+    // Data centres that can be evacuated; empty: those of the nodes and targets in the directory.
+    std::vector<std::string> dataCentres;
     double exposureShare { 0.1 }; // maximum share of a service's calls for an unproven version; platform API only
     operators::Roles roles;
 };
--- a/include/pomelowind/operators/CommandLine.h
+++ b/include/pomelowind/operators/CommandLine.h
@@ -19,6 +19,7 @@
   account remove NAME | list | show NAME
   move start SERVICE --to_version=V --within_seconds=S [--watch_seconds=S] [--move_id=ID]
   move status ID | take-back ID | list
+  evacuate start DATA_CENTRE | finish DATA_CENTRE | list
   status                              nodes in force of nodes known, by data centre, and which are missing
   history | audit [--limit=N]
   members | members set VOTER,... [LEARNER,...]
--- a/include/pomelowind/operators/OperatorApi.h
+++ b/include/pomelowind/operators/OperatorApi.h
@@ -25,7 +25,8 @@
     Members,
     Resources,
     Release,
-    ServiceMove
+    ServiceMove,
+    Evacuations
 };
 
 // The interface from the API to the control host.
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -147,6 +147,16 @@
     return out;
 }
 
+std::vector<std::string> SettingsReader::optionalNames(const std::string& key)
+{
+    if (!has(key) || !find(key).IsMap())
+        return optionalTexts(key, {});
+    std::vector<std::string> out;
+    for (const auto& it : find(key))
+        out.push_back(it.first.Scalar());
+    return out;
+}
+
 std::vector<std::string> SettingsReader::optionalTexts(const std::string& key, std::vector<std::string> fallback)
 {
     return has(key) ? texts(key) : std::move(fallback);
--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -87,14 +87,6 @@
         return "move.unknown";
     }
 
-    bool isValidName(const std::string& text)
-    {
-        constexpr size_t MAX_NAME_BYTES = 128;
-        return !text.empty() && text.size() <= MAX_NAME_BYTES && std::all_of(text.begin(), text.end(), [](char c) {
-            return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
-        });
-    }
-
     CommandResult invalidName(const std::string& what)
     {
         return refuse(
@@ -103,6 +95,19 @@
 
 }
 
+bool isValidName(const std::string& text)
+{
+    constexpr size_t MAX_NAME_BYTES = 128;
+    return !text.empty() && text.size() <= MAX_NAME_BYTES && std::all_of(text.begin(), text.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+    });
+}
+
+bool isEvacuationOrder(const wire::Command& command)
+{
+    return command.kind == CommandKind::START_EVACUATION || command.kind == CommandKind::FINISH_EVACUATION;
+}
+
 const char* commandKindName(CommandKind::type kind)
 {
     switch (kind) {
@@ -130,6 +135,10 @@
         return "source.update";
     case CommandKind::SUBMIT_RELEASE:
         return "release.submit";
+    case CommandKind::START_EVACUATION:
+        return "evacuation.start";
+    case CommandKind::FINISH_EVACUATION:
+        return "evacuation.finish";
     }
     return "unknown";
 }
@@ -164,6 +173,9 @@
         return base::hash64(command.release.document, base::hash64(command.actor));
     wire::Command untimed = command;
     untimed.timeMs = 0;
+    // The host that receives an evacuation order fills in its base version, so a resend may have another one.
+    if (isEvacuationOrder(command))
+        untimed.baseVersion = 0;
     return base::hash64(base::encode(untimed));
 }
 
@@ -242,6 +254,9 @@
             return sourceUpdate(command);
         case CommandKind::SUBMIT_RELEASE:
             return submitRelease(command);
+        case CommandKind::START_EVACUATION:
+        case CommandKind::FINISH_EVACUATION:
+            return setEvacuation(command);
         case CommandKind::DENIED:
             return refuse(ResultCode::DENIED, command.body, "ask the team that owns it, or change this team's role");
         }
@@ -645,13 +660,45 @@
     return accepted();
 }
 
+// ---- evacuations ----
+
+CommandResult ConfigMachine::setEvacuation(const wire::Command& command)
+{
+    if (!isValidName(command.name))
+        return invalidName("data centre");
+    auto key = evacuationKey(command.name);
+    bool isStart = command.kind == CommandKind::START_EVACUATION;
+    if (isStart == (m_state.find(key) != nullptr)) {
+        CommandResult unchanged = accepted();
+        unchanged.code = ResultCode::UNCHANGED;
+        return unchanged;
+    }
+    // An order that was delayed on its way must not undo a later one.
+    if (command.baseVersion != ANY_BASE_VERSION && command.baseVersion != m_state.versionOf(key))
+        return refuse(ResultCode::UNAVAILABLE,
+            "the evacuation of '" + command.name + "' was started or finished after this order was received",
+            "send the order again if it is still wanted");
+    if (isStart) {
+        wire::Resource resource;
+        resource.key = key;
+        wire::Evacuation evacuation;
+        evacuation.dataCentre = command.name;
+        resource.__set_evacuation(evacuation);
+        m_state = m_state.withResource(std::move(resource));
+    } else {
+        m_state = m_state.withoutResource(key);
+    }
+    return accepted();
+}
+
 // ---- remembered results and audit trail ----
 
 void ConfigMachine::rememberResult(const wire::Command& command, const CommandResult& result)
 {
     // A refused release can become valid when another one is accepted, so only an acceptance is remembered.
     bool mayBecomeValid = command.kind == CommandKind::SUBMIT_RELEASE && result.code != ResultCode::ACCEPTED;
-    if (command.requestId.empty() || mayBecomeValid)
+    bool maySucceedLater = result.code == ResultCode::UNAVAILABLE;
+    if (command.requestId.empty() || mayBecomeValid || maySucceedLater)
         return;
     wire::RememberedResult remembered;
     remembered.requestId = command.requestId;
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -27,7 +27,7 @@
     {
         return !it.key.empty()
             && (it.__isset.serviceResource || it.__isset.accountResource || it.__isset.claimRing || it.__isset.route
-                || it.__isset.releaseResource);
+                || it.__isset.releaseResource || it.__isset.evacuation);
     }
 
 }
@@ -36,6 +36,8 @@
 
 std::string accountKey(const std::string& name) { return "account/" + name; }
 
+std::string evacuationKey(const std::string& dataCentre) { return "evacuation/" + dataCentre; }
+
 const char* refusalName(ApplyRefusal refusal)
 {
     switch (refusal) {
@@ -109,6 +111,17 @@
     return out;
 }
 
+std::set<std::string> ConfigState::evacuatedDataCentres() const
+{
+    std::set<std::string> out;
+    for (auto it = m_resources.lower_bound(evacuationKey("")); it != m_resources.end(); ++it) {
+        if (!it->second->__isset.evacuation)
+            break;
+        out.insert(it->second->evacuation.dataCentre);
+    }
+    return out;
+}
+
 int64_t ConfigState::versionOf(const std::string& key) const
 {
     if (const auto* resource = find(key))
@@ -193,6 +206,8 @@
         return *this;
     ConfigState out;
     out.m_version = m_version;
+    out.m_tombstones = m_tombstones;
+    out.m_tombstoneFloor = m_tombstoneFloor;
     for (const auto& [key, resource] : m_resources) {
         if (resource->__isset.serviceResource && !services.count(resource->serviceResource.name))
             continue;
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -1,5 +1,6 @@
 #include "ControlCore.h"
 
+#include "EvacuationOrders.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/base/Packing.h"
 #include "pomelowind/members/MembershipPlanner.h"
@@ -16,6 +17,8 @@
 
     constexpr auto SUBMISSION_TIMEOUT = Millis(5000);
     constexpr auto BARRIER_TIMEOUT = Millis(2000);
+    // Time for the nodes to report themselves to a control host that has just started.
+    constexpr auto DIRECTORY_COLLECTION_TIME = Millis(10000);
     constexpr auto BEACON_PERIOD = Millis(500);
     constexpr auto EVIDENCE_BATCH_PERIOD = Millis(250);
     // Tombstones and acknowledgements of absent nodes are kept this long.
@@ -114,6 +117,8 @@
     base::Instant now, int64_t wallMs, uint64_t seed)
     : m_settings(settings)
     , m_outputs(outputs)
+    , m_dataCentres(settings.dataCentres)
+    , m_started(now)
     , m_now(now)
     , m_wallMs(wallMs)
     , m_replica(replicaOptions(settings, seed), durable, now)
@@ -361,8 +366,14 @@
     setTime(now, wallMs);
     if (isDiskBehind())
         return reply(unavailable("the disk of this control host is full or stalled"));
+    // An order that is delayed between the hosts must not undo a later one, so it carries the state that it is based
+    // on.
+    if (config::isEvacuationOrder(command) && command.baseVersion == config::ANY_BASE_VERSION)
+        command.baseVersion = m_machine.state().versionOf(config::evacuationKey(command.name));
     if (m_replica.isLeader()) {
         command.timeMs = wallMs;
+        if (auto refusal = checkEvacuationOrder(command))
+            return reply(*refusal);
         auto index = m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), now);
         if (!index) {
             wire::CommandResult busy = unavailable("too many submissions are in flight");
@@ -381,6 +392,22 @@
     m_outputs.sendToMember(m_replica.leader(), FrameKind::FORWARD_REQUEST, base::encode(request));
 }
 
+std::optional<wire::CommandResult> ControlCore::checkEvacuationOrder(const wire::Command& command) const
+{
+    if (!config::isEvacuationOrder(command))
+        return std::nullopt;
+    EvacuationCheck check;
+    check.dataCentre = command.name;
+    check.settings = m_dataCentres;
+    check.evacuated = m_machine.state().evacuatedDataCentres();
+    check.isCertain = m_replica.hasCommittedInTerm() && m_replica.hasLease(m_now);
+    if (m_dataCentres.empty()) {
+        check.directory = dataCentresOf(m_directory);
+        check.isCertain = check.isCertain && m_now - m_started >= DIRECTORY_COLLECTION_TIME;
+    }
+    return refusalOf(check);
+}
+
 void ControlCore::handleForwardRequest(const std::string& member, const wire::ForwardRequest& request)
 {
     wire::ForwardAnswer answer;
@@ -627,7 +654,7 @@
     answer.retryAfterMs = static_cast<int32_t>(admission.retryAfter.count());
     answer.version = m_machine.state().version();
     answer.floor = m_acks.acknowledgedVersionOf(node);
-    answer.fresh = true;
+    answer.fresh = runsNewestVersion();
     if (m_settings.usesDiscovery)
         answer.controlHosts = votersAndLearners();
     if (admission.admitted)
@@ -647,6 +674,14 @@
     publish();
 }
 
+// A host that has just started, or that is catching up, may lack changes that were acknowledged long ago.
+bool ControlCore::runsNewestVersion() const
+{
+    if (m_replica.isLeader())
+        return m_replica.hasCommittedInTerm();
+    return m_lastBeacon.term == m_replica.term() && m_machine.state().version() >= m_lastBeacon.version;
+}
+
 void ControlCore::handleNodeDisconnected(const std::string& node, base::Instant now)
 {
     m_publisher.disconnected(node, now);
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pomelowind::control {
@@ -60,6 +61,9 @@
     // change is in flight, or more than one voter differs.
     bool changeMembers(const wire::Membership& next, base::Instant now);
 
+    // Replaces the data centres that can be evacuated; see ControlSettings::dataCentres.
+    void setDataCentres(std::vector<std::string> names) { m_dataCentres = std::move(names); }
+
     // ---- views ----
     const config::ConfigMachine& machine() const { return m_machine; }
     const members::Replica& replica() const { return m_replica; }
@@ -96,6 +100,8 @@
     void logDiskBacklog();
     void publish();
 
+    std::optional<wire::CommandResult> checkEvacuationOrder(const wire::Command& command) const;
+    bool runsNewestVersion() const;
     void handleForwardRequest(const std::string& member, const wire::ForwardRequest& request);
     void handleForwardAnswer(const wire::ForwardAnswer& answer);
     void handleMemberReport(const wire::MemberReport& report);
@@ -115,6 +121,8 @@
 
     const ControlSettings& m_settings;
     ControlOutputs& m_outputs;
+    std::vector<std::string> m_dataCentres; // see ControlSettings
+    const base::Instant m_started;
     base::Instant m_now;
     int64_t m_wallMs;
     members::Replica m_replica;
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -64,6 +64,7 @@
         , m_metrics(host::serveMetrics(m_settings.metricsAddress))
         , m_versionGauge(m_metrics->gauge("config_version", "Version of the accepted configuration"))
         , m_leaderGauge(m_metrics->gauge("is_leader", "1 while this host leads"))
+        , m_evacuationsGauge(m_metrics->gauge("evacuations", "Data centres whose evacuation is in force"))
         , m_sentGauge(m_metrics->gauge("link_bytes_sent", "Bytes sent on links"))
         , m_receivedGauge(m_metrics->gauge("link_bytes_received", "Bytes received on links"))
     {
@@ -116,6 +117,9 @@
             if (settings.usesDiscovery && it.id != m_settings.id)
                 m_network.connectMember(it.id);
         }
+        boost::asio::post(m_decisionThread.context(), [this, names = settings.dataCentres] {
+            base::runIsolated("control.settings", [&] { m_core->setDataCentres(names); });
+        });
         base::logInfo("settings.reloaded", { { "id", m_settings.id }, { "seeds", settings.members.size() } });
     }
 
@@ -255,6 +259,7 @@
     {
         m_versionGauge->set(static_cast<double>(m_core->machine().state().version()));
         m_leaderGauge->set(m_core->replica().isLeader() ? 1 : 0);
+        m_evacuationsGauge->set(static_cast<double>(m_core->machine().state().evacuatedDataCentres().size()));
         m_sentGauge->set(static_cast<double>(m_network.traffic().sent));
         m_receivedGauge->set(static_cast<double>(m_network.traffic().received));
     }
@@ -288,6 +293,7 @@
     std::unique_ptr<host::Metrics> m_metrics;
     std::shared_ptr<host::Gauge> m_versionGauge;
     std::shared_ptr<host::Gauge> m_leaderGauge;
+    std::shared_ptr<host::Gauge> m_evacuationsGauge;
     std::shared_ptr<host::Gauge> m_sentGauge;
     std::shared_ptr<host::Gauge> m_receivedGauge;
     std::unique_ptr<base::TimerService> m_timers;
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -46,6 +46,9 @@
             it.checkUnknownKeys();
         }
     }
+    out.dataCentres = reader.optionalNames("data_centres");
+    if (std::find(out.dataCentres.begin(), out.dataCentres.end(), "") != out.dataCentres.end())
+        reader.recordProblem("data_centres", "holds an empty name", "name each data centre");
     out.protocol = reader.text("protocol", out.protocol);
     if (out.protocol != "product" && out.protocol != "platform")
         reader.recordProblem("protocol", "is neither product nor platform", "use one of the two");
--- a/src/control/MoveDriver.cpp
+++ b/src/control/MoveDriver.cpp
@@ -100,13 +100,18 @@
     const wire::MoveRecord& move, TrackedMove& tracked, const MoveContext& context) const
 {
     auto targets = context.directory.liveTargets();
+    // Calls cannot reach the candidate in an evacuated data centre. The stable version is counted everywhere: the slots
+    // that the candidate needs in the end do not depend on an evacuation.
+    auto evacuated = context.machine.state().evacuatedDataCentres();
+    auto reachable = targets;
+    std::erase_if(reachable, [&](const wire::Presence& it) { return evacuated.count(it.dataCentre) > 0; });
     moves::MovePlannerInput input;
     input.wallMs = context.wallMs;
     input.evidence = tracked.aggregator->summary();
     input.candidateCallsAtStep = tracked.callsAtStep;
     input.callsPerSecond = tracked.callsPerSecond;
-    auto candidate
-        = capacityOf(targets, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
+    auto candidate = capacityOf(
+        reachable, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
     input.candidateTargets = candidate.targets;
     input.candidateSlots = candidate.slots;
     input.stableSlots = capacityOf(targets, move.serviceName, [&](const std::string& version) {
--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -106,6 +106,57 @@
             { "missing", it.missing } };
     }
 
+    // Counts the nodes that have applied the last order to start or finish the evacuation of a data centre.
+    json evacuationJson(const ControlCore& core, const std::string& dataCentre, int64_t version, bool isStarted)
+    {
+        int known = 0;
+        int inForce = 0;
+        json missing = json::array();
+        for (const auto& node : core.directory().liveNodes()) {
+            ++known;
+            if (core.acks().acknowledgedVersionOf(node.node) >= version)
+                ++inForce;
+            else
+                missing.push_back({ { "node", node.node }, { "data_centre", node.dataCentre },
+                    { "reachable", core.acks().isReachable(node.node, core.now(), REACHABLE_WINDOW) } });
+        }
+        return { { "data_centre", dataCentre }, { "state", isStarted ? "started" : "finished" },
+            { "base_version", version }, { "in_force", inForce }, { "known", known }, { "missing", missing },
+            { "summary", "in force " + std::to_string(inForce) + " of " + std::to_string(known) } };
+    }
+
+    // The evacuations in force, and the finished ones that some node has not applied yet.
+    json evacuationsJson(const ControlCore& core)
+    {
+        const auto& state = core.machine().state();
+        json out = json::array();
+        for (const auto& it : state.evacuatedDataCentres())
+            out.push_back(evacuationJson(core, it, state.versionOf(config::evacuationKey(it)), true));
+        const auto prefix = config::evacuationKey("");
+        for (const auto& it : state.tombstones()) {
+            if (it.key.rfind(prefix, 0) != 0)
+                continue;
+            auto item = evacuationJson(core, it.key.substr(prefix.size()), it.version, false);
+            if (!item.at("missing").empty())
+                out.push_back(std::move(item));
+        }
+        return out;
+    }
+
+    ViewResponse evacuationsView(const ControlCore& core, const std::string& name)
+    {
+        auto all = evacuationsJson(core);
+        if (name.empty())
+            return { 200, base::jsonText(all) };
+        for (const auto& it : all) {
+            if (it.at("data_centre") == name)
+                return { 200, base::jsonText(it) };
+        }
+        return { 404,
+            base::jsonText({ { "error", "not_found" }, { "message", "data centre '" + name + "' is not evacuated" },
+                { "remedy", "list the evacuations with 'evacuate list'" } }) };
+    }
+
     json statusJson(const ControlCore& core)
     {
         NodeTally all;
@@ -125,8 +176,8 @@
         const auto& replica = core.replica();
         return { { "version", core.machine().state().version() },
             { "hash", std::to_string(core.machine().state().hash()) }, { "nodes", tallyJson(all) },
-            { "data_centres", centres }, { "targets", targets }, { "leader", replica.leader() },
-            { "term", replica.term() }, { "commit_index", replica.commitIndex() },
+            { "data_centres", centres }, { "evacuations", evacuationsJson(core) }, { "targets", targets },
+            { "leader", replica.leader() }, { "term", replica.term() }, { "commit_index", replica.commitIndex() },
             { "fresh", replica.hasRecentState(core.now()) } };
     }
 
@@ -236,6 +287,8 @@
         return releaseView(core);
     case View::ServiceMove:
         return serviceMoveView(core, name);
+    case View::Evacuations:
+        return evacuationsView(core, name);
     case View::Status:
         return { 200, base::jsonText(statusJson(core)) };
     case View::History:
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -44,6 +44,9 @@
     constexpr double LOCAL_EVIDENCE_THRESHOLD = 11.5;
     // Time from a call's deadline until its answer has left, sent by a sweep of this node or of the target's.
     constexpr auto ANSWER_MARGIN = Millis(100);
+    // Retry-After of calls that find only evacuated targets. A finished evacuation is in force on all nodes after about
+    // a second; an earlier retry would find the same.
+    constexpr auto EVACUATED_RETRY_DELAY = Millis(1000);
     constexpr int MIN_FAILURE_STATUS = 500;
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr int STATUS_TIMEOUT = 504;
@@ -113,6 +116,7 @@
     , m_bodyMemory(std::make_shared<base::MemoryBudget>(static_cast<size_t>(settings.bodyMemoryBytes)))
     , m_peers(io, settings, clock, *this)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
+    , m_evacuations(settings.dataCentre)
     , m_claimCoordinator(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
     , m_crashSuspects(settings.id)
@@ -136,6 +140,7 @@
 {
     m_view = std::move(view);
     applyServerLimits();
+    applyEvacuations();
     updateCrashes();
     m_balancer.retain(*m_view->targets);
     m_notices.retain(*m_view->targets, m_clock.now());
@@ -171,6 +176,23 @@
         "callers.limits_applied", { { "release", release->number }, { "header_bytes", release->headerBytes } });
 }
 
+// The targets to choose from change before the gates refuse queued calls, so that these are not sent back here.
+void CallPath::applyEvacuations()
+{
+    auto before = m_evacuations.dataCentres();
+    auto change = m_evacuations.update(*m_view);
+    if (before != m_evacuations.dataCentres())
+        base::logInfo("evacuations.applied",
+            { { "version", m_view->config->version() }, { "data_centres", m_evacuations.dataCentres().size() },
+                { "excluded_targets", m_evacuations.excludedTargets().size() } });
+    if (change.closed)
+        m_localTargets.closeGates("the data centre of the target is evacuated");
+    if (change.evacuationEnded)
+        m_localTargets.onEvacuationEnded();
+    if (change.opened)
+        m_localTargets.openGates();
+}
+
 // Nodes do not exchange their retry counts, so each keeps to an equal part of the mesh-wide burst. The number of
 // targets stands in for the number of nodes, which is about the same.
 double CallPath::retryBurst() const
@@ -459,9 +481,11 @@
     // Only a first attempt may go to the candidate version; a retry goes to the stable version, which is known to work.
     bool useCandidate = call->attempts == 0 && !service.candidate.empty()
         && m_versionSplitter.choose(service, m_view->beaconAt, now) == service.candidate;
+    auto forbidden = m_evacuations.excludedTargets();
     const auto& leaving = m_notices.leaving();
+    forbidden.insert(leaving.begin(), leaving.end());
     auto unreachable = unreachableTargets();
-    unreachable.insert(leaving.begin(), leaving.end());
+    unreachable.insert(forbidden.begin(), forbidden.end());
     auto avoid = unreachable;
     avoid.insert(call->triedTargets.begin(), call->triedTargets.end());
     targets::PlacementRequest placementRequest { call->route->name, call->body->size(), {} };
@@ -477,11 +501,11 @@
     if (!placement)
         placement = m_balancer.choose(targets, service.name, stable, avoid, now, placementRequest);
     // Falls back to a target that was tried before, and then to one that seems unreachable, rather than failing the
-    // call. A target that leaves is no choice: it would stop while it runs the call.
+    // call. A target that leaves is no choice: it would stop while it runs the call. Nor is an evacuated one.
     if (!placement && !call->triedTargets.empty())
         placement = m_balancer.choose(targets, service.name, stable, unreachable, now, placementRequest);
     if (!placement && !avoid.empty())
-        placement = m_balancer.choose(targets, service.name, stable, leaving, now, placementRequest);
+        placement = m_balancer.choose(targets, service.name, stable, forbidden, now, placementRequest);
     if (placement)
         call->version = placement->target.version;
     return placement;
@@ -502,6 +526,10 @@
         wire::CallAnswer answer;
         answer.outcome = Outcome::NOT_RUN;
         answer.reason = "no target of service '" + call->service->name + "' can take the call";
+        if (m_evacuations.excludesTargetOf(call->service->name, *m_view->targets)) {
+            answer.reason += "; some are in evacuated data centres";
+            answer.retryAfterMs = static_cast<int32_t>(EVACUATED_RETRY_DELAY.count());
+        }
         return finish(call, std::move(answer));
     }
     call->triedTargets.insert(placement->target.target);
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "ClaimCoordinator.h"
+#include "Evacuations.h"
 #include "LocalTargets.h"
 #include "PeerCalls.h"
 #include "pomelowind/callers/AccountLimiter.h"
@@ -73,6 +74,7 @@
     size_t localCallCount() const { return m_localTargets.callCount(); }
     // The targets of this host, for their metrics.
     const LocalTargets& localTargets() const { return m_localTargets; }
+    const Evacuations& evacuations() const { return m_evacuations; }
     // Number of other nodes to which a link is ready.
     size_t connectedPeers() const { return m_peers.connectedPeers(); }
     // Bytes sent to other nodes for calls and claims since the start.
@@ -122,6 +124,7 @@
     void evaluateMoves(const std::vector<wire::EvidenceCell>& cells, wire::Report& report);
 
     void applyServerLimits();
+    void applyEvacuations();
     double retryBurst() const;
     base::TokenBucket& retryBudget(const std::string& service);
     void logCall(const CallPtr& call, const char* event, const wire::CallAnswer& answer) const;
@@ -134,6 +137,7 @@
     base::MemoryBudgetPtr m_bodyMemory;
     PeerCalls m_peers;
     LocalTargets m_localTargets;
+    Evacuations m_evacuations;
     ClaimCoordinator m_claimCoordinator;
     callers::AccountLimiter m_accountLimiter;
     callers::VersionSplitter m_versionSplitter;
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -183,10 +183,10 @@
     m_attemptDeadline = now + BEACON_TIMEOUT;
     learnControlHosts(answer.controlHosts);
     m_parentChooser.succeeded(m_parent->id);
-    if (answer.fresh || m_parent->isControl) {
-        m_versionFloorKnown = true;
+    if (answer.fresh || m_parent->isControl)
         m_versionFloor = std::max({ m_versionFloor, answer.floor, answer.version });
-    }
+    // A parent that does not run the leader's version may not know of an evacuation; the next beacon tells the floor.
+    m_versionFloorKnown = m_versionFloorKnown || answer.fresh;
     base::logInfo(
         "parent.admitted", { { "parent", m_parent->id }, { "version", answer.version }, { "floor", answer.floor } });
     std::vector<wire::NodeInfo> members = answer.directory;
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -2,6 +2,7 @@
 
 #include "pomelowind/base/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelowind::node {
@@ -39,6 +40,7 @@
     , m_protocol(protocol)
     , m_clock(clock)
     , m_bodyMemory(std::move(bodyMemory))
+    , m_closedReason("this node has no accepted configuration yet")
 {
 }
 
@@ -137,6 +139,11 @@
         refuse(id, "the target is not on this host");
         return id;
     }
+    if (!m_closedReason.empty()) {
+        ++m_refusedAtClosedGates;
+        refuse(id, m_closedReason);
+        return id;
+    }
     if (m_lastDeadline && gateCall.deadline > *m_lastDeadline) {
         refuse(id, "the target's node stops before the call has to end");
         return id;
@@ -454,6 +461,44 @@
     applyGateStep(target, target.gate->startDraining());
 }
 
+void LocalTargets::closeGates(const std::string& reason)
+{
+    m_closedReason = reason;
+    std::vector<uint64_t> queued;
+    for (const auto& [id, call] : m_calls) {
+        if (!call.running)
+            queued.push_back(id);
+    }
+    base::logInfo("gates.closed", { { "reason", reason }, { "queued", queued.size() }, { "running", runningCount() } });
+    for (uint64_t id : queued) {
+        auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            continue;
+        if (auto target = m_targets.find(it->second.target); target != m_targets.end())
+            target->second->gate->cancel(id);
+        ++m_refusedAtClosedGates;
+        refuse(id, reason);
+    }
+}
+
+void LocalTargets::openGates()
+{
+    m_closedReason.clear();
+    base::logInfo("gates.opened", { { "targets", m_targets.size() } });
+}
+
+void LocalTargets::onEvacuationEnded()
+{
+    m_evacuationEndedAt = m_clock.now();
+    base::logInfo("evacuation.ended", { { "data_centre", m_settings.dataCentre } });
+}
+
+size_t LocalTargets::runningCount() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_calls.begin(), m_calls.end(), [](const auto& it) { return it.second.running; }));
+}
+
 void LocalTargets::startDraining()
 {
     auto targets = m_targets;
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -56,6 +56,18 @@
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
     void sweep();
+    // Refuses queued and new calls as not run, until openGates(); running ones continue. Gates are closed at the start.
+    void closeGates(const std::string& reason);
+    void openGates();
+    // An evacuation of this host's data centre has ended; called before openGates(). What was known before about the
+    // targets, such as that they are warm, may be out of date.
+    void onEvacuationEnded();
+    // Returns when the last evacuation of this host's data centre ended, as far as this process knows; empty: never.
+    std::optional<base::Instant> evacuationEndedAt() const { return m_evacuationEndedAt; }
+    // Calls that were refused because the gates were closed.
+    uint64_t refusedAtClosedGates() const { return m_refusedAtClosedGates; }
+    // Number of calls that run at targets now.
+    size_t runningCount() const;
     // Refuses new calls with a later deadline than this.
     void setLastDeadline(base::Instant lastDeadline) { m_lastDeadline = lastDeadline; }
     // Refuses queued and new calls; running ones continue.
@@ -133,6 +145,9 @@
     LeavingListener m_onLeaving;
     std::optional<base::Instant> m_lastDeadline;
     CrashListener m_onCrashed;
+    std::string m_closedReason; // empty: the gates are open
+    std::optional<base::Instant> m_evacuationEndedAt;
+    uint64_t m_refusedAtClosedGates { 0 };
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
     uint64_t m_crashes { 0 };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -201,6 +201,9 @@
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
             m_targetLimit->set(m_callPath->localTargets().maxCallsPerSecond());
+            m_targetCallsRunning->set(static_cast<double>(m_callPath->localTargets().runningCount()));
+            m_evacuated->set(m_callPath->evacuations().isHostEvacuated() ? 1 : 0);
+            m_refusedAtGates->set(static_cast<double>(m_callPath->localTargets().refusedAtClosedGates()));
         }));
     }
 
@@ -216,6 +219,11 @@
         m_limited = m_metrics->gauge("calls_limited", "Calls over a client account's limit");
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
+        m_targetCallsRunning
+            = m_metrics->gauge("target_calls_running", "Calls that run at the targets of this host now");
+        m_evacuated = m_metrics->gauge("evacuated", "1 while the data centre of this host is evacuated");
+        m_refusedAtGates = m_metrics->gauge(
+            "target_calls_gate_closed", "Calls refused because of an evacuation, or before this node served");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
         m_targetLimit
             = m_metrics->gauge("target_limit", "Calls per second that the targets of this host accept; 0: any");
@@ -240,6 +248,7 @@
     std::unique_ptr<base::TimerService> m_timers;
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
+    std::shared_ptr<host::Gauge> m_targetCallsRunning, m_evacuated, m_refusedAtGates;
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
     std::atomic<bool> m_stopped { false };
 };
--- a/src/operators/CommandLine.cpp
+++ b/src/operators/CommandLine.cpp
@@ -255,6 +255,18 @@
         return submit(options, client, "POST", "/v1/moves", body, readBaseVersion(client, options, "services", name));
     }
 
+    int runEvacuationCommand(const CommandLineOptions& options, ControlClient& client, const std::string& action)
+    {
+        if (action == "list")
+            return printAnswer(options, client.send("GET", "/v1/evacuations", nullptr));
+        if (action != "start" && action != "finish")
+            throw UserError(
+                ErrorKind::InvalidInput, "unknown command 'evacuate " + action + "'", "see pomelowindctl --help");
+        std::string path = "/v1/evacuations/" + wordAt(options, 2, "the data centre");
+        // Without --base_version (-1), the control host fills in the version that it knows.
+        return submit(options, client, action == "start" ? "PUT" : "DELETE", path, json::object(), options.baseVersion);
+    }
+
     std::vector<std::string> splitList(const std::string& text)
     {
         std::vector<std::string> out;
@@ -289,6 +301,8 @@
     std::string action = wordAt(options, 1, "the action");
     if (kind == "move")
         return runMoveCommand(options, client, action);
+    if (kind == "evacuate")
+        return runEvacuationCommand(options, client, action);
     if (kind == "service" || kind == "template" || kind == "account")
         return runResourceCommand(options, client, kind, action);
     throw UserError(ErrorKind::InvalidInput, "unknown command '" + kind + "'", "see pomelowindctl --help");
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -175,10 +175,10 @@
 
     std::optional<View> findView(const std::string& name)
     {
-        static const std::map<std::string, View> VIEWS
-            = { { "services", View::Services }, { "templates", View::Templates }, { "accounts", View::Accounts },
-                  { "moves", View::Moves }, { "status", View::Status }, { "history", View::History },
-                  { "audit", View::Audit }, { "members", View::Members }, { "resources", View::Resources } };
+        static const std::map<std::string, View> VIEWS = { { "services", View::Services },
+            { "templates", View::Templates }, { "accounts", View::Accounts }, { "moves", View::Moves },
+            { "status", View::Status }, { "history", View::History }, { "audit", View::Audit },
+            { "members", View::Members }, { "resources", View::Resources }, { "evacuations", View::Evacuations } };
         auto it = VIEWS.find(name);
         return it == VIEWS.end() ? std::nullopt : std::optional(it->second);
     }
@@ -287,6 +287,10 @@
         command.__set_move(ask);
         permission = Permission::Move;
         subject = "service/" + ask.serviceName;
+    } else if (action == "PUT evacuations") {
+        command.kind = CommandKind::START_EVACUATION;
+    } else if (action == "DELETE evacuations") {
+        command.kind = CommandKind::FINISH_EVACUATION;
     } else if (action == "POST moves take-back") {
         command.kind = CommandKind::TAKE_BACK_MOVE;
         permission = Permission::Move;
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -230,6 +230,26 @@
     });
 }
 
+void CallPathFixture::setEvacuated(const std::set<std::string>& dataCentres, const std::vector<int>& nodes)
+{
+    for (int i : nodes) {
+        auto& state = m_nodes.at(static_cast<size_t>(i))->evacuations;
+        for (const auto& it : state.evacuatedDataCentres()) {
+            if (!dataCentres.count(it))
+                state = state.withoutResource(config::evacuationKey(it));
+        }
+        for (const auto& it : dataCentres) {
+            wire::Resource resource;
+            resource.key = config::evacuationKey(it);
+            resource.evacuation.dataCentre = it;
+            resource.__isset.evacuation = true;
+            if (!state.find(resource.key))
+                state = state.withResource(resource);
+        }
+    }
+    publish();
+}
+
 void CallPathFixture::publish()
 {
     wire::ServiceResource service;
@@ -237,13 +257,7 @@
     wire::Resource resource;
     resource.key = config::serviceKey("s");
     resource.__set_serviceResource(service);
-    config::ConfigState empty;
     auto view = std::make_shared<node::MeshView>();
-    view->config = std::make_shared<config::ConfigState>(
-        empty.withChange({ resource, routeResource("once", "/once/", false, m_options.maxAttempts),
-                             routeResource("again", "/again/", true, m_options.maxAttempts) },
-            {}));
-    view->routes = std::make_shared<node::RouteTable>(view->config);
     view->serving = true;
     view->crashes = std::make_shared<const nodes::CrashList>(m_directory.crashes());
     nodes::TargetList targets;
@@ -272,8 +286,15 @@
         targets.push_back(presence);
     }
     view->targets = std::make_shared<nodes::TargetList>(std::move(targets));
-    for (auto& it : m_nodes)
-        it->path->setView(view);
+    for (auto& it : m_nodes) {
+        auto own = std::make_shared<node::MeshView>(*view);
+        own->config = std::make_shared<config::ConfigState>(
+            it->evacuations.withChange({ resource, routeResource("once", "/once/", false, m_options.maxAttempts),
+                                           routeResource("again", "/again/", true, m_options.maxAttempts) },
+                {}));
+        own->routes = std::make_shared<node::RouteTable>(own->config);
+        it->path->setView(own);
+    }
 }
 
 RawConnectionPtr CallPathFixture::connect(int i)
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,8 @@
     void crashTarget(int i);
     // Starts the next incarnation of the target of node `i`, which announces itself.
     void startTarget(int i);
+    // Puts the evacuation of these data centres in force, and of no others, at the given nodes.
+    void setEvacuated(const std::set<std::string>& dataCentres, const std::vector<int>& nodes);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
@@ -99,6 +102,7 @@
         std::unique_ptr<boost::asio::ip::tcp::acceptor> targetPort;
         std::vector<RawConnectionPtr> accepted;
         int64_t targetIncarnation { 1 };
+        config::ConfigState evacuations;
     };
 
     std::string ip(int i) const;
--- a/tests/support/ControlGroupSim.cpp
+++ b/tests/support/ControlGroupSim.cpp
@@ -37,10 +37,14 @@
     {
         for (size_t to = 0; to < m_sim.m_hosts.size(); ++to) {
             if (to != m_index && addressOf(to).text() == member)
-                m_sim.m_frames.push_back({ m_sim.m_now + STEP, m_index, to, kind, payload });
+                m_sim.send({ m_sim.m_now + STEP, m_index, to, kind, payload });
         }
     }
-    void sendToNode(const std::string&, links::Kind, std::string) override { }
+    void sendToNode(const std::string& node, links::Kind kind, std::string payload) override
+    {
+        if (m_sim.m_nodeSink)
+            m_sim.m_nodeSink(static_cast<int>(m_index), node, kind, payload);
+    }
     void connectMember(const std::string&) override { }
     bool persist(control::DiskWork work) override
     {
@@ -75,6 +79,7 @@
     std::unique_ptr<members::LogStore> store;
     std::unique_ptr<control::ControlCore> core;
     bool hasStarted { false };
+    bool isRunning { true };
 
 private:
     ControlGroupSim& m_sim;
@@ -114,7 +119,7 @@
 void ControlGroupSim::start(Host& host)
 {
     auto mode = host.hasStarted ? members::EmptyFolderMode::Recover : members::EmptyFolderMode::Bootstrap;
-    host.hasStarted = true;
+    host.hasStarted = host.isRunning = true;
     host.forgetWrites();
     host.store = std::make_unique<members::LogStore>(*host.disk);
     wire::Membership membership;
@@ -124,6 +129,42 @@
         START_MS + base::toMillis(m_now - m_started), ++m_seed);
 }
 
+// Frames are delivered in the order of their arrival; only delayed ones leave that of their sending.
+void ControlGroupSim::send(Frame frame)
+{
+    bool isDelayed = m_forwardDelay > base::Millis(0) && frame.kind == links::FrameKind::FORWARD_REQUEST
+        && m_random.bernoulli(0.3);
+    if (isDelayed)
+        frame.arrives
+            += base::Millis(static_cast<int64_t>(m_random.uniformBelow(static_cast<uint64_t>(m_forwardDelay.count()))));
+    auto at = std::upper_bound(m_frames.begin(), m_frames.end(), frame.arrives,
+        [](base::Instant arrives, const Frame& it) { return arrives < it.arrives; });
+    m_frames.insert(at, std::move(frame));
+}
+
+void ControlGroupSim::stop(int i) { host(i).isRunning = false; }
+
+bool ControlGroupSim::isRunning(int i) const { return host(i).isRunning; }
+
+void ControlGroupSim::deliver(int i, const std::string& node, links::Kind kind, const std::string& payload)
+{
+    auto wallMs = START_MS + base::toMillis(m_now - m_started);
+    if (host(i).isRunning)
+        guarded([&] { host(i).core->handleNodeFrame(node, kind, payload, m_now, wallMs); });
+}
+
+void ControlGroupSim::disconnect(int i, const std::string& node)
+{
+    if (host(i).isRunning)
+        guarded([&] { host(i).core->handleNodeDisconnected(node, m_now); });
+}
+
+void ControlGroupSim::reconnect()
+{
+    for (size_t i = 0; i < m_hosts.size(); ++i)
+        connectAll(i);
+}
+
 void ControlGroupSim::restart(int i)
 {
     guarded([&] { start(host(i)); });
@@ -135,7 +176,7 @@
 void ControlGroupSim::connectAll(size_t i)
 {
     for (size_t other = 0; other < m_hosts.size(); ++other) {
-        if (other == i)
+        if (other == i || !m_hosts[other]->isRunning || !m_hosts[i]->isRunning)
             continue;
         guarded([&] { m_hosts[i]->core->handleMemberConnected(addressOf(other).text()); });
         guarded([&] { m_hosts[other]->core->handleMemberConnected(addressOf(i).text()); });
@@ -149,12 +190,17 @@
         while (!m_frames.empty() && m_frames.front().arrives <= m_now) {
             auto frame = std::move(m_frames.front());
             m_frames.pop_front();
+            bool isCut = m_isCut && m_isCut(static_cast<int>(frame.from), static_cast<int>(frame.to));
+            if (isCut || !m_hosts[frame.to]->isRunning)
+                continue;
             guarded([&] {
                 m_hosts[frame.to]->core->handleMemberFrame(
                     addressOf(frame.from).text(), frame.kind, frame.payload, m_now, wallMs);
             });
         }
         for (size_t i = 0; i < m_hosts.size(); ++i) {
+            if (!m_hosts[i]->isRunning)
+                continue;
             guarded([&] { m_hosts[i]->write(); });
             bool ticks = (base::toMillis(m_now - m_started) + static_cast<int64_t>(i)) % TICK_PERIOD.count() == 0;
             if (ticks)
@@ -166,7 +212,7 @@
 int ControlGroupSim::leader() const
 {
     for (size_t i = 0; i < m_hosts.size(); ++i) {
-        if (m_hosts[i]->core->replica().hasLease(m_now))
+        if (m_hosts[i]->isRunning && m_hosts[i]->core->replica().hasLease(m_now))
             return static_cast<int>(i);
     }
     return -1;
--- a/tests/support/ControlGroupSim.h
+++ b/tests/support/ControlGroupSim.h
@@ -7,6 +7,7 @@
 #include "tests/support/FullDisk.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,22 @@
     void advance(base::Millis time);
     // Ends the process of a host and starts it again from its disk.
     void restart(int i);
+    // Ends the process of a host until restart().
+    void stop(int i);
+    bool isRunning(int i) const;
+    // Drops the frames between two hosts for which `isCut` is true when they arrive.
+    void setCut(std::function<bool(int from, int to)> isCut) { m_isCut = std::move(isCut); }
+    // Delays some of the commands that hosts forward to the leader by up to this time.
+    void setForwardDelay(base::Millis most) { m_forwardDelay = most; }
+    // Receives what the hosts send to nodes.
+    using NodeSink
+        = std::function<void(int host, const std::string& node, links::Kind kind, const std::string& payload)>;
+    void setNodeSink(NodeSink sink) { m_nodeSink = std::move(sink); }
+    // Delivers a frame of a node, or the loss of its link, to a host.
+    void deliver(int host, const std::string& node, links::Kind kind, const std::string& payload);
+    void disconnect(int host, const std::string& node);
+    // Connects all hosts again, as after a partition.
+    void reconnect();
     // Index of the leader, or -1 if no host leads with a lease.
     int leader() const;
     FullDisk& disk(int i);
@@ -48,6 +65,7 @@
 
     Host& host(int i) const { return *m_hosts.at(static_cast<size_t>(i)); }
     void start(Host& host);
+    void send(Frame frame);
     void connectAll(size_t i);
     template <class Task> void guarded(Task task);
 
@@ -58,6 +76,9 @@
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::deque<Frame> m_frames;
     std::string m_failure;
+    std::function<bool(int, int)> m_isCut;
+    base::Millis m_forwardDelay { 0 };
+    NodeSink m_nodeSink;
 };
 
 } // namespace pomelowind::tests
