--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -30,6 +30,7 @@
     , m_bodyMemory(std::make_shared<base::MemoryBudget>(static_cast<size_t>(settings.bodyMemoryBytes)))
     , m_peers(io, settings, clock, *this)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
+    , m_evacuations(settings.dataCentre)
     , m_claimCoordinator(settings, m_peers, clock)
     , m_quota(settings.quota, settings.id)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
@@ -54,6 +55,7 @@
 {
     m_view = std::move(view);
     applyServerLimits();
+    applyEvacuations();
     updateCrashes();
     updateQuota();
     m_balancer.retain(*m_view->targets);
@@ -90,6 +92,23 @@
         "callers.limits_applied", { { "release", release->number }, { "header_bytes", release->headerBytes } });
 }
 
+// The targets to choose from change before the gates refuse queued calls, so that these are not sent back here.
+void CallPath::applyEvacuations()
+{
+    auto before = m_evacuations.dataCentres();
+    auto change = m_evacuations.update(*m_view);
+    if (before != m_evacuations.dataCentres())
+        base::logInfo("evacuations.applied",
+            { { "version", m_view->config->version() }, { "data_centres", m_evacuations.dataCentres().size() },
+                { "excluded_targets", m_evacuations.excludedTargets().size() } });
+    if (change.closed)
+        m_localTargets.closeGates("the data centre of the target is evacuated");
+    if (change.evacuationEnded)
+        m_localTargets.onEvacuationEnded();
+    if (change.opened)
+        m_localTargets.openGates();
+}
+
 // Nodes do not exchange their retry counts, so each keeps to an equal part of the mesh-wide burst. The number of
 // targets stands in for the number of nodes, which is about the same.
 double CallPath::retryBurst() const
--- a/src/node/CallPlacement.cpp
+++ b/src/node/CallPlacement.cpp
@@ -21,6 +21,9 @@
     // Operators set latency objectives at about this multiple of the typical service time. A node that has just started
     // estimates service times from it.
     constexpr int SERVICE_TIMES_PER_OBJECTIVE = 3;
+    // Retry-After of calls that find only evacuated targets. A finished evacuation is in force on all nodes after about
+    // a second; an earlier retry would find the same.
+    constexpr auto EVACUATED_RETRY_DELAY = Millis(1000);
 
 }
 
@@ -47,9 +50,11 @@
     // Only a first attempt may go to the candidate version; a retry goes to the stable version, which is known to work.
     bool useCandidate = call->attempts == 0 && !service.candidate.empty()
         && m_versionSplitter.choose(service, m_view->beaconAt, now) == service.candidate;
+    auto forbidden = m_evacuations.excludedTargets();
     const auto& leaving = m_notices.leaving();
+    forbidden.insert(leaving.begin(), leaving.end());
     auto unreachable = unreachableTargets();
-    unreachable.insert(leaving.begin(), leaving.end());
+    unreachable.insert(forbidden.begin(), forbidden.end());
     auto avoid = unreachable;
     avoid.insert(call->triedTargets.begin(), call->triedTargets.end());
     targets::PlacementRequest placementRequest { call->route->name, call->body->size(), {} };
@@ -65,11 +70,11 @@
     if (!placement)
         placement = m_balancer.choose(targets, service.name, stable, avoid, now, placementRequest);
     // Falls back to a target that was tried before, and then to one that seems unreachable, rather than failing the
-    // call. A target that leaves is no choice: it would stop while it runs the call.
+    // call. A target that leaves is no choice: it would stop while it runs the call. Nor is an evacuated one.
     if (!placement && !call->triedTargets.empty())
         placement = m_balancer.choose(targets, service.name, stable, unreachable, now, placementRequest);
     if (!placement && !avoid.empty())
-        placement = m_balancer.choose(targets, service.name, stable, leaving, now, placementRequest);
+        placement = m_balancer.choose(targets, service.name, stable, forbidden, now, placementRequest);
     if (placement)
         call->version = placement->target.version;
     return placement;
@@ -90,6 +95,10 @@
         wire::CallAnswer answer;
         answer.outcome = Outcome::NOT_RUN;
         answer.reason = "no target of service '" + call->service->name + "' can take the call";
+        if (m_evacuations.excludesTargetOf(call->service->name, *m_view->targets)) {
+            answer.reason += "; some are in evacuated data centres";
+            answer.retryAfterMs = static_cast<int32_t>(EVACUATED_RETRY_DELAY.count());
+        }
         return finish(call, std::move(answer));
     }
     call->triedTargets.insert(placement->target.target);
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -236,6 +236,26 @@
     });
 }
 
+void CallPathFixture::setEvacuated(const std::set<std::string>& dataCentres, const std::vector<int>& nodes)
+{
+    for (int i : nodes) {
+        auto& state = m_nodes.at(static_cast<size_t>(i))->evacuations;
+        for (const auto& it : state.evacuatedDataCentres()) {
+            if (!dataCentres.count(it))
+                state = state.withoutResource(config::evacuationKey(it));
+        }
+        for (const auto& it : dataCentres) {
+            wire::Resource resource;
+            resource.key = config::evacuationKey(it);
+            resource.evacuation.dataCentre = it;
+            resource.__isset.evacuation = true;
+            if (!state.find(resource.key))
+                state = state.withResource(resource);
+        }
+    }
+    publish();
+}
+
 void CallPathFixture::publish()
 {
     wire::ServiceResource service;
@@ -243,7 +263,6 @@
     wire::Resource resource;
     resource.key = config::serviceKey("s");
     resource.__set_serviceResource(service);
-    config::ConfigState empty;
     auto view = std::make_shared<node::MeshView>();
     auto open = routeResource("open", "/open/", true, m_options.maxAttempts);
     open.route.withoutAccount = true;
@@ -256,9 +275,6 @@
         account.__set_clientAccount(it);
         resources.push_back(account);
     }
-    view->config = std::make_shared<config::ConfigState>(empty.withChange(std::move(resources), {}));
-    view->accountKeys = callers::AccountKeys::build(*view->config);
-    view->routes = std::make_shared<node::RouteTable>(view->config);
     view->serving = true;
     view->crashes = std::make_shared<const nodes::CrashList>(m_directory.crashes());
     nodes::TargetList targets;
@@ -287,8 +303,13 @@
         targets.push_back(presence);
     }
     view->targets = std::make_shared<nodes::TargetList>(std::move(targets));
-    for (auto& it : m_nodes)
-        it->path->setView(view);
+    for (auto& it : m_nodes) {
+        auto own = std::make_shared<node::MeshView>(*view);
+        own->config = std::make_shared<config::ConfigState>(it->evacuations.withChange(resources, {}));
+        own->accountKeys = callers::AccountKeys::build(*own->config);
+        own->routes = std::make_shared<node::RouteTable>(own->config);
+        it->path->setView(own);
+    }
 }
 
 RawConnectionPtr CallPathFixture::connect(int i)
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,8 @@
     void startTarget(int i);
     // Replaces the client accounts of the configuration.
     void setAccounts(std::vector<wire::ClientAccount> accounts);
+    // Puts the evacuation of these data centres in force, and of no others, at the given nodes.
+    void setEvacuated(const std::set<std::string>& dataCentres, const std::vector<int>& nodes);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
@@ -102,6 +105,7 @@
         std::unique_ptr<boost::asio::ip::tcp::acceptor> targetPort;
         std::vector<RawConnectionPtr> accepted;
         int64_t targetIncarnation { 1 };
+        config::ConfigState evacuations;
     };
 
     std::string ip(int i) const;
