Test placement, gate and queue of evacuations each on its own

Missing: with both checks in place, the tests passed when one of them was taken out. Each is now tested where the other does not know of the evacuation, and so is what a started control host says of its version.

Tested: with each check taken out in a scratch copy, its test fails; all pass without.

--- a/tests/correctness/EvacuatedTargetsGetNoCalls.cpp
+++ b/tests/correctness/EvacuatedTargetsGetNoCalls.cpp
@@ -64,33 +64,51 @@
     EXPECT_EQ(requestsAt(mesh, 0) + requestsAt(mesh, 1), 0u);
 }
 
-TEST(EvacuatedTargetsGetNoCalls, RetryFallsBackToNone)
+// The gate beside the target does not know of the evacuation in this test, so only placement keeps the call away.
+TEST(EvacuatedTargetsGetNoCalls, CallersNodeChoosesThemInNoFallback)
+{
+    auto options = twoDataCentres();
+    options.targetsAt = { 1 };
+    CallPathFixture mesh(options);
+    mesh.setEvacuated({ "west" }, { 0 });
+    auto caller = mesh.connect(0);
+    caller->write(CallPathFixture::get("r1"));
+    ASSERT_TRUE(mesh.runUntil([&] { return caller->has("\r\n\r\n"); }));
+    EXPECT_TRUE(caller->has(" 503 ")) << caller->received;
+    EXPECT_EQ(requestsAt(mesh, 1), 0u);
+}
+
+TEST(EvacuatedTargetsGetNoCalls, RetryAfterAFaultChoosesNoneOfThem)
 {
     CallPathFixture mesh(twoDataCentres());
-    mesh.setEvacuated({ "east" }, { 0, 1 });
+    mesh.setEvacuated({ "west" }, { 0 });
     auto caller = mesh.connect(0);
     caller->write(CallPathFixture::get("r1"));
-    ASSERT_TRUE(mesh.runUntil([&] { return requestsAt(mesh, 1) == 1; }));
-    mesh.targetConnections(1).front()->write(CallPathFixture::answer("r1", "fault", 500));
-    ASSERT_TRUE(mesh.runUntil([&] { return requestsAt(mesh, 1) == 2 || caller->has("HTTP/1.1"); }));
-    EXPECT_EQ(requestsAt(mesh, 0), 0u);
+    ASSERT_TRUE(mesh.runUntil([&] { return requestsAt(mesh, 0) == 1; }));
+    mesh.targetConnections(0).front()->write(CallPathFixture::answer("r1", "fault", 500));
+    ASSERT_TRUE(mesh.runUntil([&] { return requestsAt(mesh, 0) == 2 || caller->has("HTTP/1.1"); }));
+    EXPECT_EQ(requestsAt(mesh, 1), 0u);
 }
 
 TEST(EvacuatedTargetsGetNoCalls, GateRefusesCallsOfNodesThatDoNotKnowIt)
 {
-    CallPathFixture mesh(twoDataCentres());
+    auto options = twoDataCentres();
+    options.nodes = 3;
+    options.targetsAt = { 1, 2 };
+    options.dataCentres = { "east", "west", "north" };
+    CallPathFixture mesh(options);
     mesh.setEvacuated({ "west" }, { 1 });
-    auto caller = mesh.connect(0);
-    for (int i = 0; i < 8; ++i)
-        caller->write(CallPathFixture::get("r" + std::to_string(i)));
-    size_t answered = 0;
-    ASSERT_TRUE(mesh.runUntil([&] {
-        for (; answered < requestsAt(mesh, 0); ++answered)
-            answer(mesh, 0, "r" + std::to_string(answered));
-        return caller->has("r7");
-    }));
+    for (int i = 0; i < 16; ++i) {
+        auto id = "r" + std::to_string(i);
+        auto caller = mesh.connect(0);
+        caller->write(CallPathFixture::get(id));
+        ASSERT_TRUE(mesh.runUntil([&] { return requestsAt(mesh, 2) == static_cast<size_t>(i + 1); }))
+            << "refused calls run at the other target";
+        answer(mesh, 2, id);
+        ASSERT_TRUE(mesh.runUntil([&] { return caller->has("200"); }));
+    }
     EXPECT_EQ(requestsAt(mesh, 1), 0u);
-    EXPECT_EQ(answered, 8u) << "refused calls run at the other target";
+    EXPECT_GT(mesh.path(1).localTargets().refusedAtClosedGates(), 0u);
 }
 
 TEST(EvacuatedTargetsGetNoCalls, QueuedCallsGoElsewhereAndRunningOnesEnd)
@@ -106,6 +124,7 @@
     ASSERT_TRUE(mesh.runUntil([&] { return mesh.path(1).localCallCount() == 2; }));
     // Only the node beside the target knows it: the caller's node sends the refused call again until it gives up.
     mesh.setEvacuated({ "west" }, { 1 });
+    EXPECT_EQ(mesh.path(1).localCallCount(), 1u) << "refused at once, not at its deadline";
     ASSERT_TRUE(mesh.runUntil([&] { return second->has("\r\n\r\n"); }));
     EXPECT_TRUE(second->has(" 503 ")) << second->received;
     EXPECT_EQ(mesh.path(1).localTargets().runningCount(), 1u);
--- a/tests/correctness/StartedNodesLearnEvacuationsFirst.cpp
+++ b/tests/correctness/StartedNodesLearnEvacuationsFirst.cpp
@@ -4,9 +4,9 @@
 #include "node/DistributionCore.h"
 #include "node/Evacuations.h"
 #include "pomelowind/base/Packing.h"
+#include "tests/support/ControlGroupSim.h"
 #include "tests/support/Presences.h"
 #include "tests/support/RecordedOutputs.h"
-#include "tests/support/SingleControlHost.h"
 
 #include <gtest/gtest.h>
 
@@ -111,3 +111,29 @@
     ASSERT_TRUE(core.isServing());
     EXPECT_EQ(outputs.view->config->evacuatedDataCentres(), std::set<std::string> { "east" });
 }
+
+TEST(StartedNodesLearnEvacuationsFirst, StartedControlHostSaysThatItMayLackChanges)
+{
+    tests::ControlGroupSim group(3, 1);
+    group.advance(base::Millis(3000));
+    ASSERT_GE(group.leader(), 0);
+    int follower = (group.leader() + 1) % 3;
+    std::optional<wire::SubscribeAnswer> answer;
+    group.setNodeSink([&](int, const std::string&, links::Kind kind, const std::string& payload) {
+        if (kind == FrameKind::SUBSCRIBE_ANSWER)
+            answer = base::decode<wire::SubscribeAnswer>(payload);
+    });
+    wire::Subscribe request;
+    request.node.node = "n1";
+    auto isFresh = [&](int host) {
+        ++request.node.sequence;
+        group.deliver(host, "n1", FrameKind::SUBSCRIBE, base::encode(request));
+        return answer && answer->fresh;
+    };
+    EXPECT_TRUE(isFresh(group.leader()));
+    EXPECT_TRUE(isFresh(follower));
+    group.restart(follower);
+    EXPECT_FALSE(isFresh(follower)) << "it has only what was on its disk";
+    group.advance(base::Millis(2000));
+    EXPECT_TRUE(isFresh(follower));
+}
