--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -16,6 +16,7 @@
     std::shared_ptr<const config::ConfigState> config { std::make_shared<const config::ConfigState>() };
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<const nodes::TargetList> targets;
+    base::Instant targetsAt; // time to which coldLeftMs of the targets refers
     // Crashes of targets; null: none.
     std::shared_ptr<const nodes::CrashList> crashes;
     int64_t claimsThroughMs { 0 }; // wall time until which the leader has promised not to start another claim epoch
--- a/include/pomelowind/node/TargetRegistry.h
+++ b/include/pomelowind/node/TargetRegistry.h
@@ -24,6 +24,12 @@
     wire::TargetState::type state { wire::TargetState::SERVING };
     int64_t sequence { 0 }; // orders the announcements of one incarnation; 0 when the target does not number them
     std::optional<base::Millis> coldLeft; // remaining ramp-up time after the target's start
+    // ---- set by this node when it takes the announcement ----
+    base::Instant receivedAt;
+    base::Instant assumedColdAt; // when this node last began to assume that the target is cold; unset: never
+    base::Millis serviceColdStart { 0 }; // see wire::ServiceResource
+    // Calls per second that cold targets of the service accept; 0: no limit; empty: this node has no configuration yet.
+    std::optional<double> coldCallsPerSecond;
     bool operator==(const Announcement&) const = default;
 };
 
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -61,22 +61,26 @@
     std::vector<wire::NodeInfo> liveNodes(const std::string& dataCentre) const;
     // Returns all nodes, including tombstones.
     std::vector<wire::NodeInfo> allNodes() const;
-    // Returns all targets, including tombstones.
-    std::vector<wire::Presence> allTargets() const;
+    // Returns all targets, including tombstones. Their coldLeftMs refers to `now`, or to the time of their reports if
+    // it is not given, so that a copy that is passed on late does not make a target cold again.
+    std::vector<wire::Presence> allTargets(base::Instant now = {}) const;
     // Returns the entry of a node, or null when it is unknown. The pointer is valid until the next change.
     const wire::NodeInfo* findNode(const std::string& node) const;
     // Returns the entry of a target, or null when it is unknown. The pointer is valid until the next change.
     const wire::Presence* findTarget(const std::string& target) const;
     // Returns the targets that are not gone and whose node is neither gone nor restarted since they were announced.
-    TargetList liveTargets() const;
+    // coldLeftMs as in allTargets().
+    TargetList liveTargets(base::Instant now = {}) const;
     // Returns the crashes of the last hour.
     CrashList crashes() const;
     size_t targetCount() const { return m_targets.size(); }
 
-    // Returns a hash for each bucket of entries, for the anti-entropy comparison of two directories.
+    // Returns a hash for each bucket of entries, for the anti-entropy comparison of two directories. coldLeftMs, which
+    // depends on the time, is left out.
     Buckets digest() const;
     // Returns the entries in buckets whose hash differs from `theirs`, another directory's digest.
-    DirectoryEntries entriesDifferingFrom(const std::vector<int64_t>& theirs) const;
+    // coldLeftMs as in allTargets().
+    DirectoryEntries entriesDifferingFrom(const std::vector<int64_t>& theirs, base::Instant now = {}) const;
 
 private:
     void mergeTarget(const wire::Presence& reported, base::Instant now, DirectoryEntries& change);
@@ -84,7 +88,9 @@
     template <class T> struct Record {
         T entry;
         base::Instant changedAt;
+        base::Instant reportedAt; // when the entry was reported by the node that decides on it; changedAt may be later
     };
+    static wire::Presence agedEntry(const Record<wire::Presence>& record, base::Instant now);
 
     std::map<std::string, Record<wire::NodeInfo>> m_nodes;
     std::map<std::string, Record<wire::Presence>> m_targets;
--- a/include/pomelowind/targets/Balancer.h
+++ b/include/pomelowind/targets/Balancer.h
@@ -9,6 +9,7 @@
 #include "pomelowind/base/Random.h"
 #include "pomelowind/base/Time.h"
 #include "pomelowind/nodes/Directory.h"
+#include "pomelowind/targets/ColdTargets.h"
 #include "pomelowind/targets/Crossing.h"
 
 #include <map>
@@ -42,6 +43,7 @@
     base::Micros typicalServiceTime { 0 };
     size_t responseBytes { 0 };
     base::Millis retryAfter { 0 }; // if refused: time until the gate expects a free slot
+    std::optional<bool> cold; // as reported in the answer; empty if there was none from the gate
 };
 
 // A call that needs a target.
@@ -76,6 +78,13 @@
     void onAttemptStarted(const std::string& target);
     // Records the result of an attempt that was counted by onAttemptStarted(); ignored for unknown targets.
     void onAttemptEnded(const AttemptResult& result, base::Instant now);
+    // Replaces what is known of cold targets: `rates` are those of the configuration, and `asOf` is the time to which
+    // coldLeftMs of the targets refers. Without rates, cold targets are chosen like others.
+    void setCold(const nodes::TargetList& targets, base::Instant asOf, const ColdRates& rates)
+    {
+        m_coldTargets.update(targets, asOf, rates);
+    }
+    const ColdTargets& coldTargets() const { return m_coldTargets; }
     // Drops the statistics of targets that are not in `targets` and have no attempt in flight.
     void retain(const nodes::TargetList& targets);
 
@@ -115,6 +124,7 @@
     base::Random m_random;
     std::map<std::string, Stats> m_stats;
     CrossingPrice m_price;
+    ColdTargets m_coldTargets;
     std::map<std::string, double> m_serviceMs; // average service time by kind, over all targets
     std::map<std::string, double> m_responseBytes; // average by kind
 };
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -1,7 +1,7 @@
 // Admission controller in front of one target. All calls to the target pass through the gate of the node on its host.
 // It limits concurrent calls to the target's slots, with a ramp-up after a cold start, and the calls per second to what
-// the target accepts; queues only calls that can still be served in time; and admits nothing new while the target
-// drains. Pure decision logic without I/O.
+// the target accepts, also while it is cold; queues only calls that can still be served in time; and admits nothing new
+// while the target drains. Pure decision logic without I/O.
 //
 // Designed for services that are offered more calls than their slots can serve. Calls that can still meet their latency
 // objective run first, by priority. Calls that cannot meet it run behind all of them, because they lose little by
@@ -12,6 +12,7 @@
 
 #include "pomelowind/base/Time.h"
 #include "pomelowind/base/TokenBucket.h"
+#include "pomelowind/targets/ColdRateLimiter.h"
 
 #include <cstdint>
 #include <list>
@@ -88,6 +89,19 @@
     void setSlots(int slots) { m_options.slots = slots; }
     // Sets how many calls per second the target accepts, 0 or more; empty: any number. A sweep() should follow.
     void setMaxRate(std::optional<double> callsPerSecond, base::Instant now);
+    // Sets how many calls per second the target accepts while it is cold, above 0; empty: any number. A sweep() should
+    // follow.
+    void setColdRate(std::optional<double> callsPerSecond);
+    // Sets the time until which the target is cold; Instant::max(): unknown. A sweep() should follow.
+    void setColdUntil(base::Instant until) { m_coldUntil = until; }
+    // Counts the calls that `earlier`, a gate to the same address, has started: the target of this gate may have got
+    // them.
+    void adoptStarts(const Gate& earlier);
+    bool hasColdRate() const { return m_coldRate.has_value(); }
+    // Returns true while the target is cold and accepts only a limited number of calls per second.
+    bool isColdLimited(base::Instant now) const { return m_coldRate && now < m_coldUntil; }
+    // Returns true if no call may start now because the target is cold.
+    bool isAtColdRate(base::Instant now) const { return isColdLimited(now) && !m_coldRate->canStart(now); }
 
     int running() const { return m_running; }
     int queued() const { return static_cast<int>(m_queue.size()); }
@@ -121,6 +135,8 @@
     GateStep expire(base::Instant now);
     std::vector<Queue::const_iterator> inOrderOfRank(base::Instant now) const;
     double untilTokensMs(double n, base::Instant now) const;
+    double untilColdTurnMs(double n, base::Instant now) const;
+    std::optional<double> ratePerSecond(base::Instant now) const;
     bool canMeetObjective(const GateCall& call, double waitMs, base::Instant now) const;
     bool canMeetDeadline(const GateCall& call, double waitMs, base::Instant now) const;
     int rank(const GateCall& call, base::Instant now) const;
@@ -150,6 +166,10 @@
     // Calls that the target accepts now; empty: any number.
     std::optional<base::TokenBucket> m_acceptedCalls;
     double m_maxRate { 0 }; // calls per second that refill m_acceptedCalls
+    // Calls that the target accepts while it is cold; empty: any number.
+    std::optional<ColdRateLimiter> m_coldRate;
+    double m_coldCallsPerSecond { 0 }; // the rate of m_coldRate
+    base::Instant m_coldUntil;
 };
 
 } // namespace pomelowind::targets
--- a/src/config/Release.cpp
+++ b/src/config/Release.cpp
@@ -4,6 +4,7 @@
 #include "pomelowind/base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -20,6 +21,11 @@
     // A latency objective this far beyond the timeout can never be evaluated: the call has timed out long before.
     constexpr int32_t MAX_OBJECTIVE_MARGIN_MS = 60 * 1000;
 
+    // A target that is cold for longer is faulty rather than cold.
+    constexpr int32_t MAX_COLD_START_MS = 10 * 60 * 1000;
+    // Gates remember as many calls. No target of this system serves a tenth of it.
+    constexpr double MAX_COLD_CALLS_PER_SECOND = 10000;
+
     [[noreturn]] void throwInvalid(const std::string& message, const std::string& remedy)
     {
         throw UserError(ErrorKind::InvalidInput, message, remedy);
@@ -36,6 +42,18 @@
                 "give an objective below the timeout");
     }
 
+    void checkColdStart(const wire::ServiceSpec& service)
+    {
+        if (service.coldStartMs < 0 || service.coldStartMs > MAX_COLD_START_MS)
+            throwInvalid("service '" + service.name + "' has a cold start below 0 or over ten minutes",
+                "give from 0 to 600 seconds");
+        double rate = service.coldCallsPerSecond;
+        bool isInRange = std::isfinite(rate) && rate >= 0 && rate <= MAX_COLD_CALLS_PER_SECOND;
+        if (!isInRange)
+            throwInvalid("service '" + service.name + "' has an impossible number of calls per second while cold",
+                "give from 0 (no limit) to 10000 calls per second");
+    }
+
     void checkBody(const wire::Route& route)
     {
         if (route.largeBody && route.idempotent)
@@ -74,6 +92,8 @@
         out.name = spec.name;
         out.healthPath = spec.healthPath;
         out.maxConnections = spec.maxConnections;
+        out.coldStartMs = spec.coldStartMs;
+        out.coldCallsPerSecond = spec.coldCallsPerSecond;
         return out;
     }
 
@@ -104,6 +124,7 @@
     for (const auto& it : release.services) {
         if (it.name.empty() || !serviceNames.insert(it.name).second)
             throwInvalid("service '" + it.name + "' is unnamed or given twice", "name each service once");
+        checkColdStart(it);
     }
     Names routeNames;
     std::unordered_map<std::string_view, Names> pathsByHost; // path prefixes by host name
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -505,7 +505,7 @@
     wire::MemberReport report;
     report.members = votersAndLearners();
     report.report.nodes = m_directory.allNodes();
-    report.report.targets = m_directory.allTargets();
+    report.report.targets = m_directory.allTargets(m_now);
     report.report.crashes = m_directory.crashes();
     report.report.acks = m_acks.recentAcks(m_now, TOMBSTONE_RETENTION);
     m_outputs.sendToMember(member, FrameKind::MEMBER_REPORT, base::encode(report));
@@ -638,7 +638,7 @@
     // Sent before anything else is spread: a restarted node takes the first one for the whole directory.
     wire::Spread presence;
     presence.nodes = m_directory.liveNodes();
-    presence.targets = m_directory.allTargets();
+    presence.targets = m_directory.allTargets(m_now);
     presence.crashes = m_directory.crashes();
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
     wire::Report report;
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -1,6 +1,7 @@
 #include "CallPath.h"
 
 #include "CallHeaders.h"
+#include "ColdRates.h"
 #include "pomelowind/base/Hash.h"
 #include "pomelowind/base/Log.h"
 
@@ -138,6 +139,7 @@
     applyServerLimits();
     updateCrashes();
     m_balancer.retain(*m_view->targets);
+    m_balancer.setCold(*m_view->targets, m_view->targetsAt, coldRates(*m_view->config));
     m_notices.retain(*m_view->targets, m_clock.now());
     for (auto& [service, budget] : m_retryBudgets)
         budget.setBurst(retryBurst());
@@ -549,6 +551,8 @@
     }
     if (auto rate = m_notices.maxCallsPerSecond(target))
         request.__set_maxCallsPerSecond(*rate);
+    if (call->service->coldCallsPerSecond > 0)
+        request.__set_coldCallsPerSecond(call->service->coldCallsPerSecond);
     m_balancer.onAttemptStarted(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { onAnswer(call, target, now, std::move(answer)); };
     call->peerCallId = 0;
@@ -591,7 +595,9 @@
 {
     targets::AttemptResult result { target.target, answer.fault, answer.refused, latency, answer.inFlight,
         answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
-        answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs) };
+        answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs), {} };
+    if (answer.refused || answer.runMicros)
+        result.cold = answer.cold;
     m_balancer.onAttemptEnded(result, m_clock.now());
     recordNotice(target, answer);
     auto& ratio = m_refusalRatio[call->service->name];
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -252,15 +252,17 @@
         return;
     }
     // The new state is built beside the current one and replaces it by one pointer assignment when it is complete.
+    int64_t fromVersion = m_state->version();
     m_state = result.state;
     m_activeConfig = std::make_shared<const config::ConfigState>(m_state->subsetForServices(m_settings.services));
     m_routes = std::make_shared<const RouteTable>(m_activeConfig);
     m_rejection.clear();
+    followColdConfiguration(delta, fromVersion, now);
     m_publisher.publish(m_state);
     base::logDebug("config.applied", { { "version", m_state->version() } });
     updateServing(now);
     m_viewDirty = true;
-    publish();
+    publish(now);
     publishToChildren();
     acknowledge(now);
 }
@@ -353,7 +355,7 @@
         learnDirectory(now);
     if (spread.__isset.beacon)
         handleBeacon(spread.beacon, now);
-    publish();
+    publish(now);
 }
 
 void DistributionCore::handleBeacon(const wire::Beacon& beacon, Instant now)
@@ -417,7 +419,7 @@
     // Sent before anything else is spread: a restarted child takes the first one for the whole directory.
     wire::Spread fullState;
     fullState.nodes = m_directory.liveNodes();
-    fullState.targets = m_directory.allTargets();
+    fullState.targets = m_directory.allTargets(now);
     fullState.crashes = m_directory.crashes();
     if (beaconIsFresh(now))
         fullState.__set_beacon(m_lastBeacon);
@@ -439,7 +441,7 @@
         m_pendingReport.acks.push_back(it);
     m_pendingReport.alarms.insert(m_pendingReport.alarms.end(), report.alarms.begin(), report.alarms.end());
     m_pendingReport.evidence.insert(m_pendingReport.evidence.end(), report.evidence.begin(), report.evidence.end());
-    publish();
+    publish(now);
 }
 
 void DistributionCore::addReport(const wire::Report& report, Instant now)
@@ -460,7 +462,7 @@
         if (node && it.node != m_settings.id)
             report.nodes.push_back(*node);
     }
-    for (const auto& it : m_directory.allTargets()) {
+    for (const auto& it : m_directory.allTargets(now)) {
         bool inSubtree = std::any_of(
             report.nodes.begin(), report.nodes.end(), [&](const wire::NodeInfo& n) { return n.node == it.node; });
         if (inSubtree)
@@ -485,14 +487,14 @@
 
 // ---- digests ----
 
-std::string DistributionCore::answerDigest(std::string_view payload) const
+std::string DistributionCore::answerDigest(std::string_view payload, Instant now) const
 {
     auto digest = base::decode<wire::Digest>(payload);
     wire::DigestAnswer answer;
     answer.version = m_state->version();
     if (m_state->version() > digest.version)
         answer.__set_delta(m_state->deltaSince(digest.version));
-    auto differing = m_directory.entriesDifferingFrom(digest.buckets);
+    auto differing = m_directory.entriesDifferingFrom(digest.buckets, now);
     answer.nodes = std::move(differing.nodes);
     answer.targets = std::move(differing.targets);
     return base::encode(answer);
@@ -529,7 +531,7 @@
     if (answer.__isset.delta)
         applyDelta(answer.delta, now);
     updateServing(now);
-    publish();
+    publish(now);
 }
 
 // ---- targets of this host ----
@@ -619,7 +621,6 @@
     }
     m_heldAnnouncements.erase(announcement.target);
     auto& entry = localTarget(announcement.target);
-    retireReplacedTargets(announcement, now);
     bool isNewIncarnation = entry.announcement.incarnation != announcement.incarnation;
     if (isNewIncarnation)
         entry.departed = entry.leaving = false;
@@ -630,19 +631,28 @@
     Announcement comparable = announcement;
     comparable.sequence = entry.announcement.sequence;
     comparable.coldLeft = entry.announcement.coldLeft;
+    comparable.receivedAt = entry.announcement.receivedAt;
+    comparable.assumedColdAt = isNewIncarnation ? Instant() : entry.announcement.assumedColdAt;
+    comparable.serviceColdStart = entry.announcement.serviceColdStart;
+    comparable.coldCallsPerSecond = entry.announcement.coldCallsPerSecond;
     if (entry.leaving)
         comparable.state = wire::TargetState::LEAVING;
     bool changed = !(entry.announcement == comparable);
     entry.announcement = announcement;
+    entry.announcement.receivedAt = now;
+    entry.announcement.assumedColdAt = comparable.assumedColdAt;
     entry.announcement.state = comparable.state;
+    followCold(entry, isNewIncarnation, now);
+    // The gate of the new target takes over from that of the earlier one, so they appear and go in one step.
+    retireReplacedTargets(announcement, now);
     entry.announcement.sequence = std::max(announcement.sequence, lastSequence);
     entry.leaseEnd = now + m_settings.targetLease;
     if (!changed)
-        return;
+        return publishColdChange(entry, now);
     publishTarget(entry, now);
     if (isLeaving)
         reportDepartureNow();
-    publish();
+    publish(now);
 }
 
 // Marks earlier targets at the announced address as gone: a newer target there proves that they have ended, whether or
@@ -687,7 +697,7 @@
         entry.announcement.state = wire::TargetState::LEAVING;
     publishTarget(entry, now);
     reportDepartureNow();
-    publish();
+    publish(now);
 }
 
 // Sends the report before the departure is acknowledged: this process may end at any time afterwards.
@@ -742,10 +752,10 @@
         return;
     state = wire::TargetState::LEAVING;
     publishTarget(it->second, now);
-    publish();
+    publish(now);
 }
 
-void DistributionCore::publishTarget(const LocalTarget& target, Instant now)
+void DistributionCore::publishTarget(LocalTarget& target, Instant now)
 {
     const auto& it = target.announcement;
     wire::Presence presence;
@@ -763,17 +773,13 @@
     bool isDraining = m_draining && it.state != wire::TargetState::GONE;
     presence.state = isDraining ? wire::TargetState::LEAVING : it.state;
     presence.slots = it.slots;
-    presence.coldLeftMs = static_cast<int32_t>(it.coldLeft.value_or(Millis(0)).count());
+    presence.coldLeftMs = static_cast<int32_t>(coldLeft(target, now).count());
+    target.publishedColdUntil = now + Millis(presence.coldLeftMs);
     base::logInfo("target.announced",
         { { "target", it.target }, { "service", it.serviceName }, { "version", it.version },
             { "state", static_cast<int>(presence.state) } });
     mergePresence({}, { presence }, now, true);
-    std::vector<Announcement> local;
-    for (const auto& [name, entry] : m_localTargets) {
-        if (entry.announcement.state != wire::TargetState::GONE)
-            local.push_back(entry.announcement);
-    }
-    m_outputs.publishLocalTargets(std::move(local));
+    publishLocalTargets();
 }
 
 void DistributionCore::expireTargets(Instant now)
@@ -795,10 +801,10 @@
 void DistributionCore::startDraining(Instant now)
 {
     m_draining = true;
-    for (const auto& [name, entry] : m_localTargets)
+    for (auto& [name, entry] : m_localTargets)
         publishTarget(entry, now);
     flushReport();
-    publish();
+    publish(now);
 }
 
 void DistributionCore::announceStop(Instant now)
@@ -834,17 +840,18 @@
         m_evidenceDue = now + EVIDENCE_PERIOD;
     if (urgent || evidenceDue)
         flushReport();
-    publish();
+    publish(now);
 }
 
-void DistributionCore::publish()
+void DistributionCore::publish(Instant now)
 {
     if (!std::exchange(m_viewDirty, false))
         return;
     auto view = std::make_shared<MeshView>();
     view->config = m_activeConfig;
     view->routes = m_routes;
-    view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets());
+    view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets(now));
+    view->targetsAt = now;
     view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
     view->beaconAt = m_beaconAt;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -14,6 +14,7 @@
 #include "pomelowind/nodes/ConfigPublisher.h"
 #include "pomelowind/nodes/Directory.h"
 #include "pomelowind/nodes/ParentChooser.h"
+#include "pomelowind/targets/ColdState.h"
 
 #include <map>
 #include <memory>
@@ -54,7 +55,7 @@
     void childDisconnected(const std::string& child, base::Instant now);
     void digestAnswered(std::string_view payload, base::Instant now);
     // Returns the encoded answer to a peer's encoded digest. Throws UserError(Protocol).
-    std::string answerDigest(std::string_view payload) const;
+    std::string answerDigest(std::string_view payload, base::Instant now) const;
     // Registers a target of this host or renews its lease; announcements that are out of date are ignored. Throws
     // UserError(InvalidInput) when the target is not one of this host.
     void announce(const Announcement& announcement, base::Instant now);
@@ -66,6 +67,9 @@
     // Replaces the learned control hosts (mesh addresses) that may be the parent, besides the configured ones. No
     // effect unless NodeSettings::usesDiscovery is set.
     void learnControlHosts(const std::vector<std::string>& hosts);
+    // Counts the targets of this host as cold until an announcement received after `now` says that they are not. Called
+    // when an evacuation of this data centre has ended; no effect on targets of services without a limit while cold.
+    void assumeCold(base::Instant now);
     // Adds evidence, alarms and crashes that this node's calls have found to the next report.
     void addReport(const wire::Report& report, base::Instant now);
     // Begins the stop of the node: announces its targets as draining, so that other nodes send them no new calls.
@@ -88,6 +92,8 @@
         base::Instant leaseEnd;
         bool announcedLeaving { false }; // by the last announcement
         bool leaving { false }; // has said so, whatever its announcements say
+        targets::ColdState cold;
+        base::Instant publishedColdUntil; // as other nodes know it
         bool departed { false }; // has announced its departure; later announcements of the incarnation are out of date
         bool leavesForGood() const { return leaving || departed; }
     };
@@ -116,13 +122,19 @@
     void mergeCrashes(const nodes::CrashList& crashes, base::Instant now, bool fromSubtree);
     void publishToChildren();
     void acknowledge(base::Instant now);
-    void publishTarget(const LocalTarget& target, base::Instant now);
+    void publishTarget(LocalTarget& target, base::Instant now);
+    void publishLocalTargets();
+    bool setColdLimit(LocalTarget& target) const;
+    base::Millis coldLeft(const LocalTarget& target, base::Instant now) const;
+    void followCold(LocalTarget& target, bool isNewIncarnation, base::Instant now);
+    void publishColdChange(LocalTarget& target, base::Instant now);
+    void followColdConfiguration(const wire::Delta& delta, int64_t fromVersion, base::Instant now);
     void reportSubtree(base::Instant now);
     void flushReport();
     void expireTargets(base::Instant now);
     void startDigestExchange(base::Instant now);
     void updateServing(base::Instant now);
-    void publish();
+    void publish(base::Instant now);
     bool beaconIsFresh(base::Instant now) const;
     wire::NodeInfo ownNodeInfo(bool isGone);
 
--- a/src/node/DistributionNetwork.cpp
+++ b/src/node/DistributionNetwork.cpp
@@ -128,7 +128,7 @@
         return m_core->digestAnswered(payload, now);
     }
     if (link->peerRole() == DIGEST_ROLE && kind == FrameKind::DIGEST) {
-        link->send(FrameKind::DIGEST_ANSWER, m_core->answerDigest(payload));
+        link->send(FrameKind::DIGEST_ANSWER, m_core->answerDigest(payload, m_clock.now()));
         return;
     }
     auto it = m_children.find(link->peerId());
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -63,7 +63,12 @@
             client.refusalMark = m_protocol.refusalMark();
             client.bodyMemory = m_bodyMemory;
             target->client = http::makeHttpClient(m_io, it.address, client);
+            for (const auto& [name, earlier] : m_targets) {
+                if (earlier->announcement.address == it.address)
+                    target->gate->adoptStarts(*earlier->gate);
+            }
         }
+        updateCold(*target, it, !isUnchanged);
         target->announcement = it;
         target->gate->setSlots(it.slots);
         if (it.state == wire::TargetState::LEAVING && !target->isDraining)
@@ -91,7 +96,8 @@
     answer.typicalMicros = static_cast<int64_t>(it->second->gate->typicalMs(call.request.account) * MICROS_PER_MS);
     answer.inFlight = it->second->gate->running();
     answer.queued = it->second->gate->queued();
-    answer.cold = it->second->gate->isCold(m_clock.now());
+    const auto& gate = *it->second->gate;
+    answer.cold = gate.hasColdRate() ? gate.isColdLimited(m_clock.now()) : gate.isCold(m_clock.now());
     if (auto rate = it->second->acceptedRate.callsPerSecond())
         answer.__set_maxCallsPerSecond(*rate);
     answer.leaving = it->second->notice.leaving;
@@ -143,6 +149,7 @@
     }
     if (heardRate && it->second->acceptedRate.onHint(*heardRate))
         it->second->gate->setMaxRate(it->second->acceptedRate.callsPerSecond(), now);
+    applyHeardColdRate(*it->second, m_calls.at(id).request);
     std::optional<uint64_t> shed;
     auto verdict = it->second->gate->admit(gateCall, now, shed);
     if (shed)
@@ -150,7 +157,7 @@
     if (verdict == GateVerdict::Run)
         run(id);
     else if (verdict == GateVerdict::Overloaded)
-        refuse(id, "the target is overloaded");
+        refuse(id, overloadReason(*it->second));
     else if (verdict == GateVerdict::Draining)
         refuse(id, "the target is leaving");
     else if (!gateCall.bodyArrived)
@@ -286,6 +293,7 @@
 {
     if (target.isDraining)
         return;
+    suspectRestart(target, result);
     auto now = m_clock.now();
     auto brokenCall = [&] {
         return targets::BrokenCall { fingerprintOf(call.request, call.body), call.request.requestId, now };
@@ -340,6 +348,8 @@
 void LocalTargets::applyGateStep(Target& target, const targets::GateStep& step)
 {
     const char* reason = target.isDraining ? "the target is leaving" : "the deadline could not be met";
+    if (!target.isDraining && target.gate->isAtColdRate(m_clock.now()))
+        m_refusedByCold += step.refuse.size();
     for (uint64_t id : step.refuse)
         refuse(id, reason);
     for (uint64_t id : step.run)
@@ -439,6 +449,7 @@
 void LocalTargets::sweep()
 {
     logLoad(m_clock.now());
+    logCold(m_clock.now());
     reportLongRuns(m_clock.now());
     refuseStalledBodies(m_clock.now());
     grantBodies();
--- a/src/node/LocalTargets.h
+++ b/src/node/LocalTargets.h
@@ -9,6 +9,7 @@
 #include "pomelowind/node/CallProtocol.h"
 #include "pomelowind/targets/AcceptedRate.h"
 #include "pomelowind/targets/BodyFlowControl.h"
+#include "pomelowind/targets/ColdState.h"
 #include "pomelowind/targets/CrashDetector.h"
 #include "pomelowind/targets/Gate.h"
 
@@ -52,6 +53,9 @@
     void setLeavingListener(LeavingListener listener) { m_onLeaving = std::move(listener); }
     // Sets the function that learns of crashes of targets of this host.
     void setCrashListener(CrashListener listener) { m_onCrashed = std::move(listener); }
+    // Counts all targets as cold until an announcement received after `now` says that they are not. To be called when
+    // calls return to the targets of this host after a time without any, as after an evacuation.
+    void assumeCold(base::Instant now);
     const RunningCalls& runningCalls() const { return m_runningCalls; }
     // Refuses calls that have timed out and reports long-running ones to the gates. To be called every few
     // milliseconds.
@@ -70,6 +74,10 @@
     uint64_t crashes() const { return m_crashes; }
     // Calls per second that the targets of this host say they accept; 0 if none names a limit.
     double maxCallsPerSecond() const;
+    // Calls refused since the start because their target is cold.
+    uint64_t refusedByCold() const { return m_refusedByCold; }
+    // Targets that are cold now and accept a limited number of calls per second.
+    int coldTargets() const;
 
 private:
     // Calls at a target since the last line about its load.
@@ -87,6 +95,8 @@
         LoadCounts load;
         std::unique_ptr<targets::Gate> gate;
         std::shared_ptr<http::HttpClient> client;
+        targets::ColdState cold;
+        bool loggedCold { false };
         bool isDraining { false };
     };
     struct Call {
@@ -109,6 +119,12 @@
     void applyGateStep(Target& target, const targets::GateStep& step);
     void onNotice(Target& target, const targets::TargetNotice& notice, base::Instant sentAt);
     void drain(Target& target);
+    void updateCold(Target& target, const Announcement& announcement, bool isNew);
+    void assumeCold(Target& target, base::Instant trustedFrom);
+    void suspectRestart(Target& target, const http::ExchangeResult& result);
+    void applyHeardColdRate(Target& target, const wire::CallRequest& request);
+    const char* overloadReason(const Target& target);
+    void logCold(base::Instant now);
     void watchForCrash(Target& target, const Call& call, const http::ExchangeResult& result);
     void onCrashed(const Target& target, const std::vector<targets::BrokenCall>& calls, const char* evidence);
     void logLoad(base::Instant now);
@@ -136,6 +152,7 @@
     uint64_t m_nextId { 1 };
     uint64_t m_sentCalls { 0 };
     uint64_t m_crashes { 0 };
+    uint64_t m_refusedByCold { 0 };
 };
 
 } // namespace pomelowind::node
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -201,6 +201,8 @@
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
             m_targetLimit->set(m_callPath->localTargets().maxCallsPerSecond());
+            m_refusedByCold->set(static_cast<double>(m_callPath->localTargets().refusedByCold()));
+            m_targetsCold->set(m_callPath->localTargets().coldTargets());
         }));
     }
 
@@ -217,6 +219,9 @@
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
+        m_refusedByCold = m_metrics->gauge(
+            "calls_refused_cold", "Calls refused by the gates of this host because targets are cold");
+        m_targetsCold = m_metrics->gauge("targets_cold", "Targets of this host that are cold and have a limit");
         m_targetLimit
             = m_metrics->gauge("target_limit", "Calls per second that the targets of this host accept; 0: any");
     }
@@ -241,6 +246,7 @@
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
+    std::shared_ptr<host::Gauge> m_refusedByCold, m_targetsCold;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -75,7 +75,7 @@
         auto found = m_nodes.find(it.node);
         if (found != m_nodes.end() && !supersedes(it, found->second.entry))
             continue;
-        m_nodes[it.node] = { it, now };
+        m_nodes[it.node] = { it, now, now };
         change.nodes.push_back(it);
     }
     for (const auto& it : targets)
@@ -87,7 +87,7 @@
 {
     auto found = m_targets.find(reported.target);
     if (found == m_targets.end()) {
-        m_targets[reported.target] = { reported, now };
+        m_targets[reported.target] = { reported, now, now };
         change.targets.push_back(reported);
         return;
     }
@@ -98,7 +98,7 @@
     if (merged == record.entry)
         return;
     bool isCorrected = isNewer && merged != reported;
-    record = { merged, now };
+    record = { merged, now, isNewer ? now : record.reportedAt };
     change.targets.push_back(merged);
     if (isCorrected)
         change.corrected.push_back(merged);
@@ -109,7 +109,7 @@
     CrashList changed;
     for (const auto& it : crashes) {
         auto [found, isNew]
-            = m_crashes.try_emplace({ it.target, it.incarnation }, Record<wire::TargetCrash> { {}, now });
+            = m_crashes.try_emplace({ it.target, it.incarnation }, Record<wire::TargetCrash> { {}, now, now });
         auto& entry = found->second.entry;
         entry.target = it.target;
         entry.incarnation = it.incarnation;
@@ -170,11 +170,21 @@
     return out;
 }
 
-std::vector<wire::Presence> Directory::allTargets() const
+wire::Presence Directory::agedEntry(const Record<wire::Presence>& record, base::Instant now)
+{
+    auto out = record.entry;
+    if (now > record.reportedAt && out.coldLeftMs > 0) {
+        auto age = std::chrono::duration_cast<base::Millis>(now - record.reportedAt).count();
+        out.coldLeftMs = static_cast<int32_t>(std::max<int64_t>(0, out.coldLeftMs - age));
+    }
+    return out;
+}
+
+std::vector<wire::Presence> Directory::allTargets(base::Instant now) const
 {
     std::vector<wire::Presence> out;
     for (const auto& [name, record] : m_targets)
-        out.push_back(record.entry);
+        out.push_back(agedEntry(record, now));
     return out;
 }
 
@@ -190,7 +200,7 @@
     return it == m_targets.end() ? nullptr : &it->second.entry;
 }
 
-TargetList Directory::liveTargets() const
+TargetList Directory::liveTargets(base::Instant now) const
 {
     TargetList out;
     for (const auto& [name, record] : m_targets) {
@@ -198,7 +208,7 @@
         // A restarted node has lost its list of targets. The targets that are still running announce themselves again.
         bool stale = node && (node->gone || node->incarnation > record.entry.incarnation);
         if (record.entry.state != wire::TargetState::GONE && !stale)
-            out.push_back(record.entry);
+            out.push_back(agedEntry(record, now));
     }
     return out;
 }
@@ -208,12 +218,15 @@
     Buckets buckets {};
     for (const auto& [name, record] : m_nodes)
         buckets[bucketOf(name)] ^= base::hash64(base::encode(record.entry));
-    for (const auto& [name, record] : m_targets)
-        buckets[bucketOf(name)] ^= base::hash64(base::encode(record.entry));
+    for (const auto& [name, record] : m_targets) {
+        auto entry = record.entry;
+        entry.coldLeftMs = 0;
+        buckets[bucketOf(name)] ^= base::hash64(base::encode(entry));
+    }
     return buckets;
 }
 
-DirectoryEntries Directory::entriesDifferingFrom(const std::vector<int64_t>& theirs) const
+DirectoryEntries Directory::entriesDifferingFrom(const std::vector<int64_t>& theirs, base::Instant now) const
 {
     DirectoryEntries out;
     auto ours = digest();
@@ -227,7 +240,7 @@
     }
     for (const auto& [name, record] : m_targets) {
         if (differs(name))
-            out.targets.push_back(record.entry);
+            out.targets.push_back(agedEntry(record, now));
     }
     return out;
 }
--- a/src/targets/Balancer.cpp
+++ b/src/targets/Balancer.cpp
@@ -51,6 +51,7 @@
     : m_dataCentre(std::move(dataCentre))
     , m_random(seed)
     , m_price(price)
+    , m_coldTargets(m_dataCentre, seed + 1)
 {
 }
 
@@ -161,7 +162,8 @@
     const VersionFilter& versions, const std::set<std::string>& excluded, base::Instant now,
     const PlacementRequest& call)
 {
-    auto usable = withoutEjected(findCandidates(targets, service, versions, excluded), now);
+    auto usable
+        = m_coldTargets.available(withoutEjected(findCandidates(targets, service, versions, excluded), now), now);
     Candidates localCandidates;
     Candidates remoteCandidates;
     for (const auto* it : usable)
@@ -171,8 +173,11 @@
     const auto* remote = cheapest(std::move(remoteCandidates), now);
     if (!local && !remote)
         return std::nullopt;
-    if (!local || (remote && shouldCrossDataCentres(*local, *remote, now, call)))
+    if (!local || (remote && shouldCrossDataCentres(*local, *remote, now, call))) {
+        m_coldTargets.onChosen(remote->target, now);
         return Placement { *remote, {} };
+    }
+    m_coldTargets.onChosen(local->target, now);
     Placement out { *local, {} };
     if (isLastLocal)
         out.maxQueueWait = base::Millis(static_cast<int64_t>(m_price.equivalentWaitMs(profileOf(call).bytes)));
@@ -190,6 +195,8 @@
     stats.inFlight = std::max(0, stats.inFlight - 1);
     stats.reportedCalls = result.inFlight + result.queued;
     stats.reportedAt = now;
+    if (result.cold)
+        m_coldTargets.onAnswered(result.target, *result.cold, result.refused, result.retryAfter, now);
     if (result.responseBytes && (m_responseBytes.size() < MAX_KINDS || m_responseBytes.count(result.kind))) {
         auto bytes = static_cast<double>(result.responseBytes);
         auto [known, isNew] = m_responseBytes.emplace(result.kind, bytes);
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -127,10 +127,30 @@
 // Returns the time until the target accepts `n` more calls than the gate has sent it; 0 if its rate is not limited.
 double Gate::untilTokensMs(double n, base::Instant now) const
 {
+    double untilColdTurn = untilColdTurnMs(n, now);
     if (!m_acceptedCalls)
-        return 0;
+        return untilColdTurn;
     auto bucket = *m_acceptedCalls;
-    return std::max(0.0, n - bucket.availableTokens(now)) * MS_PER_SECOND / m_maxRate;
+    double untilTokens = std::max(0.0, n - bucket.availableTokens(now)) * MS_PER_SECOND / m_maxRate;
+    return std::max(untilTokens, untilColdTurn);
+}
+
+// Returns the time until the cold target accepts `n` more calls, or until it is no longer cold.
+double Gate::untilColdTurnMs(double n, base::Instant now) const
+{
+    if (!isColdLimited(now))
+        return 0;
+    double untilTurn = m_coldRate->waitMs(static_cast<int>(std::ceil(n)), now);
+    return m_coldUntil == base::Instant::max() ? untilTurn : std::min(untilTurn, toMs(m_coldUntil - now));
+}
+
+// Returns the calls per second that the target accepts now; empty: any number.
+std::optional<double> Gate::ratePerSecond(base::Instant now) const
+{
+    bool isLimited = isColdLimited(now);
+    if (!m_acceptedCalls)
+        return isLimited ? std::optional(m_coldCallsPerSecond) : std::nullopt;
+    return isLimited ? std::min(m_maxRate, m_coldCallsPerSecond) : m_maxRate;
 }
 
 // Returns the expected wait, given that the queued calls ahead are served by the slots, and by the calls per second,
@@ -145,10 +165,11 @@
     double slots = std::max(1, m_options.slots);
     double shareOfSlots = std::min(maxShare, lower.serviceMs / (LOAD_WINDOW_MS * slots));
     double untilSlotMs = m_serviceMs / slots * position / (1 - shareOfSlots);
-    if (!m_acceptedCalls)
+    auto rate = ratePerSecond(now);
+    if (!rate)
         return untilSlotMs;
     double shareOfRate
-        = std::min(MAX_SHARE_OF_LOWER_RANKS_FOR_RATE, lower.calls * MS_PER_SECOND / (LOAD_WINDOW_MS * m_maxRate));
+        = std::min(MAX_SHARE_OF_LOWER_RANKS_FOR_RATE, lower.calls * MS_PER_SECOND / (LOAD_WINDOW_MS * *rate));
     return std::max(untilSlotMs, untilTokensMs(position, now) / (1 - shareOfRate));
 }
 
@@ -383,9 +404,29 @@
     m_acceptedCalls->setBurst(burst);
 }
 
+void Gate::setColdRate(std::optional<double> callsPerSecond)
+{
+    if (!callsPerSecond) {
+        m_coldRate.reset();
+        return;
+    }
+    if (!m_coldRate)
+        m_coldRate.emplace(*callsPerSecond);
+    else if (m_coldCallsPerSecond != *callsPerSecond)
+        m_coldRate->setRate(*callsPerSecond);
+    m_coldCallsPerSecond = *callsPerSecond;
+}
+
+void Gate::adoptStarts(const Gate& earlier)
+{
+    m_coldRate = earlier.m_coldRate;
+    m_coldCallsPerSecond = earlier.m_coldCallsPerSecond;
+}
+
 bool Gate::hasRoom(base::Instant now)
 {
-    return m_running < limit(now) && (!m_acceptedCalls || m_acceptedCalls->availableTokens(now) >= 1);
+    return m_running < limit(now) && (!m_acceptedCalls || m_acceptedCalls->availableTokens(now) >= 1)
+        && !isAtColdRate(now);
 }
 
 // Takes the room of a call that begins to run.
@@ -394,6 +435,8 @@
     ++m_running;
     if (m_acceptedCalls)
         m_acceptedCalls->tryTake(now);
+    if (m_coldRate)
+        m_coldRate->onStarted(now);
 }
 
 base::Millis Gate::retryAfter(base::Instant now) const
--- a/tests/platform/ReleasesAreDecodedOrRejected.cpp
+++ b/tests/platform/ReleasesAreDecodedOrRejected.cpp
@@ -6,6 +6,7 @@
 #include "pomelowind/config/Release.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace pomelowind;
@@ -85,6 +86,42 @@
         EXPECT_THROW(platform::decodeRelease(text.substr(0, n)), base::UserError) << n;
 }
 
+TEST(ReleasesAreDecodedOrRejected, LimitsOfColdTargetsAreDecodedAndBounded)
+{
+    auto decode = [](const json& coldStart, const json& coldRate) {
+        auto body = document();
+        body["services"][0]["cold_start_s"] = coldStart;
+        body["services"][0]["cold_per_s"] = coldRate;
+        return platform::decodeRelease(body.dump()).services.at(0);
+    };
+    EXPECT_EQ(decode(3.0, 13.0).coldStartMs, 3000);
+    EXPECT_EQ(decode(0.0001, 0.5).coldStartMs, 1);
+    EXPECT_EQ(decode(3, 12.5).coldCallsPerSecond, 12.5);
+    EXPECT_EQ(decode(nullptr, nullptr).coldCallsPerSecond, 0);
+    auto without = platform::decodeRelease(document().dump()).services.at(0);
+    EXPECT_EQ(without.coldStartMs, 0);
+    EXPECT_EQ(without.coldCallsPerSecond, 0) << "no limit";
+    auto isRejectedWith = [](const char* field, const json& value) {
+        auto body = document();
+        body["services"][0][field] = value;
+        return isRejected(body);
+    };
+    EXPECT_FALSE(isRejectedWith("cold_start_s", 600));
+    EXPECT_TRUE(isRejectedWith("cold_start_s", 600.1));
+    EXPECT_TRUE(isRejectedWith("cold_start_s", -0.5));
+    EXPECT_TRUE(isRejectedWith("cold_start_s", 1e300));
+    EXPECT_TRUE(isRejectedWith("cold_start_s", "3"));
+    EXPECT_FALSE(isRejectedWith("cold_per_s", 10000));
+    EXPECT_TRUE(isRejectedWith("cold_per_s", 10001));
+    EXPECT_TRUE(isRejectedWith("cold_per_s", -1));
+    wire::Release notFinite;
+    notFinite.header.number = 1;
+    notFinite.services.emplace_back();
+    notFinite.services[0].name = "s";
+    notFinite.services[0].coldCallsPerSecond = std::numeric_limits<double>::quiet_NaN();
+    EXPECT_THROW(config::validateRelease(notFinite), base::UserError);
+}
+
 TEST(ReleasesAreDecodedOrRejected, UploadRoutesHaveLargeBodiesAndAreNotIdempotent)
 {
     auto body = document();
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -187,13 +187,14 @@
     node.accepted.clear();
 }
 
-void CallPathFixture::startTarget(int i)
+void CallPathFixture::startTarget(int i, bool announcesItself)
 {
     auto& node = *m_nodes.at(static_cast<size_t>(i));
     ++node.targetIncarnation;
     base::listenOn(*node.targetPort, { ip(i), TARGET_PORT });
     accept(node);
-    publish();
+    if (announcesItself)
+        publish();
 }
 
 size_t CallPathFixture::pollOne()
@@ -234,6 +235,7 @@
 {
     wire::ServiceResource service;
     service.name = "s";
+    service.coldCallsPerSecond = m_options.coldCallsPerSecond;
     wire::Resource resource;
     resource.key = config::serviceKey("s");
     resource.__set_serviceResource(service);
@@ -256,7 +258,9 @@
         announcement.address = { ip(i), TARGET_PORT };
         announcement.slots = m_options.slots;
         announcement.incarnation = node.targetIncarnation;
-        announcement.coldLeft = base::Millis(0);
+        announcement.coldLeft = m_options.coldLeft;
+        announcement.receivedAt = m_clock.now();
+        announcement.coldCallsPerSecond = m_options.coldCallsPerSecond;
         node.path->setLocalTargets({ announcement });
         wire::Presence presence;
         presence.target = announcement.target;
@@ -269,13 +273,22 @@
         presence.targetIncarnation = node.targetIncarnation;
         presence.state = wire::TargetState::SERVING;
         presence.slots = m_options.slots;
+        presence.coldLeftMs = static_cast<int32_t>(m_options.coldLeft.count());
+        presence.sequence = ++m_presenceSequence;
         targets.push_back(presence);
     }
     view->targets = std::make_shared<nodes::TargetList>(std::move(targets));
+    view->targetsAt = m_clock.now();
     for (auto& it : m_nodes)
         it->path->setView(view);
 }
 
+void CallPathFixture::announce(base::Millis coldLeft)
+{
+    m_options.coldLeft = coldLeft;
+    publish();
+}
+
 RawConnectionPtr CallPathFixture::connect(int i)
 {
     tcp::socket socket(m_io);
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -58,6 +58,8 @@
         bool usesProductProtocol { false }; // of callers and targets; false: the platform's
         int maxAttempts { 2 }; // of both routes
         base::Millis stopTimeout { 60000 }; // see NodeSettings
+        double coldCallsPerSecond { 0 }; // of service "s"; 0: no limit
+        base::Millis coldLeft { 0 }; // as the targets announce it
         std::vector<std::string> services; // of the callers of each node; "s" where missing
     };
     explicit CallPathFixture(Options options);
@@ -70,8 +72,11 @@
     void setFrozen(int i, bool frozen) { m_nodes.at(static_cast<size_t>(i))->frozen = frozen; }
     // Ends the target of node `i` as a crash does: its connections break, and new ones are refused.
     void crashTarget(int i);
-    // Starts the next incarnation of the target of node `i`, which announces itself.
-    void startTarget(int i);
+    // Lets all targets announce themselves with this remaining cold time.
+    void announce(base::Millis coldLeft);
+    // Starts the next incarnation of the target of node `i`, which announces itself at once or with the next
+    // announce().
+    void startTarget(int i, bool announcesItself = true);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
     void step();
     // Opens a caller's connection to node `i`.
@@ -116,6 +121,7 @@
     std::unique_ptr<node::CallProtocol> m_protocol;
     nodes::Directory m_directory; // shared at once, as by a connected mesh
     bool m_crashesChanged { false };
+    int64_t m_presenceSequence { 0 };
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<node::CallPath>> m_endedPaths; // handlers of closed sockets may still refer to them
 };
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -28,6 +28,8 @@
         out.clock = &clock;
         out.services = options.services;
         out.usesProductProtocol = options.usesProductProtocol;
+        out.coldCallsPerSecond = options.coldCallsPerSecond;
+        out.coldLeft = options.coldLeft;
         return out;
     }
 
@@ -79,7 +81,7 @@
         for (auto& [node, target] : m_targets) {
             if (target.downUntil && m_clock.now() >= *target.downUntil) {
                 target.downUntil.reset();
-                m_fixture.startTarget(node);
+                m_fixture.startTarget(node, m_options.announcesStarts);
             }
         }
         m_fixture.step();
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -48,6 +48,9 @@
         bool usesProductProtocol { false };
         base::Millis crashDelay { 0 }; // from the arrival of a crashing call to the crash
         base::Millis downTime { 2000 }; // from a target's crash to its next incarnation
+        bool announcesStarts { true }; // false: a target that has started again does so with the next announce()
+        double coldCallsPerSecond { 0 }; // of the service; 0: no limit
+        base::Millis coldLeft { 0 }; // as the targets announce it at first
     };
     explicit CalledService(const Options& options);
 
@@ -55,6 +58,8 @@
     void run(base::Millis duration, double callsPerSecond);
     // Sets what the target of node `i` says in its responses from now on.
     void setNotice(int i, const targets::TargetNotice& notice);
+    // Lets all targets announce themselves with this remaining cold time.
+    void announce(base::Millis coldLeft) { m_fixture.announce(coldLeft); }
     // Restarts node `i`, whose target goes on. The node forgets all that it knew.
     void restart(int i);
     // Stops node `i` from running, or lets it go on.
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -208,7 +208,10 @@
   // Calls per second that the target accepts, as the sender last heard; unset when it has heard of no limit.
   20: optional double maxCallsPerSecond,
   // Name of the client account whose key the call carries; empty when it carries none.
-  21: string clientAccount
+  21: string clientAccount,
+  // Calls per second that cold targets of the service accept, as the sender's configuration says; unset: no limit. The
+  // target's node uses it while it has no configuration.
+  22: optional double coldCallsPerSecond
 }
 struct CallAnswer {
   1: i64 id, 2: Outcome outcome, 3: i32 status, 4: list<Header> headers, 5: binary body,
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -12695,6 +12695,11 @@
 void CallRequest::__set_clientAccount(const std::string& val) {
   this->clientAccount = val;
 }
+
+void CallRequest::__set_coldCallsPerSecond(const double val) {
+  this->coldCallsPerSecond = val;
+__isset.coldCallsPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -12903,6 +12908,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldCallsPerSecond);
+          this->__isset.coldCallsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13013,6 +13026,11 @@
   xfer += oprot->writeString(this->clientAccount);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.coldCallsPerSecond) {
+    xfer += oprot->writeFieldBegin("coldCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 22);
+    xfer += oprot->writeDouble(this->coldCallsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13041,6 +13059,7 @@
   swap(a.mostWaitMs, b.mostWaitMs);
   swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
   swap(a.clientAccount, b.clientAccount);
+  swap(a.coldCallsPerSecond, b.coldCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -13066,6 +13085,7 @@
   mostWaitMs = other522.mostWaitMs;
   maxCallsPerSecond = other522.maxCallsPerSecond;
   clientAccount = other522.clientAccount;
+  coldCallsPerSecond = other522.coldCallsPerSecond;
   __isset = other522.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other523) noexcept {
@@ -13090,6 +13110,7 @@
   mostWaitMs = other523.mostWaitMs;
   maxCallsPerSecond = other523.maxCallsPerSecond;
   clientAccount = std::move(other523.clientAccount);
+  coldCallsPerSecond = other523.coldCallsPerSecond;
   __isset = other523.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other524) {
@@ -13114,6 +13135,7 @@
   mostWaitMs = other524.mostWaitMs;
   maxCallsPerSecond = other524.maxCallsPerSecond;
   clientAccount = other524.clientAccount;
+  coldCallsPerSecond = other524.coldCallsPerSecond;
   __isset = other524.__isset;
   return *this;
 }
@@ -13139,6 +13161,7 @@
   mostWaitMs = other525.mostWaitMs;
   maxCallsPerSecond = other525.maxCallsPerSecond;
   clientAccount = std::move(other525.clientAccount);
+  coldCallsPerSecond = other525.coldCallsPerSecond;
   __isset = other525.__isset;
   return *this;
 }
@@ -13166,6 +13189,7 @@
   out << ", " << "mostWaitMs=" << to_string(mostWaitMs);
   out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
   out << ", " << "clientAccount=" << to_string(clientAccount);
+  out << ", " << "coldCallsPerSecond="; (__isset.coldCallsPerSecond ? (out << to_string(coldCallsPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -4662,7 +4662,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false), maxCallsPerSecond(false), clientAccount(false) {}
+  _CallRequest__isset() : id(false), method(false), path(false), headers(false), body(false), budgetMs(false), serviceName(false), target(false), account(false), priority(false), incarnation(false), requestId(false), callerService(false), objectiveMs(false), mayWait(true), nested(false), usualMs(false), laterBytes(false), mostWaitMs(false), maxCallsPerSecond(false), clientAccount(false), coldCallsPerSecond(false) {}
   bool id :1;
   bool method :1;
   bool path :1;
@@ -4684,6 +4684,7 @@
   bool mostWaitMs :1;
   bool maxCallsPerSecond :1;
   bool clientAccount :1;
+  bool coldCallsPerSecond :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4713,7 +4714,8 @@
                 laterBytes(0),
                 mostWaitMs(0),
                 maxCallsPerSecond(0),
-                clientAccount() {
+                clientAccount(),
+                coldCallsPerSecond(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4738,6 +4740,7 @@
   int32_t mostWaitMs;
   double maxCallsPerSecond;
   std::string clientAccount;
+  double coldCallsPerSecond;
 
   _CallRequest__isset __isset;
 
@@ -4783,6 +4786,8 @@
 
   void __set_clientAccount(const std::string& val);
 
+  void __set_coldCallsPerSecond(const double val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -4829,6 +4834,10 @@
       return false;
     if (!(clientAccount == rhs.clientAccount))
       return false;
+    if (__isset.coldCallsPerSecond != rhs.__isset.coldCallsPerSecond)
+      return false;
+    else if (__isset.coldCallsPerSecond && !(coldCallsPerSecond == rhs.coldCallsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
