--- a/src/targets/ColdTargets.cpp
+++ b/src/targets/ColdTargets.cpp
@@ -9,9 +9,6 @@
 namespace {
 
     constexpr double MS_PER_SECOND = 1000;
-    // Part of the rate that the nodes of the target's data centre share. The rest is for nodes with more calls than
-    // others and for those of other data centres; it also keeps random peaks below what the gate admits.
-    constexpr double SHARED_RATIO = 0.9;
     // Time for which a target counts as cold after an answer that says so, unless its presence says longer.
     constexpr auto ANSWER_LIFETIME = base::Millis(500);
     constexpr auto MAX_INTERVAL = base::Millis(60000);
@@ -52,7 +49,7 @@
         present.insert(it.target);
         auto& entry = m_entries[it.target];
         auto nodes = static_cast<double>(nodesByDataCentre[it.dataCentre].size());
-        double ms = nodes * MS_PER_SECOND / (rate->second * SHARED_RATIO);
+        double ms = nodes * MS_PER_SECOND / rate->second;
         entry.interval = base::Millis(static_cast<int64_t>(std::min(ms, static_cast<double>(MAX_INTERVAL.count()))));
         // Each list repeats what was announced; the answers of the gate may have told more since.
         if (entry.incarnation == it.incarnation && entry.sequence == it.sequence)
--- a/tests/property/ColdTargetsStayWithinTheirRate.cpp
+++ b/tests/property/ColdTargetsStayWithinTheirRate.cpp
@@ -110,3 +110,17 @@
         EXPECT_GT(mostInOneSecond(service.arrivals(1), started, service.now()), 0);
     }
 }
+
+TEST(ColdTargetsStayWithinTheirRate, WhenTheNodesBesideThemHaveNoConfigurationYet)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(seed);
+        auto it = options(seed, COLD_START);
+        it.gatesKnowColdRate = false;
+        CalledService service(it);
+        auto begin = service.now();
+        service.run(Millis(2000), OFFERED);
+        EXPECT_LE(mostInOneSecond(service.arrivals(1), begin, service.now()), COLD_RATE);
+        EXPECT_LE(mostInOneSecond(service.arrivals(2), begin, service.now()), COLD_RATE);
+    }
+}
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -260,7 +260,8 @@
         announcement.incarnation = node.targetIncarnation;
         announcement.coldLeft = m_options.coldLeft;
         announcement.receivedAt = m_clock.now();
-        announcement.coldCallsPerSecond = m_options.coldCallsPerSecond;
+        if (m_options.gatesKnowColdRate)
+            announcement.coldCallsPerSecond = m_options.coldCallsPerSecond;
         node.path->setLocalTargets({ announcement });
         wire::Presence presence;
         presence.target = announcement.target;
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -59,6 +59,7 @@
         int maxAttempts { 2 }; // of both routes
         base::Millis stopTimeout { 60000 }; // see NodeSettings
         double coldCallsPerSecond { 0 }; // of service "s"; 0: no limit
+        bool gatesKnowColdRate { true }; // false: as if their nodes had no configuration yet
         base::Millis coldLeft { 0 }; // as the targets announce it
         std::vector<std::string> services; // of the callers of each node; "s" where missing
     };
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -30,6 +30,7 @@
         out.usesProductProtocol = options.usesProductProtocol;
         out.coldCallsPerSecond = options.coldCallsPerSecond;
         out.coldLeft = options.coldLeft;
+        out.gatesKnowColdRate = options.gatesKnowColdRate;
         return out;
     }
 
--- a/tests/support/CalledService.h
+++ b/tests/support/CalledService.h
@@ -50,6 +50,7 @@
         base::Millis downTime { 2000 }; // from a target's crash to its next incarnation
         bool announcesStarts { true }; // false: a target that has started again does so with the next announce()
         double coldCallsPerSecond { 0 }; // of the service; 0: no limit
+        bool gatesKnowColdRate { true }; // false: as if their nodes had no configuration yet
         base::Millis coldLeft { 0 }; // as the targets announce it at first
     };
     explicit CalledService(const Options& options);
--- a/tests/support/ColdReturnSim.h
+++ b/tests/support/ColdReturnSim.h
@@ -24,6 +24,7 @@
         uint64_t seed { 1 };
         double coldCallsPerSecond { 13 };
         base::Millis coldStart { 3000 };
+        base::Millis after { 7000 }; // time that is simulated after the return
         double callsPerSecondAtNode { 20 }; // average; each node has 0.7 to 1.35 times as many
     };
     struct Result {
