--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -20,6 +20,7 @@
     // Client accounts by key; null: none.
     std::shared_ptr<const callers::AccountKeys> accountKeys;
     std::shared_ptr<const nodes::TargetList> targets;
+    base::Instant targetsAt; // time to which coldLeftMs of the targets refers
     // Crashes of targets; null: none.
     std::shared_ptr<const nodes::CrashList> crashes;
     int64_t claimsThroughMs { 0 }; // wall time until which the leader has promised not to start another claim epoch
--- a/src/node/CallAnswer.cpp
+++ b/src/node/CallAnswer.cpp
@@ -51,7 +51,9 @@
 {
     targets::AttemptResult result { target.target, answer.fault, answer.refused, latency, answer.inFlight,
         answer.queued, call->route->name, Micros(answer.runMicros), Micros(answer.typicalMicros),
-        answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs) };
+        answer.outcome == Outcome::RAN ? answer.body.size() : 0, Millis(answer.retryAfterMs), {} };
+    if (answer.refused || answer.runMicros)
+        result.cold = answer.cold;
     m_balancer.onAttemptEnded(result, m_clock.now());
     recordNotice(target, answer);
     auto& ratio = m_refusalRatio[call->service->name];
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -1,4 +1,5 @@
 #include "CallState.h"
+#include "ColdRates.h"
 #include "pomelowind/base/Log.h"
 
 #include <algorithm>
@@ -59,6 +60,7 @@
     updateCrashes();
     updateQuota();
     m_balancer.retain(*m_view->targets);
+    m_balancer.setCold(*m_view->targets, m_view->targetsAt, coldRates(*m_view->config));
     m_notices.retain(*m_view->targets, m_clock.now());
     for (auto& [service, budget] : m_retryBudgets)
         budget.setBurst(retryBurst());
--- a/src/node/CallPlacement.cpp
+++ b/src/node/CallPlacement.cpp
@@ -158,6 +158,8 @@
     }
     if (auto rate = m_notices.maxCallsPerSecond(target))
         request.__set_maxCallsPerSecond(*rate);
+    if (call->service->coldCallsPerSecond > 0)
+        request.__set_coldCallsPerSecond(call->service->coldCallsPerSecond);
     m_balancer.onAttemptStarted(target.target);
     auto done = [this, call, target, now](wire::CallAnswer answer) { onAnswer(call, target, now, std::move(answer)); };
     call->peerCallId = 0;
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -209,6 +209,8 @@
             m_targetCallsRunning->set(static_cast<double>(m_callPath->localTargets().runningCount()));
             m_evacuated->set(m_callPath->evacuations().isHostEvacuated() ? 1 : 0);
             m_refusedAtGates->set(static_cast<double>(m_callPath->localTargets().refusedAtClosedGates()));
+            m_refusedByCold->set(static_cast<double>(m_callPath->localTargets().refusedByCold()));
+            m_targetsCold->set(m_callPath->localTargets().coldTargets());
         }));
     }
 
@@ -235,6 +237,9 @@
         m_refusedAtGates = m_metrics->gauge(
             "target_calls_gate_closed", "Calls refused because of an evacuation, or before this node served");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
+        m_refusedByCold = m_metrics->gauge(
+            "calls_refused_cold", "Calls refused by the gates of this host because targets are cold");
+        m_targetsCold = m_metrics->gauge("targets_cold", "Targets of this host that are cold and have a limit");
         m_targetLimit
             = m_metrics->gauge("target_limit", "Calls per second that the targets of this host accept; 0: any");
     }
@@ -261,6 +266,7 @@
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked, m_overQuota, m_overEqualPart;
     std::shared_ptr<host::Gauge> m_unauthorized;
     std::shared_ptr<host::Gauge> m_targetCallsRunning, m_evacuated, m_refusedAtGates;
+    std::shared_ptr<host::Gauge> m_refusedByCold, m_targetsCold;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/tests/support/CalledService.cpp
+++ b/tests/support/CalledService.cpp
@@ -28,6 +28,9 @@
         out.clock = &clock;
         out.services = options.services;
         out.usesProductProtocol = options.usesProductProtocol;
+        out.coldCallsPerSecond = options.coldCallsPerSecond;
+        out.coldLeft = options.coldLeft;
+        out.gatesKnowColdRate = options.gatesKnowColdRate;
         return out;
     }
 
@@ -79,7 +82,7 @@
         for (auto& [node, target] : m_targets) {
             if (target.downUntil && m_clock.now() >= *target.downUntil) {
                 target.downUntil.reset();
-                m_fixture.startTarget(node);
+                m_fixture.startTarget(node, m_options.announcesStarts);
             }
         }
         m_fixture.step();
--- a/tests/support/EvacuatedMesh.cpp
+++ b/tests/support/EvacuatedMesh.cpp
@@ -125,7 +125,7 @@
     {
         for (auto& it : m_mesh.m_nodes) {
             if (it->settings.meshAdvertised == peer && m_mesh.isReachable(dataCentre, it->dataCentre))
-                core->digestAnswered(it->core->answerDigest(payload), m_mesh.m_group.now());
+                core->digestAnswered(it->core->answerDigest(payload, m_mesh.m_group.now()), m_mesh.m_group.now());
         }
     }
     void publish(node::MeshViewPtr next) override
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -12811,6 +12811,11 @@
 void CallRequest::__set_clientAccount(const std::string& val) {
   this->clientAccount = val;
 }
+
+void CallRequest::__set_coldCallsPerSecond(const double val) {
+  this->coldCallsPerSecond = val;
+__isset.coldCallsPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -13019,6 +13024,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldCallsPerSecond);
+          this->__isset.coldCallsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13129,6 +13142,11 @@
   xfer += oprot->writeString(this->clientAccount);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.coldCallsPerSecond) {
+    xfer += oprot->writeFieldBegin("coldCallsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 22);
+    xfer += oprot->writeDouble(this->coldCallsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13157,6 +13175,7 @@
   swap(a.mostWaitMs, b.mostWaitMs);
   swap(a.maxCallsPerSecond, b.maxCallsPerSecond);
   swap(a.clientAccount, b.clientAccount);
+  swap(a.coldCallsPerSecond, b.coldCallsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -13182,6 +13201,7 @@
   mostWaitMs = other540.mostWaitMs;
   maxCallsPerSecond = other540.maxCallsPerSecond;
   clientAccount = other540.clientAccount;
+  coldCallsPerSecond = other540.coldCallsPerSecond;
   __isset = other540.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other541) noexcept {
@@ -13206,6 +13226,7 @@
   mostWaitMs = other541.mostWaitMs;
   maxCallsPerSecond = other541.maxCallsPerSecond;
   clientAccount = std::move(other541.clientAccount);
+  coldCallsPerSecond = other541.coldCallsPerSecond;
   __isset = other541.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other542) {
@@ -13230,6 +13251,7 @@
   mostWaitMs = other542.mostWaitMs;
   maxCallsPerSecond = other542.maxCallsPerSecond;
   clientAccount = other542.clientAccount;
+  coldCallsPerSecond = other542.coldCallsPerSecond;
   __isset = other542.__isset;
   return *this;
 }
@@ -13255,6 +13277,7 @@
   mostWaitMs = other543.mostWaitMs;
   maxCallsPerSecond = other543.maxCallsPerSecond;
   clientAccount = std::move(other543.clientAccount);
+  coldCallsPerSecond = other543.coldCallsPerSecond;
   __isset = other543.__isset;
   return *this;
 }
@@ -13282,6 +13305,7 @@
   out << ", " << "mostWaitMs=" << to_string(mostWaitMs);
   out << ", " << "maxCallsPerSecond="; (__isset.maxCallsPerSecond ? (out << to_string(maxCallsPerSecond)) : (out << "<null>"));
   out << ", " << "clientAccount=" << to_string(clientAccount);
+  out << ", " << "coldCallsPerSecond="; (__isset.coldCallsPerSecond ? (out << to_string(coldCallsPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
