--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -163,6 +163,15 @@
         return name.empty() ? ViewResponse { 200, base::jsonText(out) } : notFound("template", name);
     }
 
+    // Shows neither keys nor their digests.
+    json clientAccountJson(const wire::Resource& it)
+    {
+        const auto& account = it.clientAccount;
+        return { { "name", account.name }, { "keys", account.keyDigests.size() }, { "priority", account.priority },
+            { "rate_per_second", account.ratePerSecond }, { "burst", account.burst }, { "base_version", it.version } };
+    }
+
+    // The accounts of templates, then those of the release.
     ViewResponse accountsView(const ControlCore& core, const std::string& name)
     {
         json out = json::array();
@@ -173,6 +182,12 @@
                 return { 200, base::jsonText(item) };
             out.push_back(item);
         }
+        for (const auto& it : core.machine().state().clientAccounts()) {
+            auto item = clientAccountJson(*it);
+            if (it->clientAccount.name == name)
+                return { 200, base::jsonText(item) };
+            out.push_back(std::move(item));
+        }
         return name.empty() ? ViewResponse { 200, base::jsonText(out) } : notFound("account", name);
     }
 
