A benchmark of keys; turns in the expected wait only for client accounts

The expected wait at a gate counts turns only for calls of client accounts, so deployments without them are served as before.

Tested: AccountsTakeTurnsAtTheGate, the tests of gates, CallsNeedAKeyOfAnAccount and KeysLeaveNoTrace.

--- a/benchmarks/BenchOutput.h
+++ b/benchmarks/BenchOutput.h
@@ -39,5 +39,6 @@
 int benchClaims(const BenchOptions& options);
 int benchDrain(const BenchOptions& options);
 int benchMoves(const BenchOptions& options);
+int benchAccounts(const BenchOptions& options);
 
 } // namespace pomelowind::bench
--- a/benchmarks/bench-pomelowind.cpp
+++ b/benchmarks/bench-pomelowind.cpp
@@ -23,14 +23,15 @@
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage(
-        "bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves");
+        "bench-pomelowind convergence|restart-storm|failover|added-latency|overload|claims|drain|moves|accounts");
     auto words = absl::ParseCommandLine(argc, argv);
     return host::runProgram([&] {
         static const std::map<std::string, std::function<int(const bench::BenchOptions&)>> BENCHES
             = { { "convergence", bench::benchConvergence }, { "restart-storm", bench::benchRestartStorm },
                   { "failover", bench::benchFailover }, { "added-latency", bench::benchAddedLatency },
                   { "overload", bench::benchOverload }, { "claims", bench::benchClaims },
-                  { "drain", bench::benchDrain }, { "moves", bench::benchMoves } };
+                  { "drain", bench::benchDrain }, { "moves", bench::benchMoves },
+                  { "accounts", bench::benchAccounts } };
         std::string name = words.size() > 1 ? words[1] : "";
         auto it = BENCHES.find(name);
         if (it == BENCHES.end())
--- a/include/pomelowind/targets/Gate.h
+++ b/include/pomelowind/targets/Gate.h
@@ -40,6 +40,9 @@
     bool nested { false }; // issued by a running call, whose work is wasted if this one is refused
     // Average service time of calls of this kind over all targets; 0 if the sending node does not know it.
     base::Millis typicalServiceTime { 0 };
+    // `account` is a client account. Its expected wait then counts the turns of accounts; that of other calls counts
+    // all queued calls of its rank.
+    bool hasClientAccount { false };
     bool bodyArrived { true }; // false: occupies a queue slot until its body has arrived
     bool operator==(const GateCall&) const = default;
 };
--- a/src/node/LocalTargets.cpp
+++ b/src/node/LocalTargets.cpp
@@ -112,6 +112,7 @@
     const auto& turn = call.request.clientAccount.empty() ? call.request.account : call.request.clientAccount;
     targets::GateCall gateCall { id, turn, call.request.priority, call.deadline, {}, call.request.account };
     gateCall.typicalServiceTime = base::Millis(call.request.usualMs);
+    gateCall.hasClientAccount = !call.request.clientAccount.empty();
     gateCall.nested = call.request.nested;
     gateCall.mayQueue = call.request.mayWait;
     if (call.request.mostWaitMs > 0)
--- a/src/targets/Gate.cpp
+++ b/src/targets/Gate.cpp
@@ -147,6 +147,11 @@
         if (other == rank)
             ++sameRank[it.account];
     }
+    if (!call.hasClientAccount) {
+        for (const auto& [account, queued] : sameRank)
+            out += queued;
+        return out;
+    }
     auto own = sameRank.find(call.account);
     size_t turns = own == sameRank.end() ? 0 : own->second;
     auto served = lastServed(call.account);
@@ -230,7 +235,8 @@
         return GateVerdict::Overloaded;
     recordLoad(callRank, serviceMs(call.kind), now);
     if (runs) {
-        recordTurn(call.account);
+        if (call.hasClientAccount)
+            recordTurn(call.account);
         startCall(now);
         return GateVerdict::Run;
     }
--- a/tests/correctness/AccountsTakeTurnsAtTheGate.cpp
+++ b/tests/correctness/AccountsTakeTurnsAtTheGate.cpp
@@ -100,6 +100,7 @@
         targets::GateCall call { id, m_scheme.byTurns ? "a" + std::to_string(account) : "all",
             m_scheme.byPriority ? targets::combinePriorities(accountPriority(account), it.route) : 5, now + DEADLINE,
             now + OBJECTIVE, "k" };
+        call.hasClientAccount = m_scheme.byTurns;
         // As callers' nodes do: two attempts to find a free slot, and then one that may wait.
         for (int attempt = 0; attempt < 3; ++attempt) {
             it.gate = static_cast<int>(m_random.uniformBelow(GATES));
@@ -205,6 +206,7 @@
     auto call = [](uint64_t id, const std::string& account) {
         targets::GateCall out { id, account, 5, T0 + Millis(1000), T0 + Millis(250), "k" };
         out.typicalServiceTime = Millis(100);
+        out.hasClientAccount = true;
         return out;
     };
     for (uint64_t id = 1; id <= 8; ++id) {
