--- a/benchmarks/BenchAccounts.cpp
+++ b/benchmarks/BenchAccounts.cpp
@@ -87,8 +87,9 @@
             }
         }
     }
-    return printResult(
-        "accounts", options, started, { { "rows", rows }, { "ratios_over_bound", over } }, { "ratios_over_bound" });
+    return printResult("accounts", options, started,
+        { { "rows", rows }, { "ratios_over_bound", over }, { "keys", measureAccountKeys(options.seed) } },
+        { "ratios_over_bound" });
 }
 
 } // namespace pomelowind::bench
--- a/benchmarks/BenchOutput.h
+++ b/benchmarks/BenchOutput.h
@@ -41,4 +41,8 @@
 int benchMoves(const BenchOptions& options);
 int benchAccounts(const BenchOptions& options);
 
+// Returns the cost of looking up keys of client accounts, of their memory, and of changing one. Part of
+// benchAccounts().
+nlohmann::json measureAccountKeys(uint64_t seed);
+
 } // namespace pomelowind::bench
