Limits of accounts: phases spread evenly over the nodes

Phases by a hash left nodes without contact one call above the bound (54 of 53, limit of 5, 74 nodes) in the new test. They now follow from the place of a node in the directory.

--- a/benchmarks/QuotaModel.cpp
+++ b/benchmarks/QuotaModel.cpp
@@ -50,13 +50,14 @@
         virtual bool admit(int node, int account, Instant now) = 0;
         virtual bool isUp(int) const { return true; } // a node that starts takes no calls
         virtual void tick(int, Instant) { }
-        virtual void setLimit(int) { }
+        virtual void setLimit(int, Instant) { }
         virtual double bytes() const { return 0; } // sent and received by all nodes until now
     };
 
     class PerfectScheme final : public Scheme {
     public:
         PerfectScheme(const std::vector<ModelAccount>& accounts, Instant now)
+            : m_accounts(accounts)
         {
             for (const auto& it : accounts)
                 m_buckets.emplace_back(it.limit.ratePerSecond, it.limit.burst, now);
@@ -66,7 +67,15 @@
             return m_buckets[static_cast<size_t>(account)].tryTake(now);
         }
 
+        void setLimit(int account, Instant now) override
+        {
+            auto i = static_cast<size_t>(account);
+            m_buckets[i].setRate(m_accounts[i].limit.ratePerSecond, now);
+            m_buckets[i].setBurst(m_accounts[i].limit.burst);
+        }
+
     private:
+        const std::vector<ModelAccount>& m_accounts;
         std::vector<TokenBucket> m_buckets;
     };
 
@@ -76,6 +85,7 @@
         ShareScheme(const std::vector<ModelAccount>& accounts, int nodes, double part, bool byDemand, Instant now)
             : m_accounts(accounts)
             , m_nodes(nodes)
+            , m_part(part)
             , m_byDemand(byDemand)
             , m_demand(accounts.size() * static_cast<size_t>(nodes))
         {
@@ -86,10 +96,21 @@
         }
         bool admit(int node, int account, Instant now) override
         {
-            auto i = static_cast<size_t>(account * m_nodes + node);
+            auto i = static_cast<size_t>(account) * static_cast<size_t>(m_nodes) + static_cast<size_t>(node);
             m_demand[i] += 1;
             return m_buckets[i].tryTake(now);
         }
+        // All nodes learn it at once, also those that are partitioned.
+        void setLimit(int account, Instant now) override
+        {
+            const auto& limit = m_accounts[static_cast<size_t>(account)].limit;
+            for (int node = 0; node < m_nodes; ++node) {
+                auto& bucket = m_buckets[static_cast<size_t>(account) * static_cast<size_t>(m_nodes)
+                    + static_cast<size_t>(node)];
+                bucket.setRate(limit.ratePerSecond * m_part, now);
+                bucket.setBurst(std::max(1.0, limit.burst * m_part));
+            }
+        }
         void tick(int ms, Instant now) override
         {
             if (!m_byDemand || ms % 1000)
@@ -113,6 +134,7 @@
     private:
         const std::vector<ModelAccount>& m_accounts;
         int m_nodes;
+        double m_part;
         bool m_byDemand;
         std::vector<double> m_demand;
         std::vector<TokenBucket> m_buckets;
@@ -127,12 +149,12 @@
         {
             for (int i = 0; i < run.nodes; ++i) {
                 Node node;
-                node.quota = std::make_unique<callers::AccountQuota>(m_bounds, "10.0.0." + std::to_string(i));
+                node.quota = std::make_unique<callers::AccountQuota>(m_bounds);
                 node.host = i % HOSTS;
                 node.reportPhase = static_cast<int>(random.uniformBelow(100)) / STEP_MS * STEP_MS;
                 node.ackPhase = static_cast<int>(random.uniformBelow(2000)) / STEP_MS * STEP_MS;
                 node.lastAck = node.heardAt = now;
-                node.quota->setContact(now, static_cast<size_t>(run.nodes));
+                node.quota->setContact(now, static_cast<size_t>(run.nodes), static_cast<size_t>(i));
                 m_nodes.push_back(std::move(node));
             }
             publishLimits();
@@ -147,7 +169,7 @@
         }
 
         bool isUp(int node) const override { return m_ms >= m_nodes[static_cast<size_t>(node)].startsAt; }
-        void setLimit(int) override { m_limitChangedAt = m_ms; }
+        void setLimit(int, Instant) override { m_limitChangedAt = m_ms; }
 
         void tick(int ms, Instant now) override
         {
@@ -216,8 +238,9 @@
             }
             if (m_run.event == QuotaEvent::Restart && ms == EVENT_MS) {
                 for (size_t i = 0; i < m_nodes.size(); i += 2) {
-                    m_nodes[i].quota = std::make_unique<callers::AccountQuota>(m_bounds, "10.0.0." + std::to_string(i));
+                    m_nodes[i].quota = std::make_unique<callers::AccountQuota>(m_bounds);
                     m_nodes[i].heardAt = Instant();
+                    m_nodes[i].quota->setContact(Instant(), m_nodes.size(), i);
                     m_nodes[i].startsAt = ms + 1000;
                 }
             }
@@ -262,7 +285,7 @@
                     it.quota->replaceRatios(message.ratios);
                     if (message.isBeacon)
                         it.heardAt = now;
-                    it.quota->setContact(it.heardAt, m_nodes.size());
+                    it.quota->setContact(it.heardAt, m_nodes.size(), static_cast<size_t>(&it - m_nodes.data()));
                 }
             }
         }
@@ -282,9 +305,9 @@
             }
             if (ms % 50)
                 return;
-            for (int host = 0; host < HOSTS; ++host) {
-                if (!m_batches[host].empty() && !isLeaderless(ms))
-                    m_usage.push_back({ now + LINK_DELAY, -1, m_batches[host].take() });
+            for (auto& batch : m_batches) {
+                if (!batch.empty() && !isLeaderless(ms))
+                    m_usage.push_back({ now + LINK_DELAY, -1, batch.take() });
             }
         }
 
@@ -362,7 +385,7 @@
                     hot.limit.burst /= 2;
                     hot.perfect->setRate(hot.limit.ratePerSecond, now);
                     hot.perfect->setBurst(hot.limit.burst);
-                    m_scheme->setLimit(m_hot);
+                    m_scheme->setLimit(m_hot, now);
                 }
                 m_scheme->tick(ms, now);
                 if (ms == WARM_UP_MS)
--- a/include/pomelowind/callers/AccountQuota.h
+++ b/include/pomelowind/callers/AccountQuota.h
@@ -37,11 +37,12 @@
 // Thread safety: confined to the calls event loop.
 class AccountQuota {
 public:
-    // `node` spreads the phases of the nodes, so that those that see few calls do not admit or refuse them together.
-    AccountQuota(const QuotaBounds& bounds, std::string node);
+    explicit AccountQuota(const QuotaBounds& bounds);
 
-    // Sets when the last word of the leader was received (unset: never) and how many nodes share the limits.
-    void setContact(base::Instant heardAt, size_t nodes);
+    // Sets when the last word of the leader was received (unset: never), how many nodes share the limits, and the place
+    // of this node among them, from 0. The place spreads the phases of the nodes, so that those that see few calls do
+    // not admit or refuse them together.
+    void setContact(base::Instant heardAt, size_t nodes, size_t place);
     // Replaces the ratios: those of accounts that are not listed end. An account listed with 1000 is near its limit.
     void replaceRatios(const std::vector<wire::AccountRatio>& ratios);
     // Decides on a call of `account`, and counts it. Always admits when the account has no limit.
@@ -74,7 +75,6 @@
         double rate;
         double burst;
         base::TokenBucket bucket; // whole limit: bounds what this node alone admits
-        double phase { 0 }; // in [0, 1), differs between nodes
         int32_t permille { 1000 };
         bool isListed { false };
         double credit { 0 }; // a call is admitted when it reaches 1
@@ -90,15 +90,16 @@
 
     Account& accountOf(const wire::ClientAccount& account, base::Instant now);
     void count(Account& account, base::Instant now);
-    bool takeEqualPart(Account& account, base::Instant now, QuotaDecision& out);
+    double phaseOf(const std::string& account) const;
+    bool takeEqualPart(const std::string& name, Account& account, base::Instant now, QuotaDecision& out);
     bool hasContact(base::Instant now) const;
     base::Millis reportDelay(const Account& account) const;
     static bool hasUsage(const Account& account) { return account.offered || account.refused; }
 
     QuotaBounds m_bounds;
-    std::string m_node;
     base::Instant m_heardAt;
     size_t m_nodes { 1 };
+    size_t m_place { 0 };
     std::unordered_map<std::string, Account> m_accounts;
     std::unordered_map<int64_t, int32_t> m_ratios;
     base::Instant m_forgetDue;
--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -26,7 +26,10 @@
     base::Instant beaconAt; // when the last heartbeat of the leader (beacon) was received
     // Accounts near or beyond their limit; null: none.
     std::shared_ptr<const std::vector<wire::AccountRatio>> accountRatios;
-    size_t nodes { 1 }; // that share the limits of client accounts; set only when there are any
+    // Nodes that share the limits of client accounts, and the place of this node among them, from 0. Set only when
+    // there are client accounts.
+    size_t nodes { 1 };
+    size_t place { 0 };
     // False until a restarted node knows that its version is not older than the one it ran before the restart.
     bool serving { false };
 };
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -72,8 +72,8 @@
     // Returns the crashes of the last hour.
     CrashList crashes() const;
     size_t targetCount() const { return m_targets.size(); }
-    // Returns the number of nodes that are not gone.
-    size_t liveNodeCount() const;
+    // Returns the number of nodes that are not gone and, of these, of those with an id below `node`.
+    std::pair<size_t, size_t> countLiveNodes(const std::string& node) const;
 
     // Returns a hash for each bucket of entries, for the anti-entropy comparison of two directories.
     Buckets digest() const;
--- a/src/callers/AccountQuota.cpp
+++ b/src/callers/AccountQuota.cpp
@@ -55,16 +55,24 @@
     }
 }
 
-AccountQuota::AccountQuota(const QuotaBounds& bounds, std::string node)
+AccountQuota::AccountQuota(const QuotaBounds& bounds)
     : m_bounds(bounds)
-    , m_node(std::move(node))
 {
 }
 
-void AccountQuota::setContact(Instant heardAt, size_t nodes)
+void AccountQuota::setContact(Instant heardAt, size_t nodes, size_t place)
 {
     m_heardAt = heardAt;
     m_nodes = std::max<size_t>(1, nodes);
+    m_place = place;
+}
+
+// Returns a number in [0, 1), spread evenly over the nodes, with another first node for each account.
+double AccountQuota::phaseOf(const std::string& account) const
+{
+    double offset = static_cast<double>(base::hash64(account) >> 11) * 0x1.0p-53;
+    double phase = offset + static_cast<double>(m_place) / static_cast<double>(m_nodes);
+    return phase - std::floor(phase);
 }
 
 bool AccountQuota::hasContact(Instant now) const { return m_heardAt != Instant() && now - m_heardAt < CONTACT_TIMEOUT; }
@@ -88,10 +96,8 @@
     double burst = std::max(1.0, account.burst);
     auto it = m_accounts.find(account.name);
     if (it == m_accounts.end()) {
-        double phase = static_cast<double>(base::rendezvousScore(m_node, account.name) >> 11) * 0x1.0p-53;
         it = m_accounts.emplace(account.name, Account(account.ratePerSecond, burst, now)).first;
-        it->second.phase = phase;
-        it->second.credit = phase;
+        it->second.credit = phaseOf(account.name);
         auto ratio = m_ratios.find(quotaId(account.name));
         it->second.isListed = ratio != m_ratios.end();
         it->second.permille = it->second.isListed ? ratio->second : FULL_PERMILLE;
@@ -138,7 +144,7 @@
             if (entry.credit < 1)
                 out.refusal = QuotaRefusal::Ratio;
         }
-    } else if (!takeEqualPart(entry, now, out)) {
+    } else if (!takeEqualPart(account.name, entry, now, out)) {
         out.refusal = QuotaRefusal::EqualPart;
     }
     if (out.admitted() && !entry.bucket.tryTake(now)) {
@@ -160,7 +166,7 @@
     return out;
 }
 
-bool AccountQuota::takeEqualPart(Account& account, Instant now, QuotaDecision& out)
+bool AccountQuota::takeEqualPart(const std::string& name, Account& account, Instant now, QuotaDecision& out)
 {
     double part = account.rate / static_cast<double>(m_nodes);
     double held = EQUAL_PART_RATIO * (account.burst + m_bounds.tolerance(account.rate, account.burst))
@@ -189,7 +195,8 @@
     // Slots come every `period`, and each stays usable for a part of it.
     double period = 1 / part;
     double time = seconds(now.time_since_epoch());
-    double slot = (std::floor(time / period - account.phase) + account.phase) * period;
+    double phase = phaseOf(name);
+    double slot = (std::floor(time / period - phase) + phase) * period;
     auto slotAt = Instant(duration(slot));
     bool isUsable = time - slot <= std::min(1.0, held) * period && slotAt > equal.usedThrough;
     if (isUsable) {
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -31,7 +31,7 @@
     , m_peers(io, settings, clock, *this)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_claimCoordinator(settings, m_peers, clock)
-    , m_quota(settings.quota, settings.id)
+    , m_quota(settings.quota)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
     , m_crashSuspects(settings.id)
     , m_random(seed + 1)
--- a/src/node/CallQuota.cpp
+++ b/src/node/CallQuota.cpp
@@ -18,7 +18,7 @@
 void CallPath::updateQuota()
 {
     static const std::vector<wire::AccountRatio> NO_RATIOS;
-    m_quota.setContact(m_view->beaconAt, m_view->nodes);
+    m_quota.setContact(m_view->beaconAt, m_view->nodes, m_view->place);
     m_quota.replaceRatios(m_view->accountRatios ? *m_view->accountRatios : NO_RATIOS);
 }
 
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -7,6 +7,7 @@
 #include "pomelowind/nodes/PeerAddress.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace pomelowind::node {
@@ -902,7 +903,7 @@
     view->beaconAt = m_beaconAt;
     view->accountRatios = m_accountRatios;
     if (m_accountKeys && !m_accountKeys->empty())
-        view->nodes = std::max<size_t>(1, m_directory.liveNodeCount());
+        std::tie(view->nodes, view->place) = m_directory.countLiveNodes(m_settings.id);
     view->serving = m_serving;
     m_outputs.publish(std::move(view));
 }
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -155,12 +155,15 @@
     return out;
 }
 
-size_t Directory::liveNodeCount() const
+std::pair<size_t, size_t> Directory::countLiveNodes(const std::string& node) const
 {
-    size_t out = 0;
-    for (const auto& [name, record] : m_nodes)
-        out += record.entry.gone ? 0 : 1;
-    return out;
+    size_t all = 0;
+    size_t below = 0;
+    for (const auto& [name, record] : m_nodes) {
+        all += record.entry.gone ? 0 : 1;
+        below += !record.entry.gone && name < node ? 1 : 0;
+    }
+    return { all, below };
 }
 
 std::vector<wire::NodeInfo> Directory::liveNodes(const std::string& dataCentre) const
--- a/tests/correctness/NodesAdmitTheirPartOfALimit.cpp
+++ b/tests/correctness/NodesAdmitTheirPartOfALimit.cpp
@@ -31,10 +31,10 @@
     return { out };
 }
 
-AccountQuota quotaWithContact(const std::string& node = "n0", size_t nodes = 74)
+AccountQuota quotaWithContact(size_t place = 0, size_t nodes = 74)
 {
-    AccountQuota out({}, node);
-    out.setContact(START, nodes);
+    AccountQuota out { callers::QuotaBounds() };
+    out.setContact(START, nodes, place);
     return out;
 }
 
@@ -51,12 +51,12 @@
 TEST(NodesAdmitTheirPartOfALimit, TheRatioHoldsOverNodesThatSeeOneCallEach)
 {
     int admitted = 0;
-    for (int node = 0; node < 1000; ++node) {
-        auto quota = quotaWithContact("n" + std::to_string(node));
+    for (size_t place = 0; place < 1000; ++place) {
+        auto quota = quotaWithContact(place, 1000);
         quota.replaceRatios(ratio(250));
         admitted += countAdmitted(quota, account(100, 100), 1, START);
     }
-    EXPECT_NEAR(admitted, 250, 50);
+    EXPECT_NEAR(admitted, 250, 1);
 }
 
 TEST(NodesAdmitTheirPartOfALimit, TheRatioIsExactAtOneNode)
@@ -105,8 +105,8 @@
         SCOPED_TRACE(rate);
         auto limit = account(rate, rate);
         std::vector<AccountQuota> nodes;
-        for (int i = 0; i < 74; ++i) {
-            nodes.push_back(quotaWithContact("n" + std::to_string(i)));
+        for (size_t place = 0; place < 74; ++place) {
+            nodes.push_back(quotaWithContact(place));
             nodes.back().admit(limit, START);
         }
         std::vector<int> admitted; // by 100 ms
@@ -125,15 +125,15 @@
 
 TEST(NodesAdmitTheirPartOfALimit, AStartedNodeWithoutContactHasNoBurst)
 {
-    AccountQuota quota({}, "n0");
-    quota.setContact({}, 74);
+    AccountQuota quota { callers::QuotaBounds() };
+    quota.setContact({}, 74, 0);
     EXPECT_EQ(countAdmitted(quota, account(400, 400), 100, START), 0);
     EXPECT_NEAR(countAdmitted(quota, account(400, 400), 100, START + Millis(1000)), 5, 1);
 }
 
 TEST(NodesAdmitTheirPartOfALimit, UsageIsReportedOnceAndSoonWhereItMatters)
 {
-    auto quota = quotaWithContact("n0", 2);
+    auto quota = quotaWithContact(0, 2);
     auto large = account(400, 400);
     quota.admit(large, START);
     EXPECT_TRUE(quota.takeUsage(START + Millis(100)).empty()) << "far below its limit";
@@ -148,7 +148,7 @@
 
 TEST(NodesAdmitTheirPartOfALimit, AccountsWithoutALimitCostNothing)
 {
-    AccountQuota quota({}, "n0");
+    AccountQuota quota { callers::QuotaBounds() };
     EXPECT_EQ(countAdmitted(quota, account(0, 0), 1000, START), 1000) << "without contact";
     EXPECT_TRUE(quota.takeUsage(START + Millis(5000)).empty());
 }
--- a/tests/integration/CallsBeyondALimitAreRefused.cpp
+++ b/tests/integration/CallsBeyondALimitAreRefused.cpp
@@ -27,8 +27,7 @@
     {
     }
 
-    // The nodes of the fixture have no contact to a leader, so that they admit half of the limit each; without a burst,
-    // since they have just started.
+    // The nodes of the fixture have heard of no leader and have just started, so that they admit no burst.
     static CallPathFixture::Options options()
     {
         CallPathFixture::Options out;
@@ -65,6 +64,23 @@
         EXPECT_FALSE(it->has("/again/1"));
 }
 
+TEST_F(CallsBeyondALimitAreRefused, NestedCallsAreNot)
+{
+    auto parent = send("GET /open/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: p-1\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    auto reached = [this](const std::string& path) {
+        for (const auto& it : fixture.targetConnections(0)) {
+            if (it->has("GET " + path))
+                return true;
+        }
+        return false;
+    };
+    ASSERT_TRUE(fixture.runUntil([&] { return reached("/open/1"); }));
+    auto nested = send(request("p-1.1"));
+    EXPECT_TRUE(fixture.runUntil([&] { return reached("/again/1") || nested->has("\r\n\r\n"); }));
+    EXPECT_TRUE(reached("/again/1")) << nested->received;
+    EXPECT_EQ(fixture.path(0).counts().overQuota, 0u);
+}
+
 TEST_F(CallsBeyondALimitAreRefused, AccountsWithoutALimitAreNot)
 {
     auto accounts = options().accounts;
