--- a/include/pomelowind/callers/AccountQuota.h
+++ b/include/pomelowind/callers/AccountQuota.h
@@ -66,12 +66,14 @@
         std::optional<base::TokenBucket> bucket; // for parts of a call or more
     };
     struct Account {
-        Account(double ratePerSecond, double burstSize, base::Instant now)
-            : rate(ratePerSecond)
+        Account(int64_t number, double ratePerSecond, double burstSize, base::Instant now)
+            : id(number)
+            , rate(ratePerSecond)
             , burst(burstSize)
             , bucket(ratePerSecond, burstSize, now)
         {
         }
+        int64_t id; // quotaId() of the name
         double rate;
         double burst;
         base::TokenBucket bucket; // whole limit: bounds what this node alone admits
--- a/src/callers/AccountQuota.cpp
+++ b/src/callers/AccountQuota.cpp
@@ -85,7 +85,7 @@
     for (const auto& it : ratios)
         m_ratios[it.account] = std::clamp(it.permille, 0, FULL_PERMILLE);
     for (auto& [name, account] : m_accounts) {
-        auto known = m_ratios.find(quotaId(name));
+        auto known = m_ratios.find(account.id);
         account.isListed = known != m_ratios.end();
         account.permille = account.isListed ? known->second : FULL_PERMILLE;
     }
@@ -96,9 +96,9 @@
     double burst = std::max(1.0, account.burst);
     auto it = m_accounts.find(account.name);
     if (it == m_accounts.end()) {
-        it = m_accounts.emplace(account.name, Account(account.ratePerSecond, burst, now)).first;
+        it = m_accounts.emplace(account.name, Account(quotaId(account.name), account.ratePerSecond, burst, now)).first;
         it->second.credit = phaseOf(account.name);
-        auto ratio = m_ratios.find(quotaId(account.name));
+        auto ratio = m_ratios.find(it->second.id);
         it->second.isListed = ratio != m_ratios.end();
         it->second.permille = it->second.isListed ? ratio->second : FULL_PERMILLE;
     }
@@ -253,7 +253,7 @@
             continue;
         }
         auto span = std::min(now - account.firstUnreported, Instant::duration(MAX_REPORT_DELAY)) / REPORT_PERIOD;
-        out.push_back({ quotaId(name), account.offered, account.refused, static_cast<int32_t>(span) + 1 });
+        out.push_back({ account.id, account.offered, account.refused, static_cast<int32_t>(span) + 1 });
         account.offered = account.refused = 0;
         account.hasBurst = false;
     }
--- a/src/control/QuotaController.cpp
+++ b/src/control/QuotaController.cpp
@@ -127,6 +127,7 @@
         }
         advance(account, limit, now);
         account.lastUsage = now;
+        account.hasNews = true;
         double offered = it.offered;
         double admitted = offered - it.refused;
         account.level -= admitted;
@@ -208,6 +209,11 @@
             it = m_accounts.erase(it);
             continue;
         }
+        // Without usage, an account that has no ratio gets none. This keeps the cost in proportion to the calls.
+        if (!std::exchange(account.hasNews, false) && !account.isListed) {
+            ++it;
+            continue;
+        }
         auto limit = grantedPart(found->second);
         advance(account, limit, now);
         double width = static_cast<double>(m_binMillis) / 1000;
--- a/src/control/QuotaController.h
+++ b/src/control/QuotaController.h
@@ -60,6 +60,7 @@
         double ratio { 1 };
         int32_t permille { 1000 }; // as published
         bool isListed { false };
+        bool hasNews { false }; // usage since the last update
         base::Instant listedUntil;
         base::Instant lastUsage;
     };
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -152,6 +152,7 @@
     ClaimCoordinator m_claimCoordinator;
     callers::AccountLimiter m_accountLimiter;
     callers::AccountQuota m_quota;
+    std::shared_ptr<const std::vector<wire::AccountRatio>> m_accountRatios; // as m_quota has them
     callers::VersionSplitter m_versionSplitter;
     callers::EvidenceRecorder m_evidence;
     targets::Balancer m_balancer;
--- a/src/node/CallQuota.cpp
+++ b/src/node/CallQuota.cpp
@@ -19,7 +19,10 @@
 {
     static const std::vector<wire::AccountRatio> NO_RATIOS;
     m_quota.setContact(m_view->beaconAt, m_view->nodes, m_view->place);
-    m_quota.replaceRatios(m_view->accountRatios ? *m_view->accountRatios : NO_RATIOS);
+    if (m_view->accountRatios == m_accountRatios)
+        return;
+    m_accountRatios = m_view->accountRatios;
+    m_quota.replaceRatios(m_accountRatios ? *m_accountRatios : NO_RATIOS);
 }
 
 void CallPath::reportUsage()
