--- a/benchmarks/BenchOutput.h
+++ b/benchmarks/BenchOutput.h
@@ -30,6 +30,10 @@
 int printResult(const std::string& bench, const BenchOptions& options, base::Instant started, nlohmann::json fields,
     const std::vector<std::string>& mustBeZero);
 
+// Runs the model of limits of client accounts and prints its table. Returns the rows, and in `ratios_over_bound` how
+// many runs of the scheme that is built exceeded the bound.
+nlohmann::json measureQuotas(const BenchOptions& options);
+
 // Each benchmark prints its result and returns the exit code.
 int benchConvergence(const BenchOptions& options);
 int benchRestartStorm(const BenchOptions& options);
--- a/include/pomelowind/node/CallProtocol.h
+++ b/include/pomelowind/node/CallProtocol.h
@@ -68,6 +68,7 @@
 
 // Status of a call without a known key of a client account.
 inline constexpr int STATUS_UNAUTHORIZED = 401;
+inline constexpr int STATUS_TOO_MANY_REQUESTS = 429;
 
 // Returns the key in an Authorization header with this scheme, ignoring the scheme's case, or an empty view when the
 // header has another form. Thread safety: pure.
--- a/src/callers/AccountQuota.cpp
+++ b/src/callers/AccountQuota.cpp
@@ -162,6 +162,9 @@
         auto wait = MIN_RETRY * FULL_PERMILLE / std::max(1, entry.permille);
         out.retryAfter = std::min<Millis>(wait, m_bounds.window);
     }
+    // Contact may come back sooner than the next call of a small part is due.
+    if (out.refusal == QuotaRefusal::EqualPart)
+        out.retryAfter = std::min<Millis>(out.retryAfter, m_bounds.window);
     out.retryAfter = std::max(out.retryAfter, MIN_RETRY);
     return out;
 }
--- a/src/node/CallQuota.cpp
+++ b/src/node/CallQuota.cpp
@@ -9,12 +9,6 @@
 
 using wire::Outcome;
 
-namespace {
-
-    constexpr int STATUS_TOO_MANY_REQUESTS = 429;
-
-}
-
 void CallPath::updateQuota()
 {
     static const std::vector<wire::AccountRatio> NO_RATIOS;
@@ -53,9 +47,9 @@
     answer.outcome = Outcome::NOT_RUN;
     answer.status = STATUS_TOO_MANY_REQUESTS;
     answer.reason = "limit of client account " + account->name + ": " + callers::quotaRefusalName(decision.refusal)
-        + ", rate " + std::to_string(std::lround(account->ratePerSecond)) + ", burst "
-        + std::to_string(std::lround(account->burst)) + ", permille " + std::to_string(decision.permille)
-        + ", left here " + std::to_string(std::lround(std::floor(decision.remaining)));
+        + ", rate " + std::to_string(account->ratePerSecond) + ", burst " + std::to_string(account->burst)
+        + ", permille " + std::to_string(decision.permille) + ", left here "
+        + std::to_string(std::lround(std::floor(decision.remaining)));
     answer.headers = { makeHeader("Content-Type", "application/json") };
     answer.retryAfterMs = static_cast<int32_t>(decision.retryAfter.count());
     answer.body
