Limits of accounts: a restarted leader keeps the ratios

A leader that restarted and led again began without ratios, and its first beacon ended them at the nodes until it had counts. Other control hosts now send them when they connect.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -509,6 +509,8 @@
     report.report.targets = m_directory.allTargets();
     report.report.crashes = m_directory.crashes();
     report.report.acks = m_acks.recentAcks(m_now, TOMBSTONE_RETENTION);
+    if (!m_accountRatios.empty())
+        report.__set_accountRatios(m_accountRatios);
     m_outputs.sendToMember(member, FrameKind::MEMBER_REPORT, base::encode(report));
 }
 
@@ -582,6 +584,9 @@
             wire::Spread out;
             out.__set_accountRatios(m_accountRatios);
             broadcastToNodes(out);
+        } else if (report.__isset.accountRatios && m_accountRatios.empty() && !m_leadsQuota) {
+            // This host has just started, and may lead before it hears of ratios otherwise.
+            m_accountRatios = report.accountRatios;
         }
         return;
     }
--- a/src/control/ControlQuota.cpp
+++ b/src/control/ControlQuota.cpp
@@ -56,7 +56,9 @@
     learnLimits();
     if (!m_quota.hasLimits()) {
         m_usage.clear();
-        m_accountRatios.clear();
+        // A host that has just started may not have applied the limits yet.
+        if (leadsWithLease)
+            m_accountRatios.clear();
         m_leadsQuota = false;
         return;
     }
