--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -33,7 +33,7 @@
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_evacuations(settings.dataCentre)
     , m_claimCoordinator(settings, m_peers, clock)
-    , m_quota(settings.quota, settings.id)
+    , m_quota(settings.quota)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
     , m_crashSuspects(settings.id)
     , m_random(seed + 1)
--- a/src/node/ProductCallProtocol.cpp
+++ b/src/node/ProductCallProtocol.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr int STATUS_TOO_MANY_REQUESTS = 429;
     constexpr int STATUS_UNAVAILABLE = 503;
     constexpr int STATUS_TIMEOUT = 504;
     constexpr int MIN_ERROR_STATUS = 400;
