--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -21,6 +21,8 @@
     constexpr double COLD_START_SLOWDOWN = 3;
     constexpr size_t MAX_DOWNSTREAM_CONNECTIONS = 120;
     constexpr char RUNS_PATH[] = "/__runs/";
+    constexpr char LONG_ANSWERS_PATH[] = "/get";
+    constexpr int64_t MAX_ANSWER_BYTES = 64 * 1024 * 1024;
     constexpr double LEAK_DOUBLING_PERIOD_MS = 4000;
 
     base::Instant steadyNow() { return std::chrono::steady_clock::now(); }
@@ -63,6 +65,7 @@
     out.maxRate = reader.text("max_rate", "");
     out.serviceTime = reader.millis("service_ms", out.serviceTime, Millis(0), Millis(60000));
     out.coldStart = reader.millis("cold_start_ms", out.coldStart, Millis(0), Millis(600000));
+    out.answerBytes = static_cast<size_t>(reader.integer("answer_bytes", 0, 0, MAX_ANSWER_BYTES));
     out.exponential = reader.flag("exponential", true);
     out.runsLogFile = reader.text("runs_log", "");
     out.getsLogFile = reader.text("gets_log", "");
@@ -262,6 +265,8 @@
     --m_running;
     std::string body
         = m_settings.version + "|" + call->request.path + "|" + requestKeyOf(call->request) + "|" + call->request.body;
+    if (call->request.path.starts_with(LONG_ANSWERS_PATH) && body.size() < m_settings.answerBytes)
+        body.resize(m_settings.answerBytes, '.');
     auto response = withNotice({ 200, { { "Content-Type", "text/plain" } }, body });
     const auto& kind = m_settings.fault.kind;
     bool isFailed = call->isAffected && (kind == "fail" || kind == "account" || kind == "load");
--- a/standins/Target.h
+++ b/standins/Target.h
@@ -48,6 +48,7 @@
     base::Millis serviceTime { 4 };
     base::Millis coldStart { 0 }; // after the start, calls take longer for this time
     bool exponential { true }; // service times are exponentially distributed; otherwise constant
+    size_t answerBytes { 0 }; // calls of paths that begin with /get are answered with at least so many bytes
     InjectedFault fault;
     std::string runsLogFile; // when set, a line for each counted run is appended: time key target version
     std::string getsLogFile; // the same for GET requests
