Handle pipelined idempotent requests of a connection side by side

The next request of a connection was read only after the previous answer, so pipelined requests waited unread. The parser of the next request was made when the previous answer had been written; a kept connection therefore answered 413 to its next request after a configuration had raised max_body_bytes.

The handler says whether a request may overlap others; node::CallPath does so for idempotent routes, all other handlers for none.

--- a/include/pomelowind/http/HttpServer.h
+++ b/include/pomelowind/http/HttpServer.h
@@ -1,6 +1,6 @@
-// HTTP/1.1 server over Boost.Beast with keep-alive, chunked bodies, limits of size and time, and responses in the order
-// of the requests. It accepts callers' requests at nodes, announcements of targets, and operators' requests at control
-// hosts.
+// HTTP/1.1 server over Boost.Beast with keep-alive, pipelining, chunked bodies, limits of size and time, and responses
+// in the order of the requests. It accepts callers' requests at nodes, announcements of targets, and operators'
+// requests at control hosts.
 #pragma once
 
 #include "pomelowind/base/MemoryBudget.h"
@@ -21,6 +21,10 @@
     base::Millis headerTimeout { 10000 }; // of reading the header; stored, but not enforced apart from requestTimeout
     base::Millis idleTimeout { 60000 }; // until the first byte of the next request
     size_t maxConnections { 4096 }; // maximum of open connections; further ones are closed at once
+    // Limits of what is read ahead on one connection: no further request is read while so many are unanswered, or while
+    // they and their responses have so many bytes.
+    size_t pipelineDepth { 64 };
+    size_t pipelineBytes { 1024 * 1024 };
     bool operator==(const HttpLimits&) const = default;
 };
 
@@ -43,6 +47,9 @@
 public:
     virtual ~HttpHandler() = default;
     virtual void handle(HttpRequest request, std::shared_ptr<HttpReply> reply) = 0;
+    // Returns whether the request may be handled beside others of its connection that are not answered yet. One that
+    // may not is handled once all before it have been answered, and those behind it wait for its response.
+    virtual bool mayOverlap(const HttpRequest&) const { return false; }
 };
 
 // Serves one address. Thread safety: confined to the event loop thread of `io`.
@@ -56,7 +63,7 @@
     // Closes the listener and all connections immediately.
     virtual void close() = 0;
     virtual size_t connectionCount() const = 0;
-    // Sets the limits of requests whose reading begins after the call.
+    // Sets the limits of requests whose first byte arrives after the call, also on connections that are open.
     virtual void setLimits(HttpLimits limits) = 0;
 };
 
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -56,6 +56,8 @@
     // Queueing time, in milliseconds, that is preferred to sending one kilobyte to another data centre.
     double crossingMsPerKilobyte { 0 };
     base::Millis callerTimeout { 10000 }; // for receiving one whole request from a caller
+    int64_t pipelineDepth { 64 }; // unanswered requests of one connection at which no further one is read
+    int64_t pipelineBytes { 1024 * 1024 }; // the same in bytes of the requests and of responses that wait
     base::Millis drainGrace { 2500 }; // time for callers to move to other nodes before a planned stop
     int64_t claimMemoryBytes { 8 * 1024 * 1024 };
     // A planned stop ends after it even if calls are still running. Follows from kill_after_s unless it is set itself.
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -1,6 +1,7 @@
 #include "CallPath.h"
 
 #include "CallHeaders.h"
+#include "CallerLimits.h"
 #include "pomelowind/base/Hash.h"
 #include "pomelowind/base/Log.h"
 
@@ -121,15 +122,12 @@
     , m_elapsedTimeEstimator(m_startedAt)
     , m_weightedSplitter(seed + 2)
 {
-    http::HttpLimits limits;
-    limits.maxBodyBytes = static_cast<size_t>(settings.maxBodyBytes);
-    limits.requestTimeout = settings.callerTimeout;
     m_localTargets.setCrashListener([this](wire::TargetCrash crash) {
         wire::Report report;
         report.crashes.push_back(std::move(crash));
         m_reportSink(std::move(report));
     });
-    m_server = http::makeHttpServer(io, settings.callerAddress, limits, *this, m_bodyMemory);
+    m_server = http::makeHttpServer(io, settings.callerAddress, callerLimits(settings, nullptr), *this, m_bodyMemory);
 }
 
 void CallPath::setView(MeshViewPtr view)
@@ -160,13 +158,7 @@
     if (!release || release->number == m_limitsRelease)
         return;
     m_limitsRelease = release->number;
-    http::HttpLimits limits;
-    limits.maxHeaderBytes = static_cast<size_t>(release->headerBytes);
-    limits.maxBodyBytes = static_cast<size_t>(std::min(release->bodyBytes, m_settings.maxBodyBytes));
-    limits.requestTimeout = m_settings.callerTimeout;
-    limits.headerTimeout = Millis(release->headerTimeoutMs);
-    limits.idleTimeout = Millis(release->idleTimeoutMs);
-    m_server->setLimits(limits);
+    m_server->setLimits(callerLimits(m_settings, release));
     base::logInfo(
         "callers.limits_applied", { { "release", release->number }, { "header_bytes", release->headerBytes } });
 }
@@ -192,6 +184,14 @@
 
 // ---- arrival ----
 
+bool CallPath::mayOverlap(const http::HttpRequest& request) const
+{
+    if (!m_view->routes)
+        return false;
+    auto match = m_view->routes->find(http::findHeader(request.headers, "Host"), request.path, request.method);
+    return match.route && match.methodAllowed && match.route->idempotent;
+}
+
 void CallPath::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
 {
     ++m_counts.calls;
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -79,6 +79,8 @@
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
     void handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply) override;
+    // Calls of idempotent routes may overlap.
+    bool mayOverlap(const http::HttpRequest& request) const override;
     void onCall(
         const void* origin, wire::CallRequest request, std::function<void()> onGranted, CallCallback done) override;
     void onBody(const void* origin, int64_t id, std::string_view part) override;
