Charge answers until their callers have taken them, and close slow and idle callers

An answer counted against body_memory_bytes only while it was read from its target. Callers that read slowly could hold any number of answers, and silent connections all descriptors of a process.

- base::MemoryBudget also counts answers until they are written, answers on links to other nodes, and incomplete heads; announced lengths are reserved before the body is read, and bodies of unknown length by the memory that they occupy.
Bodies up to 64 KiB may use an eighth beyond the limit.
- While a reservation fails, the server closes the connections of callers slower than slow_caller_bytes_per_s (16384), slowest and largest first (http::transfersToEnd, without I/O).
- Each listener of both programs holds a share of the descriptors; beyond it, connections idle longest are closed, or the new one when none is idle.
- caller_timeout_ms limits the time in which a caller takes nothing of its answer, no longer the whole answer.
- Daemons return the memory of large bodies to the system when they are freed (M_MMAP_THRESHOLD).

--- a/include/pomelowind/base/MemoryBudget.h
+++ b/include/pomelowind/base/MemoryBudget.h
@@ -1,7 +1,9 @@
-// A limit on the memory that the bodies of calls occupy in this process. One budget covers request bodies that are
-// being read or whose call has not been answered yet, bodies received from other nodes, and responses of targets.
+// A limit on the memory that this process holds for callers. One budget covers request bodies that are being read or
+// whose call has not been answered yet, bodies received from other nodes, responses of targets, responses that wait for
+// their callers, and what waits on links to other nodes.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -11,25 +13,44 @@
 // Counts the reserved bytes against a limit. Thread safety: confined to one event loop thread.
 class MemoryBudget {
 public:
+    // Bodies up to this size may use an eighth of the limit beyond it, so that calls with small bodies are still served
+    // when large ones have taken all of it.
+    static constexpr size_t SMALL_BODY_BYTES = 64 * 1024;
+
     explicit MemoryBudget(size_t limitBytes)
         : m_limitBytes(limitBytes)
     {
     }
 
-    // Reserves `bytes`. Returns false and reserves nothing when they would exceed the limit.
-    bool tryReserve(size_t bytes)
+    // Grows a reservation from `from` to `to` bytes. Returns false and reserves nothing when that would exceed the
+    // limit. Precondition: from <= to.
+    bool tryGrow(size_t from, size_t to)
     {
-        if (bytes > m_limitBytes - m_reservedBytes)
+        size_t limit = m_limitBytes + (to <= SMALL_BODY_BYTES ? smallBodyBytes() : 0);
+        if (m_reservedBytes > limit || to - from > limit - m_reservedBytes) {
+            m_shortage += to - from;
             return false;
-        m_reservedBytes += bytes;
+        }
+        m_reservedBytes += to - from;
         return true;
     }
+    // Counts `bytes` that are occupied already, even beyond the limit.
+    void add(size_t bytes) { m_reservedBytes += bytes; }
     // Releases `bytes`. Precondition: they are reserved.
     void release(size_t bytes) { m_reservedBytes -= bytes; }
 
+    size_t reservedBytes() const { return m_reservedBytes; }
+    // The bytes beyond the limit that only small bodies may use.
+    size_t smallBodyBytes() const { return m_limitBytes / SMALL_SHARE; }
+    // Returns the bytes that could not be reserved since the last call.
+    size_t takeShortage() { return std::exchange(m_shortage, 0); }
+
 private:
+    static constexpr size_t SMALL_SHARE = 8;
+
     size_t m_limitBytes;
     size_t m_reservedBytes { 0 };
+    size_t m_shortage { 0 };
 };
 
 using MemoryBudgetPtr = std::shared_ptr<MemoryBudget>;
@@ -60,12 +81,22 @@
     {
         if (!m_budget || bytes <= m_reservedBytes)
             return true;
-        if (!m_budget->tryReserve(bytes - m_reservedBytes))
+        if (!m_budget->tryGrow(m_reservedBytes, bytes))
             return false;
         m_reservedBytes = bytes;
         return true;
     }
 
+    // Sets the reservation to `bytes` that are occupied already, even beyond the budget's limit.
+    void setTo(size_t bytes)
+    {
+        if (!m_budget)
+            return;
+        release();
+        m_budget->add(bytes);
+        m_reservedBytes = bytes;
+    }
+
     // Releases all reserved bytes.
     void release()
     {
@@ -73,6 +104,8 @@
             m_budget->release(std::exchange(m_reservedBytes, 0));
     }
 
+    size_t bytes() const { return m_reservedBytes; }
+
 private:
     MemoryBudgetPtr m_budget;
     size_t m_reservedBytes { 0 };
--- a/include/pomelowind/http/HttpServer.h
+++ b/include/pomelowind/http/HttpServer.h
@@ -17,10 +17,15 @@
 struct HttpLimits {
     size_t maxHeaderBytes { 16 * 1024 }; // of the whole header; 64 KiB at most
     size_t maxBodyBytes { 1024 * 1024 };
-    base::Millis requestTimeout { 10000 }; // for reading a request, and again for writing its response
+    // For reading a request, and for a caller to take some more of its response.
+    base::Millis requestTimeout { 10000 };
     base::Millis headerTimeout { 10000 }; // of reading the header; stored, but not enforced apart from requestTimeout
     base::Millis idleTimeout { 60000 }; // until the first byte of the next request
-    size_t maxConnections { 4096 }; // maximum of open connections; further ones are closed at once
+    // Maximum of open connections. Beyond it, those that have been longest without a request are closed; when none is,
+    // new ones are closed at once.
+    size_t maxConnections { 4096 };
+    // While memory is short, callers that take their response or send their request slower lose their connections.
+    double slowCallerBytesPerSecond { 16 * 1024 };
     // Limits of what is read ahead on one connection: no further request is read while so many are unanswered, or while
     // they and their responses have so many bytes.
     size_t pipelineDepth { 64 };
@@ -28,6 +33,16 @@
     bool operator==(const HttpLimits&) const = default;
 };
 
+// Connections that a server has closed to protect the process, since its start.
+struct ClosedCallers {
+    uint64_t idle { 0 }; // open without a request, while there were too many
+    uint64_t refused { 0 }; // new ones, while there were too many and none was idle
+    uint64_t slow { 0 }; // slow ones while memory was short
+};
+
+// Returns how many connections a listener may hold that may use this share of the descriptors of the process.
+size_t connectionsForShare(double share);
+
 // Responds to one request. Thread safety: confined to the server's event loop thread.
 class HttpReply {
 public:
@@ -63,12 +78,14 @@
     // Closes the listener and all connections immediately.
     virtual void close() = 0;
     virtual size_t connectionCount() const = 0;
+    virtual ClosedCallers closedCallers() const = 0;
     // Sets the limits of requests whose first byte arrives after the call, also on connections that are open.
     virtual void setLimits(HttpLimits limits) = 0;
 };
 
 // Creates a server that listens at once. `bodyMemory` limits the bodies of all requests that are being read or not yet
-// answered; a request whose body does not fit gets 503 as not executed. Throws UserError(Settings) when the address
+// answered, and the responses that wait for their callers; a request whose body does not fit gets 503 as not executed,
+// and one whose response does not fit gets 502. Throws UserError(Settings) when the address
 // cannot be bound. Precondition: `io` and `handler` outlive the server.
 std::unique_ptr<HttpServer> makeHttpServer(boost::asio::io_context& io, const base::Address& address, HttpLimits limits,
     HttpHandler& handler, base::MemoryBudgetPtr bodyMemory = nullptr);
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -50,12 +50,13 @@
     int64_t coldStartPercent { 25 };
     int64_t targetConnections { 120 }; // maximum open connections to one target
     int64_t maxBodyBytes { 1024 * 1024 };
-    // Limit for all bodies that the node holds at once. Calls beyond it are refused as not run, so that a burst of
-    // large bodies cannot exhaust the memory of the process.
+    // Limit for all bytes that the node holds for callers at once. Calls beyond it are refused as not run, so that
+    // neither a burst of large bodies nor callers that read slowly can exhaust the memory of the process.
     int64_t bodyMemoryBytes { 64 * 1024 * 1024 };
     // Queueing time, in milliseconds, that is preferred to sending one kilobyte to another data centre.
     double crossingMsPerKilobyte { 0 };
-    base::Millis callerTimeout { 10000 }; // for receiving one whole request from a caller
+    base::Millis callerTimeout { 10000 }; // for receiving one whole request, and for a caller to take some of its answer
+    int64_t slowCallerBytesPerSecond { 16 * 1024 }; // see http::HttpLimits
     int64_t pipelineDepth { 64 }; // unanswered requests of one connection at which no further one is read
     int64_t pipelineBytes { 1024 * 1024 }; // the same in bytes of the requests and of responses that wait
     base::Millis drainGrace { 2500 }; // time for callers to move to other nodes before a planned stop
--- a/src/control/ControlHost.cpp
+++ b/src/control/ControlHost.cpp
@@ -33,6 +33,11 @@
     constexpr char STALE_BODY[]
         = R"({"error":"unavailable","message":"this control host does not hear the leader","remedy":"ask another control host"})";
     constexpr size_t MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024;
+    // Bytes of requests and responses that are held for operators at once.
+    constexpr size_t OPERATOR_MEMORY_BYTES = 64 * 1024 * 1024;
+    // Part of the process's descriptors for operators' connections. The rest is for nodes, other control hosts, the
+    // metrics and the store.
+    constexpr double OPERATORS_SHARE = 0.25;
 
 }
 
@@ -75,8 +80,9 @@
             m_settings, std::move(durable), *this, m_clock.now(), m_clock.wallMs(), base::randomSeed());
         http::HttpLimits limits;
         limits.maxBodyBytes = MAX_REQUEST_BODY_BYTES;
-        m_operatorServer
-            = http::makeHttpServer(m_apiThread.context(), m_settings.operatorAddress, limits, *m_operatorHandler);
+        limits.maxConnections = http::connectionsForShare(OPERATORS_SHARE);
+        m_operatorServer = http::makeHttpServer(m_apiThread.context(), m_settings.operatorAddress, limits,
+            *m_operatorHandler, std::make_shared<base::MemoryBudget>(OPERATOR_MEMORY_BYTES));
         m_timers = base::makeTimerService();
         m_tickTimer = m_timers->subscribe(
             m_decisionThread.context(), TICK_PERIOD, [this] { m_core->tick(m_clock.now(), m_clock.wallMs()); });
--- a/src/host/Program.cpp
+++ b/src/host/Program.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -16,6 +17,10 @@
 
 namespace {
 
+    // Larger allocations are mapped on their own and returned to the system when they are freed. The allocator would
+    // otherwise raise this size up to 32 MiB and keep the memory of large bodies after they have left.
+    constexpr int MAPPED_ALLOCATION_BYTES = 256 * 1024;
+
     sigset_t handledSignals()
     {
         sigset_t set;
@@ -120,6 +125,7 @@
 
 int runDaemon(const std::function<int()>& body)
 {
+    mallopt(M_MMAP_THRESHOLD, MAPPED_ALLOCATION_BYTES);
     std::signal(SIGPIPE, SIG_IGN);
     // Threads inherit the mask. A thread without it would take each signal that waitForStopSignal() does not wait for
     // at that moment, and the signal's default action ends the process.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -210,7 +210,7 @@
                         return;
                     if (ec)
                         return self->fail(ExchangeEnd::Ambiguous, ec.message(), ec);
-                    if (!self->m_bodyReservation.growTo(self->m_parser->get().body().size()))
+                    if (!self->reserveBody())
                         return self->fail(ExchangeEnd::Ambiguous, "no memory for the response");
                     if (!self->m_parser->is_done())
                         return self->readSome();
@@ -218,6 +218,16 @@
                 });
         }
 
+        // Reserves the announced length of a body before it arrives, and the memory that a body of unknown length
+        // takes. Returns false when there is not enough memory.
+        bool reserveBody()
+        {
+            size_t bytes = m_parser->get().body().capacity();
+            if (m_parser->is_header_done() && !m_parser->is_done() && !m_isHeadRequest)
+                bytes = std::max(bytes, static_cast<size_t>(m_parser->content_length().value_or(0)));
+            return m_bodyReservation.growTo(bytes);
+        }
+
         // Returns whether this is an interim response or a duplicate response to an earlier request.
         bool isInterimOrForeign(const beast::http::response<beast::http::string_body>& message) const
         {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,11 +1,15 @@
 #include "pomelowind/http/HttpServer.h"
 
 #include "Session.h"
+#include "SlowCallers.h"
 #include "pomelowind/base/Listener.h"
+#include "pomelowind/base/Log.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
+#include <sys/resource.h>
 #include <unordered_set>
 
 namespace pomelowind::http {
@@ -17,6 +21,9 @@
     using boost::asio::ip::tcp;
 
     constexpr auto SWEEP_PERIOD = base::Millis(200);
+    // Part of the connections that is closed when there are too many, so that the search for those that have been idle
+    // longest is not repeated for each new connection.
+    constexpr size_t IDLE_SHARE = 32;
 
     Instant steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -29,6 +36,7 @@
             , m_limits(limits)
             , m_handler(handler)
             , m_bodyMemory(std::move(bodyMemory))
+            , m_inputReservation(m_bodyMemory)
         {
             base::listenOn(m_acceptor, address);
             accept();
@@ -53,6 +61,7 @@
         }
 
         size_t connectionCount() const override { return m_sessions.size(); }
+        ClosedCallers closedCallers() const override { return m_closedCallers; }
         void setLimits(HttpLimits limits) override { m_limits = limits; }
 
     private:
@@ -69,10 +78,16 @@
                 if (ec == boost::asio::error::operation_aborted || m_closing)
                     return;
                 if (ec) {
+                    // The process has no descriptor left.
                     m_acceptPaused = true;
-                    return;
+                    return closeLongestIdle();
                 }
-                if (m_sessions.size() < m_limits.maxConnections) {
+                if (m_sessions.size() >= m_limits.maxConnections)
+                    closeLongestIdle();
+                if (m_sessions.size() >= m_limits.maxConnections) {
+                    ++m_closedCallers.refused;
+                    base::logRateLimited("http.connection_refused", { { "open", m_sessions.size() } });
+                } else {
                     auto session = std::make_shared<Session>(std::move(socket), *this);
                     m_sessions.insert(session);
                     session->start();
@@ -81,6 +96,52 @@
             });
         }
 
+        // Closes the connections that have been longest without a request.
+        void closeLongestIdle()
+        {
+            std::vector<std::pair<Instant, std::shared_ptr<Session>>> idle;
+            for (const auto& it : m_sessions) {
+                if (auto since = it->idleSince())
+                    idle.emplace_back(*since, it);
+            }
+            auto n = std::min(idle.size(), std::max<size_t>(1, m_sessions.size() / IDLE_SHARE));
+            std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(n), idle.end());
+            idle.resize(n);
+            m_closedCallers.idle += n;
+            if (n)
+                base::logRateLimited("http.idle_closed", { { "open", m_sessions.size() }, { "closed", n } });
+            for (const auto& [since, session] : idle)
+                session->close();
+        }
+
+        // Closes connections of slow callers while there is not enough memory for others.
+        void closeSlowCallers(Instant now)
+        {
+            std::vector<std::shared_ptr<Session>> sessions;
+            std::vector<HeldTransfer> transfers;
+            size_t inputBytes = 0;
+            for (const auto& it : m_sessions) {
+                inputBytes += it->inputBytes();
+                if (auto transfer = it->heldTransfer(now)) {
+                    sessions.push_back(it);
+                    transfers.push_back(*transfer);
+                }
+            }
+            if (!m_bodyMemory)
+                return;
+            // A few incomplete heads must not take the room of the largest body.
+            m_inputReservation.setTo(inputBytes - std::min(inputBytes, m_bodyMemory->smallBodyBytes()));
+            auto shortage = m_bodyMemory->takeShortage();
+            if (!shortage)
+                return;
+            for (size_t i : transfersToEnd(transfers, shortage, m_limits.slowCallerBytesPerSecond)) {
+                ++m_closedCallers.slow;
+                base::logRateLimited("http.slow_caller_closed",
+                    { { "bytes", transfers[i].bytes }, { "bytes_per_s", transfers[i].bytesPerSecond } });
+                sessions[i]->close();
+            }
+        }
+
         void scheduleSweep()
         {
             m_sweepTimer.expires_after(SWEEP_PERIOD);
@@ -98,6 +159,7 @@
             auto sessions = m_sessions;
             for (const auto& it : sessions)
                 it->closeIfExpired(now);
+            closeSlowCallers(now);
             if (m_acceptPaused) {
                 m_acceptPaused = false;
                 accept();
@@ -128,6 +190,8 @@
         HttpLimits m_limits;
         HttpHandler& m_handler;
         base::MemoryBudgetPtr m_bodyMemory;
+        base::MemoryReservation m_inputReservation; // of the input of all connections that has not been parsed
+        ClosedCallers m_closedCallers;
         std::unordered_set<std::shared_ptr<Session>> m_sessions;
         std::optional<Instant> m_drainDeadline;
         std::function<void()> m_onDrained;
@@ -137,6 +201,15 @@
 
 }
 
+size_t connectionsForShare(double share)
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return HttpLimits().maxConnections;
+    auto n = static_cast<size_t>(static_cast<double>(limit.rlim_cur) * share);
+    return std::clamp<size_t>(n, 1, HttpLimits().maxConnections);
+}
+
 std::unique_ptr<HttpServer> makeHttpServer(boost::asio::io_context& io, const base::Address& address, HttpLimits limits,
     HttpHandler& handler, base::MemoryBudgetPtr bodyMemory)
 {
--- a/src/http/Pipeline.cpp
+++ b/src/http/Pipeline.cpp
@@ -41,6 +41,12 @@
     return bytes < maxBytes;
 }
 
+size_t Pipeline::reservedBytes() const
+{
+    return std::accumulate(m_requests.begin(), m_requests.end(), size_t { 0 },
+        [](size_t sum, const auto& it) { return sum + it.memory.bytes(); });
+}
+
 std::vector<std::function<void()>> Pipeline::takeCancellations()
 {
     std::vector<std::function<void()>> out;
--- a/src/http/Pipeline.h
+++ b/src/http/Pipeline.h
@@ -47,6 +47,8 @@
     // Returns whether another request may be read: the first one always; one behind others only if they may all
     // overlap, none of them ends the connection, and both limits allow it.
     bool mayReadNext(size_t maxRequests, size_t maxBytes) const;
+    // Returns the memory that is reserved for the requests and their responses.
+    size_t reservedBytes() const;
     // Removes all requests, and returns the functions that cancel those without a response.
     std::vector<std::function<void()>> takeCancellations();
 
--- a/src/http/Session.cpp
+++ b/src/http/Session.cpp
@@ -21,6 +21,10 @@
     constexpr auto LINGER_TIMEOUT = base::Millis(500);
     // Most requests are answered, and the memory of their bodies is released, within about this time.
     constexpr char MEMORY_RETRY_AFTER_S[] = "0.5";
+    // Responses up to this size are always sent; refusals are among them, and they take little more memory than the
+    // connection itself.
+    constexpr size_t UNLIMITED_RESPONSE_BYTES = 4096;
+    constexpr int STATUS_BAD_GATEWAY = 502;
     constexpr std::string_view CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n";
 
     Instant steadyNow() { return std::chrono::steady_clock::now(); }
@@ -34,6 +38,12 @@
         return 400;
     }
 
+    HttpResponse errorResponse(int status, const char* outcome, std::string body)
+    {
+        return { status, { { "Content-Type", "application/json" }, { "X-Pomelowind-Outcome", outcome } },
+            std::move(body) };
+    }
+
     bool isDisconnect(beast::error_code ec)
     {
         return ec == beast::http::error::end_of_stream
@@ -110,6 +120,23 @@
         cancel();
 }
 
+std::optional<HeldTransfer> Session::heldTransfer(Instant now)
+{
+    bool isReading = m_reader == Reader::Reading && m_pipeline.empty();
+    if (m_closed || (!m_writing && !isReading))
+        return std::nullopt;
+    auto rate = m_writing ? m_outputRate.bytesPerSecond(now) : m_inputRate.bytesPerSecond(now);
+    if (!rate)
+        return std::nullopt;
+    return HeldTransfer { m_pipeline.reservedBytes() + m_bodyReservation.bytes() + inputBytes(), *rate };
+}
+
+std::optional<Instant> Session::idleSince() const
+{
+    bool hasRequest = !m_pipeline.empty() || (m_reader == Reader::Reading && m_headRead);
+    return m_closed || hasRequest ? std::nullopt : std::optional(m_idleSince);
+}
+
 // ---- requests ----
 
 // Goes on to the next request if it may be read; otherwise watches for the end of the connection.
@@ -167,7 +194,10 @@
     m_waitPending = false;
     ++m_waitNumber;
     const auto& limits = m_owner.limits();
-    m_readDeadline = steadyNow() + limits.requestTimeout;
+    auto now = steadyNow();
+    m_readDeadline = now + limits.requestTimeout;
+    m_inputRate.start(now);
+    m_headRead = false;
     m_parser.emplace();
     m_parser->header_limit(static_cast<uint32_t>(std::min(limits.maxHeaderBytes, MAX_UNPARSED_BYTES)));
     m_parser->body_limit(limits.maxBodyBytes);
@@ -179,6 +209,7 @@
 void Session::onHeadRead(beast::error_code ec, size_t n)
 {
     m_headBytes = n;
+    m_headRead = true;
     if (m_closed || m_closesAfterResponse || ec || m_parser->is_done())
         return onRequestRead(ec);
     const auto contentLength = m_parser->content_length();
@@ -192,8 +223,11 @@
 
 void Session::readBody()
 {
-    beast::http::async_read_some(m_socket, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code ec, size_t) { self->onBodyPartRead(ec); });
+    beast::http::async_read_some(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code ec, size_t n) {
+            self->m_inputRate.add(n);
+            self->onBodyPartRead(ec);
+        });
 }
 
 void Session::onBodyPartRead(beast::error_code ec)
@@ -202,7 +236,7 @@
     if (m_closed || m_closesAfterResponse || ec || m_parser->is_done())
         return onRequestRead(ec);
     // The length of a chunked body is known only as it arrives.
-    if (!m_bodyReservation.growTo(m_parser->get().body().size()))
+    if (!m_bodyReservation.growTo(m_parser->get().body().capacity()))
         return refuseOutOfMemory();
     readBody();
 }
@@ -290,12 +324,8 @@
 
 HttpResponse Session::refusal(int status, HttpHeaders headers, std::string body)
 {
-    HttpResponse out;
-    out.status = status;
-    out.headers = std::move(headers);
-    out.headers.push_back({ "Content-Type", "application/json" });
-    out.headers.push_back({ "X-Pomelowind-Outcome", "not-run" });
-    out.body = std::move(body);
+    auto out = errorResponse(status, "not-run", std::move(body));
+    out.headers.insert(out.headers.begin(), headers.begin(), headers.end());
     return out;
 }
 
@@ -321,6 +351,12 @@
     if (!entry || entry->response)
         return;
     entry->onCancel = nullptr;
+    entry->memory.release();
+    if (response.body.size() > UNLIMITED_RESPONSE_BYTES && !entry->memory.growTo(response.body.capacity())) {
+        base::logRateLimited("http.no_memory_for_response", { { "bytes", response.body.size() } });
+        response = errorResponse(STATUS_BAD_GATEWAY, "unknown",
+            R"({"error":"unavailable","message":"no memory for the response now","remedy":"send it again later"})");
+    }
     entry->bytes += response.body.size();
     entry->response = std::move(response);
     writeNext();
@@ -346,7 +382,9 @@
 {
     m_owesContinue = false;
     m_writing = true;
-    m_writeDeadline = steadyNow() + m_owner.limits().requestTimeout;
+    auto now = steadyNow();
+    m_outputRate.start(now);
+    m_writeDeadline = now + m_owner.limits().requestTimeout;
     boost::asio::async_write(
         m_socket, boost::asio::buffer(CONTINUE_RESPONSE), [self = shared_from_this()](beast::error_code ec, size_t) {
             self->m_writing = false;
@@ -371,12 +409,24 @@
     if (!base::runIsolated("http.response", [&] { prepareResponse(front, keepAlive); }))
         return close();
     m_closesAfterResponse = !keepAlive;
+    m_outputRate.start(steadyNow());
     m_serializer.emplace(*m_response);
-    auto onWritten = [self = shared_from_this()](beast::error_code ec, size_t) { self->onResponseWritten(ec); };
-    if (front.isHead)
-        beast::http::async_write_header(m_socket, *m_serializer, onWritten);
-    else
-        beast::http::async_write(m_socket, *m_serializer, onWritten);
+    if (!front.isHead)
+        return writeSome();
+    beast::http::async_write_header(m_socket, *m_serializer,
+        [self = shared_from_this()](beast::error_code ec, size_t) { self->onResponseWritten(ec); });
+}
+
+// Writes what the socket takes. The caller keeps its connection as long as it takes something within the time limit.
+void Session::writeSome()
+{
+    m_writeDeadline = steadyNow() + m_owner.limits().requestTimeout;
+    beast::http::async_write_some(m_socket, *m_serializer, [self = shared_from_this()](beast::error_code ec, size_t n) {
+        self->m_outputRate.add(n);
+        if (self->m_closed || ec || self->m_serializer->is_done())
+            return self->onResponseWritten(ec);
+        self->writeSome();
+    });
 }
 
 // Throws std::exception for a response that HTTP forbids, for example a 204 with a body.
--- a/src/http/Session.h
+++ b/src/http/Session.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Pipeline.h"
+#include "SlowCallers.h"
 #include "pomelowind/base/Time.h"
 #include "pomelowind/http/HttpServer.h"
 
@@ -44,6 +45,14 @@
     // Closes the connection during a drain if it waits for a request and has no buffered input.
     void closeIfIdle();
     void close();
+    // Returns what is held until this caller has taken the rest of its response or sent the rest of its request, and
+    // how fast it does so; nothing when there is no such thing, or before the rate is known. To be called several times
+    // per second.
+    std::optional<HeldTransfer> heldTransfer(base::Instant now);
+    // Returns since when the connection has had no complete head of a request and no request in progress.
+    std::optional<base::Instant> idleSince() const;
+    // The memory of the input that has not been parsed, most of it an incomplete head.
+    size_t inputBytes() const { return m_buffer.capacity(); }
 
     void respond(HttpResponse response, uint64_t requestNumber);
     void respondCut(HttpResponse response, size_t declaredBytes, uint64_t requestNumber);
@@ -73,6 +82,7 @@
 
     void writeContinue();
     void writeNext();
+    void writeSome();
     void prepareResponse(PipelinedRequest& request, bool keepAlive);
     void writeCut(PipelinedRequest& request);
     void onResponseWritten(ErrorCode ec);
@@ -87,6 +97,8 @@
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     base::MemoryReservation m_bodyReservation; // of the request that is being read
     size_t m_headBytes { 0 };
+    bool m_headRead { false };
+    TransferRate m_inputRate;
     Reader m_reader { Reader::Off };
     uint64_t m_waitNumber { 0 };
     bool m_waitPending { false };
@@ -99,7 +111,8 @@
     std::string m_cutResponse;
     bool m_writing { false };
     bool m_closesAfterResponse { false }; // the response being written is the last one of the connection
-    base::Instant m_writeDeadline;
+    TransferRate m_outputRate;
+    base::Instant m_writeDeadline; // until the caller takes more of the response
 
     std::array<char, 512> m_discardBuffer {};
     bool m_lingering { false };
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -112,7 +112,7 @@
     , m_reportSink(std::move(reportSink))
     , m_view(std::make_shared<MeshView>())
     , m_bodyMemory(std::make_shared<base::MemoryBudget>(static_cast<size_t>(settings.bodyMemoryBytes)))
-    , m_peers(io, settings, clock, *this)
+    , m_peers(io, settings, clock, *this, m_bodyMemory)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_claimCoordinator(settings, m_peers, clock)
     , m_balancer(settings.dataCentre, seed, { settings.crossingMsPerKilobyte })
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -75,6 +75,9 @@
     const LocalTargets& localTargets() const { return m_localTargets; }
     // Number of other nodes to which a link is ready.
     size_t connectedPeers() const { return m_peers.connectedPeers(); }
+    // Bytes held for callers, see NodeSettings::bodyMemoryBytes.
+    size_t callerMemoryBytes() const { return m_bodyMemory->reservedBytes(); }
+    const http::HttpServer& callerServer() const { return *m_server; }
     // Bytes sent to other nodes for calls and claims since the start.
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
--- a/src/node/CallerLimits.cpp
+++ b/src/node/CallerLimits.cpp
@@ -4,6 +4,22 @@
 
 namespace pomelowind::node {
 
+namespace {
+
+    // Parts of the process's descriptors. The rest is for links to peers and control hosts, connections to targets, the
+    // metrics and the process's own files.
+    constexpr double CALLERS_SHARE = 0.5;
+    constexpr double HOST_SHARE = 0.125;
+
+}
+
+http::HttpLimits hostListenerLimits()
+{
+    http::HttpLimits out;
+    out.maxConnections = http::connectionsForShare(HOST_SHARE);
+    return out;
+}
+
 http::HttpLimits callerLimits(const NodeSettings& settings, const wire::ReleaseResource* release)
 {
     http::HttpLimits out;
@@ -11,6 +27,8 @@
     out.requestTimeout = settings.callerTimeout;
     out.pipelineDepth = static_cast<size_t>(settings.pipelineDepth);
     out.pipelineBytes = static_cast<size_t>(settings.pipelineBytes);
+    out.maxConnections = http::connectionsForShare(CALLERS_SHARE);
+    out.slowCallerBytesPerSecond = static_cast<double>(settings.slowCallerBytesPerSecond);
     if (!release)
         return out;
     out.maxHeaderBytes = static_cast<size_t>(release->headerBytes);
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -2,6 +2,7 @@
 
 #include "AnnounceApi.h"
 #include "CallPath.h"
+#include "CallerLimits.h"
 #include "DistributionNetwork.h"
 #include "ReadyApi.h"
 #include "pomelowind/base/EventLoopThread.h"
@@ -82,8 +83,8 @@
               [this](wire::Report report) { m_reports.tryPut(std::move(report)); }, base::randomSeed()))
         , m_announceApi(protocols.announce ? protocols.announce(*this)
                                            : std::make_unique<AnnounceApi>(m_settings, *m_core, m_clock))
-        , m_announceServer(
-              http::makeHttpServer(m_distributionLoop.context(), m_settings.announceAddress, {}, *m_announceApi))
+        , m_announceServer(http::makeHttpServer(m_distributionLoop.context(), m_settings.announceAddress,
+              hostListenerLimits(), *m_announceApi, std::make_shared<base::MemoryBudget>(HOST_LISTENER_BYTES)))
         , m_timers(base::makeTimerService())
     {
         m_network.attach(*m_core);
@@ -98,8 +99,8 @@
             });
         });
         if (m_settings.readyAddress)
-            m_readyServer
-                = http::makeHttpServer(m_distributionLoop.context(), *m_settings.readyAddress, {}, m_readyApi);
+            m_readyServer = http::makeHttpServer(m_distributionLoop.context(), *m_settings.readyAddress,
+                hostListenerLimits(), m_readyApi, std::make_shared<base::MemoryBudget>(HOST_LISTENER_BYTES));
         subscribeTimers();
         m_callsLoop.start();
         m_distributionLoop.start();
@@ -201,6 +202,12 @@
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
             m_targetLimit->set(m_callPath->localTargets().maxCallsPerSecond());
+            m_callerMemory->set(static_cast<double>(m_callPath->callerMemoryBytes()));
+            m_callerConnections->set(static_cast<double>(m_callPath->callerServer().connectionCount()));
+            const auto closed = m_callPath->callerServer().closedCallers();
+            m_idleClosed->set(static_cast<double>(closed.idle));
+            m_connectionsRefused->set(static_cast<double>(closed.refused));
+            m_slowClosed->set(static_cast<double>(closed.slow));
         }));
     }
 
@@ -217,6 +224,11 @@
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCrashes = m_metrics->gauge("target_crashes", "Crashes of the targets of this host");
+        m_callerMemory = m_metrics->gauge("caller_memory_bytes", "Bytes held for callers");
+        m_callerConnections = m_metrics->gauge("caller_connections", "Open connections of callers");
+        m_idleClosed = m_metrics->gauge("callers_idle_closed", "Idle connections closed because there were too many");
+        m_connectionsRefused = m_metrics->gauge("callers_refused", "New connections closed as there were too many");
+        m_slowClosed = m_metrics->gauge("callers_slow_closed", "Connections of slow callers closed to free memory");
         m_targetLimit
             = m_metrics->gauge("target_limit", "Calls per second that the targets of this host accept; 0: any");
     }
@@ -241,6 +253,7 @@
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked;
+    std::shared_ptr<host::Gauge> m_callerMemory, m_callerConnections, m_idleClosed, m_connectionsRefused, m_slowClosed;
     std::atomic<bool> m_stopped { false };
 };
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -92,6 +92,8 @@
     if (out.bodyMemoryBytes < out.maxBodyBytes)
         reader.recordProblem("body_memory_bytes", "is less than max_body_bytes", "set it to at least max_body_bytes");
     out.callerTimeout = reader.millis("caller_timeout_ms", out.callerTimeout, Millis(100), Millis(600000));
+    out.slowCallerBytesPerSecond
+        = reader.integer("slow_caller_bytes_per_s", out.slowCallerBytesPerSecond, 0, 1024 * MIB);
     out.pipelineDepth = reader.integer("pipeline_depth", out.pipelineDepth, 1, 10000);
     out.pipelineBytes = reader.integer("pipeline_bytes", out.pipelineBytes, 1024, 1024 * MIB);
     out.drainGrace = reader.millis("drain_grace_ms", out.drainGrace, Millis(0), Millis(60000));
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -28,11 +28,12 @@
 }
 
 PeerCalls::PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock,
-    PeerRequestHandler& requestHandler)
+    PeerRequestHandler& requestHandler, base::MemoryBudgetPtr bodyMemory)
     : m_io(io)
     , m_identity { settings.mesh, CALLS_ROLE, settings.id, settings.meshKey }
     , m_clock(clock)
     , m_requestHandler(requestHandler)
+    , m_queueReservation(std::move(bodyMemory))
     , m_server(std::make_unique<links::LinkServer>(io, settings.callAddress, m_identity, *this, m_traffic))
 {
 }
@@ -253,8 +254,23 @@
         std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it.second.dialer->link(); }));
 }
 
+// Counts the answers that wait on links, so that no more is read from targets than other nodes take.
+void PeerCalls::reserveQueues()
+{
+    size_t bytes = 0;
+    std::erase_if(m_answeringLinks, [&](const auto& it) {
+        auto link = it.lock();
+        if (!link || !link->isReady() || !link->queuedBytes())
+            return true;
+        bytes += link->queuedBytes();
+        return false;
+    });
+    m_queueReservation.setTo(bytes);
+}
+
 void PeerCalls::sweep(base::Instant now)
 {
+    reserveQueues();
     for (auto& [address, it] : m_peers) {
         pingIfSilent(it, now);
         if (isSilent(it, now))
@@ -330,10 +346,14 @@
             if (auto to = weak.lock())
                 to->sendMessage(FrameKind::CALL_GRANT, grant);
         };
-        auto done = [weak = std::weak_ptr<links::Link>(link), id](wire::CallAnswer answer) {
+        auto done = [this, weak = std::weak_ptr<links::Link>(link), id](wire::CallAnswer answer) {
             answer.id = id;
-            if (auto to = weak.lock())
-                to->sendMessage(FrameKind::CALL_ANSWER, answer);
+            auto to = weak.lock();
+            if (!to)
+                return;
+            to->sendMessage(FrameKind::CALL_ANSWER, answer);
+            m_answeringLinks.insert(weak);
+            reserveQueues();
         };
         return m_requestHandler.onCall(link.get(), std::move(request), onGranted, done);
     }
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -2,6 +2,7 @@
 // call pays for a new connection and a late answer can only be matched to its own request.
 #pragma once
 
+#include "pomelowind/base/MemoryBudget.h"
 #include "pomelowind/links/LinkDialer.h"
 #include "pomelowind/links/LinkServer.h"
 #include "pomelowind/node/NodeSettings.h"
@@ -46,7 +47,7 @@
 public:
     // Binds the call address.
     PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock,
-        PeerRequestHandler& requestHandler);
+        PeerRequestHandler& requestHandler, base::MemoryBudgetPtr bodyMemory = nullptr);
 
     // Sends a call to the node at `address` and returns an id for cancel(). `done` is called once: with NOT_RUN when
     // the call was never sent, with UNKNOWN when the link was lost or `budget` expired after it was sent. A large body
@@ -80,6 +81,7 @@
     void linkClosed(const std::shared_ptr<links::Link>& link, const std::string& reason) override;
 
 private:
+    void reserveQueues();
     // A request that waits for its link to connect.
     struct QueuedRequest {
         links::Kind kind;
@@ -129,6 +131,8 @@
     const base::Clock& m_clock;
     PeerRequestHandler& m_requestHandler;
     links::TrafficCounters m_traffic;
+    std::set<std::weak_ptr<links::Link>, std::owner_less<>> m_answeringLinks; // on which answers may still wait
+    base::MemoryReservation m_queueReservation; // of what waits on them
     std::unique_ptr<links::LinkServer> m_server;
     std::map<std::string, Peer> m_peers;
     std::set<std::string> m_unreachable;
