--- a/src/node/CallAdmission.cpp
+++ b/src/node/CallAdmission.cpp
@@ -18,6 +18,14 @@
 
 }
 
+bool CallPath::mayOverlap(const http::HttpRequest& request) const
+{
+    if (!m_view->routes)
+        return false;
+    auto match = m_view->routes->find(http::findHeader(request.headers, "Host"), request.path, request.method);
+    return match.route && match.methodAllowed && match.route->idempotent;
+}
+
 void CallPath::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
 {
     ++m_counts.calls;
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -1,4 +1,5 @@
 #include "CallState.h"
+#include "CallerLimits.h"
 #include "ColdRates.h"
 #include "pomelowind/base/Log.h"
 
@@ -29,7 +30,7 @@
     , m_reportSink(std::move(reportSink))
     , m_view(std::make_shared<MeshView>())
     , m_bodyMemory(std::make_shared<base::MemoryBudget>(static_cast<size_t>(settings.bodyMemoryBytes)))
-    , m_peers(io, settings, clock, *this)
+    , m_peers(io, settings, clock, *this, m_bodyMemory)
     , m_localTargets(io, settings, protocol, clock, m_bodyMemory)
     , m_evacuations(settings.dataCentre)
     , m_claimCoordinator(settings, m_peers, clock)
@@ -41,15 +42,12 @@
     , m_elapsedTimeEstimator(m_startedAt)
     , m_weightedSplitter(seed + 2)
 {
-    http::HttpLimits limits;
-    limits.maxBodyBytes = static_cast<size_t>(settings.maxBodyBytes);
-    limits.requestTimeout = settings.callerTimeout;
     m_localTargets.setCrashListener([this](wire::TargetCrash crash) {
         wire::Report report;
         report.crashes.push_back(std::move(crash));
         m_reportSink(std::move(report));
     });
-    m_server = http::makeHttpServer(io, settings.callerAddress, limits, *this, m_bodyMemory);
+    m_server = http::makeHttpServer(io, settings.callerAddress, callerLimits(settings, nullptr), *this, m_bodyMemory);
 }
 
 void CallPath::setView(MeshViewPtr view)
@@ -83,13 +81,7 @@
     if (!release || release->number == m_limitsRelease)
         return;
     m_limitsRelease = release->number;
-    http::HttpLimits limits;
-    limits.maxHeaderBytes = static_cast<size_t>(release->headerBytes);
-    limits.maxBodyBytes = static_cast<size_t>(std::min(release->bodyBytes, m_settings.maxBodyBytes));
-    limits.requestTimeout = m_settings.callerTimeout;
-    limits.headerTimeout = Millis(release->headerTimeoutMs);
-    limits.idleTimeout = Millis(release->idleTimeoutMs);
-    m_server->setLimits(limits);
+    m_server->setLimits(callerLimits(m_settings, release));
     base::logInfo(
         "callers.limits_applied", { { "release", release->number }, { "header_bytes", release->headerBytes } });
 }
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -83,10 +83,15 @@
     const Evacuations& evacuations() const { return m_evacuations; }
     // Number of other nodes to which a link is ready.
     size_t connectedPeers() const { return m_peers.connectedPeers(); }
+    // Bytes held for callers, see NodeSettings::bodyMemoryBytes.
+    size_t callerMemoryBytes() const { return m_bodyMemory->reservedBytes(); }
+    const http::HttpServer& callerServer() const { return *m_server; }
     // Bytes sent to other nodes for calls and claims since the start.
     uint64_t bytesBetweenNodes() const { return m_peers.traffic().sent; }
 
     void handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply) override;
+    // Calls of idempotent routes may overlap.
+    bool mayOverlap(const http::HttpRequest& request) const override;
     void onCall(
         const void* origin, wire::CallRequest request, std::function<void()> onGranted, CallCallback done) override;
     void onBody(const void* origin, int64_t id, std::string_view part) override;
