--- a/tests/platform/StopUsesTheTimeOfThePlatform.cpp
+++ b/tests/platform/StopUsesTheTimeOfThePlatform.cpp
@@ -23,6 +23,7 @@
         { "listen_addrs.inbound|json", "\"127.0.0.1:7003\"" }, { "listen_addrs.outbound|json", "\"127.0.0.1:7004\"" },
         { "listen_addrs.control|json", "\"127.0.0.1:7005\"" }, { "listen_addrs.ready|json", "\"127.0.0.1:7006\"" },
         { "app_addr|json", "\"127.0.0.1:7007\"" }, { "service|json", "\"s\"" }, { "bounds.retry_budget_slack", "60" },
+        { "bounds.quota_window_s", "5" }, { "bounds.quota_overshoot", "0.1" }, { "bounds.quota_slack", "20" },
         { "bounds.grace_s", graceSeconds } };
     auto source = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "../../platform/node.yaml";
     std::stringstream text;
