Honour keys only with recent proof of the configuration

Where revoke_ms is set, a node asks its parent for proof that its version is the newest, and refuses calls with keys with 503 once the proof is older than that time less 2%. Nodes pass proofs on to their children, and followers get them from the leader, which proves itself while it holds its lease and has committed in its term.

--- a/include/pomelowind/callers/KeyCheck.h
+++ b/include/pomelowind/callers/KeyCheck.h
@@ -8,17 +8,21 @@
 struct KeyEvidence {
     bool needsKey { true }; // its route serves only calls with a key
     bool hasKey { false };
+    bool mayHonourKeys { true }; // the configuration is known to be recent enough, or need not be
     bool isKnown { false }; // the key belongs to a client account
     bool namesParent { false }; // its request id names another call as its parent
     bool parentRuns { false }; // the parent runs at a target of this host
     bool parentMayRun { false }; // the parent may run there without the node's knowledge
 };
 
-enum class KeyVerdict { Admitted, Unauthorized, ParentUnknown };
+enum class KeyVerdict { Admitted, Unauthorized, ParentUnknown, LeaseEnded };
 
 // Thread safety: pure.
 inline KeyVerdict checkKey(const KeyEvidence& evidence)
 {
+    // Without a lease nothing is known about a key: neither that it is valid nor that it is not.
+    if (evidence.needsKey && evidence.hasKey && !evidence.mayHonourKeys)
+        return KeyVerdict::LeaseEnded;
     if (!evidence.needsKey || evidence.isKnown)
         return KeyVerdict::Admitted;
     if (evidence.hasKey || !evidence.namesParent)
--- a/include/pomelowind/node/MeshView.h
+++ b/include/pomelowind/node/MeshView.h
@@ -9,6 +9,7 @@
 #include "pomelowind/nodes/Directory.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace pomelowind::node {
@@ -19,6 +20,9 @@
     std::shared_ptr<const RouteTable> routes;
     // Client accounts by key; null: none.
     std::shared_ptr<const callers::AccountKeys> accountKeys;
+    // Calls that arrive later are not served on the strength of a key of this configuration, which may then be
+    // outdated. Unset: no leases are asked for.
+    std::optional<base::Instant> keysHonouredUntil;
     std::shared_ptr<const nodes::TargetList> targets;
     // Crashes of targets; null: none.
     std::shared_ptr<const nodes::CrashList> crashes;
--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -3,6 +3,7 @@
 
 #include "pomelowind/base/Settings.h"
 #include "pomelowind/callers/QuotaBounds.h"
+#include "pomelowind/nodes/FreshnessProof.h"
 
 #include <optional>
 #include <set>
@@ -72,6 +73,7 @@
     // retryBurst applies to each node.
     double retrySlack { 0 };
     callers::QuotaBounds quota; // bound on the calls of each client account over all nodes
+    nodes::LeaseBounds lease; // within which keys of client accounts are honoured
     bool limitsEnabled { true }; // false only in benchmarks that measure the effect of the limits
 };
 
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -520,6 +520,13 @@
     case FrameKind::MEMBER_REPORT:
         handleMemberReport(member, base::decode<wire::MemberReport>(payload));
         break;
+    case FrameKind::FRESHNESS_REQUEST:
+        m_outputs.sendToMember(member, FrameKind::FRESHNESS_ANSWER,
+            base::encode(answerFreshness(base::decode<wire::FreshnessRequest>(payload))));
+        break;
+    case FrameKind::FRESHNESS_ANSWER:
+        m_freshness.onAnswer(base::decode<wire::FreshnessAnswer>(payload));
+        break;
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from a control host", "run the same release on all hosts");
@@ -654,6 +661,11 @@
     case FrameKind::USAGE:
         m_usage.add(callers::unpackUsage(base::decode<wire::AccountUsage>(payload)));
         break;
+    case FrameKind::FRESHNESS_REQUEST:
+        m_freshnessAskedAt = m_now;
+        m_outputs.sendToNode(node, FrameKind::FRESHNESS_ANSWER,
+            base::encode(answerFreshness(base::decode<wire::FreshnessRequest>(payload))));
+        break;
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from a node", "run the same release on all hosts");
@@ -764,6 +776,7 @@
     }
     bool leadsWithLease = !isDiskBehind() && m_replica.hasCommittedInTerm() && m_replica.hasLease(now);
     tickQuota(leadsWithLease);
+    askLeaderForProof();
     if (leadsWithLease && now >= m_beaconDue) {
         m_beaconDue = now + BEACON_PERIOD;
         sendBeacon();
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -15,6 +15,7 @@
 #include "pomelowind/nodes/AckTable.h"
 #include "pomelowind/nodes/ConfigPublisher.h"
 #include "pomelowind/nodes/Directory.h"
+#include "pomelowind/nodes/FreshnessProof.h"
 
 #include <functional>
 #include <map>
@@ -112,6 +113,8 @@
     void broadcastToNodes(const wire::Spread& spread);
     void broadcastToMembers(const wire::MemberReport& report);
 
+    wire::FreshnessAnswer answerFreshness(const wire::FreshnessRequest& request);
+    void askLeaderForProof();
     void tickQuota(bool leadsWithLease);
     void learnLimits();
     void countNodes();
@@ -147,6 +150,10 @@
     bool m_ratiosChanged { false };
     base::Instant m_quotaDue, m_nodeCountDue, m_usageDue, m_ratiosDue;
 
+    nodes::FreshnessProof m_freshness; // of m_machine
+    base::Instant m_freshnessAskedAt; // by a node; unset: never
+    base::Instant m_freshnessDue;
+
     std::map<std::string, base::Instant> m_lastContact; // last contact of each known control host
     base::Instant m_announceDue;
     base::Instant m_membershipDue;
--- a/src/node/CallAdmission.cpp
+++ b/src/node/CallAdmission.cpp
@@ -107,8 +107,10 @@
     const auto& running = m_localTargets.runningCalls();
     const auto& parentId = call->parameters.parentId;
     auto key = m_protocol.parseKey(call->request);
-    call->clientAccount = key.empty() ? nullptr : keys->find(key);
+    const auto& until = m_view->keysHonouredUntil;
     callers::KeyEvidence evidence;
+    evidence.mayHonourKeys = !until || call->arrivedAt < *until;
+    call->clientAccount = key.empty() || !evidence.mayHonourKeys ? nullptr : keys->find(key);
     evidence.needsKey = !route.withoutAccount;
     evidence.hasKey = !key.empty();
     evidence.isKnown = call->clientAccount;
@@ -128,6 +130,10 @@
     case callers::KeyVerdict::ParentUnknown:
         return rejectCall(call, STATUS_UNAVAILABLE, "unavailable",
             "this node does not know whether the call that made this one runs", "try again later");
+    case callers::KeyVerdict::LeaseEnded:
+        ++m_counts.withoutLease;
+        return rejectCall(call, STATUS_UNAVAILABLE, "unavailable",
+            "this node cannot prove that its configuration is recent", "send it to another node, or try again later");
     case callers::KeyVerdict::Unauthorized:
         break;
     }
--- a/src/node/CallPath.cpp
+++ b/src/node/CallPath.cpp
@@ -75,6 +75,13 @@
     }
 }
 
+std::optional<Millis> CallPath::leaseLeft() const
+{
+    if (!m_view->keysHonouredUntil)
+        return std::nullopt;
+    return std::max(Millis(0), std::chrono::floor<Millis>(*m_view->keysHonouredUntil - m_clock.now()));
+}
+
 void CallPath::applyServerLimits()
 {
     const auto* release = m_view->config->release();
--- a/src/node/CallPath.h
+++ b/src/node/CallPath.h
@@ -40,6 +40,7 @@
     uint64_t overQuota { 0 }; // refused because of the client account's limit over all nodes
     uint64_t overEqualPart { 0 }; // of these, without contact to the leader
     uint64_t unauthorized { 0 }; // refused because the call carries no known key of a client account
+    uint64_t withoutLease { 0 }; // refused because this node cannot prove that its configuration is recent
     uint64_t blocked { 0 }; // refused because the call crashes its targets
     uint64_t replayed { 0 }; // answered with the stored answer of an earlier attempt
 };
@@ -76,6 +77,8 @@
     // Sets the function that receives the seconds from each call's arrival to its answer.
     void setLatencyRecorder(std::function<void(double)> recorder) { m_latencyRecorder = std::move(recorder); }
     const CallCounts& counts() const { return m_counts; }
+    // Time for which keys of client accounts are honoured without a further proof; unset where no leases are asked for.
+    std::optional<base::Millis> leaseLeft() const;
     // Calls at the targets of this host, running or queued.
     size_t localCallCount() const { return m_localTargets.callCount(); }
     // The targets of this host, for their metrics.
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -181,6 +181,7 @@
         return;
     }
     m_admitted = true;
+    m_freshnessDue = now;
     m_attemptDeadline = now + BEACON_TIMEOUT;
     learnControlHosts(answer.controlHosts);
     m_parentChooser.succeeded(m_parent->id);
@@ -223,6 +224,8 @@
         return applyDelta(base::decode<wire::Delta>(base::unpack(payload)), now);
     case FrameKind::SPREAD:
         return handleSpread(base::decode<wire::Spread>(payload), now);
+    case FrameKind::FRESHNESS_ANSWER:
+        return handleFreshnessAnswer(base::decode<wire::FreshnessAnswer>(payload));
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from the parent", "run the same release on all hosts");
@@ -255,6 +258,7 @@
     // The new state is built beside the current one and replaces it by one pointer assignment when it is complete.
     m_accountKeys = callers::AccountKeys::update(m_accountKeys, delta, *m_state, *result.state);
     m_state = result.state;
+    m_freshness.setVersion(m_state->version());
     m_activeConfig = std::make_shared<const config::ConfigState>(m_state->subsetForServices(m_settings.services));
     m_routes = std::make_shared<const RouteTable>(m_activeConfig);
     m_rejection.clear();
@@ -436,6 +440,10 @@
         return handleReport(base::decode<wire::Report>(payload), now);
     case FrameKind::USAGE:
         return m_usage.add(callers::unpackUsage(base::decode<wire::AccountUsage>(payload)));
+    case FrameKind::FRESHNESS_REQUEST: {
+        auto answer = m_freshness.answer(base::decode<wire::FreshnessRequest>(payload), now);
+        return m_outputs.sendChild(child, FrameKind::FRESHNESS_ANSWER, base::encode(answer));
+    }
     default:
         throw base::UserError(
             base::ErrorKind::Protocol, "unexpected frame from a child node", "run the same release on all hosts");
@@ -877,6 +885,7 @@
     if (now >= m_digestDue)
         startDigestExchange(now);
     updateServing(now);
+    tickLease(now);
     flushUsage(now);
     bool urgent = !m_pendingReport.nodes.empty() || !m_pendingReport.targets.empty() || !m_pendingReport.acks.empty()
         || !m_pendingReport.alarms.empty() || !m_pendingReport.crashes.empty();
@@ -896,6 +905,7 @@
     view->config = m_activeConfig;
     view->routes = m_routes;
     view->accountKeys = m_accountKeys;
+    view->keysHonouredUntil = keysHonouredUntil();
     view->targets = std::make_shared<const nodes::TargetList>(m_directory.liveTargets());
     view->crashes = m_crashes;
     view->claimsThroughMs = m_lastBeacon.claimsThroughMs;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -14,6 +14,7 @@
 #include "pomelowind/nodes/AckTable.h"
 #include "pomelowind/nodes/ConfigPublisher.h"
 #include "pomelowind/nodes/Directory.h"
+#include "pomelowind/nodes/FreshnessProof.h"
 #include "pomelowind/nodes/ParentChooser.h"
 
 #include <map>
@@ -125,6 +126,9 @@
     void flushReport();
     void expireTargets(base::Instant now);
     void startDigestExchange(base::Instant now);
+    void tickLease(base::Instant now);
+    void handleFreshnessAnswer(const wire::FreshnessAnswer& answer);
+    std::optional<base::Instant> keysHonouredUntil() const;
     void updateServing(base::Instant now);
     void publish();
     bool beaconIsFresh(base::Instant now) const;
@@ -172,6 +176,9 @@
     callers::UsageBatch m_usage; // of this node and its subtree, for the parent
     base::Instant m_usageDue;
     std::shared_ptr<const std::vector<wire::AccountRatio>> m_accountRatios; // null: none
+    nodes::FreshnessProof m_freshness; // of m_state
+    base::Instant m_freshnessDue;
+    bool m_holdsLease { false }; // as last logged
     bool m_viewDirty { true }; // a new snapshot has to be published
 
     bool m_serving { false };
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -25,6 +25,7 @@
     constexpr auto CALLS_TICK = base::Millis(20);
     constexpr auto EVIDENCE_PERIOD = base::Millis(250);
     constexpr auto METRICS_PERIOD = base::Millis(1000);
+    constexpr double MS_PER_SECOND = 1000;
     // Time between announcing the targets as draining and refusing other nodes' calls. The announcement reaches all
     // nodes well within it, and most calls that were sent before end within it.
     constexpr auto DRAIN_NOTICE = base::Millis(1000);
@@ -202,6 +203,9 @@
             m_overQuota->set(static_cast<double>(counts.overQuota));
             m_overEqualPart->set(static_cast<double>(counts.overEqualPart));
             m_unauthorized->set(static_cast<double>(counts.unauthorized));
+            m_withoutLease->set(static_cast<double>(counts.withoutLease));
+            if (auto left = m_callPath->leaseLeft())
+                m_leaseLeft->set(static_cast<double>(left->count()) / MS_PER_SECOND);
             m_blocked->set(static_cast<double>(counts.blocked));
             m_targetCalls->set(static_cast<double>(m_callPath->localTargets().sentCalls()));
             m_targetCrashes->set(static_cast<double>(m_callPath->localTargets().crashes()));
@@ -227,6 +231,10 @@
             "calls_over_equal_part", "Calls over this node's part of a limit, without contact to the leader");
         m_unauthorized = m_metrics->gauge(
             "calls_unauthorized", "Calls refused because they carry no known key of a client account");
+        m_withoutLease = m_metrics->gauge(
+            "calls_without_lease", "Calls refused because the configuration was not known to be recent");
+        if (m_settings.lease.enabled())
+            m_leaseLeft = m_metrics->gauge("lease_left_seconds", "Time for which keys are honoured without a proof");
         m_blocked = m_metrics->gauge("calls_blocked", "Calls refused because they crash their targets");
         m_targetCalls = m_metrics->gauge("target_calls", "Calls sent to the targets of this host");
         m_targetCallsRunning
@@ -259,7 +267,8 @@
     std::vector<std::unique_ptr<base::TimerSubscription>> m_subscriptions;
     std::shared_ptr<host::Gauge> m_version, m_sent, m_received, m_callCount, m_notRun, m_unknown, m_retries, m_limited;
     std::shared_ptr<host::Gauge> m_targetCalls, m_targetLimit, m_targetCrashes, m_blocked, m_overQuota, m_overEqualPart;
-    std::shared_ptr<host::Gauge> m_unauthorized;
+    std::shared_ptr<host::Gauge> m_unauthorized, m_withoutLease;
+    std::shared_ptr<host::Gauge> m_leaseLeft; // null where no leases are asked for
     std::shared_ptr<host::Gauge> m_targetCallsRunning, m_evacuated, m_refusedAtGates;
     std::atomic<bool> m_stopped { false };
 };
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -15,6 +15,9 @@
     // on a busy host.
     constexpr auto KILL_RESERVE = Millis(800);
     constexpr double MS_PER_SECOND = 1000;
+    // A shorter lease could end before it is renewed across data centres; see docs/design/leases.md.
+    constexpr double MIN_REVOKE_MS = 2000;
+    constexpr double MAX_REVOKE_MS = 600000;
 
     void readControlHosts(base::SettingsReader& reader, NodeSettings& out)
     {
@@ -97,6 +100,8 @@
     out.retryShare = reader.real("retry_share", out.retryShare, 0, 1);
     out.firstAttemptPercent = reader.integer("first_attempt_percent", out.firstAttemptPercent, 1, 100);
     out.quota = callers::readQuotaBounds(reader);
+    if (reader.has("revoke_ms"))
+        out.lease.revoke = Millis(std::lround(std::floor(reader.real("revoke_ms", 0, MIN_REVOKE_MS, MAX_REVOKE_MS))));
     out.limitsEnabled = reader.flag("limits_enabled", true);
     if (out.meshKey.size() < MIN_MESH_KEY_BYTES)
         reader.recordProblem(
--- a/tests/integration/CallsNeedAKeyOfAnAccount.cpp
+++ b/tests/integration/CallsNeedAKeyOfAnAccount.cpp
@@ -6,6 +6,7 @@
 #include "tests/support/CallPathFixture.h"
 #include "tests/support/ManualClock.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace pomelowind;
@@ -136,6 +137,51 @@
     EXPECT_TRUE(has(got, "X-Tenant: bank"));
 }
 
+// Guards against a lease that only a message can end, and against 401 for a key that may be valid.
+TEST(CallsWithoutALease, AreRefusedWith503AndPublicAndNestedCallsAreServed)
+{
+    tests::ManualClock clock;
+    CallPathFixture::Options options;
+    options.accounts = { account("shop", KEY) };
+    options.clock = &clock;
+    options.keysHonouredUntil = clock.now() + base::Millis(1000);
+    CallPathFixture fixture(options);
+    auto exchange = [&](const std::string& bytes) {
+        auto caller = fixture.connect(0);
+        caller->write(bytes);
+        EXPECT_TRUE(fixture.runUntil([&] { return caller->has("\r\n\r\n"); }));
+        return caller->received;
+    };
+    // Sends a call and returns whether the target gets it.
+    std::vector<tests::RawConnectionPtr> callers;
+    auto runs = [&](int node, const std::string& path, const std::string& id, const std::string& headers) {
+        callers.push_back(fixture.connect(node));
+        callers.back()->write(request(id, path, headers));
+        auto atTarget = [&] {
+            const auto& all = fixture.targetConnections(1);
+            return std::any_of(all.begin(), all.end(), [&](const auto& it) { return it->has("GET " + path + " "); });
+        };
+        EXPECT_TRUE(fixture.runUntil([&] { return atTarget() || callers.back()->has("\r\n\r\n"); }));
+        return atTarget();
+    };
+    EXPECT_TRUE(runs(0, "/again/parent", "p", TOKEN));
+    clock.advance(base::Millis(999));
+    EXPECT_EQ(fixture.path(0).leaseLeft(), base::Millis(1));
+    clock.advance(base::Millis(1));
+    for (const std::string headers : { TOKEN, std::string("Authorization: Token wrong\r\n") }) {
+        auto answer = exchange(request("a", "/again/1", headers));
+        EXPECT_TRUE(has(answer, "HTTP/1.1 503 ")) << answer;
+        EXPECT_TRUE(has(answer, "Retry-After: ")) << answer;
+    }
+    EXPECT_EQ(fixture.path(0).counts().withoutLease, 2u);
+    EXPECT_EQ(fixture.path(0).counts().unauthorized, 0u);
+    EXPECT_TRUE(has(exchange(request("a", "/again/1", "")), "HTTP/1.1 401 ")) << "no proof would help it";
+    EXPECT_TRUE(runs(0, "/open/2", "o", TOKEN)) << "its route needs no key";
+    EXPECT_TRUE(runs(1, "/again/nested", "p.1", "")) << "its parent runs";
+    fixture.setKeysHonouredUntil(clock.now() + base::Millis(1000));
+    EXPECT_TRUE(runs(0, "/again/3", "b", TOKEN));
+}
+
 TEST(NestedCallsWithoutAKey, AreServedWhileTheirParentRunsAndOtherwiseRefusedWith503Then401)
 {
     tests::ManualClock clock;
--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -202,6 +202,12 @@
     publish();
 }
 
+void CallPathFixture::setKeysHonouredUntil(base::Instant until)
+{
+    m_options.keysHonouredUntil = until;
+    publish();
+}
+
 size_t CallPathFixture::pollOne()
 {
     m_io.restart();
@@ -307,6 +313,7 @@
         auto own = std::make_shared<node::MeshView>(*view);
         own->config = std::make_shared<config::ConfigState>(it->evacuations.withChange(resources, {}));
         own->accountKeys = callers::AccountKeys::build(*own->config);
+        own->keysHonouredUntil = m_options.keysHonouredUntil;
         own->routes = std::make_shared<node::RouteTable>(own->config);
         it->path->setView(own);
     }
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,6 +62,7 @@
         base::Millis stopTimeout { 60000 }; // see NodeSettings
         std::vector<std::string> services; // of the callers of each node; "s" where missing
         std::vector<wire::ClientAccount> accounts; // of the configuration
+        std::optional<base::Instant> keysHonouredUntil; // see node::MeshView
     };
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
@@ -76,6 +78,8 @@
     void startTarget(int i);
     // Replaces the client accounts of the configuration.
     void setAccounts(std::vector<wire::ClientAccount> accounts);
+    // Renews the lease of all nodes.
+    void setKeysHonouredUntil(base::Instant until);
     // Puts the evacuation of these data centres in force, and of no others, at the given nodes.
     void setEvacuated(const std::set<std::string>& dataCentres, const std::vector<int>& nodes);
     // Runs the event loops until nothing is left to do at this instant, and sweeps all nodes.
