--- a/tests/property/RemovedKeysEndInTime.cpp
+++ b/tests/property/RemovedKeysEndInTime.cpp
@@ -8,7 +8,7 @@
 
 using namespace pomelowind;
 using base::Millis;
-using test::LeaseSim;
+using tests::LeaseSim;
 
 namespace {
 
--- a/tests/support/LeaseSim.cpp
+++ b/tests/support/LeaseSim.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pomelowind::test {
+namespace pomelowind::tests {
 
 using base::Instant;
 
@@ -208,4 +208,4 @@
     }
 }
 
-}
+} // namespace pomelowind::tests
--- a/tests/support/LeaseSim.h
+++ b/tests/support/LeaseSim.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <vector>
 
-namespace pomelowind::test {
+namespace pomelowind::tests {
 
 struct LeaseSchedule {
     uint64_t seed { 1 };
@@ -88,4 +88,4 @@
     uint64_t m_steps { 0 };
 };
 
-}
+} // namespace pomelowind::tests
