--- a/tests/integration/CallsNeedAKeyOfAnAccount.cpp
+++ b/tests/integration/CallsNeedAKeyOfAnAccount.cpp
@@ -168,7 +168,7 @@
     clock.advance(base::Millis(999));
     EXPECT_EQ(fixture.path(0).leaseLeft(), base::Millis(1));
     clock.advance(base::Millis(1));
-    for (const std::string headers : { TOKEN, std::string("Authorization: Token wrong\r\n") }) {
+    for (const auto& headers : { TOKEN, std::string("Authorization: Token wrong\r\n") }) {
         auto answer = exchange(request("a", "/again/1", headers));
         EXPECT_TRUE(has(answer, "HTTP/1.1 503 ")) << answer;
         EXPECT_TRUE(has(answer, "Retry-After: ")) << answer;
