Test leaders that wake up after a freeze

The random schedules alone did not notice a leader that proves itself without its lease; this test does. Tested: with that mutation it fails, without it passes.

--- a/tests/property/ControlHostsProveOnlyTheNewest.cpp
+++ b/tests/property/ControlHostsProveOnlyTheNewest.cpp
@@ -115,3 +115,25 @@
         EXPECT_GT(group.fresh * 2, group.proofs) << "in most of the time, most hosts have a recent proof";
     }
 }
+
+// A leader that was frozen handles what waited in its sockets before it learns that another host leads.
+TEST(LeadersThatWakeUp, ProveNothingAboutTheTimeOfTheirFreeze)
+{
+    constexpr auto FREEZE = Millis(10000);
+    constexpr auto LONGEST_LEASE = Millis(1000);
+    tests::ControlGroupSim sim(3, 1);
+    std::vector<wire::FreshnessAnswer> answers;
+    sim.setNodeSink([&](int, const std::string&, links::Kind kind, const std::string& payload) {
+        if (kind == FrameKind::FRESHNESS_ANSWER)
+            answers.push_back(base::decode<wire::FreshnessAnswer>(payload));
+    });
+    sim.advance(Millis(5000));
+    int leader = sim.leader();
+    ASSERT_GE(leader, 0);
+    auto payload = base::encode(wire::FreshnessRequest());
+    sim.deliver(leader, "n0", FrameKind::FRESHNESS_REQUEST, payload);
+    sim.core(leader).handleNodeFrame("n0", FrameKind::FRESHNESS_REQUEST, payload, sim.now() + FREEZE, 1);
+    ASSERT_EQ(answers.size(), 2u);
+    EXPECT_EQ(answers[0].ageMs, 0);
+    EXPECT_GE(answers[1].ageMs, (FREEZE - LONGEST_LEASE).count());
+}
