--- a/tests/property/ControlHostsProveOnlyTheNewest.cpp
+++ b/tests/property/ControlHostsProveOnlyTheNewest.cpp
@@ -137,3 +137,37 @@
     EXPECT_EQ(answers[0].ageMs, 0);
     EXPECT_GE(answers[1].ageMs, (FREEZE - LONGEST_LEASE).count());
 }
+
+// After a restart, committed entries are applied only when the new leader has committed in its term.
+TEST(RestartedGroups, ProveNothingBeforeTheyKnowWhatWasAcknowledged)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        SCOPED_TRACE(seed);
+        tests::ControlGroupSim sim(3, seed);
+        sim.advance(Millis(5000));
+        wire::Command command;
+        command.kind = wire::CommandKind::SET_SERVICE;
+        command.name = "desk";
+        command.requestId = command.body = "v1";
+        command.baseVersion = -1;
+        auto result = std::make_shared<std::optional<wire::CommandResult>>();
+        sim.submit(0, command, result);
+        sim.advance(Millis(1000));
+        ASSERT_TRUE(result->has_value() && (*result)->code == wire::ResultCode::ACCEPTED);
+        int proofs = 0;
+        sim.setNodeSink([&](int, const std::string&, links::Kind kind, const std::string& payload) {
+            if (kind != FrameKind::FRESHNESS_ANSWER)
+                return;
+            auto answer = base::decode<wire::FreshnessAnswer>(payload);
+            proofs += answer.ageMs >= 0 ? 1 : 0;
+            EXPECT_TRUE(answer.ageMs < 0 || answer.version >= (*result)->version);
+        });
+        for (int i = 0; i < sim.size(); ++i)
+            sim.restart(i);
+        for (int step = 0; step < 3000; ++step, sim.advance(Millis(1))) {
+            for (int i = 0; i < sim.size(); ++i)
+                sim.deliver(i, "n0", FrameKind::FRESHNESS_REQUEST, base::encode(wire::FreshnessRequest()));
+        }
+        EXPECT_GT(proofs, 0);
+    }
+}
