--- a/tests/property/AccountLimitsHoldOverAllNodes.cpp
+++ b/tests/property/AccountLimitsHoldOverAllNodes.cpp
@@ -15,8 +15,8 @@
 constexpr double MAX_REFUSED = 0.002;
 constexpr double MAX_REFUSED_DURING_FAULTS = 0.02;
 constexpr uint64_t SEEDS = 3;
-// With these, the bound is exceeded if the leader leaves out the calls that it has not heard of yet (near_limit, 1.07 of
-// it), or the highest demand of the last window (bursts, 1.006 of it).
+// With these, the bound is exceeded if the leader leaves out the calls that it has not heard of yet (near_limit, 1.07
+// of it), or the highest demand of the last window (bursts, 1.006 of it).
 constexpr double LIMITS[] = { 5, 400, 50 };
 
 bool isFault(QuotaEvent event)
