--- a/include/pomelowind/node/NodeSettings.h
+++ b/include/pomelowind/node/NodeSettings.h
@@ -57,9 +57,8 @@
     int64_t bodyMemoryBytes { 64 * 1024 * 1024 };
     // Queueing time, in milliseconds, that is preferred to sending one kilobyte to another data centre.
     double crossingMsPerKilobyte { 0 };
-    base::Millis callerTimeout {
-        10000
-    }; // for receiving one whole request, and for a caller to take some of its answer
+    // For receiving one whole request, and for a caller to take some of its answer.
+    base::Millis callerTimeout { 10000 };
     int64_t slowCallerBytesPerSecond { 16 * 1024 }; // see http::HttpLimits
     int64_t pipelineDepth { 64 }; // unanswered requests of one connection at which no further one is read
     int64_t pipelineBytes { 1024 * 1024 }; // the same in bytes of the requests and of responses that wait
