--- a/tests/integration/SignalsArriveWhileSettingsAreRead.cpp
+++ b/tests/integration/SignalsArriveWhileSettingsAreRead.cpp
@@ -144,7 +144,11 @@
         SCOPED_TRACE(process);
         ASSERT_TRUE(mesh.waitFor([&] { return mesh.countLogLines(process, ".started ") == 1; }));
         // Of two pending signals the lower one, SIGINT, is taken first; SIGTERM comes during the stop that it begins.
+        // Both are pending at once only if the process has stopped before the first one is sent.
         mesh.sendSignal(process, SIGSTOP);
+        int status = 0;
+        ASSERT_EQ(waitpid(mesh.pid(process), &status, WUNTRACED), mesh.pid(process));
+        ASSERT_TRUE(WIFSTOPPED(status));
         mesh.sendSignal(process, SIGTERM);
         mesh.sendSignal(process, SIGINT);
         mesh.sendSignal(process, SIGCONT);
