--- a/tests/correctness/TheLeaderSetsRatios.cpp
+++ b/tests/correctness/TheLeaderSetsRatios.cpp
@@ -65,7 +65,7 @@
 TEST_F(TheLeaderSetsRatios, TheRateOfTheLimitBeyondIt)
 {
     run(470, Millis(15000));
-    EXPECT_NEAR(permille(), 1000 * 100 / 470, 30);
+    EXPECT_NEAR(permille(), 1000.0 * 100 / 470, 30);
     run(30, Millis(10000));
     EXPECT_TRUE(controller.ratios().empty()) << "after the demand has ended";
 }
@@ -82,17 +82,17 @@
     ASSERT_EQ(controller.ratios().size(), 1u) << "an empty list would end the ratio";
     EXPECT_EQ(permille(), published[0].permille);
     run(470, Millis(5000));
-    EXPECT_LE(permille(), 1000 * 100 / 470 + 60) << "no second burst";
+    EXPECT_LE(permille(), 1000.0 * 100 / 470 + 60) << "no second burst";
 }
 
 TEST_F(TheLeaderSetsRatios, NodesInContactGetTheirPartOnly)
 {
     controller.setNodes(30, 40);
     run(470, Millis(15000));
-    EXPECT_NEAR(permille(), 1000 * 75 / 470, 30);
+    EXPECT_NEAR(permille(), 1000.0 * 75 / 470, 30);
     controller.setNodes(0, 0);
     run(470, Millis(15000));
-    EXPECT_NEAR(permille(), 1000 * 100 / 470, 30) << "nothing is known of nodes";
+    EXPECT_NEAR(permille(), 1000.0 * 100 / 470, 30) << "nothing is known of nodes";
 }
 
 TEST_F(TheLeaderSetsRatios, UnknownAccountsAreNotCounted)
