review: case 10, a slow path leaves a node without a feeding host

Cause: a node gives up an attempt at a feeding host 250 ms after it began, which is less than the handshake takes on a path of 0.2 s each way.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,6 @@
 # programs that the build of deploy/system.toml puts into target/bin.
 set -eu
 cd "$(dirname "$0")"
-for it in standins-2/*.py [6-9]/*.py 10/*.py; do
-    [ -f "$it" ] || continue
+for it in standins-2/*.py [6-9]/run.py 10/run.py left-out-2/*/run.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$it"
 done
--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -1,5 +1,5 @@
 """A small deployment on loopback: the project's programs as separate processes, and stand-ins for the platform,
-its instances and its operator. Used by the scripts review/6 to review/10."""
+its instances and its operator. Used by the scripts review/6 to review/10 and of review/left-out-2."""
 import asyncio
 import json
 import os
@@ -101,7 +101,7 @@
             template = f.read()
         settings = os.path.join(self.mesh.folder, self.name + ".yaml")
         with open(settings, "w") as f:
-            f.write(render(template, self.fields()))
+            f.write(self.settings_text(render(template, self.fields())))
         log = open(os.path.join(self.mesh.folder, self.name + ".log"), "ab")
         environment = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
         environment["POMELOWIND_CONFIG"] = settings
@@ -110,6 +110,9 @@
         log.close()
         self.first_start = False
 
+    def settings_text(self, text):
+        return text
+
     def signal(self, number):
         self.process.send_signal(number)
 
