http: a response without a length that is reset during the upload is incomplete

What callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the client reads the response while it writes the request. The kernel reports a reset once, to the pending write; its result was dropped, and the read found the end of the stream, which completes a body without a length.

Change: the client keeps the error of the write. The end of the stream completes a response only if the write has not failed; while it is pending, it decides, or 0.5 s without a reset. That order no longer depends on which of the two operations the kernel or the event loop serves first. Calls end as unknown, on a closed connection, and are not repeated unless they may be. A server that only ends its side still gets its response through.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -30,6 +30,8 @@
     constexpr size_t MAX_FAILED_REQUESTS = 256;
     // Time to finish sending a request whose response arrived before the server had read all of it.
     constexpr auto REQUEST_REMAINDER_TIMEOUT = base::Millis(5000);
+    // A server that has closed its socket resets the connection one round trip after more of the request is sent.
+    constexpr auto RESET_TIMEOUT = base::Millis(500);
 
     // Returns whether reading a response ended because the server closed or reset the connection.
     bool isConnectionLoss(beast::error_code ec)
@@ -72,6 +74,7 @@
             if (!base::runIsolated("http.client_request", [&] { prepareRequest(std::move(request)); }))
                 return failLater("the request cannot be sent over HTTP");
             m_skippedResponses = 0;
+            m_awaitsWriteResult = false;
             m_bodyReservation = base::MemoryReservation(m_options.bodyMemory);
             m_timer.expires_after(budget);
             m_timer.async_wait([self = shared_from_this(), exchangeNumber = m_exchangeNumber](beast::error_code ec) {
@@ -173,6 +176,7 @@
         {
             m_sendingBegan = true;
             m_writing = true;
+            m_writeError = {};
             beast::http::async_write(m_socket, m_request,
                 [self = shared_from_this()](beast::error_code ec, size_t) { self->onRequestWritten(ec); });
             // Reads while writing: a server may respond before it has read the whole request, and then stop reading for
@@ -183,7 +187,10 @@
         void onRequestWritten(beast::error_code ec)
         {
             m_writing = false;
+            m_writeError = ec;
             m_body.reset();
+            if (m_done && m_awaitsWriteResult)
+                return onStreamEnded();
             // While the response is outstanding, the result of reading it ends the exchange, even if the write failed.
             if (m_done || m_closed)
                 return;
@@ -214,6 +221,8 @@
                         return self->fail(ExchangeEnd::Ambiguous, "no memory for the response");
                     if (!self->m_parser->is_done())
                         return self->readSome();
+                    if (self->m_parser->need_eof())
+                        return self->onStreamEnded();
                     self->onResponseRead();
                 });
         }
@@ -235,6 +244,22 @@
             return message.result_int() < FIRST_FINAL_STATUS || isForeign;
         }
 
+        // The end of the stream completes a response without a length, unless the connection has failed. While the
+        // request is being sent, the error of a reset may end the write instead of the read, so the write decides.
+        void onStreamEnded()
+        {
+            if (m_writeError)
+                return fail(ExchangeEnd::Ambiguous, "connection failed before the response ended", m_writeError);
+            if (!m_writing)
+                return onResponseRead();
+            m_awaitsWriteResult = true;
+            m_timer.expires_at(std::min(m_timer.expiry(), std::chrono::steady_clock::now() + RESET_TIMEOUT));
+            m_timer.async_wait([self = shared_from_this(), exchangeNumber = m_exchangeNumber](beast::error_code ec) {
+                if (!ec && exchangeNumber == self->m_exchangeNumber && self->m_done)
+                    self->onResponseRead();
+            });
+        }
+
         void onResponseRead()
         {
             auto message = m_parser->release();
@@ -346,6 +371,8 @@
         bool m_sendingBegan { false };
         bool m_isHeadRequest { false };
         bool m_writing { false };
+        beast::error_code m_writeError; // of the request of this exchange
+        bool m_awaitsWriteResult { false }; // the response is complete if the write does not fail
         bool m_isReusable { false };
         bool m_closed { false };
         int m_skippedResponses { 0 };
