http: a response with a status code out of range fails at once

What callers saw: an instance answered with status 000. A call waited for its deadline and got 504; a response that followed on the same connection was taken for the call's. With 600 to 999 the caller got the instance's response as it was.

Cause: nothing compared the status code with the range that HTTP defines. Codes below 100 passed for interim responses, which are skipped.

Change: a response with a status code outside 100 to 599 is rejected as soon as its head has been read, its connection is closed, and the call has an unknown outcome. This is in the HTTP client, so it also holds for the configuration source and for operators' commands.

--- a/include/pomelowind/http/HttpMessage.h
+++ b/include/pomelowind/http/HttpMessage.h
@@ -21,6 +21,8 @@
 std::string_view findHeader(const HttpHeaders& headers, std::string_view name);
 // Returns whether two header names are equal, ignoring case. Thread safety: pure.
 bool equalNames(std::string_view a, std::string_view b);
+// Returns whether `status` lies in the range of status codes, 100 to 599. Thread safety: pure.
+bool isStatusCode(int status);
 
 // A complete request. `path` includes the query string.
 struct HttpRequest {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -217,6 +217,9 @@
                         return;
                     if (ec)
                         return self->fail(ExchangeEnd::Ambiguous, ec.message(), ec);
+                    const auto& message = self->m_parser->get();
+                    if (self->m_parser->is_header_done() && !isStatusCode(static_cast<int>(message.result_int())))
+                        return self->fail(ExchangeEnd::Ambiguous, "invalid status code");
                     if (!self->reserveBody())
                         return self->fail(ExchangeEnd::Ambiguous, "no memory for the response");
                     if (!self->m_parser->is_done())
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -5,6 +5,13 @@
 
 namespace pomelowind::http {
 
+namespace {
+
+    constexpr int MIN_STATUS_CODE = 100;
+    constexpr int MAX_STATUS_CODE = 599;
+
+}
+
 bool equalNames(std::string_view a, std::string_view b)
 {
     auto lower = [](char c) { return std::tolower(static_cast<unsigned char>(c)); };
@@ -20,4 +27,6 @@
     return {};
 }
 
+bool isStatusCode(int status) { return status >= MIN_STATUS_CODE && status <= MAX_STATUS_CODE; }
+
 } // namespace pomelowind::http
