tests: responses without an end take bounded memory

Operators of similar systems saw a machine run out of memory because a faulty instance sent bytes without end, in a head or in a body. No product code changes.

--- a/tests/support/CallPathFixture.cpp
+++ b/tests/support/CallPathFixture.cpp
@@ -80,7 +80,8 @@
 {
     auto buf = std::make_shared<std::string>(piece);
     boost::asio::async_write(
-        socket, boost::asio::buffer(*buf), [self = shared_from_this(), buf](boost::system::error_code ec, size_t) {
+        socket, boost::asio::buffer(*buf), [self = shared_from_this(), buf](boost::system::error_code ec, size_t n) {
+            self->writtenBytes += n;
             if (ec)
                 self->closed = true;
             else
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -34,6 +34,7 @@
 
     boost::asio::ip::tcp::socket socket;
     std::string received;
+    size_t writtenBytes { 0 };
     bool closed { false };
 
 private:
