node: an answer of another node that HTTP does not allow is rejected

An answer of another node with status 0, 99, 102 or 600 reached the caller with that status, 65736 came out as 200, and a header with a line break added a line to the caller's response. A stored answer of an earlier request was taken in the same way.

Cause: the fields of an answer were used as they were decoded from the link, and the HTTP server writes them unchecked.

Change: the reading node checks status, outcome and fields of calls' and claims' answers. A malformed one ends its call as unknown with a log line (calls.malformed_answer); the link and the other calls on it go on. A malformed claim counts as no answer of that holder.

Bytes without end on a link were limited before and keep their test.

--- a/include/pomelowind/http/HttpMessage.h
+++ b/include/pomelowind/http/HttpMessage.h
@@ -23,6 +23,10 @@
 bool equalNames(std::string_view a, std::string_view b);
 // Returns whether `status` lies in the range of status codes, 100 to 599. Thread safety: pure.
 bool isStatusCode(int status);
+// Returns whether HTTP allows `name` as the name of a header field. Thread safety: pure.
+bool isFieldName(std::string_view name);
+// Returns whether HTTP allows `value` as the value of a header field: no control byte but tabs. Thread safety: pure.
+bool isFieldValue(std::string_view value);
 
 // A complete request. `path` includes the query string.
 struct HttpRequest {
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -9,6 +9,10 @@
 
     constexpr int MIN_STATUS_CODE = 100;
     constexpr int MAX_STATUS_CODE = 599;
+    constexpr std::string_view TOKEN_CHARACTERS
+        = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+
+    bool isControlByte(char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; }
 
 }
 
@@ -29,4 +33,14 @@
 
 bool isStatusCode(int status) { return status >= MIN_STATUS_CODE && status <= MAX_STATUS_CODE; }
 
+bool isFieldName(std::string_view name)
+{
+    return !name.empty() && name.find_first_not_of(TOKEN_CHARACTERS) == std::string_view::npos;
+}
+
+bool isFieldValue(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(), [](char c) { return isControlByte(c) && c != '\t'; });
+}
+
 } // namespace pomelowind::http
--- a/src/node/CallHeaders.cpp
+++ b/src/node/CallHeaders.cpp
@@ -11,6 +11,7 @@
     constexpr std::array<std::string_view, 13> NOT_FORWARDED = { "Connection", "Keep-Alive", "Proxy-Authenticate",
         "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
         DEADLINE_HEADER, RETRIES_HEADER, DEPTH_HEADER };
+    constexpr int FIRST_FINAL_STATUS = 200;
 
 }
 
@@ -30,6 +31,16 @@
     return out;
 }
 
+bool isWellFormed(const wire::CallAnswer& answer)
+{
+    bool hasRun = answer.outcome == wire::Outcome::RAN;
+    bool isOutcome = hasRun || answer.outcome == wire::Outcome::NOT_RUN || answer.outcome == wire::Outcome::UNKNOWN;
+    bool hasStatus = answer.status >= FIRST_FINAL_STATUS && http::isStatusCode(answer.status);
+    return isOutcome && (hasStatus || (!hasRun && !answer.status))
+        && std::all_of(answer.headers.begin(), answer.headers.end(),
+            [](const auto& it) { return http::isFieldName(it.name) && http::isFieldValue(it.value); });
+}
+
 const char* outcomeText(wire::Outcome::type outcome)
 {
     switch (outcome) {
--- a/src/node/CallHeaders.h
+++ b/src/node/CallHeaders.h
@@ -36,6 +36,9 @@
 // Returns the end-to-end headers: all but the hop-by-hop ones, Content-Length, and those that each node sets anew.
 // Thread safety: pure.
 std::vector<wire::Header> endToEndHeaders(const http::HttpHeaders& headers);
+// Returns whether the answer of another node can be sent on over HTTP: a final status code, or none if the call is not
+// known to have run, and fields that HTTP allows. Thread safety: pure.
+bool isWellFormed(const wire::CallAnswer& answer);
 // Returns the header value of an outcome, for example "not-run". Thread safety: pure.
 const char* outcomeText(wire::Outcome::type outcome);
 // Returns the integer in a header, or `fallback` when the header is absent or malformed. Thread safety: pure.
--- a/src/node/PeerCalls.cpp
+++ b/src/node/PeerCalls.cpp
@@ -1,5 +1,6 @@
 #include "PeerCalls.h"
 
+#include "CallHeaders.h"
 #include "pomelowind/base/Log.h"
 #include "pomelowind/nodes/PeerAddress.h"
 
@@ -28,6 +29,24 @@
     // Size of one body part. Other calls on the link wait for at most two parts, which is 25 ms at 11 Mbit/s.
     constexpr size_t BODY_PART_BYTES = 16 * 1024;
 
+    void logMalformed(const links::Link& link)
+    {
+        base::logRateLimited("calls.malformed_answer", { { "peer", link.peerId() } });
+    }
+
+    // Replaces an answer that cannot be trusted: the call may have run.
+    wire::CallAnswer malformedAnswer(const links::Link& link, int64_t id)
+    {
+        logMalformed(link);
+        wire::CallAnswer out;
+        out.id = id;
+        out.outcome = wire::Outcome::UNKNOWN;
+        out.reason = "the target's node sent a malformed answer";
+        out.fault = true;
+        out.arrived = true;
+        return out;
+    }
+
 }
 
 PeerCalls::PeerCalls(boost::asio::io_context& io, const NodeSettings& settings, const base::Clock& clock,
@@ -390,6 +409,8 @@
         // Ignores an answer whose request has ended, or that came over another link than the request.
         if (it == m_pending.end() || !it->second.callDone || it->second.link.lock() != link)
             return;
+        if (!isWellFormed(answer))
+            answer = malformedAnswer(*link, answer.id);
         return removePending(it).callDone(std::move(answer));
     }
     case FrameKind::CLAIM_ANSWER: {
@@ -397,7 +418,12 @@
         auto it = m_pending.find(answer.id);
         if (it == m_pending.end() || !it->second.claimDone || it->second.link.lock() != link)
             return;
-        return removePending(it).claimDone(std::move(answer));
+        auto done = removePending(it).claimDone;
+        if (answer.__isset.answer && !isWellFormed(answer.answer)) {
+            logMalformed(*link);
+            return done(std::nullopt);
+        }
+        return done(std::move(answer));
     }
     default:
         throw base::UserError(
--- a/tests/support/CallPathFixture.h
+++ b/tests/support/CallPathFixture.h
@@ -71,6 +71,8 @@
     explicit CallPathFixture(Options options);
     ~CallPathFixture();
 
+    // Address for calls from other nodes.
+    const base::Address& callAddress(int i) const { return m_nodes.at(static_cast<size_t>(i))->settings.callAddress; }
     node::CallPath& path(int i) { return *m_nodes.at(static_cast<size_t>(i))->path; }
     // Ends node `i` at once and starts it again without what it knew; its target goes on and announces itself.
     void restart(int i);
