--- a/src/node/CallAnswer.cpp
+++ b/src/node/CallAnswer.cpp
@@ -72,7 +72,7 @@
     record.account = call->account ? call->account->name : call->route->name;
     record.target = target.target;
     record.dataCentre = target.dataCentre;
-    record.failed = answer.outcome != Outcome::RAN || answer.status >= MIN_FAILURE_STATUS;
+    record.failed = answer.outcome != Outcome::RAN || answer.fault || answer.status >= MIN_FAILURE_STATUS;
     // Uses the service time at the target alone: queueing at a busy gate slows all versions alike and would hide a slow
     // one.
     record.latency = answer.runMicros ? Micros(answer.runMicros) : latency;
