--- a/include/pomelowind/config/ConfigMachine.h
+++ b/include/pomelowind/config/ConfigMachine.h
@@ -20,7 +20,8 @@
 // Base version of a submission that is not compared with the current version.
 constexpr int64_t ANY_BASE_VERSION = -1;
 
-// Services, templates, client accounts, moves, the release, the audit trail and the remembered results.
+// Services, templates, client accounts, moves, the release, the departures of targets, the audit trail and the
+// remembered results.
 // Thread safety: confined to the event loop thread of ControlCore.
 class ConfigMachine {
 public:
@@ -45,6 +46,8 @@
     // Number of the latest accepted release, 0 when there is none, and its document as the operator sent it.
     int64_t releaseNumber() const { return m_releaseNumber; }
     const std::string& releaseDocument() const { return m_releaseDocument; }
+    // Returns the departures of targets in the last ten minutes, by target.
+    const std::map<std::string, wire::Departure>& departures() const { return m_departures; }
     // Returns the latest move of `service`, unfinished or finished, or null.
     const wire::MoveRecord* latestMove(const std::string& service) const;
     // Number of remembered results.
@@ -69,6 +72,7 @@
     wire::CommandResult sourceUpdate(const wire::Command& command);
     wire::CommandResult submitRelease(const wire::Command& command);
     wire::CommandResult setEvacuation(const wire::Command& command);
+    wire::CommandResult recordDepartures(const wire::Command& command);
 
     int64_t sourceSequenceOf(const wire::Command& command) const;
     wire::CommandResult accepted() const;
@@ -90,6 +94,7 @@
     std::map<std::string, Template> m_parsedTemplates;
     std::map<std::string, wire::AccountRecord> m_accounts;
     std::vector<wire::MoveRecord> m_moves;
+    std::map<std::string, wire::Departure> m_departures;
     std::deque<wire::AuditRecord> m_audit;
     int64_t m_auditCount { 0 };
     int64_t m_releaseNumber { 0 };
--- a/include/pomelowind/node/TargetRegistry.h
+++ b/include/pomelowind/node/TargetRegistry.h
@@ -43,6 +43,10 @@
     // before. Without `incarnation`, the departure covers each incarnation that has started by now. Throws
     // UserError(InvalidInput) when the departure cannot be recorded.
     virtual void depart(const std::string& target, std::optional<int64_t> incarnation) = 0;
+    // Calls `done` once, at once or later, on the distribution event loop: with true when the departure that this
+    // target has announced last outlives a restart of all processes, or when there is none to be remembered; with false
+    // when the control hosts have not recorded it in time. The target gets no new calls from this node in either case.
+    virtual void whenRecorded(const std::string& target, std::function<void(bool)> done) = 0;
 };
 
 // Creates the HTTP handler of the address to which targets announce themselves.
--- a/include/pomelowind/nodes/Directory.h
+++ b/include/pomelowind/nodes/Directory.h
@@ -1,6 +1,7 @@
 // Service discovery: the directory of targets and nodes. It is soft state, distributed by gossip along the fan-out tree
-// and by anti-entropy, and never written to the replicated log. Entries are ordered by incarnation and sequence number,
-// so reports may arrive out of order, more than once and over any path.
+// and by anti-entropy. Of it, only the departures of targets are written to the replicated log, since they bind also
+// after a restart of all processes. Entries are ordered by incarnation and sequence number, so reports may arrive out
+// of order, more than once and over any path.
 #pragma once
 
 #include "pomelowind/base/Time.h"
@@ -51,6 +52,9 @@
     // only grows, so reports of several nodes may arrive in any order. Beyond a fixed number, the oldest crashes are
     // dropped.
     CrashList mergeCrashes(const CrashList& crashes, base::Instant now);
+    // Adds departures that are in the replicated log, of targets that the directory knows or not, and returns the
+    // entries that have changed.
+    DirectoryEntries mergeDepartures(const std::vector<wire::Departure>& departures, base::Instant now);
     // Removes entries that have been gone for longer than `retention`. Until then they act as tombstones, which stale
     // reports do not override.
     void expire(base::Instant now, base::Millis retention);
--- a/src/config/ConfigMachine.cpp
+++ b/src/config/ConfigMachine.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <new>
+#include <tuple>
 
 namespace pomelowind::config {
 
@@ -30,6 +31,10 @@
     // Operators resend an unanswered request for some seconds.
     constexpr int64_t DUPLICATE_START_WINDOW_MS = 10000;
     constexpr int64_t MIN_WATCH_MS = 1000;
+    // As long as directories keep the entries of targets that are gone.
+    constexpr int64_t DEPARTURE_RETENTION_MS = 10LL * 60 * 1000;
+    // Bounds the size of snapshots and of the directory that a started host sends to its nodes.
+    constexpr size_t MAX_DEPARTURES = 4096;
     constexpr int64_t MAX_MOVE_DURATION_MS = 7LL * 24 * 3600 * 1000;
 
     CommandResult refuse(ResultCode::type code, const std::string& message, const std::string& remedy)
@@ -139,6 +144,8 @@
         return "evacuation.start";
     case CommandKind::FINISH_EVACUATION:
         return "evacuation.finish";
+    case CommandKind::RECORD_DEPARTURES:
+        return "departures.record";
     }
     return "unknown";
 }
@@ -191,7 +198,8 @@
     }
     int64_t fromVersion = m_state.version();
     CommandResult result = dispatch(command);
-    if (result.code != ResultCode::UNCHANGED) {
+    bool isOrder = command.kind != CommandKind::RECORD_DEPARTURES;
+    if (isOrder && result.code != ResultCode::UNCHANGED) {
         rememberResult(command, result);
         appendAuditRecord(index, command, fromVersion, result);
     }
@@ -257,6 +265,8 @@
         case CommandKind::START_EVACUATION:
         case CommandKind::FINISH_EVACUATION:
             return setEvacuation(command);
+        case CommandKind::RECORD_DEPARTURES:
+            return recordDepartures(command);
         case CommandKind::DENIED:
             return refuse(ResultCode::DENIED, command.body, "ask the team that owns it, or change this team's role");
         }
@@ -691,6 +701,26 @@
     return accepted();
 }
 
+// ---- departures of targets ----
+
+CommandResult ConfigMachine::recordDepartures(const wire::Command& command)
+{
+    auto order = [](const wire::Departure& it) { return std::tuple(it.incarnation, it.noticeSequence); };
+    for (auto it : command.departures) {
+        it.timeMs = command.timeMs;
+        auto [found, isNew] = m_departures.try_emplace(it.target, it);
+        if (!isNew && order(it) > order(found->second))
+            found->second = std::move(it);
+    }
+    std::erase_if(
+        m_departures, [&](const auto& it) { return it.second.timeMs < command.timeMs - DEPARTURE_RETENTION_MS; });
+    while (m_departures.size() > MAX_DEPARTURES) {
+        m_departures.erase(std::min_element(m_departures.begin(), m_departures.end(),
+            [](const auto& a, const auto& b) { return a.second.timeMs < b.second.timeMs; }));
+    }
+    return accepted();
+}
+
 // ---- remembered results and audit trail ----
 
 void ConfigMachine::rememberResult(const wire::Command& command, const CommandResult& result)
@@ -762,6 +792,8 @@
     image.auditCount = m_auditCount;
     image.releaseNumber = m_releaseNumber;
     image.releaseDocument = m_releaseDocument;
+    for (const auto& [target, departure] : m_departures)
+        image.departures.push_back(departure);
     for (const auto& it : m_rememberedOrder)
         image.remembered.push_back(m_rememberedResults.at(it));
     return image;
@@ -782,6 +814,8 @@
     m_auditCount = image.auditCount;
     m_releaseNumber = image.releaseNumber;
     m_releaseDocument = image.releaseDocument;
+    for (const auto& it : image.departures)
+        m_departures[it.target] = it;
     for (const auto& it : image.remembered) {
         m_rememberedResults[it.requestId] = it;
         m_rememberedOrder.push_back(it.requestId);
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -6,6 +6,8 @@
 #include "pomelowind/members/MembershipPlanner.h"
 #include "pomelowind/moves/MoveMachine.h"
 
+#include <algorithm>
+
 namespace pomelowind::control {
 
 using base::Millis;
@@ -26,6 +28,10 @@
     // Retry delay for subscribers of a host without recent state. An election takes a few hundred milliseconds, and
     // nodes that restart together with the control hosts have to wait for it.
     constexpr auto STALE_HOST_RETRY_DELAY = Millis(100);
+    // Departures in one log entry. Those of a whole data centre fit into a few.
+    constexpr size_t MAX_DEPARTURES_PER_ENTRY = 256;
+    // Until a host that cannot prove that its state is the newest tries again.
+    constexpr auto DIRECTORY_PROOF_RETRY = Millis(100);
     constexpr auto ANNOUNCE_PERIOD = Millis(500);
     constexpr auto MEMBERSHIP_CHECK_PERIOD = Millis(200);
     // A voter without contact for this long is replaced. The group then survives the loss of another voter, even before
@@ -140,6 +146,10 @@
         m_machine = config::ConfigMachine();
     else
         m_machine.restore(base::decode<wire::MachineImage>(snapshot.state));
+    std::vector<wire::Departure> departures;
+    for (const auto& [target, it] : m_machine.departures())
+        departures.push_back(it);
+    addRecordedDepartures(departures);
     m_appliedIndex = snapshot.index;
     m_snapshotIndex = snapshot.index;
     m_snapshotBytes = snapshot.state.size();
@@ -248,6 +258,8 @@
             { "request", command.requestId }, { "detail", result.message } });
     if (command.kind == wire::CommandKind::MOVE_EVENT)
         logMoveEvent(command.moveEvent);
+    if (command.kind == wire::CommandKind::RECORD_DEPARTURES)
+        addRecordedDepartures(command.departures);
     return result;
 }
 
@@ -662,6 +674,7 @@
         break;
     case FrameKind::REPORT:
         mergeReport(base::decode<wire::Report>(payload), true);
+        processReady();
         break;
     case FrameKind::USAGE:
         m_usage.add(callers::unpackUsage(base::decode<wire::AccountUsage>(payload)));
@@ -696,7 +709,8 @@
     m_outputs.sendToNode(node, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
     if (!admission.admitted)
         return;
-    // Sent before anything else is spread: a restarted node takes the first one for the whole directory.
+    // Sent before anything else is spread, so that the node has the whole directory once it is told that it is
+    // complete.
     wire::Spread presence;
     presence.nodes = m_directory.liveNodes();
     presence.targets = m_directory.allTargets(m_now);
@@ -704,6 +718,8 @@
     if (!m_accountRatios.empty())
         presence.__set_accountRatios(m_accountRatios);
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
+    m_unprovenDirectories.insert(node);
+    proveDirectories();
     wire::Report report;
     report.nodes.push_back(request.node);
     mergeReport(report, true);
@@ -726,6 +742,7 @@
 void ControlCore::mergeReport(const wire::Report& report, bool fromNode)
 {
     auto change = m_directory.merge(report.nodes, report.targets, m_now);
+    recordReportedDepartures(change);
     auto changedAcks = m_acks.merge(report.acks, m_now);
     m_moveDriver.addEvidence(report.evidence, m_machine);
     m_moveDriver.addAlarms(report.alarms);
@@ -747,6 +764,95 @@
     broadcastToMembers(forwarded);
 }
 
+// Marks the departures among the changed entries that are in the log already, as a node does not know after a restart,
+// and remembers the others until they are.
+void ControlCore::recordReportedDepartures(nodes::DirectoryEntries& change)
+{
+    for (auto& it : change.targets) {
+        // An announcement without a number has no order that a later process could compare.
+        if (!it.leaves || it.recorded || !it.noticeSequence)
+            continue;
+        auto known = m_machine.departures().find(it.target);
+        bool isRecorded = known != m_machine.departures().end() && known->second.incarnation == it.targetIncarnation
+            && known->second.noticeSequence >= it.noticeSequence;
+        if (!isRecorded) {
+            m_unrecordedDepartures.insert(it.target);
+            continue;
+        }
+        for (auto& merged : m_directory.mergeDepartures({ known->second }, m_now).targets)
+            it = std::move(merged);
+    }
+    proposeDepartures();
+}
+
+void ControlCore::addRecordedDepartures(const std::vector<wire::Departure>& departures)
+{
+    wire::Spread out;
+    out.targets = m_directory.mergeDepartures(departures, m_now).targets;
+    std::erase_if(m_unrecordedDepartures, [this](const std::string& target) {
+        const auto* it = m_directory.findTarget(target);
+        return !it || !it->leaves || it->recorded;
+    });
+    if (!out.targets.empty())
+        broadcastToNodes(out);
+}
+
+// One proposal at a time: what is reported meanwhile is in the next one. The term tells a proposal that a change of the
+// leader has overwritten.
+void ControlCore::proposeDepartures()
+{
+    bool isInFlight = m_departuresTerm == m_replica.term() && m_departuresIndex > m_appliedIndex;
+    if (m_unrecordedDepartures.empty() || !m_replica.isLeader() || isDiskBehind() || isInFlight)
+        return;
+    auto command = systemCommand(wire::CommandKind::RECORD_DEPARTURES, m_wallMs);
+    std::vector<wire::Departure> departures;
+    for (const auto& target : m_unrecordedDepartures) {
+        const auto* it = m_directory.findTarget(target);
+        if (!it || !it->leaves || departures.size() >= MAX_DEPARTURES_PER_ENTRY)
+            continue;
+        wire::Departure departure;
+        departure.target = target;
+        departure.incarnation = it->targetIncarnation;
+        departure.noticeSequence = it->noticeSequence;
+        departures.push_back(std::move(departure));
+    }
+    command.__set_departures(departures);
+    auto index = m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), m_now);
+    if (!index)
+        return;
+    m_departuresIndex = *index;
+    m_departuresTerm = m_replica.term();
+}
+
+// Tells subscribers that they have all departures that were recorded before they subscribed. A host that has just
+// started, or that follows the leader late, may lack some, so it first has to prove that it has applied the newest
+// entry.
+void ControlCore::proveDirectories()
+{
+    if (m_unprovenDirectories.empty() || m_provingDirectories || m_now < m_proveDirectoriesDue)
+        return;
+    m_provingDirectories = true;
+    m_proveDirectoriesDue = m_now + DIRECTORY_PROOF_RETRY;
+    auto subscribers = std::move(m_unprovenDirectories);
+    m_unprovenDirectories.clear();
+    auto done = [this, subscribers](bool isProven) {
+        m_provingDirectories = false;
+        const auto connected = m_publisher.connected();
+        for (const auto& it : subscribers) {
+            if (std::find(connected.begin(), connected.end(), it) == connected.end())
+                continue;
+            if (!isProven) {
+                m_unprovenDirectories.insert(it);
+                continue;
+            }
+            wire::Spread out;
+            out.complete = true;
+            m_outputs.sendToNode(it, FrameKind::SPREAD, base::encode(out));
+        }
+    };
+    readBarrier(done, m_now);
+}
+
 void ControlCore::broadcastToNodes(const wire::Spread& spread)
 {
     std::string payload = base::encode(spread);
@@ -787,7 +893,9 @@
         sendBeacon();
         proposeClaimEpoch();
     }
+    proveDirectories();
     if (leadsWithLease) {
+        proposeDepartures();
         proposeMoveEvents();
         proposeMembershipChange();
     }
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace pomelowind::control {
@@ -110,6 +111,10 @@
     void handleMemberReport(const std::string& member, const wire::MemberReport& report);
     void handleSubscribe(const std::string& node, const wire::Subscribe& request);
     void mergeReport(const wire::Report& report, bool fromNode);
+    void recordReportedDepartures(nodes::DirectoryEntries& change);
+    void addRecordedDepartures(const std::vector<wire::Departure>& departures);
+    void proposeDepartures();
+    void proveDirectories();
     void broadcastToNodes(const wire::Spread& spread);
     void broadcastToMembers(const wire::MemberReport& report);
 
@@ -150,6 +155,16 @@
     bool m_ratiosChanged { false };
     base::Instant m_quotaDue, m_nodeCountDue, m_usageDue, m_ratiosDue;
 
+    // Targets that have announced their departure, until that is in the log. Each host remembers them, for it may lead
+    // next.
+    std::set<std::string> m_unrecordedDepartures;
+    int64_t m_departuresIndex { 0 }; // log index and term of the last proposal of departures
+    int64_t m_departuresTerm { 0 };
+    // Subscribers that have not been told yet that they have all recorded departures.
+    std::set<std::string> m_unprovenDirectories;
+    bool m_provingDirectories { false };
+    base::Instant m_proveDirectoriesDue;
+
     nodes::FreshnessProof m_freshness; // of m_machine
     base::Instant m_freshnessAskedAt; // by a node; unset: never
     base::Instant m_freshnessDue;
--- a/src/node/AnnounceApi.cpp
+++ b/src/node/AnnounceApi.cpp
@@ -10,6 +10,7 @@
     using nlohmann::json;
 
     constexpr int MAX_SLOTS = 10000;
+    constexpr int STATUS_UNAVAILABLE = 503;
 
     http::HttpResponse jsonResponse(int status, const json& body)
     {
@@ -22,7 +23,8 @@
 
     http::HttpResponse errorResponse(int status, const std::string& message, const std::string& remedy)
     {
-        return jsonResponse(status, { { "error", "invalid_input" }, { "message", message }, { "remedy", remedy } });
+        const char* error = status == STATUS_UNAVAILABLE ? "unavailable" : "invalid_input";
+        return jsonResponse(status, { { "error", error }, { "message", message }, { "remedy", remedy } });
     }
 
     wire::TargetState::type parseState(const std::string& name)
@@ -50,6 +52,7 @@
         out.slots = fields.at("slots").get<int>();
         out.incarnation = fields.at("incarnation").get<int64_t>();
         out.state = parseState(fields.at("state").get<std::string>());
+        out.sequence = fields.value("sequence", int64_t(0));
         if (out.target.empty() || out.serviceName.empty() || out.version.empty() || out.slots < 1
             || out.slots > MAX_SLOTS)
             throw base::UserError(
@@ -80,21 +83,34 @@
 void AnnounceApi::handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply)
 {
     if (request.path == "/v1/announce" && request.method == "POST")
-        return reply->send(announce(request.body));
+        return announce(request.body, reply);
     if (request.path == "/v1/node" && request.method == "GET")
         return reply->send(status());
     reply->send(errorResponse(404, "no such resource", "use POST /v1/announce or GET /v1/node"));
 }
 
-http::HttpResponse AnnounceApi::announce(const std::string& body)
+void AnnounceApi::announce(const std::string& body, const std::shared_ptr<http::HttpReply>& reply)
 {
+    auto accepted = jsonResponse(200, { { "node", m_settings.id }, { "lease_ms", m_settings.targetLease.count() } });
+    auto onRecorded = [reply, accepted](bool recorded) {
+        reply->send(recorded
+                ? accepted
+                : errorResponse(STATUS_UNAVAILABLE,
+                    "the departure is in force here, but the control hosts have not recorded it", "announce it again"));
+    };
     try {
-        m_core.announce(parseAnnouncement(body), m_clock.now());
-        return jsonResponse(200, { { "node", m_settings.id }, { "lease_ms", m_settings.targetLease.count() } });
+        auto announcement = parseAnnouncement(body);
+        m_core.announce(announcement, m_clock.now());
+        bool isLeaving
+            = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
+        if (!isLeaving)
+            return reply->send(accepted);
+        m_core.whenRecorded(announcement.target, onRecorded, m_clock.now());
     } catch (const base::UserError& e) {
-        return errorResponse(422, e.what(), e.remedy());
+        reply->send(errorResponse(422, e.what(), e.remedy()));
     } catch (const json::exception& e) {
-        return errorResponse(422, std::string("malformed announcement: ") + e.what(), "see docs/operate/targets.md");
+        reply->send(
+            errorResponse(422, std::string("malformed announcement: ") + e.what(), "see docs/operate/targets.md"));
     }
 }
 
--- a/src/node/AnnounceApi.h
+++ b/src/node/AnnounceApi.h
@@ -13,7 +13,7 @@
     void handle(http::HttpRequest request, std::shared_ptr<http::HttpReply> reply) override;
 
 private:
-    http::HttpResponse announce(const std::string& body);
+    void announce(const std::string& body, const std::shared_ptr<http::HttpReply>& reply);
     http::HttpResponse status() const;
 
     const NodeSettings& m_settings;
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -310,6 +310,7 @@
         return;
     m_viewDirty = true;
     applyRememberedNotices(change.targets, now);
+    completeRecordWaiters(now);
     wire::Spread out;
     out.nodes = change.nodes;
     out.targets = change.targets;
@@ -350,7 +351,7 @@
 {
     mergePresence(spread.nodes, spread.targets, now, false);
     mergeCrashes(spread.crashes, now, false);
-    if (m_admitted)
+    if (m_admitted && spread.complete)
         learnDirectory(now);
     // A beacon comes with all ratios. Between beacons, they come when they have changed.
     bool hasNewBeacon = spread.__isset.beacon && isNewer(spread.beacon);
@@ -460,8 +461,8 @@
     m_outputs.sendChild(child, FrameKind::SUBSCRIBE_ANSWER, base::encode(answer));
     if (!answer.admitted)
         return;
-    // Sent before anything else is spread: a restarted child takes the first one for the whole directory.
     wire::Spread fullState;
+    fullState.complete = m_directoryKnown;
     fullState.nodes = m_directory.liveNodes();
     fullState.targets = m_directory.allTargets(now);
     fullState.crashes = m_directory.crashes();
@@ -548,6 +549,7 @@
     auto differing = m_directory.entriesDifferingFrom(digest.buckets, now);
     answer.nodes = std::move(differing.nodes);
     answer.targets = std::move(differing.targets);
+    answer.complete = m_directoryKnown;
     return base::encode(answer);
 }
 
@@ -578,7 +580,8 @@
     ++m_digestAnswers;
     m_versionFloor = std::max(m_versionFloor, m_serving ? m_versionFloor : answer.version);
     mergePresence(answer.nodes, answer.targets, now, true);
-    learnDirectory(now);
+    if (answer.complete)
+        learnDirectory(now);
     if (answer.__isset.delta)
         applyDelta(answer.delta, now);
     updateServing(now);
@@ -591,6 +594,7 @@
 {
     chooseParent(now);
     expireTargets(now);
+    completeRecordWaiters(now);
     std::vector<wire::NodeInfo> expired = m_publisher.takeExpiredSubscribers(now);
     for (auto& it : expired)
         it.gone = true;
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -18,10 +18,12 @@
 #include "pomelowind/nodes/ParentChooser.h"
 #include "pomelowind/targets/ColdState.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pomelowind::node {
 
@@ -63,6 +65,9 @@
     void announce(const Announcement& announcement, base::Instant now);
     // Drains a target of this host that has announced its departure; see TargetRegistry::depart().
     void depart(const std::string& target, std::optional<int64_t> incarnation, base::Instant now);
+    // Calls `done` when the departure that a target of this host has announced last is recorded; see
+    // TargetRegistry::whenRecorded().
+    void whenRecorded(const std::string& target, std::function<void(bool)> done, base::Instant now);
     // Drains a target of this host that has said in a response that it leaves. Its announcements go on renewing its
     // lease, but only a new incarnation of it serves again.
     void drainTarget(const std::string& target, int64_t incarnation, base::Instant now);
@@ -110,6 +115,8 @@
     void applyRememberedNotices(const std::vector<wire::Presence>& targets, base::Instant now);
     void learnDirectory(base::Instant now);
     void reportDepartureNow();
+    bool isRecorded(const std::string& target) const;
+    void completeRecordWaiters(base::Instant now);
     int64_t wallMs(base::Instant now) const;
     void subscribe(int64_t base);
     void handleSubscribeAnswer(const wire::SubscribeAnswer& answer, base::Instant now);
@@ -160,8 +167,15 @@
     std::shared_ptr<const callers::AccountKeys> m_accountKeys; // replaced only when client accounts change
     std::string m_rejection;
     std::map<std::string, LocalTarget> m_localTargets;
-    // A started node does not know what targets of its host have said before. Until a parent or peer has told it,
-    // announcements that would open a gate wait here, the latest of each target.
+    // Waits for the control hosts to record the departure of a target.
+    struct RecordWaiter {
+        std::string target;
+        base::Instant deadline;
+        std::function<void(bool)> done;
+    };
+    std::vector<RecordWaiter> m_recordWaiters;
+    // A started node does not know what targets of its host have said before. Until a parent or peer that does know has
+    // told it, announcements that would open a gate wait here, the latest of each target.
     bool m_directoryKnown { false };
     std::map<std::string, Announcement> m_heldAnnouncements;
 
--- a/src/node/DistributionTargets.cpp
+++ b/src/node/DistributionTargets.cpp
@@ -22,6 +22,9 @@
     constexpr auto MAX_CLOCK_STEP = std::chrono::hours(1);
     constexpr auto MAX_RAMP_UP = Millis(3600000);
     constexpr auto TOMBSTONE_RETENTION = Millis(600000);
+    // Below the time for which targets wait for the answer to an announcement, one second on the users' platform.
+    constexpr auto RECORD_TIMEOUT = Millis(800);
+    constexpr size_t MAX_RECORD_WAITERS = 256;
 
 }
 
@@ -196,6 +199,47 @@
         flushReport();
 }
 
+bool DistributionCore::isRecorded(const std::string& target) const
+{
+    auto local = m_localTargets.find(target);
+    if (local == m_localTargets.end())
+        return true;
+    const auto& entry = local->second;
+    bool isNumbered = entry.leavesForGood() || entry.announcement.sequence;
+    bool isLeaving = entry.leavesForGood() || entry.announcedLeaving;
+    // Without numbers there is no later order of announcements that a record could keep.
+    if (!isLeaving || !isNumbered)
+        return true;
+    const auto* known = m_directory.findTarget(target);
+    return known && known->targetIncarnation == entry.announcement.incarnation && known->leaves && known->recorded;
+}
+
+void DistributionCore::whenRecorded(const std::string& target, std::function<void(bool)> done, Instant now)
+{
+    if (isRecorded(target))
+        return done(true);
+    if (m_recordWaiters.size() >= MAX_RECORD_WAITERS)
+        return done(false);
+    m_recordWaiters.push_back({ target, now + RECORD_TIMEOUT, std::move(done) });
+}
+
+void DistributionCore::completeRecordWaiters(Instant now)
+{
+    auto waiters = std::move(m_recordWaiters);
+    m_recordWaiters.clear();
+    for (auto& it : waiters) {
+        bool recorded = isRecorded(it.target);
+        if (!recorded && now < it.deadline) {
+            m_recordWaiters.push_back(std::move(it));
+            continue;
+        }
+        if (!recorded)
+            base::logWarn("target.departure_unrecorded",
+                { { "target", it.target }, { "parent", parentId() }, { "admitted", m_admitted ? 1 : 0 } });
+        it.done(recorded);
+    }
+}
+
 // Drains targets of this host of which the mesh remembers, from before a restart of this node, that they leave.
 void DistributionCore::applyRememberedNotices(const std::vector<wire::Presence>& targets, Instant now)
 {
@@ -219,11 +263,15 @@
     }
 }
 
-// To be called once the directory of a parent or peer has been merged.
+// To be called once the directory of a parent or peer has been merged that knows all recorded departures. One that has
+// just started itself may know none.
 void DistributionCore::learnDirectory(Instant now)
 {
     if (std::exchange(m_directoryKnown, true))
         return;
+    wire::Spread out;
+    out.complete = true;
+    broadcastToChildren(out, {});
     auto held = std::move(m_heldAnnouncements);
     m_heldAnnouncements.clear();
     for (const auto& [target, it] : held)
--- a/src/node/NodeHost.cpp
+++ b/src/node/NodeHost.cpp
@@ -129,6 +129,10 @@
     {
         m_core->depart(target, incarnation, m_clock.now());
     }
+    void whenRecorded(const std::string& target, std::function<void(bool)> done) override
+    {
+        m_core->whenRecorded(target, std::move(done), m_clock.now());
+    }
 
     void stop()
     {
--- a/src/nodes/Directory.cpp
+++ b/src/nodes/Directory.cpp
@@ -49,9 +49,13 @@
     // Takes over what `other` knows later about the same incarnation of the target.
     void adoptLaterNotice(wire::Presence& entry, const wire::Presence& other)
     {
-        if (entry.targetIncarnation == other.targetIncarnation && hasLaterNotice(other, entry)) {
+        bool isSameTarget = entry.targetIncarnation == other.targetIncarnation;
+        if (isSameTarget && hasLaterNotice(other, entry)) {
             entry.noticeSequence = other.noticeSequence;
             entry.leaves = other.leaves;
+            entry.recorded = other.recorded;
+        } else if (isSameTarget && entry.noticeSequence == other.noticeSequence && entry.leaves == other.leaves) {
+            entry.recorded = entry.recorded || other.recorded;
         }
         if (entry.leaves && entry.state != wire::TargetState::GONE)
             entry.state = wire::TargetState::LEAVING;
@@ -83,6 +87,22 @@
     return change;
 }
 
+// An entry made from a departure is older than each that the node beside the target reports of that incarnation.
+DirectoryEntries Directory::mergeDepartures(const std::vector<wire::Departure>& departures, base::Instant now)
+{
+    std::vector<wire::Presence> entries;
+    for (const auto& it : departures) {
+        wire::Presence entry;
+        entry.target = it.target;
+        entry.incarnation = entry.targetIncarnation = it.incarnation;
+        entry.noticeSequence = it.noticeSequence;
+        entry.leaves = entry.recorded = true;
+        entry.state = wire::TargetState::GONE;
+        entries.push_back(std::move(entry));
+    }
+    return merge({}, entries, now);
+}
+
 void Directory::mergeTarget(const wire::Presence& reported, base::Instant now, DirectoryEntries& change)
 {
     auto found = m_targets.find(reported.target);
--- a/tests/correctness/ColdTargetsAreMadeKnown.cpp
+++ b/tests/correctness/ColdTargetsAreMadeKnown.cpp
@@ -38,6 +38,7 @@
         state = state.withChange(others, removed);
         wire::DigestAnswer answer;
         answer.version = state.version();
+        answer.complete = true;
         answer.__set_delta(state.deltaSince(base));
         core->digestAnswered(base::encode(answer), T0 + at);
     }
@@ -127,7 +128,9 @@
 
 TEST_F(ColdTargetsAreMadeKnown, ALimitReachesGatesThatOpenedBeforeIt)
 {
-    core->digestAnswered(base::encode(wire::DigestAnswer()), T0);
+    wire::DigestAnswer directory;
+    directory.complete = true;
+    core->digestAnswered(base::encode(directory), T0);
     announce(5, 1, Millis(3000), Millis(0));
     EXPECT_FALSE(outputs.local.at(0).coldCallsPerSecond) << "nothing is known without a configuration";
     configure(13, {}, {}, Millis(100));
--- a/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
+++ b/tests/correctness/OutdatedAnnouncementsAreIgnored.cpp
@@ -28,7 +28,9 @@
         settings.control = { { "c1", "east", { "10.0.0.1", 7000 } }, { "c2", "west", { "10.0.0.2", 7000 } } };
         core = std::make_unique<node::DistributionCore>(settings, outputs, T0, 1000, 1);
         // Until it has learned the directory, a started node holds back announcements.
-        core->digestAnswered(base::encode(wire::DigestAnswer()), T0);
+        wire::DigestAnswer directory;
+        directory.complete = true;
+        core->digestAnswered(base::encode(directory), T0);
     }
 
     void announce(const std::string& id, int64_t incarnation, int64_t sequence, TargetState::type state)
--- a/tests/error/OddEntriesAffectNoOthers.cpp
+++ b/tests/error/OddEntriesAffectNoOthers.cpp
@@ -77,6 +77,7 @@
     {
         m_sim.node(0).depart(target, incarnation, m_sim.now());
     }
+    void whenRecorded(const std::string&, std::function<void(bool)> done) override { done(true); }
 
 private:
     tests::GossipSim& m_sim;
--- a/tests/error/UnreadableBytesAreAnswered.cpp
+++ b/tests/error/UnreadableBytesAreAnswered.cpp
@@ -55,6 +55,7 @@
 public:
     void announce(const node::Announcement&) override { }
     void depart(const std::string&, std::optional<int64_t>) override { }
+    void whenRecorded(const std::string&, std::function<void(bool)> done) override { done(true); }
 };
 
 class UnreadableBytesAreAnswered : public testing::Test {
--- a/tests/property/DepartedTargetsStayUnused.cpp
+++ b/tests/property/DepartedTargetsStayUnused.cpp
@@ -1,5 +1,6 @@
-// Random order of a target's own messages, some of them seconds late, and of restarts of its node and of the control
-// hosts: once a departure was acknowledged, no node uses that incarnation, and the next one is used.
+// Random order of a target's own messages, some of them seconds late, and of restarts of its node, of the control hosts
+// and of all processes at once: once a departure was acknowledged, no node uses that incarnation, and the next one is
+// used.
 
 #include "pomelowind/base/Random.h"
 #include "tests/support/GossipSim.h"
@@ -44,6 +45,7 @@
         while (!m_messages.empty())
             pass(Millis(250));
         m_sim.advance(Millis(6000));
+        EXPECT_TRUE(m_departed) << "the departure was repeated until it was acknowledged";
         checkUnused("long after");
     }
 
@@ -79,11 +81,24 @@
             restartNode();
             m_sim.restartControlHost(0);
             return m_sim.restartControlHost(1);
+        case 3:
+            return restartEverything();
         default:
             return;
         }
     }
 
+    // What was announced but not acknowledged may be lost, and the target says it again.
+    void restartEverything()
+    {
+        m_sim.restartEverything();
+        m_restartedAt = m_sim.now();
+        if (m_departed && !m_acknowledged) {
+            m_departed = false;
+            m_messages.push_back({ m_sim.now() + Millis(1000), 0, TargetState::GONE });
+        }
+    }
+
     void restartNode()
     {
         m_sim.restartNode(0);
@@ -108,7 +123,7 @@
         if (!message.sequence) {
             m_sim.node(0).depart("i-1", m_born, m_sim.now());
             m_departed = true;
-            return;
+            return awaitRecord();
         }
         node::Announcement it;
         it.target = "i-1";
@@ -121,6 +136,14 @@
         it.state = message.state;
         m_sim.node(0).announce(it, m_sim.now());
         m_departed |= message.state == TargetState::LEAVING;
+        if (message.state == TargetState::LEAVING)
+            awaitRecord();
+    }
+
+    void awaitRecord()
+    {
+        m_sim.node(0).whenRecorded(
+            "i-1", [this](bool recorded) { m_acknowledged |= recorded; }, m_sim.now());
     }
 
     // An announcement that is not late makes the target used, whatever has restarted before.
@@ -147,6 +170,7 @@
     int64_t m_born;
     int64_t m_sequence { 0 };
     bool m_departed { false };
+    bool m_acknowledged { false };
     base::Instant m_restartedAt;
     std::vector<Message> m_messages;
 };
--- a/tests/support/GossipSim.cpp
+++ b/tests/support/GossipSim.cpp
@@ -50,6 +50,7 @@
 {
     auto id = controlId(static_cast<size_t>(i));
     m_controlHosts.at(static_cast<size_t>(i)) = nodes::Directory();
+    m_controlHosts.at(static_cast<size_t>(i)).mergeDepartures(m_log, m_now);
     for (auto& it : m_nodes) {
         if (it.parent != id)
             continue;
@@ -66,6 +67,16 @@
     }
 }
 
+void GossipSim::restartEverything()
+{
+    for (auto& it : m_nodes)
+        startNode(it);
+    for (auto& it : m_controlHosts) {
+        it = nodes::Directory();
+        it.mergeDepartures(m_log, m_now);
+    }
+}
+
 size_t GossipSim::indexOf(const std::string& controlHost) const
 {
     size_t i = 0;
@@ -79,13 +90,7 @@
     auto change = m_controlHosts[controlHost].merge(report.nodes, report.targets, m_now);
     if (change.empty())
         return;
-    wire::Spread spread;
-    spread.nodes = change.nodes;
-    spread.targets = change.targets;
-    for (auto& it : m_nodes) {
-        if (it.parent == controlId(controlHost))
-            it.core->parentFrame(FrameKind::SPREAD, base::encode(spread), m_now);
-    }
+    spread(controlHost, change);
     wire::Report forwarded;
     forwarded.nodes = change.nodes;
     forwarded.targets = change.targets;
@@ -93,6 +98,41 @@
         if (other != controlHost)
             merge(other, forwarded);
     }
+    record(change.targets);
+}
+
+void GossipSim::spread(size_t controlHost, const nodes::DirectoryEntries& change)
+{
+    wire::Spread out;
+    out.nodes = change.nodes;
+    out.targets = change.targets;
+    for (auto& it : m_nodes) {
+        if (it.parent == controlId(controlHost))
+            it.core->parentFrame(FrameKind::SPREAD, base::encode(out), m_now);
+    }
+}
+
+// Appends departures to the log, as the leader does, and marks them in the directories.
+void GossipSim::record(const std::vector<wire::Presence>& targets)
+{
+    std::vector<wire::Departure> added;
+    for (const auto& it : targets) {
+        if (!it.leaves || it.recorded || !it.noticeSequence)
+            continue;
+        wire::Departure departure;
+        departure.target = it.target;
+        departure.incarnation = it.targetIncarnation;
+        departure.noticeSequence = it.noticeSequence;
+        added.push_back(departure);
+    }
+    if (added.empty())
+        return;
+    m_log.insert(m_log.end(), added.begin(), added.end());
+    for (size_t host = 0; host < m_controlHosts.size(); ++host) {
+        auto change = m_controlHosts[host].mergeDepartures(added, m_now);
+        if (!change.empty())
+            spread(host, change);
+    }
 }
 
 void GossipSim::handleFrame(Node& node, const SentFrame& frame)
@@ -112,6 +152,7 @@
     wire::Spread spread;
     spread.nodes = m_controlHosts[host].allNodes();
     spread.targets = m_controlHosts[host].allTargets();
+    spread.complete = true;
     node.core->parentFrame(FrameKind::SPREAD, base::encode(spread), m_now);
 }
 
--- a/tests/support/GossipSim.h
+++ b/tests/support/GossipSim.h
@@ -1,5 +1,6 @@
 // Simulation of service discovery without a network: nodes and the directories of two control hosts, which exchange
-// presence at once. Nodes and control hosts can lose what they know, as at a restart.
+// presence at once and share a log of departures. Nodes and control hosts can lose what they know, as at a restart; the
+// log is kept.
 #pragma once
 
 #include "node/DistributionCore.h"
@@ -18,8 +19,11 @@
 
     // Ends the process of node `i` and starts it again, connected to no control host yet.
     void restartNode(int i);
-    // Ends the process of control host `i` and starts it again with an empty directory.
+    // Ends the process of control host `i` and starts it again, with a directory that holds the departures of the log
+    // and what the other control host knows.
     void restartControlHost(int i);
+    // Ends all processes and starts them again.
+    void restartEverything();
     // Lets time pass, in steps in which all messages arrive.
     void advance(base::Millis time);
 
@@ -47,6 +51,8 @@
     void exchange();
     void handleFrame(Node& node, const SentFrame& frame);
     void merge(size_t controlHost, const wire::Report& report);
+    void record(const std::vector<wire::Presence>& targets);
+    void spread(size_t controlHost, const nodes::DirectoryEntries& change);
     size_t indexOf(const std::string& controlHost) const;
 
     base::Instant m_now = base::Instant() + std::chrono::hours(1);
@@ -55,6 +61,7 @@
     uint64_t m_seed { 1 };
     std::vector<Node> m_nodes;
     std::vector<nodes::Directory> m_controlHosts;
+    std::vector<wire::Departure> m_log;
 };
 
 } // namespace pomelowind::tests
--- a/thrift/Wire.thrift
+++ b/thrift/Wire.thrift
@@ -98,7 +98,7 @@
 enum CommandKind {
   SET_SERVICE = 1, REMOVE_SERVICE = 2, SUBMIT_TEMPLATE = 3, SET_ACCOUNT = 4, REMOVE_ACCOUNT = 5,
   START_MOVE = 6, TAKE_BACK_MOVE = 7, MOVE_EVENT = 8, CLAIM_EPOCH = 9, DENIED = 10, SOURCE_UPDATE = 11, SUBMIT_RELEASE = 12,
-  START_EVACUATION = 13, FINISH_EVACUATION = 14
+  START_EVACUATION = 13, FINISH_EVACUATION = 14, RECORD_DEPARTURES = 15
 }
 enum MoveEventKind { RAISE = 1, REACHED_ALL = 2, BAD = 3, WATCH_ENDED = 4, LATE = 5, ASKED_BACK = 6, PAUSE = 7, RESUME = 8 }
 struct MoveEvent { 1: string moveId, 2: i32 step, 3: MoveEventKind kind, 4: i32 permille, 5: string reason, 6: i32 slotsNeeded }
@@ -106,11 +106,13 @@
   1: string id, 2: string serviceName, 3: string toVersion, 4: i64 deadlineMs, 5: i64 watchMs,
   6: i32 exposurePermille, 7: i64 durationMs
 }
+// What an incarnation of a target has said of its departure; see Presence. `timeMs` is when it was recorded.
+struct Departure { 1: string target, 2: i64 incarnation, 3: i64 noticeSequence, 4: i64 timeMs }
 struct Command {
   1: CommandKind kind, 2: string requestId, 3: string actor, 4: string team, 5: i64 timeMs,
   6: i64 baseVersion, 7: string name, 8: string body, 9: map<string, string> parameters,
   10: optional MoveAsk move, 11: optional MoveEvent moveEvent, 12: optional ClaimEpoch claimEpoch,
-  13: string templateName, 14: i64 sourceSequence, 15: optional Release release
+  13: string templateName, 14: i64 sourceSequence, 15: optional Release release, 16: optional list<Departure> departures
 }
 enum ResultCode {
   ACCEPTED = 0, CONFLICT = 1, INVALID = 2, NOT_FOUND = 3, DENIED = 4, BUSY = 5, UNAVAILABLE = 6, UNCHANGED = 7
@@ -134,7 +136,7 @@
   1: i64 version, 2: list<Resource> resources, 3: list<Tombstone> tombstones, 4: list<TemplateRecord> templates,
   5: list<AccountRecord> accounts, 6: list<MoveRecord> moves, 7: list<AuditRecord> audit,
   8: list<RememberedResult> remembered, 9: i64 tombstoneFloor, 10: i64 auditCount,
-  11: i64 releaseNumber, 12: binary releaseDocument
+  11: i64 releaseNumber, 12: binary releaseDocument, 13: list<Departure> departures
 }
 
 // ---- presence and evidence ----
@@ -146,7 +148,9 @@
   12: i64 targetIncarnation,
   // What this incarnation of the target has said last of its departure: the number of that announcement (0 when the
   // target numbers none, the highest when no later one can take it back), and whether it leaves.
-  13: i64 noticeSequence, 14: bool leaves
+  13: i64 noticeSequence, 14: bool leaves,
+  // This notice is in the log of the control hosts, so that it outlives a restart of all processes.
+  15: bool recorded
 }
 struct NodeInfo {
   1: string node, 2: string dataCentre, 3: string meshAddress, 4: string callAddress, 5: i64 incarnation,
@@ -194,12 +198,16 @@
 struct MemberReport {
   1: Report report, 2: optional Beacon beacon, 3: list<string> members, 4: optional list<AccountRatio> accountRatios
 }
+// `complete`: with this message, the receiver has all departures that were recorded before it subscribed.
 struct Spread {
   1: list<NodeInfo> nodes, 2: list<Presence> targets, 3: optional Beacon beacon, 4: list<string> controlHosts,
-  5: list<TargetCrash> crashes, 6: optional list<AccountRatio> accountRatios
+  5: list<TargetCrash> crashes, 6: optional list<AccountRatio> accountRatios, 7: bool complete
 }
 struct Digest { 1: i64 version, 2: i64 hash, 3: list<i64> buckets }
-struct DigestAnswer { 1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes }
+// `complete` as in Spread.
+struct DigestAnswer {
+  1: i64 version, 2: optional Delta delta, 3: list<Presence> targets, 4: list<NodeInfo> nodes, 5: bool complete
+}
 
 // ---- calls ----
 enum Outcome { RAN = 0, NOT_RUN = 1, UNKNOWN = 2 }
--- a/thrift/gen-cpp/Wire_types.cpp
+++ b/thrift/gen-cpp/Wire_types.cpp
@@ -143,7 +143,8 @@
   CommandKind::SOURCE_UPDATE,
   CommandKind::SUBMIT_RELEASE,
   CommandKind::START_EVACUATION,
-  CommandKind::FINISH_EVACUATION
+  CommandKind::FINISH_EVACUATION,
+  CommandKind::RECORD_DEPARTURES
 };
 const char* _kCommandKindNames[] = {
   "SET_SERVICE",
@@ -159,9 +160,10 @@
   "SOURCE_UPDATE",
   "SUBMIT_RELEASE",
   "START_EVACUATION",
-  "FINISH_EVACUATION"
+  "FINISH_EVACUATION",
+  "RECORD_DEPARTURES"
 };
-const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(14, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CommandKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CommandKind_VALUES_TO_NAMES.find(val);
@@ -6254,6 +6256,173 @@
 }
 
 
+Departure::~Departure() noexcept {
+}
+
+
+void Departure::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void Departure::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void Departure::__set_noticeSequence(const int64_t val) {
+  this->noticeSequence = val;
+}
+
+void Departure::__set_timeMs(const int64_t val) {
+  this->timeMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const Departure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Departure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->noticeSequence);
+          this->__isset.noticeSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeMs);
+          this->__isset.timeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Departure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Departure");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("noticeSequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->noticeSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->timeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Departure &a, Departure &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.incarnation, b.incarnation);
+  swap(a.noticeSequence, b.noticeSequence);
+  swap(a.timeMs, b.timeMs);
+  swap(a.__isset, b.__isset);
+}
+
+Departure::Departure(const Departure& other210) {
+  target = other210.target;
+  incarnation = other210.incarnation;
+  noticeSequence = other210.noticeSequence;
+  timeMs = other210.timeMs;
+  __isset = other210.__isset;
+}
+Departure::Departure(Departure&& other211) noexcept {
+  target = std::move(other211.target);
+  incarnation = other211.incarnation;
+  noticeSequence = other211.noticeSequence;
+  timeMs = other211.timeMs;
+  __isset = other211.__isset;
+}
+Departure& Departure::operator=(const Departure& other212) {
+  target = other212.target;
+  incarnation = other212.incarnation;
+  noticeSequence = other212.noticeSequence;
+  timeMs = other212.timeMs;
+  __isset = other212.__isset;
+  return *this;
+}
+Departure& Departure::operator=(Departure&& other213) noexcept {
+  target = std::move(other213.target);
+  incarnation = other213.incarnation;
+  noticeSequence = other213.noticeSequence;
+  timeMs = other213.timeMs;
+  __isset = other213.__isset;
+  return *this;
+}
+void Departure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Departure(";
+  out << "target=" << to_string(target);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "noticeSequence=" << to_string(noticeSequence);
+  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -6321,6 +6490,11 @@
   this->release = val;
 __isset.release = true;
 }
+
+void Command::__set_departures(const std::vector<Departure> & val) {
+  this->departures = val;
+__isset.departures = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -6351,9 +6525,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast210;
-          xfer += iprot->readI32(ecast210);
-          this->kind = static_cast<CommandKind::type>(ecast210);
+          int32_t ecast214;
+          xfer += iprot->readI32(ecast214);
+          this->kind = static_cast<CommandKind::type>(ecast214);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6419,17 +6593,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->parameters.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _ktype212;
-            ::apache::thrift::protocol::TType _vtype213;
-            xfer += iprot->readMapBegin(_ktype212, _vtype213, _size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _ktype216;
+            ::apache::thrift::protocol::TType _vtype217;
+            xfer += iprot->readMapBegin(_ktype216, _vtype217, _size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              std::string _key216;
-              xfer += iprot->readString(_key216);
-              std::string& _val217 = this->parameters[_key216];
-              xfer += iprot->readString(_val217);
+              std::string _key220;
+              xfer += iprot->readString(_key220);
+              std::string& _val221 = this->parameters[_key220];
+              xfer += iprot->readString(_val221);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6486,6 +6660,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->departures.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->departures[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6538,11 +6732,11 @@
   xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter218;
-    for (_iter218 = this->parameters.begin(); _iter218 != this->parameters.end(); ++_iter218)
+    std::map<std::string, std::string> ::const_iterator _iter227;
+    for (_iter227 = this->parameters.begin(); _iter227 != this->parameters.end(); ++_iter227)
     {
-      xfer += oprot->writeString(_iter218->first);
-      xfer += oprot->writeString(_iter218->second);
+      xfer += oprot->writeString(_iter227->first);
+      xfer += oprot->writeString(_iter227->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6576,6 +6770,19 @@
     xfer += this->release.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.departures) {
+    xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+      std::vector<Departure> ::const_iterator _iter228;
+      for (_iter228 = this->departures.begin(); _iter228 != this->departures.end(); ++_iter228)
+      {
+        xfer += (*_iter228).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6598,81 +6805,86 @@
   swap(a.templateName, b.templateName);
   swap(a.sourceSequence, b.sourceSequence);
   swap(a.release, b.release);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other219) {
-  kind = other219.kind;
-  requestId = other219.requestId;
-  actor = other219.actor;
-  team = other219.team;
-  timeMs = other219.timeMs;
-  baseVersion = other219.baseVersion;
-  name = other219.name;
-  body = other219.body;
-  parameters = other219.parameters;
-  move = other219.move;
-  moveEvent = other219.moveEvent;
-  claimEpoch = other219.claimEpoch;
-  templateName = other219.templateName;
-  sourceSequence = other219.sourceSequence;
-  release = other219.release;
-  __isset = other219.__isset;
-}
-Command::Command(Command&& other220) noexcept {
-  kind = other220.kind;
-  requestId = std::move(other220.requestId);
-  actor = std::move(other220.actor);
-  team = std::move(other220.team);
-  timeMs = other220.timeMs;
-  baseVersion = other220.baseVersion;
-  name = std::move(other220.name);
-  body = std::move(other220.body);
-  parameters = std::move(other220.parameters);
-  move = std::move(other220.move);
-  moveEvent = std::move(other220.moveEvent);
-  claimEpoch = std::move(other220.claimEpoch);
-  templateName = std::move(other220.templateName);
-  sourceSequence = other220.sourceSequence;
-  release = std::move(other220.release);
-  __isset = other220.__isset;
-}
-Command& Command::operator=(const Command& other221) {
-  kind = other221.kind;
-  requestId = other221.requestId;
-  actor = other221.actor;
-  team = other221.team;
-  timeMs = other221.timeMs;
-  baseVersion = other221.baseVersion;
-  name = other221.name;
-  body = other221.body;
-  parameters = other221.parameters;
-  move = other221.move;
-  moveEvent = other221.moveEvent;
-  claimEpoch = other221.claimEpoch;
-  templateName = other221.templateName;
-  sourceSequence = other221.sourceSequence;
-  release = other221.release;
-  __isset = other221.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other222) noexcept {
-  kind = other222.kind;
-  requestId = std::move(other222.requestId);
-  actor = std::move(other222.actor);
-  team = std::move(other222.team);
-  timeMs = other222.timeMs;
-  baseVersion = other222.baseVersion;
-  name = std::move(other222.name);
-  body = std::move(other222.body);
-  parameters = std::move(other222.parameters);
-  move = std::move(other222.move);
-  moveEvent = std::move(other222.moveEvent);
-  claimEpoch = std::move(other222.claimEpoch);
-  templateName = std::move(other222.templateName);
-  sourceSequence = other222.sourceSequence;
-  release = std::move(other222.release);
-  __isset = other222.__isset;
+Command::Command(const Command& other229) {
+  kind = other229.kind;
+  requestId = other229.requestId;
+  actor = other229.actor;
+  team = other229.team;
+  timeMs = other229.timeMs;
+  baseVersion = other229.baseVersion;
+  name = other229.name;
+  body = other229.body;
+  parameters = other229.parameters;
+  move = other229.move;
+  moveEvent = other229.moveEvent;
+  claimEpoch = other229.claimEpoch;
+  templateName = other229.templateName;
+  sourceSequence = other229.sourceSequence;
+  release = other229.release;
+  departures = other229.departures;
+  __isset = other229.__isset;
+}
+Command::Command(Command&& other230) noexcept {
+  kind = other230.kind;
+  requestId = std::move(other230.requestId);
+  actor = std::move(other230.actor);
+  team = std::move(other230.team);
+  timeMs = other230.timeMs;
+  baseVersion = other230.baseVersion;
+  name = std::move(other230.name);
+  body = std::move(other230.body);
+  parameters = std::move(other230.parameters);
+  move = std::move(other230.move);
+  moveEvent = std::move(other230.moveEvent);
+  claimEpoch = std::move(other230.claimEpoch);
+  templateName = std::move(other230.templateName);
+  sourceSequence = other230.sourceSequence;
+  release = std::move(other230.release);
+  departures = std::move(other230.departures);
+  __isset = other230.__isset;
+}
+Command& Command::operator=(const Command& other231) {
+  kind = other231.kind;
+  requestId = other231.requestId;
+  actor = other231.actor;
+  team = other231.team;
+  timeMs = other231.timeMs;
+  baseVersion = other231.baseVersion;
+  name = other231.name;
+  body = other231.body;
+  parameters = other231.parameters;
+  move = other231.move;
+  moveEvent = other231.moveEvent;
+  claimEpoch = other231.claimEpoch;
+  templateName = other231.templateName;
+  sourceSequence = other231.sourceSequence;
+  release = other231.release;
+  departures = other231.departures;
+  __isset = other231.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other232) noexcept {
+  kind = other232.kind;
+  requestId = std::move(other232.requestId);
+  actor = std::move(other232.actor);
+  team = std::move(other232.team);
+  timeMs = other232.timeMs;
+  baseVersion = other232.baseVersion;
+  name = std::move(other232.name);
+  body = std::move(other232.body);
+  parameters = std::move(other232.parameters);
+  move = std::move(other232.move);
+  moveEvent = std::move(other232.moveEvent);
+  claimEpoch = std::move(other232.claimEpoch);
+  templateName = std::move(other232.templateName);
+  sourceSequence = other232.sourceSequence;
+  release = std::move(other232.release);
+  departures = std::move(other232.departures);
+  __isset = other232.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -6693,6 +6905,7 @@
   out << ", " << "templateName=" << to_string(templateName);
   out << ", " << "sourceSequence=" << to_string(sourceSequence);
   out << ", " << "release="; (__isset.release ? (out << to_string(release)) : (out << "<null>"));
+  out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6746,9 +6959,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast223;
-          xfer += iprot->readI32(ecast223);
-          this->code = static_cast<ResultCode::type>(ecast223);
+          int32_t ecast233;
+          xfer += iprot->readI32(ecast233);
+          this->code = static_cast<ResultCode::type>(ecast233);
           this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6825,34 +7038,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other224) {
-  code = other224.code;
-  version = other224.version;
-  message = other224.message;
-  remedy = other224.remedy;
-  __isset = other224.__isset;
+CommandResult::CommandResult(const CommandResult& other234) {
+  code = other234.code;
+  version = other234.version;
+  message = other234.message;
+  remedy = other234.remedy;
+  __isset = other234.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other225) noexcept {
-  code = other225.code;
-  version = other225.version;
-  message = std::move(other225.message);
-  remedy = std::move(other225.remedy);
-  __isset = other225.__isset;
+CommandResult::CommandResult(CommandResult&& other235) noexcept {
+  code = other235.code;
+  version = other235.version;
+  message = std::move(other235.message);
+  remedy = std::move(other235.remedy);
+  __isset = other235.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other226) {
-  code = other226.code;
-  version = other226.version;
-  message = other226.message;
-  remedy = other226.remedy;
-  __isset = other226.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other236) {
+  code = other236.code;
+  version = other236.version;
+  message = other236.message;
+  remedy = other236.remedy;
+  __isset = other236.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other227) noexcept {
-  code = other227.code;
-  version = other227.version;
-  message = std::move(other227.message);
-  remedy = std::move(other227.remedy);
-  __isset = other227.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other237) noexcept {
+  code = other237.code;
+  version = other237.version;
+  message = std::move(other237.message);
+  remedy = std::move(other237.remedy);
+  __isset = other237.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -7007,9 +7220,9 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast228;
-          xfer += iprot->readI32(ecast228);
-          this->code = static_cast<ResultCode::type>(ecast228);
+          int32_t ecast238;
+          xfer += iprot->readI32(ecast238);
+          this->code = static_cast<ResultCode::type>(ecast238);
           this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7113,62 +7326,62 @@
   swap(a.__isset, b.__isset);
 }
 
-AuditRecord::AuditRecord(const AuditRecord& other229) {
-  index = other229.index;
-  timeMs = other229.timeMs;
-  actor = other229.actor;
-  team = other229.team;
-  action = other229.action;
-  subject = other229.subject;
-  fromVersion = other229.fromVersion;
-  toVersion = other229.toVersion;
-  code = other229.code;
-  message = other229.message;
-  requestId = other229.requestId;
-  __isset = other229.__isset;
-}
-AuditRecord::AuditRecord(AuditRecord&& other230) noexcept {
-  index = other230.index;
-  timeMs = other230.timeMs;
-  actor = std::move(other230.actor);
-  team = std::move(other230.team);
-  action = std::move(other230.action);
-  subject = std::move(other230.subject);
-  fromVersion = other230.fromVersion;
-  toVersion = other230.toVersion;
-  code = other230.code;
-  message = std::move(other230.message);
-  requestId = std::move(other230.requestId);
-  __isset = other230.__isset;
+AuditRecord::AuditRecord(const AuditRecord& other239) {
+  index = other239.index;
+  timeMs = other239.timeMs;
+  actor = other239.actor;
+  team = other239.team;
+  action = other239.action;
+  subject = other239.subject;
+  fromVersion = other239.fromVersion;
+  toVersion = other239.toVersion;
+  code = other239.code;
+  message = other239.message;
+  requestId = other239.requestId;
+  __isset = other239.__isset;
 }
-AuditRecord& AuditRecord::operator=(const AuditRecord& other231) {
-  index = other231.index;
-  timeMs = other231.timeMs;
-  actor = other231.actor;
-  team = other231.team;
-  action = other231.action;
-  subject = other231.subject;
-  fromVersion = other231.fromVersion;
-  toVersion = other231.toVersion;
-  code = other231.code;
-  message = other231.message;
-  requestId = other231.requestId;
-  __isset = other231.__isset;
-  return *this;
+AuditRecord::AuditRecord(AuditRecord&& other240) noexcept {
+  index = other240.index;
+  timeMs = other240.timeMs;
+  actor = std::move(other240.actor);
+  team = std::move(other240.team);
+  action = std::move(other240.action);
+  subject = std::move(other240.subject);
+  fromVersion = other240.fromVersion;
+  toVersion = other240.toVersion;
+  code = other240.code;
+  message = std::move(other240.message);
+  requestId = std::move(other240.requestId);
+  __isset = other240.__isset;
 }
-AuditRecord& AuditRecord::operator=(AuditRecord&& other232) noexcept {
-  index = other232.index;
-  timeMs = other232.timeMs;
-  actor = std::move(other232.actor);
-  team = std::move(other232.team);
-  action = std::move(other232.action);
-  subject = std::move(other232.subject);
-  fromVersion = other232.fromVersion;
-  toVersion = other232.toVersion;
-  code = other232.code;
-  message = std::move(other232.message);
-  requestId = std::move(other232.requestId);
-  __isset = other232.__isset;
+AuditRecord& AuditRecord::operator=(const AuditRecord& other241) {
+  index = other241.index;
+  timeMs = other241.timeMs;
+  actor = other241.actor;
+  team = other241.team;
+  action = other241.action;
+  subject = other241.subject;
+  fromVersion = other241.fromVersion;
+  toVersion = other241.toVersion;
+  code = other241.code;
+  message = other241.message;
+  requestId = other241.requestId;
+  __isset = other241.__isset;
+  return *this;
+}
+AuditRecord& AuditRecord::operator=(AuditRecord&& other242) noexcept {
+  index = other242.index;
+  timeMs = other242.timeMs;
+  actor = std::move(other242.actor);
+  team = std::move(other242.team);
+  action = std::move(other242.action);
+  subject = std::move(other242.subject);
+  fromVersion = other242.fromVersion;
+  toVersion = other242.toVersion;
+  code = other242.code;
+  message = std::move(other242.message);
+  requestId = std::move(other242.requestId);
+  __isset = other242.__isset;
   return *this;
 }
 void AuditRecord::printTo(std::ostream& out) const {
@@ -7315,34 +7528,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedResult::RememberedResult(const RememberedResult& other233) {
-  requestId = other233.requestId;
-  timeMs = other233.timeMs;
-  result = other233.result;
-  fingerprint = other233.fingerprint;
-  __isset = other233.__isset;
+RememberedResult::RememberedResult(const RememberedResult& other243) {
+  requestId = other243.requestId;
+  timeMs = other243.timeMs;
+  result = other243.result;
+  fingerprint = other243.fingerprint;
+  __isset = other243.__isset;
 }
-RememberedResult::RememberedResult(RememberedResult&& other234) noexcept {
-  requestId = std::move(other234.requestId);
-  timeMs = other234.timeMs;
-  result = std::move(other234.result);
-  fingerprint = other234.fingerprint;
-  __isset = other234.__isset;
+RememberedResult::RememberedResult(RememberedResult&& other244) noexcept {
+  requestId = std::move(other244.requestId);
+  timeMs = other244.timeMs;
+  result = std::move(other244.result);
+  fingerprint = other244.fingerprint;
+  __isset = other244.__isset;
 }
-RememberedResult& RememberedResult::operator=(const RememberedResult& other235) {
-  requestId = other235.requestId;
-  timeMs = other235.timeMs;
-  result = other235.result;
-  fingerprint = other235.fingerprint;
-  __isset = other235.__isset;
+RememberedResult& RememberedResult::operator=(const RememberedResult& other245) {
+  requestId = other245.requestId;
+  timeMs = other245.timeMs;
+  result = other245.result;
+  fingerprint = other245.fingerprint;
+  __isset = other245.__isset;
   return *this;
 }
-RememberedResult& RememberedResult::operator=(RememberedResult&& other236) noexcept {
-  requestId = std::move(other236.requestId);
-  timeMs = other236.timeMs;
-  result = std::move(other236.result);
-  fingerprint = other236.fingerprint;
-  __isset = other236.__isset;
+RememberedResult& RememberedResult::operator=(RememberedResult&& other246) noexcept {
+  requestId = std::move(other246.requestId);
+  timeMs = other246.timeMs;
+  result = std::move(other246.result);
+  fingerprint = other246.fingerprint;
+  __isset = other246.__isset;
   return *this;
 }
 void RememberedResult::printTo(std::ostream& out) const {
@@ -7482,34 +7695,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TemplateRecord::TemplateRecord(const TemplateRecord& other237) {
-  name = other237.name;
-  version = other237.version;
-  body = other237.body;
-  sourceSequence = other237.sourceSequence;
-  __isset = other237.__isset;
+TemplateRecord::TemplateRecord(const TemplateRecord& other247) {
+  name = other247.name;
+  version = other247.version;
+  body = other247.body;
+  sourceSequence = other247.sourceSequence;
+  __isset = other247.__isset;
 }
-TemplateRecord::TemplateRecord(TemplateRecord&& other238) noexcept {
-  name = std::move(other238.name);
-  version = other238.version;
-  body = std::move(other238.body);
-  sourceSequence = other238.sourceSequence;
-  __isset = other238.__isset;
-}
-TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other239) {
-  name = other239.name;
-  version = other239.version;
-  body = other239.body;
-  sourceSequence = other239.sourceSequence;
-  __isset = other239.__isset;
+TemplateRecord::TemplateRecord(TemplateRecord&& other248) noexcept {
+  name = std::move(other248.name);
+  version = other248.version;
+  body = std::move(other248.body);
+  sourceSequence = other248.sourceSequence;
+  __isset = other248.__isset;
+}
+TemplateRecord& TemplateRecord::operator=(const TemplateRecord& other249) {
+  name = other249.name;
+  version = other249.version;
+  body = other249.body;
+  sourceSequence = other249.sourceSequence;
+  __isset = other249.__isset;
   return *this;
 }
-TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other240) noexcept {
-  name = std::move(other240.name);
-  version = other240.version;
-  body = std::move(other240.body);
-  sourceSequence = other240.sourceSequence;
-  __isset = other240.__isset;
+TemplateRecord& TemplateRecord::operator=(TemplateRecord&& other250) noexcept {
+  name = std::move(other250.name);
+  version = other250.version;
+  body = std::move(other250.body);
+  sourceSequence = other250.sourceSequence;
+  __isset = other250.__isset;
   return *this;
 }
 void TemplateRecord::printTo(std::ostream& out) const {
@@ -7602,17 +7815,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->parameters.clear();
-            uint32_t _size241;
-            ::apache::thrift::protocol::TType _ktype242;
-            ::apache::thrift::protocol::TType _vtype243;
-            xfer += iprot->readMapBegin(_ktype242, _vtype243, _size241);
-            uint32_t _i245;
-            for (_i245 = 0; _i245 < _size241; ++_i245)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _ktype252;
+            ::apache::thrift::protocol::TType _vtype253;
+            xfer += iprot->readMapBegin(_ktype252, _vtype253, _size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              std::string _key246;
-              xfer += iprot->readString(_key246);
-              std::string& _val247 = this->parameters[_key246];
-              xfer += iprot->readString(_val247);
+              std::string _key256;
+              xfer += iprot->readString(_key256);
+              std::string& _val257 = this->parameters[_key256];
+              xfer += iprot->readString(_val257);
             }
             xfer += iprot->readMapEnd();
           }
@@ -7661,11 +7874,11 @@
   xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parameters.size()));
-    std::map<std::string, std::string> ::const_iterator _iter248;
-    for (_iter248 = this->parameters.begin(); _iter248 != this->parameters.end(); ++_iter248)
+    std::map<std::string, std::string> ::const_iterator _iter258;
+    for (_iter258 = this->parameters.begin(); _iter258 != this->parameters.end(); ++_iter258)
     {
-      xfer += oprot->writeString(_iter248->first);
-      xfer += oprot->writeString(_iter248->second);
+      xfer += oprot->writeString(_iter258->first);
+      xfer += oprot->writeString(_iter258->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7690,38 +7903,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountRecord::AccountRecord(const AccountRecord& other249) {
-  name = other249.name;
-  version = other249.version;
-  templateName = other249.templateName;
-  parameters = other249.parameters;
-  sourceSequence = other249.sourceSequence;
-  __isset = other249.__isset;
-}
-AccountRecord::AccountRecord(AccountRecord&& other250) noexcept {
-  name = std::move(other250.name);
-  version = other250.version;
-  templateName = std::move(other250.templateName);
-  parameters = std::move(other250.parameters);
-  sourceSequence = other250.sourceSequence;
-  __isset = other250.__isset;
-}
-AccountRecord& AccountRecord::operator=(const AccountRecord& other251) {
-  name = other251.name;
-  version = other251.version;
-  templateName = other251.templateName;
-  parameters = other251.parameters;
-  sourceSequence = other251.sourceSequence;
-  __isset = other251.__isset;
-  return *this;
-}
-AccountRecord& AccountRecord::operator=(AccountRecord&& other252) noexcept {
-  name = std::move(other252.name);
-  version = other252.version;
-  templateName = std::move(other252.templateName);
-  parameters = std::move(other252.parameters);
-  sourceSequence = other252.sourceSequence;
-  __isset = other252.__isset;
+AccountRecord::AccountRecord(const AccountRecord& other259) {
+  name = other259.name;
+  version = other259.version;
+  templateName = other259.templateName;
+  parameters = other259.parameters;
+  sourceSequence = other259.sourceSequence;
+  __isset = other259.__isset;
+}
+AccountRecord::AccountRecord(AccountRecord&& other260) noexcept {
+  name = std::move(other260.name);
+  version = other260.version;
+  templateName = std::move(other260.templateName);
+  parameters = std::move(other260.parameters);
+  sourceSequence = other260.sourceSequence;
+  __isset = other260.__isset;
+}
+AccountRecord& AccountRecord::operator=(const AccountRecord& other261) {
+  name = other261.name;
+  version = other261.version;
+  templateName = other261.templateName;
+  parameters = other261.parameters;
+  sourceSequence = other261.sourceSequence;
+  __isset = other261.__isset;
+  return *this;
+}
+AccountRecord& AccountRecord::operator=(AccountRecord&& other262) noexcept {
+  name = std::move(other262.name);
+  version = other262.version;
+  templateName = std::move(other262.templateName);
+  parameters = std::move(other262.parameters);
+  sourceSequence = other262.sourceSequence;
+  __isset = other262.__isset;
   return *this;
 }
 void AccountRecord::printTo(std::ostream& out) const {
@@ -7897,9 +8110,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast253;
-          xfer += iprot->readI32(ecast253);
-          this->state = static_cast<MoveState::type>(ecast253);
+          int32_t ecast263;
+          xfer += iprot->readI32(ecast263);
+          this->state = static_cast<MoveState::type>(ecast263);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8102,90 +8315,90 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveRecord::MoveRecord(const MoveRecord& other254) {
-  id = other254.id;
-  serviceName = other254.serviceName;
-  fromVersion = other254.fromVersion;
-  toVersion = other254.toVersion;
-  startedMs = other254.startedMs;
-  deadlineMs = other254.deadlineMs;
-  watchMs = other254.watchMs;
-  state = other254.state;
-  step = other254.step;
-  permille = other254.permille;
-  stepMs = other254.stepMs;
-  reachedMs = other254.reachedMs;
-  reason = other254.reason;
-  late = other254.late;
-  actor = other254.actor;
-  endedMs = other254.endedMs;
-  slotsNeeded = other254.slotsNeeded;
-  exposurePermille = other254.exposurePermille;
-  __isset = other254.__isset;
-}
-MoveRecord::MoveRecord(MoveRecord&& other255) noexcept {
-  id = std::move(other255.id);
-  serviceName = std::move(other255.serviceName);
-  fromVersion = std::move(other255.fromVersion);
-  toVersion = std::move(other255.toVersion);
-  startedMs = other255.startedMs;
-  deadlineMs = other255.deadlineMs;
-  watchMs = other255.watchMs;
-  state = other255.state;
-  step = other255.step;
-  permille = other255.permille;
-  stepMs = other255.stepMs;
-  reachedMs = other255.reachedMs;
-  reason = std::move(other255.reason);
-  late = other255.late;
-  actor = std::move(other255.actor);
-  endedMs = other255.endedMs;
-  slotsNeeded = other255.slotsNeeded;
-  exposurePermille = other255.exposurePermille;
-  __isset = other255.__isset;
-}
-MoveRecord& MoveRecord::operator=(const MoveRecord& other256) {
-  id = other256.id;
-  serviceName = other256.serviceName;
-  fromVersion = other256.fromVersion;
-  toVersion = other256.toVersion;
-  startedMs = other256.startedMs;
-  deadlineMs = other256.deadlineMs;
-  watchMs = other256.watchMs;
-  state = other256.state;
-  step = other256.step;
-  permille = other256.permille;
-  stepMs = other256.stepMs;
-  reachedMs = other256.reachedMs;
-  reason = other256.reason;
-  late = other256.late;
-  actor = other256.actor;
-  endedMs = other256.endedMs;
-  slotsNeeded = other256.slotsNeeded;
-  exposurePermille = other256.exposurePermille;
-  __isset = other256.__isset;
-  return *this;
-}
-MoveRecord& MoveRecord::operator=(MoveRecord&& other257) noexcept {
-  id = std::move(other257.id);
-  serviceName = std::move(other257.serviceName);
-  fromVersion = std::move(other257.fromVersion);
-  toVersion = std::move(other257.toVersion);
-  startedMs = other257.startedMs;
-  deadlineMs = other257.deadlineMs;
-  watchMs = other257.watchMs;
-  state = other257.state;
-  step = other257.step;
-  permille = other257.permille;
-  stepMs = other257.stepMs;
-  reachedMs = other257.reachedMs;
-  reason = std::move(other257.reason);
-  late = other257.late;
-  actor = std::move(other257.actor);
-  endedMs = other257.endedMs;
-  slotsNeeded = other257.slotsNeeded;
-  exposurePermille = other257.exposurePermille;
-  __isset = other257.__isset;
+MoveRecord::MoveRecord(const MoveRecord& other264) {
+  id = other264.id;
+  serviceName = other264.serviceName;
+  fromVersion = other264.fromVersion;
+  toVersion = other264.toVersion;
+  startedMs = other264.startedMs;
+  deadlineMs = other264.deadlineMs;
+  watchMs = other264.watchMs;
+  state = other264.state;
+  step = other264.step;
+  permille = other264.permille;
+  stepMs = other264.stepMs;
+  reachedMs = other264.reachedMs;
+  reason = other264.reason;
+  late = other264.late;
+  actor = other264.actor;
+  endedMs = other264.endedMs;
+  slotsNeeded = other264.slotsNeeded;
+  exposurePermille = other264.exposurePermille;
+  __isset = other264.__isset;
+}
+MoveRecord::MoveRecord(MoveRecord&& other265) noexcept {
+  id = std::move(other265.id);
+  serviceName = std::move(other265.serviceName);
+  fromVersion = std::move(other265.fromVersion);
+  toVersion = std::move(other265.toVersion);
+  startedMs = other265.startedMs;
+  deadlineMs = other265.deadlineMs;
+  watchMs = other265.watchMs;
+  state = other265.state;
+  step = other265.step;
+  permille = other265.permille;
+  stepMs = other265.stepMs;
+  reachedMs = other265.reachedMs;
+  reason = std::move(other265.reason);
+  late = other265.late;
+  actor = std::move(other265.actor);
+  endedMs = other265.endedMs;
+  slotsNeeded = other265.slotsNeeded;
+  exposurePermille = other265.exposurePermille;
+  __isset = other265.__isset;
+}
+MoveRecord& MoveRecord::operator=(const MoveRecord& other266) {
+  id = other266.id;
+  serviceName = other266.serviceName;
+  fromVersion = other266.fromVersion;
+  toVersion = other266.toVersion;
+  startedMs = other266.startedMs;
+  deadlineMs = other266.deadlineMs;
+  watchMs = other266.watchMs;
+  state = other266.state;
+  step = other266.step;
+  permille = other266.permille;
+  stepMs = other266.stepMs;
+  reachedMs = other266.reachedMs;
+  reason = other266.reason;
+  late = other266.late;
+  actor = other266.actor;
+  endedMs = other266.endedMs;
+  slotsNeeded = other266.slotsNeeded;
+  exposurePermille = other266.exposurePermille;
+  __isset = other266.__isset;
+  return *this;
+}
+MoveRecord& MoveRecord::operator=(MoveRecord&& other267) noexcept {
+  id = std::move(other267.id);
+  serviceName = std::move(other267.serviceName);
+  fromVersion = std::move(other267.fromVersion);
+  toVersion = std::move(other267.toVersion);
+  startedMs = other267.startedMs;
+  deadlineMs = other267.deadlineMs;
+  watchMs = other267.watchMs;
+  state = other267.state;
+  step = other267.step;
+  permille = other267.permille;
+  stepMs = other267.stepMs;
+  reachedMs = other267.reachedMs;
+  reason = std::move(other267.reason);
+  late = other267.late;
+  actor = std::move(other267.actor);
+  endedMs = other267.endedMs;
+  slotsNeeded = other267.slotsNeeded;
+  exposurePermille = other267.exposurePermille;
+  __isset = other267.__isset;
   return *this;
 }
 void MoveRecord::printTo(std::ostream& out) const {
@@ -8264,6 +8477,10 @@
 void MachineImage::__set_releaseDocument(const std::string& val) {
   this->releaseDocument = val;
 }
+
+void MachineImage::__set_departures(const std::vector<Departure> & val) {
+  this->departures = val;
+}
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj)
 {
   obj.printTo(out);
@@ -8304,14 +8521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resources.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->resources.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->resources.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->resources[_i262].read(iprot);
+              xfer += this->resources[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8324,14 +8541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->tombstones.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->tombstones.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->tombstones[_i267].read(iprot);
+              xfer += this->tombstones[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8344,14 +8561,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->templates.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->templates.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->templates.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->templates[_i272].read(iprot);
+              xfer += this->templates[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8364,14 +8581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->accounts.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->accounts.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->accounts[_i277].read(iprot);
+              xfer += this->accounts[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8384,14 +8601,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->moves.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->moves.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->moves[_i282].read(iprot);
+              xfer += this->moves[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8404,14 +8621,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size283;
-            ::apache::thrift::protocol::TType _etype286;
-            xfer += iprot->readListBegin(_etype286, _size283);
-            this->audit.resize(_size283);
-            uint32_t _i287;
-            for (_i287 = 0; _i287 < _size283; ++_i287)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->audit.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += this->audit[_i287].read(iprot);
+              xfer += this->audit[_i297].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8424,14 +8641,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->remembered.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->remembered.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->remembered.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->remembered[_i292].read(iprot);
+              xfer += this->remembered[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8472,6 +8689,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->departures.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
+            {
+              xfer += this->departures[_i307].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8496,10 +8733,10 @@
   xfer += oprot->writeFieldBegin("resources", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resources.size()));
-    std::vector<Resource> ::const_iterator _iter293;
-    for (_iter293 = this->resources.begin(); _iter293 != this->resources.end(); ++_iter293)
+    std::vector<Resource> ::const_iterator _iter308;
+    for (_iter308 = this->resources.begin(); _iter308 != this->resources.end(); ++_iter308)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8508,10 +8745,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<Tombstone> ::const_iterator _iter294;
-    for (_iter294 = this->tombstones.begin(); _iter294 != this->tombstones.end(); ++_iter294)
+    std::vector<Tombstone> ::const_iterator _iter309;
+    for (_iter309 = this->tombstones.begin(); _iter309 != this->tombstones.end(); ++_iter309)
     {
-      xfer += (*_iter294).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8520,10 +8757,10 @@
   xfer += oprot->writeFieldBegin("templates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->templates.size()));
-    std::vector<TemplateRecord> ::const_iterator _iter295;
-    for (_iter295 = this->templates.begin(); _iter295 != this->templates.end(); ++_iter295)
+    std::vector<TemplateRecord> ::const_iterator _iter310;
+    for (_iter310 = this->templates.begin(); _iter310 != this->templates.end(); ++_iter310)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter310).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8532,10 +8769,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountRecord> ::const_iterator _iter296;
-    for (_iter296 = this->accounts.begin(); _iter296 != this->accounts.end(); ++_iter296)
+    std::vector<AccountRecord> ::const_iterator _iter311;
+    for (_iter311 = this->accounts.begin(); _iter311 != this->accounts.end(); ++_iter311)
     {
-      xfer += (*_iter296).write(oprot);
+      xfer += (*_iter311).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8544,10 +8781,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveRecord> ::const_iterator _iter297;
-    for (_iter297 = this->moves.begin(); _iter297 != this->moves.end(); ++_iter297)
+    std::vector<MoveRecord> ::const_iterator _iter312;
+    for (_iter312 = this->moves.begin(); _iter312 != this->moves.end(); ++_iter312)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8556,10 +8793,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter298;
-    for (_iter298 = this->audit.begin(); _iter298 != this->audit.end(); ++_iter298)
+    std::vector<AuditRecord> ::const_iterator _iter313;
+    for (_iter313 = this->audit.begin(); _iter313 != this->audit.end(); ++_iter313)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8568,10 +8805,10 @@
   xfer += oprot->writeFieldBegin("remembered", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->remembered.size()));
-    std::vector<RememberedResult> ::const_iterator _iter299;
-    for (_iter299 = this->remembered.begin(); _iter299 != this->remembered.end(); ++_iter299)
+    std::vector<RememberedResult> ::const_iterator _iter314;
+    for (_iter314 = this->remembered.begin(); _iter314 != this->remembered.end(); ++_iter314)
     {
-      xfer += (*_iter299).write(oprot);
+      xfer += (*_iter314).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8593,6 +8830,18 @@
   xfer += oprot->writeBinary(this->releaseDocument);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+    std::vector<Departure> ::const_iterator _iter315;
+    for (_iter315 = this->departures.begin(); _iter315 != this->departures.end(); ++_iter315)
+    {
+      xfer += (*_iter315).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8612,69 +8861,74 @@
   swap(a.auditCount, b.auditCount);
   swap(a.releaseNumber, b.releaseNumber);
   swap(a.releaseDocument, b.releaseDocument);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-MachineImage::MachineImage(const MachineImage& other300) {
-  version = other300.version;
-  resources = other300.resources;
-  tombstones = other300.tombstones;
-  templates = other300.templates;
-  accounts = other300.accounts;
-  moves = other300.moves;
-  audit = other300.audit;
-  remembered = other300.remembered;
-  tombstoneFloor = other300.tombstoneFloor;
-  auditCount = other300.auditCount;
-  releaseNumber = other300.releaseNumber;
-  releaseDocument = other300.releaseDocument;
-  __isset = other300.__isset;
-}
-MachineImage::MachineImage(MachineImage&& other301) noexcept {
-  version = other301.version;
-  resources = std::move(other301.resources);
-  tombstones = std::move(other301.tombstones);
-  templates = std::move(other301.templates);
-  accounts = std::move(other301.accounts);
-  moves = std::move(other301.moves);
-  audit = std::move(other301.audit);
-  remembered = std::move(other301.remembered);
-  tombstoneFloor = other301.tombstoneFloor;
-  auditCount = other301.auditCount;
-  releaseNumber = other301.releaseNumber;
-  releaseDocument = std::move(other301.releaseDocument);
-  __isset = other301.__isset;
-}
-MachineImage& MachineImage::operator=(const MachineImage& other302) {
-  version = other302.version;
-  resources = other302.resources;
-  tombstones = other302.tombstones;
-  templates = other302.templates;
-  accounts = other302.accounts;
-  moves = other302.moves;
-  audit = other302.audit;
-  remembered = other302.remembered;
-  tombstoneFloor = other302.tombstoneFloor;
-  auditCount = other302.auditCount;
-  releaseNumber = other302.releaseNumber;
-  releaseDocument = other302.releaseDocument;
-  __isset = other302.__isset;
-  return *this;
-}
-MachineImage& MachineImage::operator=(MachineImage&& other303) noexcept {
-  version = other303.version;
-  resources = std::move(other303.resources);
-  tombstones = std::move(other303.tombstones);
-  templates = std::move(other303.templates);
-  accounts = std::move(other303.accounts);
-  moves = std::move(other303.moves);
-  audit = std::move(other303.audit);
-  remembered = std::move(other303.remembered);
-  tombstoneFloor = other303.tombstoneFloor;
-  auditCount = other303.auditCount;
-  releaseNumber = other303.releaseNumber;
-  releaseDocument = std::move(other303.releaseDocument);
-  __isset = other303.__isset;
+MachineImage::MachineImage(const MachineImage& other316) {
+  version = other316.version;
+  resources = other316.resources;
+  tombstones = other316.tombstones;
+  templates = other316.templates;
+  accounts = other316.accounts;
+  moves = other316.moves;
+  audit = other316.audit;
+  remembered = other316.remembered;
+  tombstoneFloor = other316.tombstoneFloor;
+  auditCount = other316.auditCount;
+  releaseNumber = other316.releaseNumber;
+  releaseDocument = other316.releaseDocument;
+  departures = other316.departures;
+  __isset = other316.__isset;
+}
+MachineImage::MachineImage(MachineImage&& other317) noexcept {
+  version = other317.version;
+  resources = std::move(other317.resources);
+  tombstones = std::move(other317.tombstones);
+  templates = std::move(other317.templates);
+  accounts = std::move(other317.accounts);
+  moves = std::move(other317.moves);
+  audit = std::move(other317.audit);
+  remembered = std::move(other317.remembered);
+  tombstoneFloor = other317.tombstoneFloor;
+  auditCount = other317.auditCount;
+  releaseNumber = other317.releaseNumber;
+  releaseDocument = std::move(other317.releaseDocument);
+  departures = std::move(other317.departures);
+  __isset = other317.__isset;
+}
+MachineImage& MachineImage::operator=(const MachineImage& other318) {
+  version = other318.version;
+  resources = other318.resources;
+  tombstones = other318.tombstones;
+  templates = other318.templates;
+  accounts = other318.accounts;
+  moves = other318.moves;
+  audit = other318.audit;
+  remembered = other318.remembered;
+  tombstoneFloor = other318.tombstoneFloor;
+  auditCount = other318.auditCount;
+  releaseNumber = other318.releaseNumber;
+  releaseDocument = other318.releaseDocument;
+  departures = other318.departures;
+  __isset = other318.__isset;
+  return *this;
+}
+MachineImage& MachineImage::operator=(MachineImage&& other319) noexcept {
+  version = other319.version;
+  resources = std::move(other319.resources);
+  tombstones = std::move(other319.tombstones);
+  templates = std::move(other319.templates);
+  accounts = std::move(other319.accounts);
+  moves = std::move(other319.moves);
+  audit = std::move(other319.audit);
+  remembered = std::move(other319.remembered);
+  tombstoneFloor = other319.tombstoneFloor;
+  auditCount = other319.auditCount;
+  releaseNumber = other319.releaseNumber;
+  releaseDocument = std::move(other319.releaseDocument);
+  departures = std::move(other319.departures);
+  __isset = other319.__isset;
   return *this;
 }
 void MachineImage::printTo(std::ostream& out) const {
@@ -8692,6 +8946,7 @@
   out << ", " << "auditCount=" << to_string(auditCount);
   out << ", " << "releaseNumber=" << to_string(releaseNumber);
   out << ", " << "releaseDocument=" << to_string(releaseDocument);
+  out << ", " << "departures=" << to_string(departures);
   out << ")";
 }
 
@@ -8755,6 +9010,10 @@
 void Presence::__set_leaves(const bool val) {
   this->leaves = val;
 }
+
+void Presence::__set_recorded(const bool val) {
+  this->recorded = val;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -8849,9 +9108,9 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast304;
-          xfer += iprot->readI32(ecast304);
-          this->state = static_cast<TargetState::type>(ecast304);
+          int32_t ecast320;
+          xfer += iprot->readI32(ecast320);
+          this->state = static_cast<TargetState::type>(ecast320);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8897,6 +9156,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->recorded);
+          this->__isset.recorded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8970,6 +9237,10 @@
   xfer += oprot->writeBool(this->leaves);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("recorded", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->recorded);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8991,77 +9262,82 @@
   swap(a.targetIncarnation, b.targetIncarnation);
   swap(a.noticeSequence, b.noticeSequence);
   swap(a.leaves, b.leaves);
+  swap(a.recorded, b.recorded);
   swap(a.__isset, b.__isset);
 }
 
-Presence::Presence(const Presence& other305) {
-  target = other305.target;
-  serviceName = other305.serviceName;
-  version = other305.version;
-  dataCentre = other305.dataCentre;
-  node = other305.node;
-  callAddress = other305.callAddress;
-  incarnation = other305.incarnation;
-  sequence = other305.sequence;
-  state = other305.state;
-  slots = other305.slots;
-  coldLeftMs = other305.coldLeftMs;
-  targetIncarnation = other305.targetIncarnation;
-  noticeSequence = other305.noticeSequence;
-  leaves = other305.leaves;
-  __isset = other305.__isset;
-}
-Presence::Presence(Presence&& other306) noexcept {
-  target = std::move(other306.target);
-  serviceName = std::move(other306.serviceName);
-  version = std::move(other306.version);
-  dataCentre = std::move(other306.dataCentre);
-  node = std::move(other306.node);
-  callAddress = std::move(other306.callAddress);
-  incarnation = other306.incarnation;
-  sequence = other306.sequence;
-  state = other306.state;
-  slots = other306.slots;
-  coldLeftMs = other306.coldLeftMs;
-  targetIncarnation = other306.targetIncarnation;
-  noticeSequence = other306.noticeSequence;
-  leaves = other306.leaves;
-  __isset = other306.__isset;
-}
-Presence& Presence::operator=(const Presence& other307) {
-  target = other307.target;
-  serviceName = other307.serviceName;
-  version = other307.version;
-  dataCentre = other307.dataCentre;
-  node = other307.node;
-  callAddress = other307.callAddress;
-  incarnation = other307.incarnation;
-  sequence = other307.sequence;
-  state = other307.state;
-  slots = other307.slots;
-  coldLeftMs = other307.coldLeftMs;
-  targetIncarnation = other307.targetIncarnation;
-  noticeSequence = other307.noticeSequence;
-  leaves = other307.leaves;
-  __isset = other307.__isset;
-  return *this;
-}
-Presence& Presence::operator=(Presence&& other308) noexcept {
-  target = std::move(other308.target);
-  serviceName = std::move(other308.serviceName);
-  version = std::move(other308.version);
-  dataCentre = std::move(other308.dataCentre);
-  node = std::move(other308.node);
-  callAddress = std::move(other308.callAddress);
-  incarnation = other308.incarnation;
-  sequence = other308.sequence;
-  state = other308.state;
-  slots = other308.slots;
-  coldLeftMs = other308.coldLeftMs;
-  targetIncarnation = other308.targetIncarnation;
-  noticeSequence = other308.noticeSequence;
-  leaves = other308.leaves;
-  __isset = other308.__isset;
+Presence::Presence(const Presence& other321) {
+  target = other321.target;
+  serviceName = other321.serviceName;
+  version = other321.version;
+  dataCentre = other321.dataCentre;
+  node = other321.node;
+  callAddress = other321.callAddress;
+  incarnation = other321.incarnation;
+  sequence = other321.sequence;
+  state = other321.state;
+  slots = other321.slots;
+  coldLeftMs = other321.coldLeftMs;
+  targetIncarnation = other321.targetIncarnation;
+  noticeSequence = other321.noticeSequence;
+  leaves = other321.leaves;
+  recorded = other321.recorded;
+  __isset = other321.__isset;
+}
+Presence::Presence(Presence&& other322) noexcept {
+  target = std::move(other322.target);
+  serviceName = std::move(other322.serviceName);
+  version = std::move(other322.version);
+  dataCentre = std::move(other322.dataCentre);
+  node = std::move(other322.node);
+  callAddress = std::move(other322.callAddress);
+  incarnation = other322.incarnation;
+  sequence = other322.sequence;
+  state = other322.state;
+  slots = other322.slots;
+  coldLeftMs = other322.coldLeftMs;
+  targetIncarnation = other322.targetIncarnation;
+  noticeSequence = other322.noticeSequence;
+  leaves = other322.leaves;
+  recorded = other322.recorded;
+  __isset = other322.__isset;
+}
+Presence& Presence::operator=(const Presence& other323) {
+  target = other323.target;
+  serviceName = other323.serviceName;
+  version = other323.version;
+  dataCentre = other323.dataCentre;
+  node = other323.node;
+  callAddress = other323.callAddress;
+  incarnation = other323.incarnation;
+  sequence = other323.sequence;
+  state = other323.state;
+  slots = other323.slots;
+  coldLeftMs = other323.coldLeftMs;
+  targetIncarnation = other323.targetIncarnation;
+  noticeSequence = other323.noticeSequence;
+  leaves = other323.leaves;
+  recorded = other323.recorded;
+  __isset = other323.__isset;
+  return *this;
+}
+Presence& Presence::operator=(Presence&& other324) noexcept {
+  target = std::move(other324.target);
+  serviceName = std::move(other324.serviceName);
+  version = std::move(other324.version);
+  dataCentre = std::move(other324.dataCentre);
+  node = std::move(other324.node);
+  callAddress = std::move(other324.callAddress);
+  incarnation = other324.incarnation;
+  sequence = other324.sequence;
+  state = other324.state;
+  slots = other324.slots;
+  coldLeftMs = other324.coldLeftMs;
+  targetIncarnation = other324.targetIncarnation;
+  noticeSequence = other324.noticeSequence;
+  leaves = other324.leaves;
+  recorded = other324.recorded;
+  __isset = other324.__isset;
   return *this;
 }
 void Presence::printTo(std::ostream& out) const {
@@ -9081,6 +9357,7 @@
   out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
   out << ", " << "noticeSequence=" << to_string(noticeSequence);
   out << ", " << "leaves=" << to_string(leaves);
+  out << ", " << "recorded=" << to_string(recorded);
   out << ")";
 }
 
@@ -9279,50 +9556,50 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeInfo::NodeInfo(const NodeInfo& other309) {
-  node = other309.node;
-  dataCentre = other309.dataCentre;
-  meshAddress = other309.meshAddress;
-  callAddress = other309.callAddress;
-  incarnation = other309.incarnation;
-  sequence = other309.sequence;
-  gone = other309.gone;
-  stopped = other309.stopped;
-  __isset = other309.__isset;
-}
-NodeInfo::NodeInfo(NodeInfo&& other310) noexcept {
-  node = std::move(other310.node);
-  dataCentre = std::move(other310.dataCentre);
-  meshAddress = std::move(other310.meshAddress);
-  callAddress = std::move(other310.callAddress);
-  incarnation = other310.incarnation;
-  sequence = other310.sequence;
-  gone = other310.gone;
-  stopped = other310.stopped;
-  __isset = other310.__isset;
-}
-NodeInfo& NodeInfo::operator=(const NodeInfo& other311) {
-  node = other311.node;
-  dataCentre = other311.dataCentre;
-  meshAddress = other311.meshAddress;
-  callAddress = other311.callAddress;
-  incarnation = other311.incarnation;
-  sequence = other311.sequence;
-  gone = other311.gone;
-  stopped = other311.stopped;
-  __isset = other311.__isset;
-  return *this;
-}
-NodeInfo& NodeInfo::operator=(NodeInfo&& other312) noexcept {
-  node = std::move(other312.node);
-  dataCentre = std::move(other312.dataCentre);
-  meshAddress = std::move(other312.meshAddress);
-  callAddress = std::move(other312.callAddress);
-  incarnation = other312.incarnation;
-  sequence = other312.sequence;
-  gone = other312.gone;
-  stopped = other312.stopped;
-  __isset = other312.__isset;
+NodeInfo::NodeInfo(const NodeInfo& other325) {
+  node = other325.node;
+  dataCentre = other325.dataCentre;
+  meshAddress = other325.meshAddress;
+  callAddress = other325.callAddress;
+  incarnation = other325.incarnation;
+  sequence = other325.sequence;
+  gone = other325.gone;
+  stopped = other325.stopped;
+  __isset = other325.__isset;
+}
+NodeInfo::NodeInfo(NodeInfo&& other326) noexcept {
+  node = std::move(other326.node);
+  dataCentre = std::move(other326.dataCentre);
+  meshAddress = std::move(other326.meshAddress);
+  callAddress = std::move(other326.callAddress);
+  incarnation = other326.incarnation;
+  sequence = other326.sequence;
+  gone = other326.gone;
+  stopped = other326.stopped;
+  __isset = other326.__isset;
+}
+NodeInfo& NodeInfo::operator=(const NodeInfo& other327) {
+  node = other327.node;
+  dataCentre = other327.dataCentre;
+  meshAddress = other327.meshAddress;
+  callAddress = other327.callAddress;
+  incarnation = other327.incarnation;
+  sequence = other327.sequence;
+  gone = other327.gone;
+  stopped = other327.stopped;
+  __isset = other327.__isset;
+  return *this;
+}
+NodeInfo& NodeInfo::operator=(NodeInfo&& other328) noexcept {
+  node = std::move(other328.node);
+  dataCentre = std::move(other328.dataCentre);
+  meshAddress = std::move(other328.meshAddress);
+  callAddress = std::move(other328.callAddress);
+  incarnation = other328.incarnation;
+  sequence = other328.sequence;
+  gone = other328.gone;
+  stopped = other328.stopped;
+  __isset = other328.__isset;
   return *this;
 }
 void NodeInfo::printTo(std::ostream& out) const {
@@ -9449,30 +9726,30 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeAck::NodeAck(const NodeAck& other313) {
-  node = other313.node;
-  version = other313.version;
-  rejection = other313.rejection;
-  __isset = other313.__isset;
+NodeAck::NodeAck(const NodeAck& other329) {
+  node = other329.node;
+  version = other329.version;
+  rejection = other329.rejection;
+  __isset = other329.__isset;
 }
-NodeAck::NodeAck(NodeAck&& other314) noexcept {
-  node = std::move(other314.node);
-  version = other314.version;
-  rejection = std::move(other314.rejection);
-  __isset = other314.__isset;
+NodeAck::NodeAck(NodeAck&& other330) noexcept {
+  node = std::move(other330.node);
+  version = other330.version;
+  rejection = std::move(other330.rejection);
+  __isset = other330.__isset;
 }
-NodeAck& NodeAck::operator=(const NodeAck& other315) {
-  node = other315.node;
-  version = other315.version;
-  rejection = other315.rejection;
-  __isset = other315.__isset;
+NodeAck& NodeAck::operator=(const NodeAck& other331) {
+  node = other331.node;
+  version = other331.version;
+  rejection = other331.rejection;
+  __isset = other331.__isset;
   return *this;
 }
-NodeAck& NodeAck::operator=(NodeAck&& other316) noexcept {
-  node = std::move(other316.node);
-  version = other316.version;
-  rejection = std::move(other316.rejection);
-  __isset = other316.__isset;
+NodeAck& NodeAck::operator=(NodeAck&& other332) noexcept {
+  node = std::move(other332.node);
+  version = other332.version;
+  rejection = std::move(other332.rejection);
+  __isset = other332.__isset;
   return *this;
 }
 void NodeAck::printTo(std::ostream& out) const {
@@ -9566,9 +9843,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast317;
-          xfer += iprot->readI32(ecast317);
-          this->dimension = static_cast<EvidenceDimension::type>(ecast317);
+          int32_t ecast333;
+          xfer += iprot->readI32(ecast333);
+          this->dimension = static_cast<EvidenceDimension::type>(ecast333);
           this->__isset.dimension = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9610,17 +9887,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->latency.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _ktype319;
-            ::apache::thrift::protocol::TType _vtype320;
-            xfer += iprot->readMapBegin(_ktype319, _vtype320, _size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _ktype335;
+            ::apache::thrift::protocol::TType _vtype336;
+            xfer += iprot->readMapBegin(_ktype335, _vtype336, _size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              int16_t _key323;
-              xfer += iprot->readI16(_key323);
-              int64_t& _val324 = this->latency[_key323];
-              xfer += iprot->readI64(_val324);
+              int16_t _key339;
+              xfer += iprot->readI16(_key339);
+              int64_t& _val340 = this->latency[_key339];
+              xfer += iprot->readI64(_val340);
             }
             xfer += iprot->readMapEnd();
           }
@@ -9677,11 +9954,11 @@
   xfer += oprot->writeFieldBegin("latency", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->latency.size()));
-    std::map<int16_t, int64_t> ::const_iterator _iter325;
-    for (_iter325 = this->latency.begin(); _iter325 != this->latency.end(); ++_iter325)
+    std::map<int16_t, int64_t> ::const_iterator _iter341;
+    for (_iter341 = this->latency.begin(); _iter341 != this->latency.end(); ++_iter341)
     {
-      xfer += oprot->writeI16(_iter325->first);
-      xfer += oprot->writeI64(_iter325->second);
+      xfer += oprot->writeI16(_iter341->first);
+      xfer += oprot->writeI64(_iter341->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -9705,50 +9982,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EvidenceCell::EvidenceCell(const EvidenceCell& other326) {
-  serviceName = other326.serviceName;
-  version = other326.version;
-  dimension = other326.dimension;
-  value = other326.value;
-  dataCentre = other326.dataCentre;
-  calls = other326.calls;
-  failures = other326.failures;
-  latency = other326.latency;
-  __isset = other326.__isset;
-}
-EvidenceCell::EvidenceCell(EvidenceCell&& other327) noexcept {
-  serviceName = std::move(other327.serviceName);
-  version = std::move(other327.version);
-  dimension = other327.dimension;
-  value = std::move(other327.value);
-  dataCentre = std::move(other327.dataCentre);
-  calls = other327.calls;
-  failures = other327.failures;
-  latency = std::move(other327.latency);
-  __isset = other327.__isset;
-}
-EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other328) {
-  serviceName = other328.serviceName;
-  version = other328.version;
-  dimension = other328.dimension;
-  value = other328.value;
-  dataCentre = other328.dataCentre;
-  calls = other328.calls;
-  failures = other328.failures;
-  latency = other328.latency;
-  __isset = other328.__isset;
-  return *this;
-}
-EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other329) noexcept {
-  serviceName = std::move(other329.serviceName);
-  version = std::move(other329.version);
-  dimension = other329.dimension;
-  value = std::move(other329.value);
-  dataCentre = std::move(other329.dataCentre);
-  calls = other329.calls;
-  failures = other329.failures;
-  latency = std::move(other329.latency);
-  __isset = other329.__isset;
+EvidenceCell::EvidenceCell(const EvidenceCell& other342) {
+  serviceName = other342.serviceName;
+  version = other342.version;
+  dimension = other342.dimension;
+  value = other342.value;
+  dataCentre = other342.dataCentre;
+  calls = other342.calls;
+  failures = other342.failures;
+  latency = other342.latency;
+  __isset = other342.__isset;
+}
+EvidenceCell::EvidenceCell(EvidenceCell&& other343) noexcept {
+  serviceName = std::move(other343.serviceName);
+  version = std::move(other343.version);
+  dimension = other343.dimension;
+  value = std::move(other343.value);
+  dataCentre = std::move(other343.dataCentre);
+  calls = other343.calls;
+  failures = other343.failures;
+  latency = std::move(other343.latency);
+  __isset = other343.__isset;
+}
+EvidenceCell& EvidenceCell::operator=(const EvidenceCell& other344) {
+  serviceName = other344.serviceName;
+  version = other344.version;
+  dimension = other344.dimension;
+  value = other344.value;
+  dataCentre = other344.dataCentre;
+  calls = other344.calls;
+  failures = other344.failures;
+  latency = other344.latency;
+  __isset = other344.__isset;
+  return *this;
+}
+EvidenceCell& EvidenceCell::operator=(EvidenceCell&& other345) noexcept {
+  serviceName = std::move(other345.serviceName);
+  version = std::move(other345.version);
+  dimension = other345.dimension;
+  value = std::move(other345.value);
+  dataCentre = std::move(other345.dataCentre);
+  calls = other345.calls;
+  failures = other345.failures;
+  latency = std::move(other345.latency);
+  __isset = other345.__isset;
   return *this;
 }
 void EvidenceCell::printTo(std::ostream& out) const {
@@ -9892,34 +10169,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Alarm::Alarm(const Alarm& other330) {
-  moveId = other330.moveId;
-  step = other330.step;
-  node = other330.node;
-  reason = other330.reason;
-  __isset = other330.__isset;
+Alarm::Alarm(const Alarm& other346) {
+  moveId = other346.moveId;
+  step = other346.step;
+  node = other346.node;
+  reason = other346.reason;
+  __isset = other346.__isset;
 }
-Alarm::Alarm(Alarm&& other331) noexcept {
-  moveId = std::move(other331.moveId);
-  step = other331.step;
-  node = std::move(other331.node);
-  reason = std::move(other331.reason);
-  __isset = other331.__isset;
+Alarm::Alarm(Alarm&& other347) noexcept {
+  moveId = std::move(other347.moveId);
+  step = other347.step;
+  node = std::move(other347.node);
+  reason = std::move(other347.reason);
+  __isset = other347.__isset;
 }
-Alarm& Alarm::operator=(const Alarm& other332) {
-  moveId = other332.moveId;
-  step = other332.step;
-  node = other332.node;
-  reason = other332.reason;
-  __isset = other332.__isset;
+Alarm& Alarm::operator=(const Alarm& other348) {
+  moveId = other348.moveId;
+  step = other348.step;
+  node = other348.node;
+  reason = other348.reason;
+  __isset = other348.__isset;
   return *this;
 }
-Alarm& Alarm::operator=(Alarm&& other333) noexcept {
-  moveId = std::move(other333.moveId);
-  step = other333.step;
-  node = std::move(other333.node);
-  reason = std::move(other333.reason);
-  __isset = other333.__isset;
+Alarm& Alarm::operator=(Alarm&& other349) noexcept {
+  moveId = std::move(other349.moveId);
+  step = other349.step;
+  node = std::move(other349.node);
+  reason = std::move(other349.reason);
+  __isset = other349.__isset;
   return *this;
 }
 void Alarm::printTo(std::ostream& out) const {
@@ -10000,14 +10277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->calls.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->calls.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += iprot->readI64(this->calls[_i338]);
+              xfer += iprot->readI64(this->calls[_i354]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10020,14 +10297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cleared.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->cleared.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->cleared.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += iprot->readI64(this->cleared[_i343]);
+              xfer += iprot->readI64(this->cleared[_i359]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10064,10 +10341,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
-    std::vector<int64_t> ::const_iterator _iter344;
-    for (_iter344 = this->calls.begin(); _iter344 != this->calls.end(); ++_iter344)
+    std::vector<int64_t> ::const_iterator _iter360;
+    for (_iter360 = this->calls.begin(); _iter360 != this->calls.end(); ++_iter360)
     {
-      xfer += oprot->writeI64((*_iter344));
+      xfer += oprot->writeI64((*_iter360));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10076,10 +10353,10 @@
   xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
-    std::vector<int64_t> ::const_iterator _iter345;
-    for (_iter345 = this->cleared.begin(); _iter345 != this->cleared.end(); ++_iter345)
+    std::vector<int64_t> ::const_iterator _iter361;
+    for (_iter361 = this->cleared.begin(); _iter361 != this->cleared.end(); ++_iter361)
     {
-      xfer += oprot->writeI64((*_iter345));
+      xfer += oprot->writeI64((*_iter361));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10099,34 +10376,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetCrash::TargetCrash(const TargetCrash& other346) {
-  target = other346.target;
-  incarnation = other346.incarnation;
-  calls = other346.calls;
-  cleared = other346.cleared;
-  __isset = other346.__isset;
+TargetCrash::TargetCrash(const TargetCrash& other362) {
+  target = other362.target;
+  incarnation = other362.incarnation;
+  calls = other362.calls;
+  cleared = other362.cleared;
+  __isset = other362.__isset;
 }
-TargetCrash::TargetCrash(TargetCrash&& other347) noexcept {
-  target = std::move(other347.target);
-  incarnation = other347.incarnation;
-  calls = std::move(other347.calls);
-  cleared = std::move(other347.cleared);
-  __isset = other347.__isset;
+TargetCrash::TargetCrash(TargetCrash&& other363) noexcept {
+  target = std::move(other363.target);
+  incarnation = other363.incarnation;
+  calls = std::move(other363.calls);
+  cleared = std::move(other363.cleared);
+  __isset = other363.__isset;
 }
-TargetCrash& TargetCrash::operator=(const TargetCrash& other348) {
-  target = other348.target;
-  incarnation = other348.incarnation;
-  calls = other348.calls;
-  cleared = other348.cleared;
-  __isset = other348.__isset;
+TargetCrash& TargetCrash::operator=(const TargetCrash& other364) {
+  target = other364.target;
+  incarnation = other364.incarnation;
+  calls = other364.calls;
+  cleared = other364.cleared;
+  __isset = other364.__isset;
   return *this;
 }
-TargetCrash& TargetCrash::operator=(TargetCrash&& other349) noexcept {
-  target = std::move(other349.target);
-  incarnation = other349.incarnation;
-  calls = std::move(other349.calls);
-  cleared = std::move(other349.cleared);
-  __isset = other349.__isset;
+TargetCrash& TargetCrash::operator=(TargetCrash&& other365) noexcept {
+  target = std::move(other365.target);
+  incarnation = other365.incarnation;
+  calls = std::move(other365.calls);
+  cleared = std::move(other365.cleared);
+  __isset = other365.__isset;
   return *this;
 }
 void TargetCrash::printTo(std::ostream& out) const {
@@ -10193,14 +10470,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->accounts.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->accounts.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
             {
-              xfer += iprot->readI64(this->accounts[_i354]);
+              xfer += iprot->readI64(this->accounts[_i370]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10213,14 +10490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->offered.clear();
-            uint32_t _size355;
-            ::apache::thrift::protocol::TType _etype358;
-            xfer += iprot->readListBegin(_etype358, _size355);
-            this->offered.resize(_size355);
-            uint32_t _i359;
-            for (_i359 = 0; _i359 < _size355; ++_i359)
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _etype374;
+            xfer += iprot->readListBegin(_etype374, _size371);
+            this->offered.resize(_size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
             {
-              xfer += iprot->readI32(this->offered[_i359]);
+              xfer += iprot->readI32(this->offered[_i375]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10233,14 +10510,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->refused.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size376;
+            ::apache::thrift::protocol::TType _etype379;
+            xfer += iprot->readListBegin(_etype379, _size376);
+            this->refused.resize(_size376);
+            uint32_t _i380;
+            for (_i380 = 0; _i380 < _size376; ++_i380)
             {
-              xfer += iprot->readI32(this->refused[_i364]);
+              xfer += iprot->readI32(this->refused[_i380]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10253,14 +10530,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->spans.clear();
-            uint32_t _size365;
-            ::apache::thrift::protocol::TType _etype368;
-            xfer += iprot->readListBegin(_etype368, _size365);
-            this->spans.resize(_size365);
-            uint32_t _i369;
-            for (_i369 = 0; _i369 < _size365; ++_i369)
+            uint32_t _size381;
+            ::apache::thrift::protocol::TType _etype384;
+            xfer += iprot->readListBegin(_etype384, _size381);
+            this->spans.resize(_size381);
+            uint32_t _i385;
+            for (_i385 = 0; _i385 < _size381; ++_i385)
             {
-              xfer += iprot->readI32(this->spans[_i369]);
+              xfer += iprot->readI32(this->spans[_i385]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10289,10 +10566,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int64_t> ::const_iterator _iter370;
-    for (_iter370 = this->accounts.begin(); _iter370 != this->accounts.end(); ++_iter370)
+    std::vector<int64_t> ::const_iterator _iter386;
+    for (_iter386 = this->accounts.begin(); _iter386 != this->accounts.end(); ++_iter386)
     {
-      xfer += oprot->writeI64((*_iter370));
+      xfer += oprot->writeI64((*_iter386));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10301,10 +10578,10 @@
   xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->offered.size()));
-    std::vector<int32_t> ::const_iterator _iter371;
-    for (_iter371 = this->offered.begin(); _iter371 != this->offered.end(); ++_iter371)
+    std::vector<int32_t> ::const_iterator _iter387;
+    for (_iter387 = this->offered.begin(); _iter387 != this->offered.end(); ++_iter387)
     {
-      xfer += oprot->writeI32((*_iter371));
+      xfer += oprot->writeI32((*_iter387));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10314,10 +10591,10 @@
     xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused.size()));
-      std::vector<int32_t> ::const_iterator _iter372;
-      for (_iter372 = this->refused.begin(); _iter372 != this->refused.end(); ++_iter372)
+      std::vector<int32_t> ::const_iterator _iter388;
+      for (_iter388 = this->refused.begin(); _iter388 != this->refused.end(); ++_iter388)
       {
-        xfer += oprot->writeI32((*_iter372));
+        xfer += oprot->writeI32((*_iter388));
       }
       xfer += oprot->writeListEnd();
     }
@@ -10327,10 +10604,10 @@
     xfer += oprot->writeFieldBegin("spans", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->spans.size()));
-      std::vector<int32_t> ::const_iterator _iter373;
-      for (_iter373 = this->spans.begin(); _iter373 != this->spans.end(); ++_iter373)
+      std::vector<int32_t> ::const_iterator _iter389;
+      for (_iter389 = this->spans.begin(); _iter389 != this->spans.end(); ++_iter389)
       {
-        xfer += oprot->writeI32((*_iter373));
+        xfer += oprot->writeI32((*_iter389));
       }
       xfer += oprot->writeListEnd();
     }
@@ -10350,34 +10627,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUsage::AccountUsage(const AccountUsage& other374) {
-  accounts = other374.accounts;
-  offered = other374.offered;
-  refused = other374.refused;
-  spans = other374.spans;
-  __isset = other374.__isset;
+AccountUsage::AccountUsage(const AccountUsage& other390) {
+  accounts = other390.accounts;
+  offered = other390.offered;
+  refused = other390.refused;
+  spans = other390.spans;
+  __isset = other390.__isset;
 }
-AccountUsage::AccountUsage(AccountUsage&& other375) noexcept {
-  accounts = std::move(other375.accounts);
-  offered = std::move(other375.offered);
-  refused = std::move(other375.refused);
-  spans = std::move(other375.spans);
-  __isset = other375.__isset;
+AccountUsage::AccountUsage(AccountUsage&& other391) noexcept {
+  accounts = std::move(other391.accounts);
+  offered = std::move(other391.offered);
+  refused = std::move(other391.refused);
+  spans = std::move(other391.spans);
+  __isset = other391.__isset;
 }
-AccountUsage& AccountUsage::operator=(const AccountUsage& other376) {
-  accounts = other376.accounts;
-  offered = other376.offered;
-  refused = other376.refused;
-  spans = other376.spans;
-  __isset = other376.__isset;
+AccountUsage& AccountUsage::operator=(const AccountUsage& other392) {
+  accounts = other392.accounts;
+  offered = other392.offered;
+  refused = other392.refused;
+  spans = other392.spans;
+  __isset = other392.__isset;
   return *this;
 }
-AccountUsage& AccountUsage::operator=(AccountUsage&& other377) noexcept {
-  accounts = std::move(other377.accounts);
-  offered = std::move(other377.offered);
-  refused = std::move(other377.refused);
-  spans = std::move(other377.spans);
-  __isset = other377.__isset;
+AccountUsage& AccountUsage::operator=(AccountUsage&& other393) noexcept {
+  accounts = std::move(other393.accounts);
+  offered = std::move(other393.offered);
+  refused = std::move(other393.refused);
+  spans = std::move(other393.spans);
+  __isset = other393.__isset;
   return *this;
 }
 void AccountUsage::printTo(std::ostream& out) const {
@@ -10483,26 +10760,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountRatio::AccountRatio(const AccountRatio& other378) noexcept {
-  account = other378.account;
-  permille = other378.permille;
-  __isset = other378.__isset;
+AccountRatio::AccountRatio(const AccountRatio& other394) noexcept {
+  account = other394.account;
+  permille = other394.permille;
+  __isset = other394.__isset;
 }
-AccountRatio::AccountRatio(AccountRatio&& other379) noexcept {
-  account = other379.account;
-  permille = other379.permille;
-  __isset = other379.__isset;
+AccountRatio::AccountRatio(AccountRatio&& other395) noexcept {
+  account = other395.account;
+  permille = other395.permille;
+  __isset = other395.__isset;
 }
-AccountRatio& AccountRatio::operator=(const AccountRatio& other380) noexcept {
-  account = other380.account;
-  permille = other380.permille;
-  __isset = other380.__isset;
+AccountRatio& AccountRatio::operator=(const AccountRatio& other396) noexcept {
+  account = other396.account;
+  permille = other396.permille;
+  __isset = other396.__isset;
   return *this;
 }
-AccountRatio& AccountRatio::operator=(AccountRatio&& other381) noexcept {
-  account = other381.account;
-  permille = other381.permille;
-  __isset = other381.__isset;
+AccountRatio& AccountRatio::operator=(AccountRatio&& other397) noexcept {
+  account = other397.account;
+  permille = other397.permille;
+  __isset = other397.__isset;
   return *this;
 }
 void AccountRatio::printTo(std::ostream& out) const {
@@ -10589,22 +10866,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessRequest::FreshnessRequest(const FreshnessRequest& other382) noexcept {
-  sentAt = other382.sentAt;
-  __isset = other382.__isset;
+FreshnessRequest::FreshnessRequest(const FreshnessRequest& other398) noexcept {
+  sentAt = other398.sentAt;
+  __isset = other398.__isset;
 }
-FreshnessRequest::FreshnessRequest(FreshnessRequest&& other383) noexcept {
-  sentAt = other383.sentAt;
-  __isset = other383.__isset;
+FreshnessRequest::FreshnessRequest(FreshnessRequest&& other399) noexcept {
+  sentAt = other399.sentAt;
+  __isset = other399.__isset;
 }
-FreshnessRequest& FreshnessRequest::operator=(const FreshnessRequest& other384) noexcept {
-  sentAt = other384.sentAt;
-  __isset = other384.__isset;
+FreshnessRequest& FreshnessRequest::operator=(const FreshnessRequest& other400) noexcept {
+  sentAt = other400.sentAt;
+  __isset = other400.__isset;
   return *this;
 }
-FreshnessRequest& FreshnessRequest::operator=(FreshnessRequest&& other385) noexcept {
-  sentAt = other385.sentAt;
-  __isset = other385.__isset;
+FreshnessRequest& FreshnessRequest::operator=(FreshnessRequest&& other401) noexcept {
+  sentAt = other401.sentAt;
+  __isset = other401.__isset;
   return *this;
 }
 void FreshnessRequest::printTo(std::ostream& out) const {
@@ -10724,30 +11001,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other386) noexcept {
-  sentAt = other386.sentAt;
-  ageMs = other386.ageMs;
-  version = other386.version;
-  __isset = other386.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other402) noexcept {
+  sentAt = other402.sentAt;
+  ageMs = other402.ageMs;
+  version = other402.version;
+  __isset = other402.__isset;
 }
-FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other387) noexcept {
-  sentAt = other387.sentAt;
-  ageMs = other387.ageMs;
-  version = other387.version;
-  __isset = other387.__isset;
+FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other403) noexcept {
+  sentAt = other403.sentAt;
+  ageMs = other403.ageMs;
+  version = other403.version;
+  __isset = other403.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other388) noexcept {
-  sentAt = other388.sentAt;
-  ageMs = other388.ageMs;
-  version = other388.version;
-  __isset = other388.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other404) noexcept {
+  sentAt = other404.sentAt;
+  ageMs = other404.ageMs;
+  version = other404.version;
+  __isset = other404.__isset;
   return *this;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other389) noexcept {
-  sentAt = other389.sentAt;
-  ageMs = other389.ageMs;
-  version = other389.version;
-  __isset = other389.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other405) noexcept {
+  sentAt = other405.sentAt;
+  ageMs = other405.ageMs;
+  version = other405.version;
+  __isset = other405.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -10886,34 +11163,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Beacon::Beacon(const Beacon& other390) noexcept {
-  term = other390.term;
-  sequence = other390.sequence;
-  version = other390.version;
-  claimsThroughMs = other390.claimsThroughMs;
-  __isset = other390.__isset;
+Beacon::Beacon(const Beacon& other406) noexcept {
+  term = other406.term;
+  sequence = other406.sequence;
+  version = other406.version;
+  claimsThroughMs = other406.claimsThroughMs;
+  __isset = other406.__isset;
 }
-Beacon::Beacon(Beacon&& other391) noexcept {
-  term = other391.term;
-  sequence = other391.sequence;
-  version = other391.version;
-  claimsThroughMs = other391.claimsThroughMs;
-  __isset = other391.__isset;
+Beacon::Beacon(Beacon&& other407) noexcept {
+  term = other407.term;
+  sequence = other407.sequence;
+  version = other407.version;
+  claimsThroughMs = other407.claimsThroughMs;
+  __isset = other407.__isset;
 }
-Beacon& Beacon::operator=(const Beacon& other392) noexcept {
-  term = other392.term;
-  sequence = other392.sequence;
-  version = other392.version;
-  claimsThroughMs = other392.claimsThroughMs;
-  __isset = other392.__isset;
+Beacon& Beacon::operator=(const Beacon& other408) noexcept {
+  term = other408.term;
+  sequence = other408.sequence;
+  version = other408.version;
+  claimsThroughMs = other408.claimsThroughMs;
+  __isset = other408.__isset;
   return *this;
 }
-Beacon& Beacon::operator=(Beacon&& other393) noexcept {
-  term = other393.term;
-  sequence = other393.sequence;
-  version = other393.version;
-  claimsThroughMs = other393.claimsThroughMs;
-  __isset = other393.__isset;
+Beacon& Beacon::operator=(Beacon&& other409) noexcept {
+  term = other409.term;
+  sequence = other409.sequence;
+  version = other409.version;
+  claimsThroughMs = other409.claimsThroughMs;
+  __isset = other409.__isset;
   return *this;
 }
 void Beacon::printTo(std::ostream& out) const {
@@ -11036,30 +11313,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Subscribe::Subscribe(const Subscribe& other394) {
-  node = other394.node;
-  base = other394.base;
-  hash = other394.hash;
-  __isset = other394.__isset;
+Subscribe::Subscribe(const Subscribe& other410) {
+  node = other410.node;
+  base = other410.base;
+  hash = other410.hash;
+  __isset = other410.__isset;
 }
-Subscribe::Subscribe(Subscribe&& other395) noexcept {
-  node = std::move(other395.node);
-  base = other395.base;
-  hash = other395.hash;
-  __isset = other395.__isset;
+Subscribe::Subscribe(Subscribe&& other411) noexcept {
+  node = std::move(other411.node);
+  base = other411.base;
+  hash = other411.hash;
+  __isset = other411.__isset;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other396) {
-  node = other396.node;
-  base = other396.base;
-  hash = other396.hash;
-  __isset = other396.__isset;
+Subscribe& Subscribe::operator=(const Subscribe& other412) {
+  node = other412.node;
+  base = other412.base;
+  hash = other412.hash;
+  __isset = other412.__isset;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other397) noexcept {
-  node = std::move(other397.node);
-  base = other397.base;
-  hash = other397.hash;
-  __isset = other397.__isset;
+Subscribe& Subscribe::operator=(Subscribe&& other413) noexcept {
+  node = std::move(other413.node);
+  base = other413.base;
+  hash = other413.hash;
+  __isset = other413.__isset;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -11167,14 +11444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->directory.clear();
-            uint32_t _size398;
-            ::apache::thrift::protocol::TType _etype401;
-            xfer += iprot->readListBegin(_etype401, _size398);
-            this->directory.resize(_size398);
-            uint32_t _i402;
-            for (_i402 = 0; _i402 < _size398; ++_i402)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->directory.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->directory[_i402].read(iprot);
+              xfer += this->directory[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11195,14 +11472,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size403;
-            ::apache::thrift::protocol::TType _etype406;
-            xfer += iprot->readListBegin(_etype406, _size403);
-            this->controlHosts.resize(_size403);
-            uint32_t _i407;
-            for (_i407 = 0; _i407 < _size403; ++_i407)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->controlHosts.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += iprot->readString(this->controlHosts[_i407]);
+              xfer += iprot->readString(this->controlHosts[_i423]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11247,10 +11524,10 @@
   xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->directory.size()));
-    std::vector<NodeInfo> ::const_iterator _iter408;
-    for (_iter408 = this->directory.begin(); _iter408 != this->directory.end(); ++_iter408)
+    std::vector<NodeInfo> ::const_iterator _iter424;
+    for (_iter424 = this->directory.begin(); _iter424 != this->directory.end(); ++_iter424)
     {
-      xfer += (*_iter408).write(oprot);
+      xfer += (*_iter424).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11263,10 +11540,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter409;
-    for (_iter409 = this->controlHosts.begin(); _iter409 != this->controlHosts.end(); ++_iter409)
+    std::vector<std::string> ::const_iterator _iter425;
+    for (_iter425 = this->controlHosts.begin(); _iter425 != this->controlHosts.end(); ++_iter425)
     {
-      xfer += oprot->writeString((*_iter409));
+      xfer += oprot->writeString((*_iter425));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11289,46 +11566,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other410) {
-  admitted = other410.admitted;
-  retryAfterMs = other410.retryAfterMs;
-  version = other410.version;
-  floor = other410.floor;
-  directory = other410.directory;
-  fresh = other410.fresh;
-  controlHosts = other410.controlHosts;
-  __isset = other410.__isset;
-}
-SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other411) noexcept {
-  admitted = other411.admitted;
-  retryAfterMs = other411.retryAfterMs;
-  version = other411.version;
-  floor = other411.floor;
-  directory = std::move(other411.directory);
-  fresh = other411.fresh;
-  controlHosts = std::move(other411.controlHosts);
-  __isset = other411.__isset;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other412) {
-  admitted = other412.admitted;
-  retryAfterMs = other412.retryAfterMs;
-  version = other412.version;
-  floor = other412.floor;
-  directory = other412.directory;
-  fresh = other412.fresh;
-  controlHosts = other412.controlHosts;
-  __isset = other412.__isset;
-  return *this;
-}
-SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other413) noexcept {
-  admitted = other413.admitted;
-  retryAfterMs = other413.retryAfterMs;
-  version = other413.version;
-  floor = other413.floor;
-  directory = std::move(other413.directory);
-  fresh = other413.fresh;
-  controlHosts = std::move(other413.controlHosts);
-  __isset = other413.__isset;
+SubscribeAnswer::SubscribeAnswer(const SubscribeAnswer& other426) {
+  admitted = other426.admitted;
+  retryAfterMs = other426.retryAfterMs;
+  version = other426.version;
+  floor = other426.floor;
+  directory = other426.directory;
+  fresh = other426.fresh;
+  controlHosts = other426.controlHosts;
+  __isset = other426.__isset;
+}
+SubscribeAnswer::SubscribeAnswer(SubscribeAnswer&& other427) noexcept {
+  admitted = other427.admitted;
+  retryAfterMs = other427.retryAfterMs;
+  version = other427.version;
+  floor = other427.floor;
+  directory = std::move(other427.directory);
+  fresh = other427.fresh;
+  controlHosts = std::move(other427.controlHosts);
+  __isset = other427.__isset;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(const SubscribeAnswer& other428) {
+  admitted = other428.admitted;
+  retryAfterMs = other428.retryAfterMs;
+  version = other428.version;
+  floor = other428.floor;
+  directory = other428.directory;
+  fresh = other428.fresh;
+  controlHosts = other428.controlHosts;
+  __isset = other428.__isset;
+  return *this;
+}
+SubscribeAnswer& SubscribeAnswer::operator=(SubscribeAnswer&& other429) noexcept {
+  admitted = other429.admitted;
+  retryAfterMs = other429.retryAfterMs;
+  version = other429.version;
+  floor = other429.floor;
+  directory = std::move(other429.directory);
+  fresh = other429.fresh;
+  controlHosts = std::move(other429.controlHosts);
+  __isset = other429.__isset;
   return *this;
 }
 void SubscribeAnswer::printTo(std::ostream& out) const {
@@ -11409,14 +11686,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->nodes.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size430;
+            ::apache::thrift::protocol::TType _etype433;
+            xfer += iprot->readListBegin(_etype433, _size430);
+            this->nodes.resize(_size430);
+            uint32_t _i434;
+            for (_i434 = 0; _i434 < _size430; ++_i434)
             {
-              xfer += this->nodes[_i418].read(iprot);
+              xfer += this->nodes[_i434].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11429,14 +11706,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->targets.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size435;
+            ::apache::thrift::protocol::TType _etype438;
+            xfer += iprot->readListBegin(_etype438, _size435);
+            this->targets.resize(_size435);
+            uint32_t _i439;
+            for (_i439 = 0; _i439 < _size435; ++_i439)
             {
-              xfer += this->targets[_i423].read(iprot);
+              xfer += this->targets[_i439].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11449,14 +11726,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->evidence.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size440;
+            ::apache::thrift::protocol::TType _etype443;
+            xfer += iprot->readListBegin(_etype443, _size440);
+            this->evidence.resize(_size440);
+            uint32_t _i444;
+            for (_i444 = 0; _i444 < _size440; ++_i444)
             {
-              xfer += this->evidence[_i428].read(iprot);
+              xfer += this->evidence[_i444].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11469,14 +11746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->alarms.clear();
-            uint32_t _size429;
-            ::apache::thrift::protocol::TType _etype432;
-            xfer += iprot->readListBegin(_etype432, _size429);
-            this->alarms.resize(_size429);
-            uint32_t _i433;
-            for (_i433 = 0; _i433 < _size429; ++_i433)
+            uint32_t _size445;
+            ::apache::thrift::protocol::TType _etype448;
+            xfer += iprot->readListBegin(_etype448, _size445);
+            this->alarms.resize(_size445);
+            uint32_t _i449;
+            for (_i449 = 0; _i449 < _size445; ++_i449)
             {
-              xfer += this->alarms[_i433].read(iprot);
+              xfer += this->alarms[_i449].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11489,14 +11766,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->acks.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size450;
+            ::apache::thrift::protocol::TType _etype453;
+            xfer += iprot->readListBegin(_etype453, _size450);
+            this->acks.resize(_size450);
+            uint32_t _i454;
+            for (_i454 = 0; _i454 < _size450; ++_i454)
             {
-              xfer += this->acks[_i438].read(iprot);
+              xfer += this->acks[_i454].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11509,14 +11786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size439;
-            ::apache::thrift::protocol::TType _etype442;
-            xfer += iprot->readListBegin(_etype442, _size439);
-            this->crashes.resize(_size439);
-            uint32_t _i443;
-            for (_i443 = 0; _i443 < _size439; ++_i443)
+            uint32_t _size455;
+            ::apache::thrift::protocol::TType _etype458;
+            xfer += iprot->readListBegin(_etype458, _size455);
+            this->crashes.resize(_size455);
+            uint32_t _i459;
+            for (_i459 = 0; _i459 < _size455; ++_i459)
             {
-              xfer += this->crashes[_i443].read(iprot);
+              xfer += this->crashes[_i459].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11553,10 +11830,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter444;
-    for (_iter444 = this->nodes.begin(); _iter444 != this->nodes.end(); ++_iter444)
+    std::vector<NodeInfo> ::const_iterator _iter460;
+    for (_iter460 = this->nodes.begin(); _iter460 != this->nodes.end(); ++_iter460)
     {
-      xfer += (*_iter444).write(oprot);
+      xfer += (*_iter460).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11565,10 +11842,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter445;
-    for (_iter445 = this->targets.begin(); _iter445 != this->targets.end(); ++_iter445)
+    std::vector<Presence> ::const_iterator _iter461;
+    for (_iter461 = this->targets.begin(); _iter461 != this->targets.end(); ++_iter461)
     {
-      xfer += (*_iter445).write(oprot);
+      xfer += (*_iter461).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11577,10 +11854,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<EvidenceCell> ::const_iterator _iter446;
-    for (_iter446 = this->evidence.begin(); _iter446 != this->evidence.end(); ++_iter446)
+    std::vector<EvidenceCell> ::const_iterator _iter462;
+    for (_iter462 = this->evidence.begin(); _iter462 != this->evidence.end(); ++_iter462)
     {
-      xfer += (*_iter446).write(oprot);
+      xfer += (*_iter462).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11589,10 +11866,10 @@
   xfer += oprot->writeFieldBegin("alarms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->alarms.size()));
-    std::vector<Alarm> ::const_iterator _iter447;
-    for (_iter447 = this->alarms.begin(); _iter447 != this->alarms.end(); ++_iter447)
+    std::vector<Alarm> ::const_iterator _iter463;
+    for (_iter463 = this->alarms.begin(); _iter463 != this->alarms.end(); ++_iter463)
     {
-      xfer += (*_iter447).write(oprot);
+      xfer += (*_iter463).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11601,10 +11878,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<NodeAck> ::const_iterator _iter448;
-    for (_iter448 = this->acks.begin(); _iter448 != this->acks.end(); ++_iter448)
+    std::vector<NodeAck> ::const_iterator _iter464;
+    for (_iter464 = this->acks.begin(); _iter464 != this->acks.end(); ++_iter464)
     {
-      xfer += (*_iter448).write(oprot);
+      xfer += (*_iter464).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11613,10 +11890,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter449;
-    for (_iter449 = this->crashes.begin(); _iter449 != this->crashes.end(); ++_iter449)
+    std::vector<TargetCrash> ::const_iterator _iter465;
+    for (_iter465 = this->crashes.begin(); _iter465 != this->crashes.end(); ++_iter465)
     {
-      xfer += (*_iter449).write(oprot);
+      xfer += (*_iter465).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11644,46 +11921,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other450) {
-  nodes = other450.nodes;
-  targets = other450.targets;
-  evidence = other450.evidence;
-  alarms = other450.alarms;
-  acks = other450.acks;
-  crashes = other450.crashes;
-  usage = other450.usage;
-  __isset = other450.__isset;
-}
-Report::Report(Report&& other451) noexcept {
-  nodes = std::move(other451.nodes);
-  targets = std::move(other451.targets);
-  evidence = std::move(other451.evidence);
-  alarms = std::move(other451.alarms);
-  acks = std::move(other451.acks);
-  crashes = std::move(other451.crashes);
-  usage = std::move(other451.usage);
-  __isset = other451.__isset;
-}
-Report& Report::operator=(const Report& other452) {
-  nodes = other452.nodes;
-  targets = other452.targets;
-  evidence = other452.evidence;
-  alarms = other452.alarms;
-  acks = other452.acks;
-  crashes = other452.crashes;
-  usage = other452.usage;
-  __isset = other452.__isset;
-  return *this;
-}
-Report& Report::operator=(Report&& other453) noexcept {
-  nodes = std::move(other453.nodes);
-  targets = std::move(other453.targets);
-  evidence = std::move(other453.evidence);
-  alarms = std::move(other453.alarms);
-  acks = std::move(other453.acks);
-  crashes = std::move(other453.crashes);
-  usage = std::move(other453.usage);
-  __isset = other453.__isset;
+Report::Report(const Report& other466) {
+  nodes = other466.nodes;
+  targets = other466.targets;
+  evidence = other466.evidence;
+  alarms = other466.alarms;
+  acks = other466.acks;
+  crashes = other466.crashes;
+  usage = other466.usage;
+  __isset = other466.__isset;
+}
+Report::Report(Report&& other467) noexcept {
+  nodes = std::move(other467.nodes);
+  targets = std::move(other467.targets);
+  evidence = std::move(other467.evidence);
+  alarms = std::move(other467.alarms);
+  acks = std::move(other467.acks);
+  crashes = std::move(other467.crashes);
+  usage = std::move(other467.usage);
+  __isset = other467.__isset;
+}
+Report& Report::operator=(const Report& other468) {
+  nodes = other468.nodes;
+  targets = other468.targets;
+  evidence = other468.evidence;
+  alarms = other468.alarms;
+  acks = other468.acks;
+  crashes = other468.crashes;
+  usage = other468.usage;
+  __isset = other468.__isset;
+  return *this;
+}
+Report& Report::operator=(Report&& other469) noexcept {
+  nodes = std::move(other469.nodes);
+  targets = std::move(other469.targets);
+  evidence = std::move(other469.evidence);
+  alarms = std::move(other469.alarms);
+  acks = std::move(other469.acks);
+  crashes = std::move(other469.crashes);
+  usage = std::move(other469.usage);
+  __isset = other469.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -11769,14 +12046,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size454;
-            ::apache::thrift::protocol::TType _etype457;
-            xfer += iprot->readListBegin(_etype457, _size454);
-            this->members.resize(_size454);
-            uint32_t _i458;
-            for (_i458 = 0; _i458 < _size454; ++_i458)
+            uint32_t _size470;
+            ::apache::thrift::protocol::TType _etype473;
+            xfer += iprot->readListBegin(_etype473, _size470);
+            this->members.resize(_size470);
+            uint32_t _i474;
+            for (_i474 = 0; _i474 < _size470; ++_i474)
             {
-              xfer += iprot->readString(this->members[_i458]);
+              xfer += iprot->readString(this->members[_i474]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11789,14 +12066,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accountRatios.clear();
-            uint32_t _size459;
-            ::apache::thrift::protocol::TType _etype462;
-            xfer += iprot->readListBegin(_etype462, _size459);
-            this->accountRatios.resize(_size459);
-            uint32_t _i463;
-            for (_i463 = 0; _i463 < _size459; ++_i463)
+            uint32_t _size475;
+            ::apache::thrift::protocol::TType _etype478;
+            xfer += iprot->readListBegin(_etype478, _size475);
+            this->accountRatios.resize(_size475);
+            uint32_t _i479;
+            for (_i479 = 0; _i479 < _size475; ++_i479)
             {
-              xfer += this->accountRatios[_i463].read(iprot);
+              xfer += this->accountRatios[_i479].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11834,10 +12111,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter464;
-    for (_iter464 = this->members.begin(); _iter464 != this->members.end(); ++_iter464)
+    std::vector<std::string> ::const_iterator _iter480;
+    for (_iter480 = this->members.begin(); _iter480 != this->members.end(); ++_iter480)
     {
-      xfer += oprot->writeString((*_iter464));
+      xfer += oprot->writeString((*_iter480));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11847,10 +12124,10 @@
     xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
-      std::vector<AccountRatio> ::const_iterator _iter465;
-      for (_iter465 = this->accountRatios.begin(); _iter465 != this->accountRatios.end(); ++_iter465)
+      std::vector<AccountRatio> ::const_iterator _iter481;
+      for (_iter481 = this->accountRatios.begin(); _iter481 != this->accountRatios.end(); ++_iter481)
       {
-        xfer += (*_iter465).write(oprot);
+        xfer += (*_iter481).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -11870,34 +12147,34 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other466) {
-  report = other466.report;
-  beacon = other466.beacon;
-  members = other466.members;
-  accountRatios = other466.accountRatios;
-  __isset = other466.__isset;
+MemberReport::MemberReport(const MemberReport& other482) {
+  report = other482.report;
+  beacon = other482.beacon;
+  members = other482.members;
+  accountRatios = other482.accountRatios;
+  __isset = other482.__isset;
 }
-MemberReport::MemberReport(MemberReport&& other467) noexcept {
-  report = std::move(other467.report);
-  beacon = std::move(other467.beacon);
-  members = std::move(other467.members);
-  accountRatios = std::move(other467.accountRatios);
-  __isset = other467.__isset;
+MemberReport::MemberReport(MemberReport&& other483) noexcept {
+  report = std::move(other483.report);
+  beacon = std::move(other483.beacon);
+  members = std::move(other483.members);
+  accountRatios = std::move(other483.accountRatios);
+  __isset = other483.__isset;
 }
-MemberReport& MemberReport::operator=(const MemberReport& other468) {
-  report = other468.report;
-  beacon = other468.beacon;
-  members = other468.members;
-  accountRatios = other468.accountRatios;
-  __isset = other468.__isset;
+MemberReport& MemberReport::operator=(const MemberReport& other484) {
+  report = other484.report;
+  beacon = other484.beacon;
+  members = other484.members;
+  accountRatios = other484.accountRatios;
+  __isset = other484.__isset;
   return *this;
 }
-MemberReport& MemberReport::operator=(MemberReport&& other469) noexcept {
-  report = std::move(other469.report);
-  beacon = std::move(other469.beacon);
-  members = std::move(other469.members);
-  accountRatios = std::move(other469.accountRatios);
-  __isset = other469.__isset;
+MemberReport& MemberReport::operator=(MemberReport&& other485) noexcept {
+  report = std::move(other485.report);
+  beacon = std::move(other485.beacon);
+  members = std::move(other485.members);
+  accountRatios = std::move(other485.accountRatios);
+  __isset = other485.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -11940,6 +12217,10 @@
   this->accountRatios = val;
 __isset.accountRatios = true;
 }
+
+void Spread::__set_complete(const bool val) {
+  this->complete = val;
+}
 std::ostream& operator<<(std::ostream& out, const Spread& obj)
 {
   obj.printTo(out);
@@ -11972,14 +12253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size470;
-            ::apache::thrift::protocol::TType _etype473;
-            xfer += iprot->readListBegin(_etype473, _size470);
-            this->nodes.resize(_size470);
-            uint32_t _i474;
-            for (_i474 = 0; _i474 < _size470; ++_i474)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->nodes.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += this->nodes[_i474].read(iprot);
+              xfer += this->nodes[_i490].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11992,14 +12273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size475;
-            ::apache::thrift::protocol::TType _etype478;
-            xfer += iprot->readListBegin(_etype478, _size475);
-            this->targets.resize(_size475);
-            uint32_t _i479;
-            for (_i479 = 0; _i479 < _size475; ++_i479)
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->targets.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
             {
-              xfer += this->targets[_i479].read(iprot);
+              xfer += this->targets[_i495].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12020,14 +12301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlHosts.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->controlHosts.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size496;
+            ::apache::thrift::protocol::TType _etype499;
+            xfer += iprot->readListBegin(_etype499, _size496);
+            this->controlHosts.resize(_size496);
+            uint32_t _i500;
+            for (_i500 = 0; _i500 < _size496; ++_i500)
             {
-              xfer += iprot->readString(this->controlHosts[_i484]);
+              xfer += iprot->readString(this->controlHosts[_i500]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12040,14 +12321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size485;
-            ::apache::thrift::protocol::TType _etype488;
-            xfer += iprot->readListBegin(_etype488, _size485);
-            this->crashes.resize(_size485);
-            uint32_t _i489;
-            for (_i489 = 0; _i489 < _size485; ++_i489)
+            uint32_t _size501;
+            ::apache::thrift::protocol::TType _etype504;
+            xfer += iprot->readListBegin(_etype504, _size501);
+            this->crashes.resize(_size501);
+            uint32_t _i505;
+            for (_i505 = 0; _i505 < _size501; ++_i505)
             {
-              xfer += this->crashes[_i489].read(iprot);
+              xfer += this->crashes[_i505].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12060,14 +12341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accountRatios.clear();
-            uint32_t _size490;
-            ::apache::thrift::protocol::TType _etype493;
-            xfer += iprot->readListBegin(_etype493, _size490);
-            this->accountRatios.resize(_size490);
-            uint32_t _i494;
-            for (_i494 = 0; _i494 < _size490; ++_i494)
+            uint32_t _size506;
+            ::apache::thrift::protocol::TType _etype509;
+            xfer += iprot->readListBegin(_etype509, _size506);
+            this->accountRatios.resize(_size506);
+            uint32_t _i510;
+            for (_i510 = 0; _i510 < _size506; ++_i510)
             {
-              xfer += this->accountRatios[_i494].read(iprot);
+              xfer += this->accountRatios[_i510].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12076,6 +12357,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12096,10 +12385,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter495;
-    for (_iter495 = this->nodes.begin(); _iter495 != this->nodes.end(); ++_iter495)
+    std::vector<NodeInfo> ::const_iterator _iter511;
+    for (_iter511 = this->nodes.begin(); _iter511 != this->nodes.end(); ++_iter511)
     {
-      xfer += (*_iter495).write(oprot);
+      xfer += (*_iter511).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12108,10 +12397,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter496;
-    for (_iter496 = this->targets.begin(); _iter496 != this->targets.end(); ++_iter496)
+    std::vector<Presence> ::const_iterator _iter512;
+    for (_iter512 = this->targets.begin(); _iter512 != this->targets.end(); ++_iter512)
     {
-      xfer += (*_iter496).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12125,10 +12414,10 @@
   xfer += oprot->writeFieldBegin("controlHosts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlHosts.size()));
-    std::vector<std::string> ::const_iterator _iter497;
-    for (_iter497 = this->controlHosts.begin(); _iter497 != this->controlHosts.end(); ++_iter497)
+    std::vector<std::string> ::const_iterator _iter513;
+    for (_iter513 = this->controlHosts.begin(); _iter513 != this->controlHosts.end(); ++_iter513)
     {
-      xfer += oprot->writeString((*_iter497));
+      xfer += oprot->writeString((*_iter513));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12137,10 +12426,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<TargetCrash> ::const_iterator _iter498;
-    for (_iter498 = this->crashes.begin(); _iter498 != this->crashes.end(); ++_iter498)
+    std::vector<TargetCrash> ::const_iterator _iter514;
+    for (_iter514 = this->crashes.begin(); _iter514 != this->crashes.end(); ++_iter514)
     {
-      xfer += (*_iter498).write(oprot);
+      xfer += (*_iter514).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12150,15 +12439,19 @@
     xfer += oprot->writeFieldBegin("accountRatios", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accountRatios.size()));
-      std::vector<AccountRatio> ::const_iterator _iter499;
-      for (_iter499 = this->accountRatios.begin(); _iter499 != this->accountRatios.end(); ++_iter499)
+      std::vector<AccountRatio> ::const_iterator _iter515;
+      for (_iter515 = this->accountRatios.begin(); _iter515 != this->accountRatios.end(); ++_iter515)
       {
-        xfer += (*_iter499).write(oprot);
+        xfer += (*_iter515).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12172,45 +12465,50 @@
   swap(a.controlHosts, b.controlHosts);
   swap(a.crashes, b.crashes);
   swap(a.accountRatios, b.accountRatios);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
-Spread::Spread(const Spread& other500) {
-  nodes = other500.nodes;
-  targets = other500.targets;
-  beacon = other500.beacon;
-  controlHosts = other500.controlHosts;
-  crashes = other500.crashes;
-  accountRatios = other500.accountRatios;
-  __isset = other500.__isset;
-}
-Spread::Spread(Spread&& other501) noexcept {
-  nodes = std::move(other501.nodes);
-  targets = std::move(other501.targets);
-  beacon = std::move(other501.beacon);
-  controlHosts = std::move(other501.controlHosts);
-  crashes = std::move(other501.crashes);
-  accountRatios = std::move(other501.accountRatios);
-  __isset = other501.__isset;
-}
-Spread& Spread::operator=(const Spread& other502) {
-  nodes = other502.nodes;
-  targets = other502.targets;
-  beacon = other502.beacon;
-  controlHosts = other502.controlHosts;
-  crashes = other502.crashes;
-  accountRatios = other502.accountRatios;
-  __isset = other502.__isset;
-  return *this;
-}
-Spread& Spread::operator=(Spread&& other503) noexcept {
-  nodes = std::move(other503.nodes);
-  targets = std::move(other503.targets);
-  beacon = std::move(other503.beacon);
-  controlHosts = std::move(other503.controlHosts);
-  crashes = std::move(other503.crashes);
-  accountRatios = std::move(other503.accountRatios);
-  __isset = other503.__isset;
+Spread::Spread(const Spread& other516) {
+  nodes = other516.nodes;
+  targets = other516.targets;
+  beacon = other516.beacon;
+  controlHosts = other516.controlHosts;
+  crashes = other516.crashes;
+  accountRatios = other516.accountRatios;
+  complete = other516.complete;
+  __isset = other516.__isset;
+}
+Spread::Spread(Spread&& other517) noexcept {
+  nodes = std::move(other517.nodes);
+  targets = std::move(other517.targets);
+  beacon = std::move(other517.beacon);
+  controlHosts = std::move(other517.controlHosts);
+  crashes = std::move(other517.crashes);
+  accountRatios = std::move(other517.accountRatios);
+  complete = other517.complete;
+  __isset = other517.__isset;
+}
+Spread& Spread::operator=(const Spread& other518) {
+  nodes = other518.nodes;
+  targets = other518.targets;
+  beacon = other518.beacon;
+  controlHosts = other518.controlHosts;
+  crashes = other518.crashes;
+  accountRatios = other518.accountRatios;
+  complete = other518.complete;
+  __isset = other518.__isset;
+  return *this;
+}
+Spread& Spread::operator=(Spread&& other519) noexcept {
+  nodes = std::move(other519.nodes);
+  targets = std::move(other519.targets);
+  beacon = std::move(other519.beacon);
+  controlHosts = std::move(other519.controlHosts);
+  crashes = std::move(other519.crashes);
+  accountRatios = std::move(other519.accountRatios);
+  complete = other519.complete;
+  __isset = other519.__isset;
   return *this;
 }
 void Spread::printTo(std::ostream& out) const {
@@ -12222,6 +12520,7 @@
   out << ", " << "controlHosts=" << to_string(controlHosts);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "accountRatios="; (__isset.accountRatios ? (out << to_string(accountRatios)) : (out << "<null>"));
+  out << ", " << "complete=" << to_string(complete);
   out << ")";
 }
 
@@ -12289,14 +12588,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size504;
-            ::apache::thrift::protocol::TType _etype507;
-            xfer += iprot->readListBegin(_etype507, _size504);
-            this->buckets.resize(_size504);
-            uint32_t _i508;
-            for (_i508 = 0; _i508 < _size504; ++_i508)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->buckets.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += iprot->readI64(this->buckets[_i508]);
+              xfer += iprot->readI64(this->buckets[_i524]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12333,10 +12632,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter509;
-    for (_iter509 = this->buckets.begin(); _iter509 != this->buckets.end(); ++_iter509)
+    std::vector<int64_t> ::const_iterator _iter525;
+    for (_iter525 = this->buckets.begin(); _iter525 != this->buckets.end(); ++_iter525)
     {
-      xfer += oprot->writeI64((*_iter509));
+      xfer += oprot->writeI64((*_iter525));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12355,30 +12654,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other510) {
-  version = other510.version;
-  hash = other510.hash;
-  buckets = other510.buckets;
-  __isset = other510.__isset;
+Digest::Digest(const Digest& other526) {
+  version = other526.version;
+  hash = other526.hash;
+  buckets = other526.buckets;
+  __isset = other526.__isset;
 }
-Digest::Digest(Digest&& other511) noexcept {
-  version = other511.version;
-  hash = other511.hash;
-  buckets = std::move(other511.buckets);
-  __isset = other511.__isset;
+Digest::Digest(Digest&& other527) noexcept {
+  version = other527.version;
+  hash = other527.hash;
+  buckets = std::move(other527.buckets);
+  __isset = other527.__isset;
 }
-Digest& Digest::operator=(const Digest& other512) {
-  version = other512.version;
-  hash = other512.hash;
-  buckets = other512.buckets;
-  __isset = other512.__isset;
+Digest& Digest::operator=(const Digest& other528) {
+  version = other528.version;
+  hash = other528.hash;
+  buckets = other528.buckets;
+  __isset = other528.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other513) noexcept {
-  version = other513.version;
-  hash = other513.hash;
-  buckets = std::move(other513.buckets);
-  __isset = other513.__isset;
+Digest& Digest::operator=(Digest&& other529) noexcept {
+  version = other529.version;
+  hash = other529.hash;
+  buckets = std::move(other529.buckets);
+  __isset = other529.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -12411,6 +12710,10 @@
 void DigestAnswer::__set_nodes(const std::vector<NodeInfo> & val) {
   this->nodes = val;
 }
+
+void DigestAnswer::__set_complete(const bool val) {
+  this->complete = val;
+}
 std::ostream& operator<<(std::ostream& out, const DigestAnswer& obj)
 {
   obj.printTo(out);
@@ -12459,14 +12762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size514;
-            ::apache::thrift::protocol::TType _etype517;
-            xfer += iprot->readListBegin(_etype517, _size514);
-            this->targets.resize(_size514);
-            uint32_t _i518;
-            for (_i518 = 0; _i518 < _size514; ++_i518)
+            uint32_t _size530;
+            ::apache::thrift::protocol::TType _etype533;
+            xfer += iprot->readListBegin(_etype533, _size530);
+            this->targets.resize(_size530);
+            uint32_t _i534;
+            for (_i534 = 0; _i534 < _size530; ++_i534)
             {
-              xfer += this->targets[_i518].read(iprot);
+              xfer += this->targets[_i534].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12479,14 +12782,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->nodes.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size535;
+            ::apache::thrift::protocol::TType _etype538;
+            xfer += iprot->readListBegin(_etype538, _size535);
+            this->nodes.resize(_size535);
+            uint32_t _i539;
+            for (_i539 = 0; _i539 < _size535; ++_i539)
             {
-              xfer += this->nodes[_i523].read(iprot);
+              xfer += this->nodes[_i539].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12495,6 +12798,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12524,10 +12835,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<Presence> ::const_iterator _iter524;
-    for (_iter524 = this->targets.begin(); _iter524 != this->targets.end(); ++_iter524)
+    std::vector<Presence> ::const_iterator _iter540;
+    for (_iter540 = this->targets.begin(); _iter540 != this->targets.end(); ++_iter540)
     {
-      xfer += (*_iter524).write(oprot);
+      xfer += (*_iter540).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12536,15 +12847,19 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeInfo> ::const_iterator _iter525;
-    for (_iter525 = this->nodes.begin(); _iter525 != this->nodes.end(); ++_iter525)
+    std::vector<NodeInfo> ::const_iterator _iter541;
+    for (_iter541 = this->nodes.begin(); _iter541 != this->nodes.end(); ++_iter541)
     {
-      xfer += (*_iter525).write(oprot);
+      xfer += (*_iter541).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12556,37 +12871,42 @@
   swap(a.delta, b.delta);
   swap(a.targets, b.targets);
   swap(a.nodes, b.nodes);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
-DigestAnswer::DigestAnswer(const DigestAnswer& other526) {
-  version = other526.version;
-  delta = other526.delta;
-  targets = other526.targets;
-  nodes = other526.nodes;
-  __isset = other526.__isset;
+DigestAnswer::DigestAnswer(const DigestAnswer& other542) {
+  version = other542.version;
+  delta = other542.delta;
+  targets = other542.targets;
+  nodes = other542.nodes;
+  complete = other542.complete;
+  __isset = other542.__isset;
 }
-DigestAnswer::DigestAnswer(DigestAnswer&& other527) noexcept {
-  version = other527.version;
-  delta = std::move(other527.delta);
-  targets = std::move(other527.targets);
-  nodes = std::move(other527.nodes);
-  __isset = other527.__isset;
+DigestAnswer::DigestAnswer(DigestAnswer&& other543) noexcept {
+  version = other543.version;
+  delta = std::move(other543.delta);
+  targets = std::move(other543.targets);
+  nodes = std::move(other543.nodes);
+  complete = other543.complete;
+  __isset = other543.__isset;
 }
-DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other528) {
-  version = other528.version;
-  delta = other528.delta;
-  targets = other528.targets;
-  nodes = other528.nodes;
-  __isset = other528.__isset;
+DigestAnswer& DigestAnswer::operator=(const DigestAnswer& other544) {
+  version = other544.version;
+  delta = other544.delta;
+  targets = other544.targets;
+  nodes = other544.nodes;
+  complete = other544.complete;
+  __isset = other544.__isset;
   return *this;
 }
-DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other529) noexcept {
-  version = other529.version;
-  delta = std::move(other529.delta);
-  targets = std::move(other529.targets);
-  nodes = std::move(other529.nodes);
-  __isset = other529.__isset;
+DigestAnswer& DigestAnswer::operator=(DigestAnswer&& other545) noexcept {
+  version = other545.version;
+  delta = std::move(other545.delta);
+  targets = std::move(other545.targets);
+  nodes = std::move(other545.nodes);
+  complete = other545.complete;
+  __isset = other545.__isset;
   return *this;
 }
 void DigestAnswer::printTo(std::ostream& out) const {
@@ -12596,6 +12916,7 @@
   out << ", " << "delta="; (__isset.delta ? (out << to_string(delta)) : (out << "<null>"));
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "nodes=" << to_string(nodes);
+  out << ", " << "complete=" << to_string(complete);
   out << ")";
 }
 
@@ -12692,26 +13013,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other530) {
-  name = other530.name;
-  value = other530.value;
-  __isset = other530.__isset;
+Header::Header(const Header& other546) {
+  name = other546.name;
+  value = other546.value;
+  __isset = other546.__isset;
 }
-Header::Header(Header&& other531) noexcept {
-  name = std::move(other531.name);
-  value = std::move(other531.value);
-  __isset = other531.__isset;
+Header::Header(Header&& other547) noexcept {
+  name = std::move(other547.name);
+  value = std::move(other547.value);
+  __isset = other547.__isset;
 }
-Header& Header::operator=(const Header& other532) {
-  name = other532.name;
-  value = other532.value;
-  __isset = other532.__isset;
+Header& Header::operator=(const Header& other548) {
+  name = other548.name;
+  value = other548.value;
+  __isset = other548.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other533) noexcept {
-  name = std::move(other533.name);
-  value = std::move(other533.value);
-  __isset = other533.__isset;
+Header& Header::operator=(Header&& other549) noexcept {
+  name = std::move(other549.name);
+  value = std::move(other549.value);
+  __isset = other549.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -12872,14 +13193,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size534;
-            ::apache::thrift::protocol::TType _etype537;
-            xfer += iprot->readListBegin(_etype537, _size534);
-            this->headers.resize(_size534);
-            uint32_t _i538;
-            for (_i538 = 0; _i538 < _size534; ++_i538)
+            uint32_t _size550;
+            ::apache::thrift::protocol::TType _etype553;
+            xfer += iprot->readListBegin(_etype553, _size550);
+            this->headers.resize(_size550);
+            uint32_t _i554;
+            for (_i554 = 0; _i554 < _size550; ++_i554)
             {
-              xfer += this->headers[_i538].read(iprot);
+              xfer += this->headers[_i554].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13064,10 +13385,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter539;
-    for (_iter539 = this->headers.begin(); _iter539 != this->headers.end(); ++_iter539)
+    std::vector<Header> ::const_iterator _iter555;
+    for (_iter555 = this->headers.begin(); _iter555 != this->headers.end(); ++_iter555)
     {
-      xfer += (*_iter539).write(oprot);
+      xfer += (*_iter555).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13179,106 +13500,106 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other540) {
-  id = other540.id;
-  method = other540.method;
-  path = other540.path;
-  headers = other540.headers;
-  body = other540.body;
-  budgetMs = other540.budgetMs;
-  serviceName = other540.serviceName;
-  target = other540.target;
-  account = other540.account;
-  priority = other540.priority;
-  incarnation = other540.incarnation;
-  requestId = other540.requestId;
-  callerService = other540.callerService;
-  objectiveMs = other540.objectiveMs;
-  mayWait = other540.mayWait;
-  nested = other540.nested;
-  usualMs = other540.usualMs;
-  laterBytes = other540.laterBytes;
-  mostWaitMs = other540.mostWaitMs;
-  maxCallsPerSecond = other540.maxCallsPerSecond;
-  clientAccount = other540.clientAccount;
-  coldCallsPerSecond = other540.coldCallsPerSecond;
-  __isset = other540.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other541) noexcept {
-  id = other541.id;
-  method = std::move(other541.method);
-  path = std::move(other541.path);
-  headers = std::move(other541.headers);
-  body = std::move(other541.body);
-  budgetMs = other541.budgetMs;
-  serviceName = std::move(other541.serviceName);
-  target = std::move(other541.target);
-  account = std::move(other541.account);
-  priority = other541.priority;
-  incarnation = other541.incarnation;
-  requestId = std::move(other541.requestId);
-  callerService = std::move(other541.callerService);
-  objectiveMs = other541.objectiveMs;
-  mayWait = other541.mayWait;
-  nested = other541.nested;
-  usualMs = other541.usualMs;
-  laterBytes = other541.laterBytes;
-  mostWaitMs = other541.mostWaitMs;
-  maxCallsPerSecond = other541.maxCallsPerSecond;
-  clientAccount = std::move(other541.clientAccount);
-  coldCallsPerSecond = other541.coldCallsPerSecond;
-  __isset = other541.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other542) {
-  id = other542.id;
-  method = other542.method;
-  path = other542.path;
-  headers = other542.headers;
-  body = other542.body;
-  budgetMs = other542.budgetMs;
-  serviceName = other542.serviceName;
-  target = other542.target;
-  account = other542.account;
-  priority = other542.priority;
-  incarnation = other542.incarnation;
-  requestId = other542.requestId;
-  callerService = other542.callerService;
-  objectiveMs = other542.objectiveMs;
-  mayWait = other542.mayWait;
-  nested = other542.nested;
-  usualMs = other542.usualMs;
-  laterBytes = other542.laterBytes;
-  mostWaitMs = other542.mostWaitMs;
-  maxCallsPerSecond = other542.maxCallsPerSecond;
-  clientAccount = other542.clientAccount;
-  coldCallsPerSecond = other542.coldCallsPerSecond;
-  __isset = other542.__isset;
+CallRequest::CallRequest(const CallRequest& other556) {
+  id = other556.id;
+  method = other556.method;
+  path = other556.path;
+  headers = other556.headers;
+  body = other556.body;
+  budgetMs = other556.budgetMs;
+  serviceName = other556.serviceName;
+  target = other556.target;
+  account = other556.account;
+  priority = other556.priority;
+  incarnation = other556.incarnation;
+  requestId = other556.requestId;
+  callerService = other556.callerService;
+  objectiveMs = other556.objectiveMs;
+  mayWait = other556.mayWait;
+  nested = other556.nested;
+  usualMs = other556.usualMs;
+  laterBytes = other556.laterBytes;
+  mostWaitMs = other556.mostWaitMs;
+  maxCallsPerSecond = other556.maxCallsPerSecond;
+  clientAccount = other556.clientAccount;
+  coldCallsPerSecond = other556.coldCallsPerSecond;
+  __isset = other556.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other557) noexcept {
+  id = other557.id;
+  method = std::move(other557.method);
+  path = std::move(other557.path);
+  headers = std::move(other557.headers);
+  body = std::move(other557.body);
+  budgetMs = other557.budgetMs;
+  serviceName = std::move(other557.serviceName);
+  target = std::move(other557.target);
+  account = std::move(other557.account);
+  priority = other557.priority;
+  incarnation = other557.incarnation;
+  requestId = std::move(other557.requestId);
+  callerService = std::move(other557.callerService);
+  objectiveMs = other557.objectiveMs;
+  mayWait = other557.mayWait;
+  nested = other557.nested;
+  usualMs = other557.usualMs;
+  laterBytes = other557.laterBytes;
+  mostWaitMs = other557.mostWaitMs;
+  maxCallsPerSecond = other557.maxCallsPerSecond;
+  clientAccount = std::move(other557.clientAccount);
+  coldCallsPerSecond = other557.coldCallsPerSecond;
+  __isset = other557.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other558) {
+  id = other558.id;
+  method = other558.method;
+  path = other558.path;
+  headers = other558.headers;
+  body = other558.body;
+  budgetMs = other558.budgetMs;
+  serviceName = other558.serviceName;
+  target = other558.target;
+  account = other558.account;
+  priority = other558.priority;
+  incarnation = other558.incarnation;
+  requestId = other558.requestId;
+  callerService = other558.callerService;
+  objectiveMs = other558.objectiveMs;
+  mayWait = other558.mayWait;
+  nested = other558.nested;
+  usualMs = other558.usualMs;
+  laterBytes = other558.laterBytes;
+  mostWaitMs = other558.mostWaitMs;
+  maxCallsPerSecond = other558.maxCallsPerSecond;
+  clientAccount = other558.clientAccount;
+  coldCallsPerSecond = other558.coldCallsPerSecond;
+  __isset = other558.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other543) noexcept {
-  id = other543.id;
-  method = std::move(other543.method);
-  path = std::move(other543.path);
-  headers = std::move(other543.headers);
-  body = std::move(other543.body);
-  budgetMs = other543.budgetMs;
-  serviceName = std::move(other543.serviceName);
-  target = std::move(other543.target);
-  account = std::move(other543.account);
-  priority = other543.priority;
-  incarnation = other543.incarnation;
-  requestId = std::move(other543.requestId);
-  callerService = std::move(other543.callerService);
-  objectiveMs = other543.objectiveMs;
-  mayWait = other543.mayWait;
-  nested = other543.nested;
-  usualMs = other543.usualMs;
-  laterBytes = other543.laterBytes;
-  mostWaitMs = other543.mostWaitMs;
-  maxCallsPerSecond = other543.maxCallsPerSecond;
-  clientAccount = std::move(other543.clientAccount);
-  coldCallsPerSecond = other543.coldCallsPerSecond;
-  __isset = other543.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other559) noexcept {
+  id = other559.id;
+  method = std::move(other559.method);
+  path = std::move(other559.path);
+  headers = std::move(other559.headers);
+  body = std::move(other559.body);
+  budgetMs = other559.budgetMs;
+  serviceName = std::move(other559.serviceName);
+  target = std::move(other559.target);
+  account = std::move(other559.account);
+  priority = other559.priority;
+  incarnation = other559.incarnation;
+  requestId = std::move(other559.requestId);
+  callerService = std::move(other559.callerService);
+  objectiveMs = other559.objectiveMs;
+  mayWait = other559.mayWait;
+  nested = other559.nested;
+  usualMs = other559.usualMs;
+  laterBytes = other559.laterBytes;
+  mostWaitMs = other559.mostWaitMs;
+  maxCallsPerSecond = other559.maxCallsPerSecond;
+  clientAccount = std::move(other559.clientAccount);
+  coldCallsPerSecond = other559.coldCallsPerSecond;
+  __isset = other559.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -13424,9 +13745,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast544;
-          xfer += iprot->readI32(ecast544);
-          this->outcome = static_cast<Outcome::type>(ecast544);
+          int32_t ecast560;
+          xfer += iprot->readI32(ecast560);
+          this->outcome = static_cast<Outcome::type>(ecast560);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
