@@ -13444,14 +13765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size545;
-            ::apache::thrift::protocol::TType _etype548;
-            xfer += iprot->readListBegin(_etype548, _size545);
-            this->headers.resize(_size545);
-            uint32_t _i549;
-            for (_i549 = 0; _i549 < _size545; ++_i549)
+            uint32_t _size561;
+            ::apache::thrift::protocol::TType _etype564;
+            xfer += iprot->readListBegin(_etype564, _size561);
+            this->headers.resize(_size561);
+            uint32_t _i565;
+            for (_i565 = 0; _i565 < _size561; ++_i565)
             {
-              xfer += this->headers[_i549].read(iprot);
+              xfer += this->headers[_i565].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13604,10 +13925,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter550;
-    for (_iter550 = this->headers.begin(); _iter550 != this->headers.end(); ++_iter550)
+    std::vector<Header> ::const_iterator _iter566;
+    for (_iter566 = this->headers.begin(); _iter566 != this->headers.end(); ++_iter566)
     {
-      xfer += (*_iter550).write(oprot);
+      xfer += (*_iter566).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13698,90 +14019,90 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other551) {
-  id = other551.id;
-  outcome = other551.outcome;
-  status = other551.status;
-  headers = other551.headers;
-  body = other551.body;
-  inFlight = other551.inFlight;
-  queued = other551.queued;
-  reason = other551.reason;
-  retryAfterMs = other551.retryAfterMs;
-  fault = other551.fault;
-  refused = other551.refused;
-  cold = other551.cold;
-  arrived = other551.arrived;
-  timedOut = other551.timedOut;
-  runMicros = other551.runMicros;
-  typicalMicros = other551.typicalMicros;
-  maxCallsPerSecond = other551.maxCallsPerSecond;
-  leaving = other551.leaving;
-  __isset = other551.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other552) noexcept {
-  id = other552.id;
-  outcome = other552.outcome;
-  status = other552.status;
-  headers = std::move(other552.headers);
-  body = std::move(other552.body);
-  inFlight = other552.inFlight;
-  queued = other552.queued;
-  reason = std::move(other552.reason);
-  retryAfterMs = other552.retryAfterMs;
-  fault = other552.fault;
-  refused = other552.refused;
-  cold = other552.cold;
-  arrived = other552.arrived;
-  timedOut = other552.timedOut;
-  runMicros = other552.runMicros;
-  typicalMicros = other552.typicalMicros;
-  maxCallsPerSecond = other552.maxCallsPerSecond;
-  leaving = other552.leaving;
-  __isset = other552.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other553) {
-  id = other553.id;
-  outcome = other553.outcome;
-  status = other553.status;
-  headers = other553.headers;
-  body = other553.body;
-  inFlight = other553.inFlight;
-  queued = other553.queued;
-  reason = other553.reason;
-  retryAfterMs = other553.retryAfterMs;
-  fault = other553.fault;
-  refused = other553.refused;
-  cold = other553.cold;
-  arrived = other553.arrived;
-  timedOut = other553.timedOut;
-  runMicros = other553.runMicros;
-  typicalMicros = other553.typicalMicros;
-  maxCallsPerSecond = other553.maxCallsPerSecond;
-  leaving = other553.leaving;
-  __isset = other553.__isset;
-  return *this;
-}
-CallAnswer& CallAnswer::operator=(CallAnswer&& other554) noexcept {
-  id = other554.id;
-  outcome = other554.outcome;
-  status = other554.status;
-  headers = std::move(other554.headers);
-  body = std::move(other554.body);
-  inFlight = other554.inFlight;
-  queued = other554.queued;
-  reason = std::move(other554.reason);
-  retryAfterMs = other554.retryAfterMs;
-  fault = other554.fault;
-  refused = other554.refused;
-  cold = other554.cold;
-  arrived = other554.arrived;
-  timedOut = other554.timedOut;
-  runMicros = other554.runMicros;
-  typicalMicros = other554.typicalMicros;
-  maxCallsPerSecond = other554.maxCallsPerSecond;
-  leaving = other554.leaving;
-  __isset = other554.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other567) {
+  id = other567.id;
+  outcome = other567.outcome;
+  status = other567.status;
+  headers = other567.headers;
+  body = other567.body;
+  inFlight = other567.inFlight;
+  queued = other567.queued;
+  reason = other567.reason;
+  retryAfterMs = other567.retryAfterMs;
+  fault = other567.fault;
+  refused = other567.refused;
+  cold = other567.cold;
+  arrived = other567.arrived;
+  timedOut = other567.timedOut;
+  runMicros = other567.runMicros;
+  typicalMicros = other567.typicalMicros;
+  maxCallsPerSecond = other567.maxCallsPerSecond;
+  leaving = other567.leaving;
+  __isset = other567.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other568) noexcept {
+  id = other568.id;
+  outcome = other568.outcome;
+  status = other568.status;
+  headers = std::move(other568.headers);
+  body = std::move(other568.body);
+  inFlight = other568.inFlight;
+  queued = other568.queued;
+  reason = std::move(other568.reason);
+  retryAfterMs = other568.retryAfterMs;
+  fault = other568.fault;
+  refused = other568.refused;
+  cold = other568.cold;
+  arrived = other568.arrived;
+  timedOut = other568.timedOut;
+  runMicros = other568.runMicros;
+  typicalMicros = other568.typicalMicros;
+  maxCallsPerSecond = other568.maxCallsPerSecond;
+  leaving = other568.leaving;
+  __isset = other568.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other569) {
+  id = other569.id;
+  outcome = other569.outcome;
+  status = other569.status;
+  headers = other569.headers;
+  body = other569.body;
+  inFlight = other569.inFlight;
+  queued = other569.queued;
+  reason = other569.reason;
+  retryAfterMs = other569.retryAfterMs;
+  fault = other569.fault;
+  refused = other569.refused;
+  cold = other569.cold;
+  arrived = other569.arrived;
+  timedOut = other569.timedOut;
+  runMicros = other569.runMicros;
+  typicalMicros = other569.typicalMicros;
+  maxCallsPerSecond = other569.maxCallsPerSecond;
+  leaving = other569.leaving;
+  __isset = other569.__isset;
+  return *this;
+}
+CallAnswer& CallAnswer::operator=(CallAnswer&& other570) noexcept {
+  id = other570.id;
+  outcome = other570.outcome;
+  status = other570.status;
+  headers = std::move(other570.headers);
+  body = std::move(other570.body);
+  inFlight = other570.inFlight;
+  queued = other570.queued;
+  reason = std::move(other570.reason);
+  retryAfterMs = other570.retryAfterMs;
+  fault = other570.fault;
+  refused = other570.refused;
+  cold = other570.cold;
+  arrived = other570.arrived;
+  timedOut = other570.timedOut;
+  runMicros = other570.runMicros;
+  typicalMicros = other570.typicalMicros;
+  maxCallsPerSecond = other570.maxCallsPerSecond;
+  leaving = other570.leaving;
+  __isset = other570.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -13884,22 +14205,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other555) noexcept {
-  id = other555.id;
-  __isset = other555.__isset;
+CallCancel::CallCancel(const CallCancel& other571) noexcept {
+  id = other571.id;
+  __isset = other571.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other556) noexcept {
-  id = other556.id;
-  __isset = other556.__isset;
+CallCancel::CallCancel(CallCancel&& other572) noexcept {
+  id = other572.id;
+  __isset = other572.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other557) noexcept {
-  id = other557.id;
-  __isset = other557.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other573) noexcept {
+  id = other573.id;
+  __isset = other573.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other558) noexcept {
-  id = other558.id;
-  __isset = other558.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other574) noexcept {
+  id = other574.id;
+  __isset = other574.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -13985,22 +14306,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallGrant::CallGrant(const CallGrant& other559) noexcept {
-  id = other559.id;
-  __isset = other559.__isset;
+CallGrant::CallGrant(const CallGrant& other575) noexcept {
+  id = other575.id;
+  __isset = other575.__isset;
 }
-CallGrant::CallGrant(CallGrant&& other560) noexcept {
-  id = other560.id;
-  __isset = other560.__isset;
+CallGrant::CallGrant(CallGrant&& other576) noexcept {
+  id = other576.id;
+  __isset = other576.__isset;
 }
-CallGrant& CallGrant::operator=(const CallGrant& other561) noexcept {
-  id = other561.id;
-  __isset = other561.__isset;
+CallGrant& CallGrant::operator=(const CallGrant& other577) noexcept {
+  id = other577.id;
+  __isset = other577.__isset;
   return *this;
 }
-CallGrant& CallGrant::operator=(CallGrant&& other562) noexcept {
-  id = other562.id;
-  __isset = other562.__isset;
+CallGrant& CallGrant::operator=(CallGrant&& other578) noexcept {
+  id = other578.id;
+  __isset = other578.__isset;
   return *this;
 }
 void CallGrant::printTo(std::ostream& out) const {
@@ -14103,26 +14424,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBody::CallBody(const CallBody& other563) {
-  id = other563.id;
-  part = other563.part;
-  __isset = other563.__isset;
+CallBody::CallBody(const CallBody& other579) {
+  id = other579.id;
+  part = other579.part;
+  __isset = other579.__isset;
 }
-CallBody::CallBody(CallBody&& other564) noexcept {
-  id = other564.id;
-  part = std::move(other564.part);
-  __isset = other564.__isset;
+CallBody::CallBody(CallBody&& other580) noexcept {
+  id = other580.id;
+  part = std::move(other580.part);
+  __isset = other580.__isset;
 }
-CallBody& CallBody::operator=(const CallBody& other565) {
-  id = other565.id;
-  part = other565.part;
-  __isset = other565.__isset;
+CallBody& CallBody::operator=(const CallBody& other581) {
+  id = other581.id;
+  part = other581.part;
+  __isset = other581.__isset;
   return *this;
 }
-CallBody& CallBody::operator=(CallBody&& other566) noexcept {
-  id = other566.id;
-  part = std::move(other566.part);
-  __isset = other566.__isset;
+CallBody& CallBody::operator=(CallBody&& other582) noexcept {
+  id = other582.id;
+  part = std::move(other582.part);
+  __isset = other582.__isset;
   return *this;
 }
 void CallBody::printTo(std::ostream& out) const {
@@ -14204,9 +14525,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast567;
-          xfer += iprot->readI32(ecast567);
-          this->step = static_cast<ClaimStep::type>(ecast567);
+          int32_t ecast583;
+          xfer += iprot->readI32(ecast583);
+          this->step = static_cast<ClaimStep::type>(ecast583);
           this->__isset.step = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14315,46 +14636,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other568) {
-  id = other568.id;
-  step = other568.step;
-  key = other568.key;
-  fingerprint = other568.fingerprint;
-  owner = other568.owner;
-  epoch = other568.epoch;
-  answer = other568.answer;
-  __isset = other568.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other569) noexcept {
-  id = other569.id;
-  step = other569.step;
-  key = std::move(other569.key);
-  fingerprint = other569.fingerprint;
-  owner = std::move(other569.owner);
-  epoch = other569.epoch;
-  answer = std::move(other569.answer);
-  __isset = other569.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other570) {
-  id = other570.id;
-  step = other570.step;
-  key = other570.key;
-  fingerprint = other570.fingerprint;
-  owner = other570.owner;
-  epoch = other570.epoch;
-  answer = other570.answer;
-  __isset = other570.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other571) noexcept {
-  id = other571.id;
-  step = other571.step;
-  key = std::move(other571.key);
-  fingerprint = other571.fingerprint;
-  owner = std::move(other571.owner);
-  epoch = other571.epoch;
-  answer = std::move(other571.answer);
-  __isset = other571.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other584) {
+  id = other584.id;
+  step = other584.step;
+  key = other584.key;
+  fingerprint = other584.fingerprint;
+  owner = other584.owner;
+  epoch = other584.epoch;
+  answer = other584.answer;
+  __isset = other584.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other585) noexcept {
+  id = other585.id;
+  step = other585.step;
+  key = std::move(other585.key);
+  fingerprint = other585.fingerprint;
+  owner = std::move(other585.owner);
+  epoch = other585.epoch;
+  answer = std::move(other585.answer);
+  __isset = other585.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other586) {
+  id = other586.id;
+  step = other586.step;
+  key = other586.key;
+  fingerprint = other586.fingerprint;
+  owner = other586.owner;
+  epoch = other586.epoch;
+  answer = other586.answer;
+  __isset = other586.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other587) noexcept {
+  id = other587.id;
+  step = other587.step;
+  key = std::move(other587.key);
+  fingerprint = other587.fingerprint;
+  owner = std::move(other587.owner);
+  epoch = other587.epoch;
+  answer = std::move(other587.answer);
+  __isset = other587.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -14425,9 +14746,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast572;
-          xfer += iprot->readI32(ecast572);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast572);
+          int32_t ecast588;
+          xfer += iprot->readI32(ecast588);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast588);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14484,30 +14805,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other573) {
-  id = other573.id;
-  verdict = other573.verdict;
-  answer = other573.answer;
-  __isset = other573.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other589) {
+  id = other589.id;
+  verdict = other589.verdict;
+  answer = other589.answer;
+  __isset = other589.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other574) noexcept {
-  id = other574.id;
-  verdict = other574.verdict;
-  answer = std::move(other574.answer);
-  __isset = other574.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other590) noexcept {
+  id = other590.id;
+  verdict = other590.verdict;
+  answer = std::move(other590.answer);
+  __isset = other590.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other575) {
-  id = other575.id;
-  verdict = other575.verdict;
-  answer = other575.answer;
-  __isset = other575.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other591) {
+  id = other591.id;
+  verdict = other591.verdict;
+  answer = other591.answer;
+  __isset = other591.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other576) noexcept {
-  id = other576.id;
-  verdict = other576.verdict;
-  answer = std::move(other576.answer);
-  __isset = other576.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other592) noexcept {
+  id = other592.id;
+  verdict = other592.verdict;
+  answer = std::move(other592.answer);
+  __isset = other592.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
--- a/thrift/gen-cpp/Wire_types.h
+++ b/thrift/gen-cpp/Wire_types.h
@@ -91,7 +91,8 @@
     SOURCE_UPDATE = 11,
     SUBMIT_RELEASE = 12,
     START_EVACUATION = 13,
-    FINISH_EVACUATION = 14
+    FINISH_EVACUATION = 14,
+    RECORD_DEPARTURES = 15
   };
 };
 
@@ -295,6 +296,8 @@
 
 class MoveAsk;
 
+class Departure;
+
 class Command;
 
 class CommandResult;
@@ -2505,8 +2508,74 @@
 
 std::ostream& operator<<(std::ostream& out, const MoveAsk& obj);
 
+typedef struct _Departure__isset {
+  _Departure__isset() : target(false), incarnation(false), noticeSequence(false), timeMs(false) {}
+  bool target :1;
+  bool incarnation :1;
+  bool noticeSequence :1;
+  bool timeMs :1;
+} _Departure__isset;
+
+class Departure : public virtual ::apache::thrift::TBase {
+ public:
+
+  Departure(const Departure&);
+  Departure(Departure&&) noexcept;
+  Departure& operator=(const Departure&);
+  Departure& operator=(Departure&&) noexcept;
+  Departure() noexcept
+            : target(),
+              incarnation(0),
+              noticeSequence(0),
+              timeMs(0) {
+  }
+
+  virtual ~Departure() noexcept;
+  std::string target;
+  int64_t incarnation;
+  int64_t noticeSequence;
+  int64_t timeMs;
+
+  _Departure__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_noticeSequence(const int64_t val);
+
+  void __set_timeMs(const int64_t val);
+
+  bool operator == (const Departure & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(noticeSequence == rhs.noticeSequence))
+      return false;
+    if (!(timeMs == rhs.timeMs))
+      return false;
+    return true;
+  }
+  bool operator != (const Departure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Departure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Departure &a, Departure &b);
+
+std::ostream& operator<<(std::ostream& out, const Departure& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : kind(false), requestId(false), actor(false), team(false), timeMs(false), baseVersion(false), name(false), body(false), parameters(false), move(false), moveEvent(false), claimEpoch(false), templateName(false), sourceSequence(false), release(false) {}
+  _Command__isset() : kind(false), requestId(false), actor(false), team(false), timeMs(false), baseVersion(false), name(false), body(false), parameters(false), move(false), moveEvent(false), claimEpoch(false), templateName(false), sourceSequence(false), release(false), departures(false) {}
   bool kind :1;
   bool requestId :1;
   bool actor :1;
@@ -2522,6 +2591,7 @@
   bool templateName :1;
   bool sourceSequence :1;
   bool release :1;
+  bool departures :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2564,6 +2634,7 @@
   std::string templateName;
   int64_t sourceSequence;
   Release release;
+  std::vector<Departure>  departures;
 
   _Command__isset __isset;
 
@@ -2597,6 +2668,8 @@
 
   void __set_release(const Release& val);
 
+  void __set_departures(const std::vector<Departure> & val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -2637,6 +2710,10 @@
       return false;
     else if (__isset.release && !(release == rhs.release))
       return false;
+    if (__isset.departures != rhs.__isset.departures)
+      return false;
+    else if (__isset.departures && !(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -3216,7 +3293,7 @@
 std::ostream& operator<<(std::ostream& out, const MoveRecord& obj);
 
 typedef struct _MachineImage__isset {
-  _MachineImage__isset() : version(false), resources(false), tombstones(false), templates(false), accounts(false), moves(false), audit(false), remembered(false), tombstoneFloor(false), auditCount(false), releaseNumber(false), releaseDocument(false) {}
+  _MachineImage__isset() : version(false), resources(false), tombstones(false), templates(false), accounts(false), moves(false), audit(false), remembered(false), tombstoneFloor(false), auditCount(false), releaseNumber(false), releaseDocument(false), departures(false) {}
   bool version :1;
   bool resources :1;
   bool tombstones :1;
@@ -3229,6 +3306,7 @@
   bool auditCount :1;
   bool releaseNumber :1;
   bool releaseDocument :1;
+  bool departures :1;
 } _MachineImage__isset;
 
 class MachineImage : public virtual ::apache::thrift::TBase {
@@ -3259,6 +3337,7 @@
   int64_t auditCount;
   int64_t releaseNumber;
   std::string releaseDocument;
+  std::vector<Departure>  departures;
 
   _MachineImage__isset __isset;
 
@@ -3286,6 +3365,8 @@
 
   void __set_releaseDocument(const std::string& val);
 
+  void __set_departures(const std::vector<Departure> & val);
+
   bool operator == (const MachineImage & rhs) const
   {
     if (!(version == rhs.version))
@@ -3312,6 +3393,8 @@
       return false;
     if (!(releaseDocument == rhs.releaseDocument))
       return false;
+    if (!(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const MachineImage &rhs) const {
@@ -3331,7 +3414,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineImage& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false), targetIncarnation(false), noticeSequence(false), leaves(false) {}
+  _Presence__isset() : target(false), serviceName(false), version(false), dataCentre(false), node(false), callAddress(false), incarnation(false), sequence(false), state(false), slots(false), coldLeftMs(false), targetIncarnation(false), noticeSequence(false), leaves(false), recorded(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -3346,6 +3429,7 @@
   bool targetIncarnation :1;
   bool noticeSequence :1;
   bool leaves :1;
+  bool recorded :1;
 } _Presence__isset;
 
 class Presence : public virtual ::apache::thrift::TBase {
@@ -3369,7 +3453,8 @@
              coldLeftMs(0),
              targetIncarnation(0),
              noticeSequence(0),
-             leaves(0) {
+             leaves(0),
+             recorded(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -3391,6 +3476,7 @@
   int64_t targetIncarnation;
   int64_t noticeSequence;
   bool leaves;
+  bool recorded;
 
   _Presence__isset __isset;
 
@@ -3422,6 +3508,8 @@
 
   void __set_leaves(const bool val);
 
+  void __set_recorded(const bool val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(target == rhs.target))
@@ -3452,6 +3540,8 @@
       return false;
     if (!(leaves == rhs.leaves))
       return false;
+    if (!(recorded == rhs.recorded))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
@@ -4430,13 +4520,14 @@
 std::ostream& operator<<(std::ostream& out, const MemberReport& obj);
 
 typedef struct _Spread__isset {
-  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false), crashes(false), accountRatios(false) {}
+  _Spread__isset() : nodes(false), targets(false), beacon(false), controlHosts(false), crashes(false), accountRatios(false), complete(false) {}
   bool nodes :1;
   bool targets :1;
   bool beacon :1;
   bool controlHosts :1;
   bool crashes :1;
   bool accountRatios :1;
+  bool complete :1;
 } _Spread__isset;
 
 class Spread : public virtual ::apache::thrift::TBase {
@@ -4446,7 +4537,8 @@
   Spread(Spread&&) noexcept;
   Spread& operator=(const Spread&);
   Spread& operator=(Spread&&) noexcept;
-  Spread() noexcept {
+  Spread() noexcept
+         : complete(0) {
   }
 
   virtual ~Spread() noexcept;
@@ -4456,6 +4548,7 @@
   std::vector<std::string>  controlHosts;
   std::vector<TargetCrash>  crashes;
   std::vector<AccountRatio>  accountRatios;
+  bool complete;
 
   _Spread__isset __isset;
 
@@ -4471,6 +4564,8 @@
 
   void __set_accountRatios(const std::vector<AccountRatio> & val);
 
+  void __set_complete(const bool val);
+
   bool operator == (const Spread & rhs) const
   {
     if (!(nodes == rhs.nodes))
@@ -4489,6 +4584,8 @@
       return false;
     else if (__isset.accountRatios && !(accountRatios == rhs.accountRatios))
       return false;
+    if (!(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const Spread &rhs) const {
@@ -4566,11 +4663,12 @@
 std::ostream& operator<<(std::ostream& out, const Digest& obj);
 
 typedef struct _DigestAnswer__isset {
-  _DigestAnswer__isset() : version(false), delta(false), targets(false), nodes(false) {}
+  _DigestAnswer__isset() : version(false), delta(false), targets(false), nodes(false), complete(false) {}
   bool version :1;
   bool delta :1;
   bool targets :1;
   bool nodes :1;
+  bool complete :1;
 } _DigestAnswer__isset;
 
 class DigestAnswer : public virtual ::apache::thrift::TBase {
@@ -4581,7 +4679,8 @@
   DigestAnswer& operator=(const DigestAnswer&);
   DigestAnswer& operator=(DigestAnswer&&) noexcept;
   DigestAnswer() noexcept
-               : version(0) {
+               : version(0),
+                 complete(0) {
   }
 
   virtual ~DigestAnswer() noexcept;
@@ -4589,6 +4688,7 @@
   Delta delta;
   std::vector<Presence>  targets;
   std::vector<NodeInfo>  nodes;
+  bool complete;
 
   _DigestAnswer__isset __isset;
 
@@ -4600,6 +4700,8 @@
 
   void __set_nodes(const std::vector<NodeInfo> & val);
 
+  void __set_complete(const bool val);
+
   bool operator == (const DigestAnswer & rhs) const
   {
     if (!(version == rhs.version))
@@ -4612,6 +4714,8 @@
       return false;
     if (!(nodes == rhs.nodes))
       return false;
+    if (!(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const DigestAnswer &rhs) const {
