moves: a move that cannot be completed ends by itself

Cause: a version without evidence against it counts as proven, so the deadline of its move ended nothing, and without a target of the version no step was planned. While a move is unfinished, the service can start no other one.

Change: a move with an exposure bound is rolled back when no target of its version has been known for 6 s, at the deadline at the earliest, and when it has made no step for 10 s after the deadline. The leader counts both spans from the moment at which it begins to plan, since a started host knows neither nodes nor targets. No move is done while no target of its version is known; moves of the product's own interface are reported as late instead, and end by the operator's order.

--- a/include/pomelowind/moves/MovePlanner.h
+++ b/include/pomelowind/moves/MovePlanner.h
@@ -21,6 +21,8 @@
     double callsPerSecond { 0 }; // of the service, both versions
     int candidateTargets { 0 };
     int candidateSlots { 0 }; // concurrency slots announced by all targets of the candidate
+    int64_t candidateAbsentMs { 0 }; // for how long the leader has known of no target of the candidate
+    int64_t stalledMs { 0 }; // for how long the leader has planned the move without a further step
     int stableSlots { 0 };
     int maxStableSlotsSeen { 0 }; // highest number of slots of the stable version's targets since the move started
     bool isShareApplied { false }; // every reachable node has applied the current share
--- a/src/control/MoveDriver.cpp
+++ b/src/control/MoveDriver.cpp
@@ -11,6 +11,8 @@
     constexpr auto REACHABLE_WINDOW = base::Millis(6000);
     // Weight of the latest batch in the moving average of the call rate.
     constexpr double CALL_RATE_SMOOTHING = 0.2;
+    // A leader plans at each tick but while an entry is being committed. A longer gap means that it has not led.
+    constexpr auto MAX_PLANNING_GAP = base::Millis(2000);
 
     // True for the stable version, which the move replaces. A service without a stable version has no `fromVersion`;
     // then every version except the candidate counts as stable.
@@ -96,6 +98,17 @@
         std::erase_if(m_trackedMoves, [&](const auto& it) { return !active.count(it.first); });
 }
 
+void MoveDriver::trackProgress(TrackedMove& tracked, int32_t step, bool hasCandidate, base::Instant now)
+{
+    bool isFirst = tracked.plannedAt == base::Instant() || now - tracked.plannedAt > MAX_PLANNING_GAP;
+    tracked.plannedAt = now;
+    if (isFirst || tracked.plannedStep != step)
+        tracked.progressAt = now;
+    if (isFirst || hasCandidate)
+        tracked.candidateSeenAt = now;
+    tracked.plannedStep = step;
+}
+
 moves::MovePlannerInput MoveDriver::makePlannerInput(
     const wire::MoveRecord& move, TrackedMove& tracked, const MoveContext& context) const
 {
@@ -114,6 +127,9 @@
         reachable, move.serviceName, [&](const std::string& version) { return version == move.toVersion; });
     input.candidateTargets = candidate.targets;
     input.candidateSlots = candidate.slots;
+    trackProgress(tracked, move.step, candidate.targets > 0, context.now);
+    input.candidateAbsentMs = base::toMillis(context.now - tracked.candidateSeenAt);
+    input.stalledMs = base::toMillis(context.now - tracked.progressAt);
     input.stableSlots = capacityOf(targets, move.serviceName, [&](const std::string& version) {
         return isStableVersion(move, version);
     }).slots;
--- a/src/control/MoveDriver.h
+++ b/src/control/MoveDriver.h
@@ -51,9 +51,16 @@
         double callsPerSecond { 0 }; // smoothed, both versions
         base::Instant lastBatch;
         int maxStableSlotsSeen { 0 }; // highest capacity of the stable version during the move
+        // Since when this host has planned the move at its present step, and when it last knew of a target of the
+        // candidate. A host that begins to lead knows neither, and counts from then on.
+        base::Instant plannedAt;
+        base::Instant progressAt;
+        base::Instant candidateSeenAt;
+        int32_t plannedStep { -1 };
     };
 
     TrackedMove& track(const wire::MoveRecord& move);
+    static void trackProgress(TrackedMove& tracked, int32_t step, bool hasCandidate, base::Instant now);
     moves::MovePlannerInput makePlannerInput(
         const wire::MoveRecord& move, TrackedMove& tracked, const MoveContext& context) const;
 
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -38,6 +38,13 @@
     // its report.
     constexpr int64_t FINAL_WATCH_MS = 600;
 
+    // Targets of the candidate without which a move is rolled back at the deadline have been unknown for this long.
+    // After a restart of all hosts, targets have announced themselves again well within it.
+    constexpr int64_t TARGETS_LOST_MS = 6000;
+    // A move that makes no step for this long after its deadline is rolled back. Nodes that have been lost count as
+    // reachable for a part of it.
+    constexpr int64_t MAX_STALL_MS = 10000;
+
     struct Step {
         int32_t permille;
         int64_t dwellMs; // minimum duration of the step, long enough for slow calls to end and to be reported
@@ -94,11 +101,26 @@
         bool isComplete = input.isShareApplied && input.wallMs - move.stepMs >= current->dwellMs;
         if (!isComplete)
             return std::nullopt;
+        if (move.permille >= MAX_CANDIDATE_PERMILLE && !input.candidateTargets)
+            return std::nullopt;
         if (move.permille >= MAX_CANDIDATE_PERMILLE)
             return makeNextEvent(move, MoveEventKind::REACHED_ALL, "all traffic but the control group has moved");
         return raiseTo(move, input, std::next(current)->permille, "the step showed no fault");
     }
 
+    // Returns the event that ends a move which cannot be completed any more. Operators of such moves wait for the end
+    // and have no other way to it, and no other move of the service can start before.
+    std::optional<wire::MoveEvent> endIfImpossible(const wire::MoveRecord& move, const MovePlannerInput& input)
+    {
+        bool isLost = !input.candidateTargets && input.candidateAbsentMs >= TARGETS_LOST_MS;
+        if (isLost && input.wallMs >= move.deadlineMs - FINAL_DECISION_MS)
+            return makeNextEvent(move, MoveEventKind::BAD, "no target of version " + move.toVersion + " serves");
+        if (input.wallMs >= move.deadlineMs && input.stalledMs >= MAX_STALL_MS)
+            return makeNextEvent(
+                move, MoveEventKind::BAD, "the share is not in force on every reachable node after the deadline");
+        return std::nullopt;
+    }
+
 }
 
 std::optional<wire::MoveEvent> planBoundedMove(const wire::MoveRecord& move, const MovePlannerInput& input)
@@ -110,13 +132,15 @@
             return makeNextEvent(move, MoveEventKind::BAD, "it may get no more calls and is not proved");
         return std::nullopt;
     }
+    if (auto end = endIfImpossible(move, input))
+        return end;
     switch (move.state) {
     case MoveState::PLANNED:
         return raiseTo(move, input, probePermille(move), "probing");
     case MoveState::RAISING:
         return planStep(move, input);
     case MoveState::WATCHING:
-        if (input.wallMs - move.reachedMs < FINAL_WATCH_MS)
+        if (input.wallMs - move.reachedMs < FINAL_WATCH_MS || !input.candidateTargets)
             return std::nullopt;
         return makeNextEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version in any step");
     default:
--- a/src/moves/MovePlanner.cpp
+++ b/src/moves/MovePlanner.cpp
@@ -135,6 +135,8 @@
 
     std::optional<wire::MoveEvent> planWatch(const wire::MoveRecord& move, const MovePlannerInput& input)
     {
+        if (!input.candidateTargets)
+            return lateEventIfDue(move, input, "no target of version " + move.toVersion + " serves; start its targets");
         if (input.wallMs - move.reachedMs >= move.watchMs)
             return makeNextEvent(move, MoveEventKind::WATCH_ENDED, "no evidence against the version during the watch");
         return std::nullopt;
