moves: the ramp begins above the probing share

With an exposure bound of 0.4 or more, a move of a good version stayed at its probing share and was not done by the deadline. Cause: the first step of the ramp was always 200 permille; the state machine refuses a raise that is not higher, and the planner repeated it. Change: the ramp begins with its first step above the probing share, which is bounded.

--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -75,7 +75,8 @@
 
     int32_t probePermille(const wire::MoveRecord& move)
     {
-        return std::max(1, static_cast<int32_t>(move.exposurePermille * PROBE_EXPOSURE_RATIO));
+        auto permille = static_cast<int32_t>(move.exposurePermille * PROBE_EXPOSURE_RATIO);
+        return std::clamp(permille, 1, MAX_CANDIDATE_PERMILLE - 1);
     }
 
     std::optional<wire::MoveEvent> raiseTo(
@@ -94,7 +95,10 @@
         if (move.permille == probePermille(move)) {
             if (input.wallMs < rampStartMs(move))
                 return std::nullopt;
-            return raiseTo(move, input, RAMP_STEPS.front().permille, "probing showed no fault");
+            // A large exposure bound lets the probing share reach the first steps of the ramp.
+            auto first = std::find_if(
+                RAMP_STEPS.begin(), RAMP_STEPS.end(), [&](const Step& it) { return it.permille > move.permille; });
+            return raiseTo(move, input, first->permille, "probing showed no fault");
         }
         auto current = std::find_if(
             RAMP_STEPS.begin(), RAMP_STEPS.end(), [&](const Step& it) { return it.permille >= move.permille; });
--- a/tests/correctness/MovesAlwaysEnd.cpp
+++ b/tests/correctness/MovesAlwaysEnd.cpp
@@ -191,3 +191,15 @@
         ASSERT_EQ(move.state, MoveState::DONE) << move.reason;
     }
 }
+
+// The first step of the ramp was below the share of a large exposure bound, and was refused again and again.
+TEST(MovesOfGoodVersions, AreDoneWithEveryExposureBound)
+{
+    for (int permille : { 1, 100, 399, 400, 401, 700, 999, 1000, 2000 }) {
+        SCOPED_TRACE(permille);
+        MoveUnderLoss sim(permille);
+        auto move = sim.run(Loss::None, Millis(0));
+        ASSERT_EQ(move.state, MoveState::DONE) << move.reason;
+        EXPECT_LT(move.endedMs - START_MS, DURATION_MS);
+    }
+}
