control: a proof of the directory covers only subscriptions before it

A node that subscribed again while a read barrier was in flight could be told that it has all departures by a proof that is older than its subscription. Such a node now waits for the next proof. The stand-in targets number their announcements, so that the tests with real processes and the soak exercise recorded departures.

DeparturesOutliveAllProcesses and DepartedTargetsStayUnused pass.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -718,6 +718,8 @@
     if (!m_accountRatios.empty())
         presence.__set_accountRatios(m_accountRatios);
     m_outputs.sendToNode(node, FrameKind::SPREAD, base::encode(presence));
+    // A proof that is in flight may be older than this subscription.
+    m_directoriesInProof.erase(node);
     m_unprovenDirectories.insert(node);
     proveDirectories();
     wire::Report report;
@@ -833,10 +835,10 @@
         return;
     m_provingDirectories = true;
     m_proveDirectoriesDue = m_now + DIRECTORY_PROOF_RETRY;
-    auto subscribers = std::move(m_unprovenDirectories);
-    m_unprovenDirectories.clear();
-    auto done = [this, subscribers](bool isProven) {
+    m_directoriesInProof = std::exchange(m_unprovenDirectories, {});
+    auto done = [this](bool isProven) {
         m_provingDirectories = false;
+        const auto subscribers = std::exchange(m_directoriesInProof, {});
         const auto connected = m_publisher.connected();
         for (const auto& it : subscribers) {
             if (std::find(connected.begin(), connected.end(), it) == connected.end())
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -162,6 +162,7 @@
     int64_t m_departuresTerm { 0 };
     // Subscribers that have not been told yet that they have all recorded departures.
     std::set<std::string> m_unprovenDirectories;
+    std::set<std::string> m_directoriesInProof; // of these, those that a read barrier in flight will prove
     bool m_provingDirectories { false };
     base::Instant m_proveDirectoriesDue;
 
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -128,7 +128,7 @@
 {
     nlohmann::json body { { "target", m_settings.id }, { "service", m_settings.serviceName },
         { "version", m_settings.version }, { "address", m_settings.address.text() }, { "slots", m_settings.slots },
-        { "incarnation", m_incarnation }, { "state", state } };
+        { "incarnation", m_incarnation }, { "sequence", ++m_sequence }, { "state", state } };
     http::HttpRequest request { "POST", "/v1/announce", { { "Host", "node" }, { "Content-Type", "application/json" } },
         body.dump() };
     m_announcer->request(std::move(request), ANNOUNCE_TIMEOUT, [done](const http::ExchangeResult&) { done(); });
--- a/standins/Target.h
+++ b/standins/Target.h
@@ -100,6 +100,7 @@
     boost::asio::steady_timer m_announceTimer;
     boost::asio::steady_timer m_drainTimer;
     std::string m_state { "serving" };
+    int64_t m_sequence { 0 }; // of announcements
     int m_running { 0 };
     std::map<std::string, int> m_runCountsByKey;
     std::ofstream m_runsLog;
