views: a host that has just started does not call a move settled

After a restart of the control hosts a finished move was reported as completed at once, and the operator stops the old targets then. Cause: a move counts as settled when no reachable node lacks its final state, and a host that has just started knows of no node.

--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -76,6 +76,8 @@
     const QuotaController& quota() const { return m_quota; }
     const nodes::ConfigPublisher& publisher() const { return m_publisher; }
     base::Instant now() const { return m_now; }
+    // Returns for how long this process has run. Nodes report themselves to it only after its start.
+    base::Millis uptime() const { return std::chrono::duration_cast<base::Millis>(m_now - m_started); }
     int64_t wallMs() const { return m_wallMs; }
 
 private:
--- a/src/control/Views.cpp
+++ b/src/control/Views.cpp
@@ -263,9 +263,12 @@
     }
 
     // True when every reachable node applies the final state of the move, and the move ended long enough ago that no
-    // call should still run on targets of the abandoned version.
+    // call should still run on targets of the abandoned version. A host that has just started does not know which nodes
+    // are reachable.
     bool isSettled(const ControlCore& core, const wire::MoveRecord& move)
     {
+        if (core.uptime() < REACHABLE_WINDOW)
+            return false;
         int64_t needed = core.machine().state().versionOf(config::serviceKey(move.serviceName));
         for (const auto& node : core.directory().liveNodes()) {
             if (core.acks().isReachable(node.node, core.now(), REACHABLE_WINDOW)
