control: departures that are no longer to be recorded are forgotten at once

A departure that was taken back, or whose directory entry had expired, before it could be recorded left an empty entry in the log. The reason of a move that ends without a step says so. DeparturesOutliveAllProcesses, DepartedTargetsStayUnused, MovesAlwaysEnd and the tests around them pass.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -791,10 +791,6 @@
 {
     wire::Spread out;
     out.targets = m_directory.mergeDepartures(departures, m_now).targets;
-    std::erase_if(m_unrecordedDepartures, [this](const std::string& target) {
-        const auto* it = m_directory.findTarget(target);
-        return !it || !it->leaves || it->recorded;
-    });
     if (!out.targets.empty())
         broadcastToNodes(out);
 }
@@ -803,21 +799,25 @@
 // leader has overwritten.
 void ControlCore::proposeDepartures()
 {
+    std::erase_if(m_unrecordedDepartures, [this](const std::string& target) {
+        const auto* it = m_directory.findTarget(target);
+        return !it || !it->leaves || it->recorded;
+    });
     bool isInFlight = m_departuresTerm == m_replica.term() && m_departuresIndex > m_appliedIndex;
     if (m_unrecordedDepartures.empty() || !m_replica.isLeader() || isDiskBehind() || isInFlight)
         return;
-    auto command = systemCommand(wire::CommandKind::RECORD_DEPARTURES, m_wallMs);
     std::vector<wire::Departure> departures;
     for (const auto& target : m_unrecordedDepartures) {
         const auto* it = m_directory.findTarget(target);
-        if (!it || !it->leaves || departures.size() >= MAX_DEPARTURES_PER_ENTRY)
-            continue;
         wire::Departure departure;
         departure.target = target;
         departure.incarnation = it->targetIncarnation;
         departure.noticeSequence = it->noticeSequence;
         departures.push_back(std::move(departure));
+        if (departures.size() >= MAX_DEPARTURES_PER_ENTRY)
+            break;
     }
+    auto command = systemCommand(wire::CommandKind::RECORD_DEPARTURES, m_wallMs);
     command.__set_departures(departures);
     auto index = m_replica.propose(wire::EntryKind::COMMAND, base::pack(base::encode(command)), m_now);
     if (!index)
@@ -896,8 +896,8 @@
         proposeClaimEpoch();
     }
     proveDirectories();
+    proposeDepartures();
     if (leadsWithLease) {
-        proposeDepartures();
         proposeMoveEvents();
         proposeMembershipChange();
     }
--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -120,8 +120,8 @@
         if (isLost && input.wallMs >= move.deadlineMs - FINAL_DECISION_MS)
             return makeNextEvent(move, MoveEventKind::BAD, "no target of version " + move.toVersion + " serves");
         if (input.wallMs >= move.deadlineMs && input.stalledMs >= MAX_STALL_MS)
-            return makeNextEvent(
-                move, MoveEventKind::BAD, "the share is not in force on every reachable node after the deadline");
+            return makeNextEvent(move, MoveEventKind::BAD,
+                "no step was possible after the deadline: the share is not in force on every reachable node");
         return std::nullopt;
     }
 
--- a/src/node/DistributionTargets.cpp
+++ b/src/node/DistributionTargets.cpp
@@ -22,7 +22,7 @@
     constexpr auto MAX_CLOCK_STEP = std::chrono::hours(1);
     constexpr auto MAX_RAMP_UP = Millis(3600000);
     constexpr auto TOMBSTONE_RETENTION = Millis(600000);
-    // Below the time for which targets wait for the answer to an announcement, one second on the users' platform.
+    // Below the time for which targets wait for the answer to an announcement, one second.
     constexpr auto RECORD_TIMEOUT = Millis(800);
     constexpr size_t MAX_RECORD_WAITERS = 256;
 
