--- a/tests/correctness/MovesAlwaysEnd.cpp
+++ b/tests/correctness/MovesAlwaysEnd.cpp
@@ -18,7 +18,7 @@
 constexpr int64_t START_MS = 1700000000000;
 constexpr int64_t DURATION_MS = 12000;
 constexpr Millis STEP(100);
-constexpr Millis PATIENCE(20000); // after the deadline
+constexpr Millis MAX_OVERRUN(20000); // after the deadline
 constexpr Millis RELEARN_TIME(3000); // for nodes and targets to be known to a restarted control host
 const base::Instant T0 = base::Instant() + std::chrono::hours(1);
 
@@ -56,10 +56,10 @@
         return apply(command);
     }
 
-    // Runs until the move has ended or patience has. `restartAt`: all control hosts restart.
+    // Runs until the move has ended, or until MAX_OVERRUN after its deadline. `restartAt`: all control hosts restart.
     const wire::MoveRecord& run(Loss loss, Millis lossAt, std::optional<Millis> restartAt = std::nullopt)
     {
-        for (m_time = Millis(0); m_time < Millis(DURATION_MS) + PATIENCE && !moves::isFinished(move());
+        for (m_time = Millis(0); m_time < Millis(DURATION_MS) + MAX_OVERRUN && !moves::isFinished(move());
              m_time += STEP) {
             if (restartAt && m_time == *restartAt)
                 restart();
--- a/tests/integration/DeparturesSurviveAKillOfEverything.cpp
+++ b/tests/integration/DeparturesSurviveAKillOfEverything.cpp
@@ -4,6 +4,7 @@
 #include "benchmarks/Mesh.h"
 #include "pomelowind/base/Wire.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace pomelowind;
--- a/tests/integration/PromisesAreKept.cpp
+++ b/tests/integration/RetryableStatusesMeanNotRun.cpp
@@ -1,5 +1,5 @@
-// Guards against a status that promises callers that a request has not run, although a target has or may have run it
-// (review/11): a caller that trusts it sends the request again, and it runs twice.
+// Guards against a status that tells callers that a request has not run and may be sent again, although a target has or
+// may have run it (review/11): it would run twice.
 
 #include "platform/PlatformCallProtocol.h"
 #include "tests/support/CallPathFixture.h"
@@ -12,14 +12,14 @@
 
 namespace {
 
-constexpr int PROMISES[] = { 408, 421, 429, 503 };
+constexpr int RETRYABLE_STATUSES[] = { 408, 421, 429, 503 };
 
 std::string statusLine(int status) { return "HTTP/1.1 " + std::to_string(status) + " "; }
 
 // Parameter: the node with the target. The caller is at node 0.
-class PromisesAreKept : public testing::TestWithParam<int> {
+class RetryableStatusesMeanNotRun : public testing::TestWithParam<int> {
 protected:
-    PromisesAreKept()
+    RetryableStatusesMeanNotRun()
         : fixture(options())
     {
     }
@@ -58,7 +58,7 @@
 
 }
 
-TEST_P(PromisesAreKept, FailureOfARequestThatHasRunPromisesNothing)
+TEST_P(RetryableStatusesMeanNotRun, FailureOfARequestThatHasRunHasNone)
 {
     for (int status : { 408, 429, 503 }) {
         for (bool isIdempotent : { false, true }) {
@@ -75,7 +75,7 @@
     }
 }
 
-TEST_P(PromisesAreKept, OtherFailuresOfTheTargetReachTheCallerUnchanged)
+TEST_P(RetryableStatusesMeanNotRun, OtherFailuresOfTheTargetReachTheCallerUnchanged)
 {
     for (int status : { 404, 409, 500, 502, 504 }) {
         auto id = "r" + std::to_string(status);
@@ -86,27 +86,27 @@
     }
 }
 
-TEST_P(PromisesAreKept, RefusalOfTheTargetIsPassedOnAsAPromise)
+TEST_P(RetryableStatusesMeanNotRun, RefusalOfTheTargetIsPassedOn)
 {
     auto got = responseTo(CallPathFixture::request("full", "/once/1", "list"), "full",
         "HTTP/1.1 503 X\r\nX-Request-Id: full\r\nX-Not-Executed: full\r\nContent-Length: 0\r\n\r\n");
     EXPECT_EQ(got.rfind(statusLine(503), 0), 0U) << got;
 }
 
-TEST_P(PromisesAreKept, SuccessThatCallsTheRequestNotExecutedPromisesNothing)
+TEST_P(RetryableStatusesMeanNotRun, SuccessMarkedAsNotExecutedHasNone)
 {
     auto got = responseTo(CallPathFixture::request("odd", "/once/1", "list"), "odd",
         CallPathFixture::answer("odd", "saved", 200, "X-Not-Executed: 1\r\n"));
     EXPECT_EQ(got.rfind(statusLine(502), 0), 0U) << got;
 }
 
-INSTANTIATE_TEST_SUITE_P(OnOneNodeAndOverTwo, PromisesAreKept, testing::Values(0, 1));
+INSTANTIATE_TEST_SUITE_P(OnOneNodeAndOverTwo, RetryableStatusesMeanNotRun, testing::Values(0, 1));
 
 // Answers of other nodes, stored ones, and those of this node: only a call that has not run may get such a status.
-TEST(PromisesOfAnswers, DependOnTheOutcomeAlone)
+TEST(RetryableStatusesOfAnswers, DependOnTheOutcomeAlone)
 {
     auto protocol = platform::makeCallProtocol();
-    for (int status : PROMISES) {
+    for (int status : RETRYABLE_STATUSES) {
         wire::CallAnswer answer;
         answer.status = status;
         for (auto outcome : { wire::Outcome::RAN, wire::Outcome::UNKNOWN }) {
