node: nodes cut off at their start take announcements of their targets

A data centre that was cut off from the control hosts within some 50 ms of the first configuration of its nodes kept its targets out of use for as long as the cut lasted. Cause: since departures are recorded, a started node holds announcements back until it is told that it knows all departures; cut off before that, it was never told, and nor were its peers.

Change: a node without contact to the control hosts since its start takes announcements after 3 s and an answer of a peer, as it then also serves with the configuration of its peers. It does not call its own directory complete, and drains targets whose departure it learns later. Proofs of the directory that succeed follow each other without a pause.

--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -834,10 +834,11 @@
     if (m_unprovenDirectories.empty() || m_provingDirectories || m_now < m_proveDirectoriesDue)
         return;
     m_provingDirectories = true;
-    m_proveDirectoriesDue = m_now + DIRECTORY_PROOF_RETRY;
     m_directoriesInProof = std::exchange(m_unprovenDirectories, {});
     auto done = [this](bool isProven) {
         m_provingDirectories = false;
+        if (!isProven)
+            m_proveDirectoriesDue = m_now + DIRECTORY_PROOF_RETRY;
         const auto subscribers = std::exchange(m_directoriesInProof, {});
         const auto connected = m_publisher.connected();
         for (const auto& it : subscribers) {
--- a/src/node/DistributionCore.cpp
+++ b/src/node/DistributionCore.cpp
@@ -282,14 +282,19 @@
         m_pendingReport.acks.push_back(it);
 }
 
+bool DistributionCore::isCutOffSinceStart(Instant now) const
+{
+    return !beaconIsFresh(now) && now - m_started >= PARTITIONED_START_WAIT
+        && m_digestAnswers >= PARTITIONED_START_MIN_ANSWERS;
+}
+
 // A restarted node has no stored state. It serves once its version is not older than the floor: the version that it
 // last acknowledged to the control hosts or, while partitioned from them, the newest one that its peers run.
 void DistributionCore::updateServing(Instant now)
 {
     if (m_serving)
         return;
-    if (!m_versionFloorKnown && !beaconIsFresh(now) && now - m_started >= PARTITIONED_START_WAIT
-        && m_digestAnswers >= PARTITIONED_START_MIN_ANSWERS) {
+    if (!m_versionFloorKnown && isCutOffSinceStart(now)) {
         m_versionFloorKnown = true;
         base::logWarn("node.serving_partitioned", { { "floor", m_versionFloor } });
     }
@@ -556,7 +561,7 @@
 void DistributionCore::startDigestExchange(Instant now)
 {
     auto jitter = Millis(static_cast<int64_t>(m_random.uniformBelow(DIGEST_PERIOD.count() / 2)));
-    m_digestDue = now + (m_serving ? DIGEST_PERIOD : PARTITIONED_START_WAIT / 4) + jitter;
+    m_digestDue = now + (m_serving && !m_holdsAnnouncements ? DIGEST_PERIOD : PARTITIONED_START_WAIT / 4) + jitter;
     std::vector<base::Address> peers = m_serving ? std::vector<base::Address>() : m_settings.seeds;
     for (const auto& it : m_directory.liveNodes(m_settings.dataCentre)) {
         auto address = it.node == m_settings.id ? std::nullopt : nodes::peerAddress(it.meshAddress);
@@ -608,6 +613,12 @@
     if (now >= m_digestDue)
         startDigestExchange(now);
     updateServing(now);
+    // A node without contact to the control hosts serves with what its peers know. Departures that they lack drain the
+    // targets later.
+    if (m_holdsAnnouncements && m_serving && isCutOffSinceStart(now)) {
+        base::logWarn("node.directory_partitioned", { { "held", m_heldAnnouncements.size() } });
+        takeHeldAnnouncements(now);
+    }
     tickLease(now);
     flushUsage(now);
     bool urgent = !m_pendingReport.nodes.empty() || !m_pendingReport.targets.empty() || !m_pendingReport.acks.empty()
--- a/src/node/DistributionCore.h
+++ b/src/node/DistributionCore.h
@@ -114,6 +114,8 @@
     void retireReplacedTargets(const Announcement& announcement, base::Instant now);
     void applyRememberedNotices(const std::vector<wire::Presence>& targets, base::Instant now);
     void learnDirectory(base::Instant now);
+    void takeHeldAnnouncements(base::Instant now);
+    bool isCutOffSinceStart(base::Instant now) const;
     void reportDepartureNow();
     bool isRecorded(const std::string& target) const;
     void completeRecordWaiters(base::Instant now);
@@ -177,6 +179,7 @@
     // A started node does not know what targets of its host have said before. Until a parent or peer that does know has
     // told it, announcements that would open a gate wait here, the latest of each target.
     bool m_directoryKnown { false };
+    bool m_holdsAnnouncements { true };
     std::map<std::string, Announcement> m_heldAnnouncements;
 
     int64_t m_incarnation;
--- a/src/node/DistributionTargets.cpp
+++ b/src/node/DistributionTargets.cpp
@@ -106,7 +106,7 @@
         return;
     }
     bool isLeaving = announcement.state == wire::TargetState::LEAVING || announcement.state == wire::TargetState::GONE;
-    if (!m_directoryKnown && !isLeaving && !m_localTargets.count(announcement.target)
+    if (m_holdsAnnouncements && !isLeaving && !m_localTargets.count(announcement.target)
         && m_heldAnnouncements.size() < MAX_LOCAL_TARGETS) {
         m_heldAnnouncements[announcement.target] = announcement;
         return;
@@ -272,6 +272,12 @@
     wire::Spread out;
     out.complete = true;
     broadcastToChildren(out, {});
+    takeHeldAnnouncements(now);
+}
+
+void DistributionCore::takeHeldAnnouncements(Instant now)
+{
+    m_holdsAnnouncements = false;
     auto held = std::move(m_heldAnnouncements);
     m_heldAnnouncements.clear();
     for (const auto& [target, it] : held)
