moves: a move that waits for its first target is not rolled back at its deadline

A good version whose first target came shortly before or after the deadline was rolled back, where it had been completed late before this issue. Cause: the 10 s without a step counted from the start of the planning, and the rule on lost targets did not ask whether there had been any. Change: the 10 s count from the deadline on, and the rule on lost targets holds for moves that have made their first step.

MovesOfGoodVersions.AreDoneAlthoughTheirFirstTargetComesLate failed before (first target 11.1 s after the order of 12 s) and passes; AreDoneAlthoughTheirTargetsAreAwayForAWhile passes, and passed before. MovesAlwaysEnd passes.

--- a/src/moves/ExposurePlanner.cpp
+++ b/src/moves/ExposurePlanner.cpp
@@ -116,13 +116,20 @@
     // and have no other way to it, and no other move of the service can start before.
     std::optional<wire::MoveEvent> endIfImpossible(const wire::MoveRecord& move, const MovePlannerInput& input)
     {
-        bool isLost = !input.candidateTargets && input.candidateAbsentMs >= TARGETS_LOST_MS;
-        if (isLost && input.wallMs >= move.deadlineMs - FINAL_DECISION_MS)
+        auto lost = [&] {
             return makeNextEvent(move, MoveEventKind::BAD, "no target of version " + move.toVersion + " serves");
-        if (input.wallMs >= move.deadlineMs && input.stalledMs >= MAX_STALL_MS)
-            return makeNextEvent(move, MoveEventKind::BAD,
-                "no step was possible after the deadline: the share is not in force on every reachable node");
-        return std::nullopt;
+        };
+        // Before the first step, the move may still wait for targets that are being started.
+        bool hasStarted = move.state != MoveState::PLANNED;
+        bool isLost = hasStarted && !input.candidateTargets && input.candidateAbsentMs >= TARGETS_LOST_MS;
+        if (isLost && input.wallMs >= move.deadlineMs - FINAL_DECISION_MS)
+            return lost();
+        if (std::min(input.stalledMs, input.wallMs - move.deadlineMs) < MAX_STALL_MS)
+            return std::nullopt;
+        if (!input.candidateTargets)
+            return lost();
+        return makeNextEvent(move, MoveEventKind::BAD,
+            "no step was possible after the deadline: the share is not in force on every reachable node");
     }
 
 }
--- a/tests/correctness/MovesAlwaysEnd.cpp
+++ b/tests/correctness/MovesAlwaysEnd.cpp
@@ -57,13 +57,14 @@
     }
 
     // Runs until the move has ended, or until MAX_OVERRUN after its deadline. `restartAt`: all control hosts restart.
-    const wire::MoveRecord& run(Loss loss, Millis lossAt, std::optional<Millis> restartAt = std::nullopt)
+    const wire::MoveRecord& run(
+        Loss loss, Millis lossAt, std::optional<Millis> restartAt = std::nullopt, Millis lossEndsAt = Millis::max())
     {
         for (m_time = Millis(0); m_time < Millis(DURATION_MS) + MAX_OVERRUN && !moves::isFinished(move());
              m_time += STEP) {
             if (restartAt && m_time == *restartAt)
                 restart();
-            report(m_time >= lossAt ? loss : Loss::None);
+            report(m_time >= lossAt && m_time < lossEndsAt ? loss : Loss::None);
             plan();
         }
         return move();
@@ -100,6 +101,7 @@
             node.node = target.node;
             node.dataCentre = "east";
             node.incarnation = 1;
+            node.sequence = m_time.count();
             bool isLost = loss == Loss::AllNodes || (loss == Loss::Candidates && isCandidate);
             node.gone = isLost;
             if (isLost && !m_directory.findNode(node.node))
@@ -192,6 +194,26 @@
     }
 }
 
+TEST(MovesOfGoodVersions, AreDoneAlthoughTheirFirstTargetComesLate)
+{
+    for (Millis at(0); at <= Millis(DURATION_MS) + Millis(5000); at += STEP) {
+        SCOPED_TRACE(std::to_string(at.count()) + " ms");
+        MoveUnderLoss sim(100);
+        auto move = sim.run(Loss::Candidates, Millis(0), std::nullopt, at);
+        ASSERT_EQ(move.state, MoveState::DONE) << move.reason;
+    }
+}
+
+TEST(MovesOfGoodVersions, AreDoneAlthoughTheirTargetsAreAwayForAWhile)
+{
+    for (Millis at(0); at <= Millis(DURATION_MS); at += STEP) {
+        SCOPED_TRACE(std::to_string(at.count()) + " ms");
+        MoveUnderLoss sim(100);
+        auto move = sim.run(Loss::Candidates, at, std::nullopt, at + Millis(5000));
+        ASSERT_EQ(move.state, MoveState::DONE) << move.reason;
+    }
+}
+
 // The first step of the ramp was below the share of a large exposure bound, and was refused again and again.
 TEST(MovesOfGoodVersions, AreDoneWithEveryExposureBound)
 {
