platform: the mark of a request that has not run is believed, but for a stamped success

Change: only a stamped success with the mark is of unknown outcome, as its 502 promises nothing. RetryableStatusesMeanNotRun.TheMarkOfATargetIsTakenAtItsWord is new.

--- a/tests/integration/RetryableStatusesMeanNotRun.cpp
+++ b/tests/integration/RetryableStatusesMeanNotRun.cpp
@@ -93,13 +93,24 @@
     EXPECT_EQ(got.rfind(statusLine(503), 0), 0U) << got;
 }
 
-TEST_P(RetryableStatusesMeanNotRun, SuccessMarkedAsNotExecutedHasNone)
+TEST_P(RetryableStatusesMeanNotRun, StampedSuccessMarkedAsNotExecutedHasNone)
 {
     auto got = responseTo(CallPathFixture::request("odd", "/once/1", "list"), "odd",
         CallPathFixture::answer("odd", "saved", 200, "X-Not-Executed: 1\r\n"));
     EXPECT_EQ(got.rfind(statusLine(502), 0), 0U) << got;
 }
 
+TEST_P(RetryableStatusesMeanNotRun, TheMarkOfATargetIsTakenAtItsWord)
+{
+    for (int status : { 200, 302, 400, 429, 500 }) {
+        auto id = "r" + std::to_string(status);
+        auto got = responseTo(CallPathFixture::request(id, "/once/1", "list"), id,
+            "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + id
+                + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(got.rfind(statusLine(503), 0), 0U) << got;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(OnOneNodeAndOverTwo, RetryableStatusesMeanNotRun, testing::Values(0, 1));
 
 // Answers of other nodes, stored ones, and those of this node: only a call that has not run may get such a status.
